Build the whole path, thin, as separate processes

Cause: nothing stood yet; the users ask for the whole path first.

Change: an entry takes a caller's request over HTTP and sends it to a backend server of the service with a free slot; a placer reads jobs from the settings tree, starts their tasks on workers under leases and records the job finished in the key-value service. Settings are checked, planned and applied from INI files by compare-and-swap.

Before: no code.

One entry and one placer only; slots are not shared between entries, and nothing is yet proved under failure.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, and the demonstration of the whole path."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs with real processes, and what they need."""
--- /dev/null
+++ b/thornport/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin mains over the library."""
--- /dev/null
+++ b/thornport/commands/daemons.py
@@ -0,0 +1,58 @@
+"""Starting the daemons. Kept apart from the command line's own packages."""
+
+import pathlib
+import signal
+import sys
+
+from thornport.kernel import logs, problem, procconf
+
+EXIT_BAD_SETTINGS = 2
+
+
+def load_settings(path):
+    """Read the settings of a process, or say what is wrong and exit.
+
+    Args:
+      path: A str.
+    Returns:
+      A procconf.ProcessSettings.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return procconf.parse_settings(path, text)
+    except (OSError, problem.ProblemsError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+
+
+def run(make_daemon, path):
+    """Run a daemon until it is told to stop.
+
+    Args:
+      make_daemon: A callable from a reactor and settings to an object with
+        `start()`, and `stop()` giving a Deferred.
+      path: A str, the settings of the process.
+    """
+    settings = load_settings(path)
+    # The reactor is imported late, so that a bad file is reported at once.
+    from twisted.internet import reactor
+
+    logs.start_logging(process=settings.process.name)
+    daemon = make_daemon(reactor, settings)
+    reactor.callWhenRunning(daemon.start)
+    reactor.callWhenRunning(stop_on_term, reactor, daemon)
+    reactor.run()
+
+
+def stop_on_term(reactor, daemon):
+    """Stop in the planned way on SIGTERM: finish what is in flight first.
+
+    Args:
+      reactor: Twisted's reactor.
+      daemon: An object with `stop()`.
+    """
+
+    def stop():
+        daemon.stop().addBoth(lambda _: reactor.stop())
+
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
--- /dev/null
+++ b/thornport/commands/offline.py
@@ -0,0 +1,145 @@
+"""What the command line does with declarations and the store."""
+
+import pathlib
+
+from returns import result
+from twisted.internet import defer, task
+
+from thornport.kernel import inifile, metrics, problem
+from thornport.settings import compile as compiling
+from thornport.settings import editing
+from thornport.store import client as storeclient
+
+STORE_TIMEOUT_S = 5.0
+
+
+def load_files(paths):
+    """Read and check declarations.
+
+    Args:
+      paths: A list of pathlib.Path.
+    Returns:
+      A dict as Tree.by_path.
+    Raises:
+      problem.ProblemsError: With every fault in every file.
+    """
+    documents = [
+        inifile.parse_text(str(path), pathlib.Path(path).read_text(encoding="utf-8"))
+        for path in paths
+    ]
+    by_path, places, problems = compiling.read_documents(documents)
+    _, faults = compiling.compile_tree(0, by_path, places)
+    if problems or faults:
+        raise problem.ProblemsError(problems + faults)
+    return by_path
+
+
+def run_in_reactor(make_coroutine):
+    """Run one coroutine in a reactor of its own and return what it gives.
+
+    Args:
+      make_coroutine: A callable from a reactor to a coroutine.
+    Returns:
+      What the coroutine returns.
+    """
+    outcome = []
+
+    async def act(reactor):
+        outcome.append(await make_coroutine(reactor))
+
+    try:
+        task.react(lambda reactor: defer.ensureDeferred(act(reactor)))
+    except SystemExit as done:
+        # react always exits; only a failure is passed on.
+        if done.code:
+            raise
+    return outcome[0]
+
+
+def make_store(reactor, url):
+    """Make a client of the store for one command.
+
+    Args:
+      reactor: Twisted's reactor.
+      url: A str.
+    Returns:
+      A client.StoreClient.
+    """
+    return storeclient.StoreClient(reactor, url, STORE_TIMEOUT_S, metrics.Metrics())
+
+
+def plan_files(by_path, url):
+    """Plan an edit against the store.
+
+    Args:
+      by_path: A dict as Tree.by_path.
+      url: A str, the store.
+    Returns:
+      A Result of editing.Plan or editing.EditError.
+    """
+
+    async def act(reactor):
+        return await plan_with(make_store(reactor, url), by_path)
+
+    return run_in_reactor(act)
+
+
+async def plan_with(store, by_path):
+    """Plan an edit with a store client.
+
+    Args:
+      store: A store client.
+      by_path: A dict as Tree.by_path.
+    Returns:
+      A Result of editing.Plan or editing.EditError.
+    """
+    read = await editing.read_head(store)
+    if isinstance(read, result.Failure):
+        return result.Failure(editing.EditError(f"store: {read.failure().reason}"))
+    head, _ = read.unwrap()
+    return result.Success(editing.plan_edit(head, by_path))
+
+
+def apply_files(by_path, url, revision=None):
+    """Commit declarations.
+
+    Args:
+      by_path: A dict as Tree.by_path.
+      url: A str, the store.
+      revision: An int, refuse unless the store is at it; None for whatever
+        it is at.
+    Returns:
+      A Result of editing.Accepted or editing.EditError.
+    """
+
+    async def act(reactor):
+        store = make_store(reactor, url)
+        planned = await plan_with(store, by_path)
+        if isinstance(planned, result.Failure):
+            return planned
+        plan = planned.unwrap()
+        if revision is not None and plan.revision != revision:
+            text = f"planned at {revision}, the store is at {plan.revision}"
+            return result.Failure(editing.EditError(text))
+        if not plan.changes:
+            return result.Success(editing.Accepted(plan.revision))
+        return await editing.apply_plan(store, plan)
+
+    return run_in_reactor(act)
+
+
+def format_plan(plan):
+    """Format a plan for a person.
+
+    Args:
+      plan: An editing.Plan.
+    Returns:
+      A str of one line a change, with the branches it reaches.
+    """
+    lines = [f"at revision {plan.revision}: {len(plan.changes)} changes"]
+    for change in plan.changes:
+        lines.append(f"[{change.path}] {change.key}: {change.before} -> {change.after}")
+    for path, reached in plan.reaches_by_path.items():
+        if reached:
+            lines.append(f"[{path}] reaches {', '.join(reached)}")
+    return "\n".join(lines)
--- /dev/null
+++ b/thornport/entry/dispatch.py
@@ -0,0 +1,105 @@
+"""One request to one backend server, and the truth about what became of it."""
+
+import io
+
+from twisted.internet import defer
+from twisted.internet import error as neterror
+from twisted.web import client as webclient
+from twisted.web import http_headers
+
+from thornport.routing import outcome
+from thornport.routing import request as requests
+
+NOT_SENT_ERRORS = (
+    neterror.ConnectError,
+    neterror.ConnectionRefusedError,
+    neterror.NoRouteError,
+    neterror.TCPTimedOutError,
+    neterror.TimeoutError,
+    neterror.ConnectingCancelledError,
+)
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 10
+DEFAULT_CONTENT_TYPE = b"application/octet-stream"
+
+
+class Dispatcher:
+    """Sends requests over kept connections."""
+
+    __slots__ = ("_agent", "_pool", "_reactor")
+
+    def __init__(self, reactor):
+        """Make the connection pool.
+
+        Args:
+          reactor: Twisted's reactor.
+        """
+        self._reactor = reactor
+        self._pool = webclient.HTTPConnectionPool(reactor, persistent=True)
+        # A retry decided inside the library could run a request twice.
+        self._pool.retryAutomatically = False
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._agent = webclient.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
+        )
+
+    def limit_connections(self, per_backend):
+        """Bound the idle connections kept to each backend server.
+
+        Args:
+          per_backend: An int.
+        """
+        self._pool.maxPersistentPerHost = per_backend
+
+    async def send(self, request, address, timeout_s):
+        """Run a request on a backend server.
+
+        Args:
+          request: A requests.Request.
+          address: A str, `IP:PORT`.
+          timeout_s: A float, the longest wait for the whole answer, seconds.
+        Returns:
+          An outcome.Answer or an outcome.GivenUp.
+        """
+        headers = http_headers.Headers(
+            {
+                "Content-Type": [request.content_type],
+                requests.HEADER_REQUEST_ID: [request.request_id],
+            }
+        )
+        producer = webclient.FileBodyProducer(io.BytesIO(request.body))
+        url = f"http://{address}/{request.service}".encode()
+        sending = self._agent.request(b"POST", url, headers, producer)
+        sending.addCallback(read_whole)
+        sending.addTimeout(timeout_s, self._reactor)
+        try:
+            return await sending
+        except NOT_SENT_ERRORS as error:
+            return outcome.not_run(outcome.Reason.UNREACHABLE, str(error))
+        except (defer.TimeoutError, defer.CancelledError):
+            return outcome.may_have_run(outcome.Reason.RUN_TOO_LONG)
+        except Exception as error:
+            # Every other end, a cut answer among them, leaves it open
+            # whether the backend server has run the request.
+            return outcome.may_have_run(outcome.Reason.BROKEN_ANSWER, repr(error))
+
+
+def read_whole(response):
+    """Read an answer to its proven end.
+
+    Args:
+      response: A twisted IResponse.
+    Returns:
+      A Deferred of Answer or GivenUp, failing if the answer is cut short.
+    """
+    refused = response.headers.getRawHeaders(requests.HEADER_REFUSED)
+    reading = webclient.readBody(response)
+    if refused:
+        given_up = outcome.not_run(outcome.Reason.REFUSED, refused[0])
+        # The refusal is in the headers, which have come whole.
+        return reading.addBoth(lambda _: given_up)
+    types = response.headers.getRawHeaders(b"Content-Type", [DEFAULT_CONTENT_TYPE])
+    content_type = types[0].decode("latin-1")
+    return reading.addCallback(
+        lambda body: outcome.Answer(response.code, content_type, body)
+    )
--- /dev/null
+++ b/thornport/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of VMs: who are backend servers and workers."""
--- /dev/null
+++ b/thornport/kernel/inifile.py
@@ -0,0 +1,133 @@
+"""INI files with the line of every section and key.
+
+The parser is iniconfig's. It stops at the first line it cannot read, so such
+a line is set aside and the rest is read again, until all bad lines are known.
+"""
+
+import difflib
+
+import iniconfig
+import msgspec
+
+from thornport.kernel import problem
+
+MAX_SYNTAX_PROBLEMS = 50
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One `key = value` and its line."""
+
+    key: str
+    value: str
+    line: int
+
+
+class Section(msgspec.Struct, frozen=True):
+    """One `[name]`, its line and its entries by key."""
+
+    name: str
+    line: int
+    by_key: dict[str, Entry]
+
+
+class Document(msgspec.Struct, frozen=True):
+    """All sections of one file by name, with the problems of its syntax."""
+
+    path: str
+    by_name: dict[str, Section]
+    problems: list[problem.Problem]
+
+
+def parse_text(path, text):
+    """Read the text of an INI file.
+
+    Args:
+      path: A str naming the source in problems.
+      text: A str.
+    Returns:
+      A Document. Its problems are empty if the syntax is right.
+    """
+    lines = text.splitlines()
+    problems = []
+    while True:
+        try:
+            ini = iniconfig.IniConfig(path, data="\n".join(lines) + "\n")
+            break
+        except iniconfig.ParseError as error:
+            problems.append(problem.Problem(path, error.lineno + 1, error.msg))
+            lines[error.lineno] = ""
+            if len(problems) >= MAX_SYNTAX_PROBLEMS:
+                return Document(path, {}, problems)
+    by_name = {section.name: _read_section(ini, section) for section in ini}
+    return Document(path, by_name, problems)
+
+
+def _read_section(ini, section):
+    by_key = {
+        key: Entry(key, value, section.lineof(key)) for key, value in section.items()
+    }
+    return Section(section.name, ini.lineof(section.name), by_key)
+
+
+def convert_entry(document, entry, field_type):
+    """Convert one value to the type of its field.
+
+    Args:
+      document: The Document the entry is from.
+      entry: An Entry.
+      field_type: A type as msgspec understands it, with its constraints.
+    Returns:
+      A pair of the value, or None, and a Problem, or None.
+    """
+    try:
+        return msgspec.convert(entry.value, field_type, strict=False), None
+    except msgspec.ValidationError as error:
+        text = f"{entry.key} = {entry.value}: {error}"
+        return None, problem.Problem(document.path, entry.line, text)
+
+
+def convert_section(document, section, struct_type):
+    """Convert a whole section to a struct, finding every fault in it.
+
+    Args:
+      document: The Document the section is from.
+      section: A Section.
+      struct_type: A msgspec struct type, a field for each key.
+    Returns:
+      A pair of the struct, or None if there are faults, and a list of Problem.
+    """
+    fields = {field.name: field for field in msgspec.structs.fields(struct_type)}
+    values = {}
+    problems = []
+    for entry in section.by_key.values():
+        if entry.key not in fields:
+            text = describe_unknown("key", entry.key, fields)
+            problems.append(problem.Problem(document.path, entry.line, text))
+            continue
+        value, fault = convert_entry(document, entry, fields[entry.key].type)
+        if fault:
+            problems.append(fault)
+        else:
+            values[entry.key] = value
+    for field in fields.values():
+        if field.required and field.name not in section.by_key:
+            text = f"[{section.name}] lacks {field.name}"
+            problems.append(problem.Problem(document.path, section.line, text))
+    if problems:
+        return None, problems
+    return struct_type(**values), []
+
+
+def describe_unknown(what, name, known):
+    """Say that a name is unknown, with the nearest known one.
+
+    Args:
+      what: A str, the kind of thing named.
+      name: A str.
+      known: An iterable of str.
+    Returns:
+      A str for a person.
+    """
+    nearest = difflib.get_close_matches(name, list(known), n=1)
+    hint = f"; did you mean {nearest[0]}?" if nearest else ""
+    return f"unknown {what} {name}{hint}"
--- /dev/null
+++ b/thornport/kernel/metrics.py
@@ -0,0 +1,59 @@
+"""Metrics by statsd over UDP, and the same counts kept for reports.
+
+A daemon has one Metrics. Counters are summed here and sent once a second,
+so that the hot path costs one dictionary update and no packet.
+"""
+
+import collections
+
+import statsd
+
+FLUSH_PERIOD_S = 1.0
+
+
+class Metrics:
+    """The counters and gauges of one process."""
+
+    __slots__ = ("_client", "_sent_by_name", "count_by_name")
+
+    def __init__(self, host=None, port=0, prefix="thornport"):
+        """Open the socket, or none.
+
+        Args:
+          host: An IP number, or None to keep the counts only.
+          port: An int, the UDP port.
+          prefix: A str before every name.
+        """
+        self.count_by_name = collections.Counter()
+        self._sent_by_name = collections.Counter()
+        self._client = statsd.StatsClient(host, port, prefix) if host else None
+
+    def count(self, name, step=1):
+        """Add to a counter.
+
+        Args:
+          name: A str, dotted.
+          step: An int.
+        """
+        self.count_by_name[name] += step
+
+    def set_gauge(self, name, value):
+        """Send a gauge now.
+
+        Args:
+          name: A str, dotted.
+          value: A number.
+        """
+        if self._client:
+            self._client.gauge(name, value)
+
+    def flush(self):
+        """Send what the counters have gained since the last time."""
+        if not self._client:
+            return
+        with self._client.pipeline() as pipeline:
+            for name, total in self.count_by_name.items():
+                gained = total - self._sent_by_name[name]
+                if gained:
+                    pipeline.incr(name, gained)
+        self._sent_by_name = self.count_by_name.copy()
--- /dev/null
+++ b/thornport/kernel/tasks.py
@@ -0,0 +1,67 @@
+"""Running coroutines and periodic work in the reactor without losing errors."""
+
+import traceback
+
+from twisted.internet import defer, task
+
+from thornport.kernel import logs
+
+
+def spawn(coroutine, what):
+    """Run a coroutine to its end, logging what it raises.
+
+    Args:
+      coroutine: A coroutine.
+      what: A str for the log.
+    Returns:
+      A Deferred that never fails.
+    """
+    running = defer.ensureDeferred(coroutine)
+    running.addErrback(log_failure, what)
+    return running
+
+
+def log_failure(failure, what):
+    """Log a failure that nobody else handles.
+
+    Args:
+      failure: A twisted Failure.
+      what: A str, what was being done.
+    """
+    if failure.check(defer.CancelledError):
+        return
+    trace = "".join(traceback.format_tb(failure.getTracebackObject())[-3:])
+    logs.log("task-failed", task=what, error=repr(failure.value), trace=trace)
+
+
+def call_periodically(reactor, period_s, action, what):
+    """Call an action for ever, whatever it raises.
+
+    Args:
+      reactor: Twisted's reactor.
+      period_s: A float, seconds.
+      action: A callable of no arguments; what it returns is waited for.
+      what: A str for the log.
+    Returns:
+      The LoopingCall, to be stopped.
+    """
+
+    def act():
+        return defer.maybeDeferred(action).addErrback(log_failure, what)
+
+    loop = task.LoopingCall(act)
+    loop.clock = reactor
+    loop.start(period_s, now=False)
+    return loop
+
+
+def sleep(reactor, seconds):
+    """Wait.
+
+    Args:
+      reactor: Twisted's reactor.
+      seconds: A float.
+    Returns:
+      A Deferred.
+    """
+    return task.deferLater(reactor, seconds)
--- /dev/null
+++ b/thornport/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs onto workers: what runs where, under which lease."""
--- /dev/null
+++ b/thornport/placement/placer.py
@@ -0,0 +1,232 @@
+"""The decisions of one placer, pure: reports and time in, commands out."""
+
+import heapq
+
+from thornport.kernel import clock
+from thornport.placement import model
+
+LEASE_MS = 10_000
+RENEW_PERIOD_S = 2.0
+
+
+class Placer:
+    """What is known of workers, runs and tasks, and what to do next.
+
+    Attributes:
+      workers_by_address, runs_by_id, tasks_by_id: The state, by key.
+      finished_jobs: A set of names of jobs that are done.
+    """
+
+    def __init__(self, incarnation):
+        """Start knowing nothing.
+
+        Args:
+          incarnation: A str, part of every run id made here.
+        """
+        self._incarnation = incarnation
+        self._next_run = 0
+        self._queue = []
+        self._left_by_job = {}
+        self.workers_by_address = {}
+        self.runs_by_id = {}
+        self.tasks_by_id = {}
+        self.finished_jobs = set()
+
+    def take_config(self, config):
+        """Take the jobs of a revision; new ones are queued.
+
+        Args:
+          config: A compiling.Config.
+        """
+        for name, job in config.jobs_by_name.items():
+            if name in self._left_by_job or name in self.finished_jobs:
+                continue
+            price = config.tiers_by_name[job.tier].price
+            needs = model.Needs(job.cores, job.memory_mb, job.accelerators)
+            self._left_by_job[name] = job.tasks
+            for number in range(job.tasks):
+                task_id = f"{name}/{number}"
+                task = model.Task(task_id, name, price, needs, job.run_ms)
+                self.tasks_by_id[task_id] = task
+                self._enqueue(task)
+
+    def take_report(self, address, report, now):
+        """Take what a worker says of itself.
+
+        Args:
+          address: A str, the worker.
+          report: A model.WorkerReport.
+          now: A float on the monotonic clock.
+        Returns:
+          A list of commands.
+        """
+        worker = self.workers_by_address.get(address)
+        total = model.Needs(report.cores, report.memory_mb, report.accelerators)
+        if worker is None:
+            worker = model.Worker(
+                address, report.incarnation, report.rack, report.hall, total, now
+            )
+            self.workers_by_address[address] = worker
+        worker.total = total
+        worker.reported_at = now
+        commands = []
+        for run_report in report.runs:
+            commands += self._take_run_report(worker, run_report, now)
+        return commands
+
+    def _take_run_report(self, worker, report, now):
+        run = self.runs_by_id.get(report.run_id)
+        if run is None:
+            run = self._adopt(worker, report, now)
+        if run is None or report.state in model.LIVE_STATES:
+            return []
+        return self._end_run(run, report.state)
+
+    def _adopt(self, worker, report, now):
+        """Take over a live run that an earlier placer started."""
+        if report.state not in model.LIVE_STATES:
+            return None
+        needs = model.Needs(report.cores, report.memory_mb, report.accelerators)
+        deadline = clock.compute_deadline(report.lease_remaining_ms, now)
+        run = model.Run(
+            report.run_id,
+            report.task_id,
+            worker.address,
+            needs,
+            model.RunState.RUNNING,
+            deadline,
+        )
+        self._hold(worker, run)
+        task = self.tasks_by_id.get(report.task_id)
+        if task and task.state is model.TaskState.PENDING:
+            task.state = model.TaskState.PLACED
+            task.run_id = run.run_id
+        return run
+
+    def _hold(self, worker, run):
+        self.runs_by_id[run.run_id] = run
+        worker.live_run_ids.add(run.run_id)
+        worker.used = worker.used.add(run.needs)
+
+    def _end_run(self, run, state):
+        """Free what a run held and decide about its task."""
+        if run.state not in model.LIVE_STATES:
+            return []
+        run.state = state
+        worker = self.workers_by_address[run.worker]
+        worker.live_run_ids.discard(run.run_id)
+        worker.used = worker.used.subtract(run.needs)
+        task = self.tasks_by_id.get(run.task_id)
+        if task is None or task.run_id != run.run_id:
+            return []
+        task.run_id = ""
+        if state is not model.RunState.FINISHED:
+            task.state = model.TaskState.PENDING
+            self._enqueue(task)
+            return []
+        task.state = model.TaskState.FINISHED
+        return self._count_finished(task)
+
+    def _count_finished(self, task):
+        self._left_by_job[task.job_name] -= 1
+        if self._left_by_job[task.job_name]:
+            return []
+        self.finished_jobs.add(task.job_name)
+        return [model.JobFinished(task.job_name)]
+
+    def _enqueue(self, task):
+        heapq.heappush(self._queue, (-task.price, task.task_id))
+
+    def lapse(self, now):
+        """End the runs whose leases have surely lapsed at their workers.
+
+        Args:
+          now: A float on the monotonic clock.
+        """
+        for run in list(self.runs_by_id.values()):
+            if run.state in model.LIVE_STATES and now >= run.lease_deadline:
+                self._end_run(run, model.RunState.LAPSED)
+
+    def place(self, now):
+        """Place what waits, the dearest first.
+
+        Args:
+          now: A float on the monotonic clock.
+        Returns:
+          A list of model.StartRun.
+        """
+        commands = []
+        waiting = []
+        while self._queue:
+            item = heapq.heappop(self._queue)
+            task = self.tasks_by_id[item[1]]
+            if task.state is not model.TaskState.PENDING:
+                continue
+            worker = self._choose_worker(task.needs)
+            if worker is None:
+                waiting.append(item)
+                continue
+            commands.append(self._start(task, worker, now))
+        self._queue = waiting
+        heapq.heapify(self._queue)
+        return commands
+
+    def _choose_worker(self, needs):
+        """Choose the worker that is left with the least room."""
+        fitting = [
+            worker
+            for worker in self.workers_by_address.values()
+            if needs.fits(worker.free)
+        ]
+        return min(fitting, key=measure_room, default=None)
+
+    def _start(self, task, worker, now):
+        self._next_run += 1
+        task.attempts += 1
+        run_id = f"{self._incarnation}-{self._next_run}"
+        deadline = clock.compute_deadline(LEASE_MS * clock.CLOCK_RATE_MARGIN, now)
+        run = model.Run(
+            run_id,
+            task.task_id,
+            worker.address,
+            task.needs,
+            model.RunState.STARTING,
+            deadline,
+        )
+        self._hold(worker, run)
+        task.state = model.TaskState.PLACED
+        task.run_id = run_id
+        return model.StartRun(
+            worker.address, task.task_id, run_id, task.needs, task.run_ms, LEASE_MS
+        )
+
+    def renew(self, now):
+        """Renew the lease of every live run.
+
+        Args:
+          now: A float on the monotonic clock.
+        Returns:
+          A list of model.RenewLeases.
+        """
+        deadline = clock.compute_deadline(LEASE_MS * clock.CLOCK_RATE_MARGIN, now)
+        commands = []
+        for worker in self.workers_by_address.values():
+            if not worker.live_run_ids:
+                continue
+            for run_id in worker.live_run_ids:
+                self.runs_by_id[run_id].lease_deadline = deadline
+            run_ids = sorted(worker.live_run_ids)
+            commands.append(model.RenewLeases(worker.address, run_ids, LEASE_MS))
+        return commands
+
+
+def measure_room(worker):
+    """Measure what a worker has left, as a share of what it has.
+
+    Args:
+      worker: A model.Worker.
+    Returns:
+      A float from 0 to 2.
+    """
+    free = worker.free
+    return free.cores / worker.total.cores + free.memory_mb / worker.total.memory_mb
--- /dev/null
+++ b/thornport/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: admission, priority, sharing of slots, retries, outcomes."""
--- /dev/null
+++ b/thornport/routing/outcome.py
@@ -0,0 +1,94 @@
+"""The three outcomes of a request, and nothing between them.
+
+`NOT_RUN` is said only when no byte of the request reached a backend server,
+or the backend server itself refused it. All else that is not a whole answer
+is `MAY_HAVE_RUN`.
+"""
+
+import enum
+
+import msgspec
+
+
+class Outcome(enum.Enum):
+    """What became of a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Reason(enum.Enum):
+    """Why a request was given up on."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_WORKSPACE = "unknown-workspace"
+    TIER_NOT_ALLOWED = "tier-not-allowed"
+    BODY_TOO_LARGE = "body-too-large"
+    KEY_REUSED = "key-reused"
+    KEY_BUSY = "key-busy"
+    KEY_UNPROVABLE = "key-unprovable"
+    KEY_NO_QUORUM = "key-no-quorum"
+    KEY_MEMORY_FULL = "key-memory-full"
+    QUOTA = "quota"
+    QUEUE_FULL = "queue-full"
+    OUTBID = "outbid"
+    DEADLINE = "deadline"
+    STOPPING = "stopping"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    BROKEN_ANSWER = "broken-answer"
+    RUN_TOO_LONG = "run-too-long"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of a backend server.
+
+    Attributes:
+      status: An int, the HTTP status.
+      content_type: A str.
+      body: Bytes.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class GivenUp(msgspec.Struct, frozen=True):
+    """A request that has no answer.
+
+    Attributes:
+      outcome: NOT_RUN or MAY_HAVE_RUN.
+      reason: A Reason.
+      detail: A str for a person.
+      retry_after_s: An int, when to come back; 0 if coming back is no use.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    detail: str = ""
+    retry_after_s: int = 0
+
+
+def not_run(reason, detail="", retry_after_s=0):
+    """Say that a request truly was not run.
+
+    Args:
+      reason, detail, retry_after_s: As in GivenUp.
+    Returns:
+      A GivenUp.
+    """
+    return GivenUp(Outcome.NOT_RUN, reason, detail, retry_after_s)
+
+
+def may_have_run(reason, detail="", retry_after_s=0):
+    """Say that a request may have run.
+
+    Args:
+      reason, detail, retry_after_s: As in GivenUp.
+    Returns:
+      A GivenUp.
+    """
+    return GivenUp(Outcome.MAY_HAVE_RUN, reason, detail, retry_after_s)
--- /dev/null
+++ b/thornport/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The tree of settings: declarations, inheritance, edits, what is in force."""
--- /dev/null
+++ b/thornport/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service, behind a narrow port."""
