--- a/thornport/kernel/ids.py
+++ b/thornport/kernel/ids.py
@@ -30,6 +30,7 @@
     """
 
     def weigh(member_id):
-        return xxhash.xxh3_64_intdigest(f"{member_id}\x00{key}"), member_id
+        text = f"{member_id}\x00{key}"
+        return xxhash.xxh3_64_intdigest(text.encode()), member_id
 
     return sorted(member_ids, key=weigh, reverse=True)
