Claim callers' keys with two of three holders before a request runs

Cause: a request marked not repeatable may run at most once, also when the caller's retry reaches another entry after the first died, and the store's hundred writes a second cannot take a record per request.

Change: a key has up to three holders among the entries, in different halls; a claim runs once two have written it in memory. On each change of the ring members ask each other for what they should now hold. Where all holders of a record may have been lost together the vote is DOUBT (the caller is told "may have run"), unless the key is a UUID of version 7 made after the loss.

Red first, by the property test (delays, losses, repeats, deaths, members that wake after removal, leaves, joins): 1. a ring of one that was lost right after a member joined left no doubt; 2. a record of a losing claim hid the winner's when records were exchanged; 3. a member that had left vouched for what the ring should hold; 4. a holder granted a claim that it had only heard of from another. Ruled out: keeping only the newest claim of a key; counting losses over the whole memory of the ring, which doubts keys that were handed on in time.

--- a/thornport/membership/record.py
+++ b/thornport/membership/record.py
@@ -42,10 +42,12 @@
     """A ring that is no more.
 
     Attributes:
+      epoch: An int.
       members: A tuple of Member.
       ended_ms: An int, wall-clock milliseconds.
     """
 
+    epoch: int
     members: tuple[Member, ...]
     ended_ms: int
 
@@ -264,7 +266,7 @@
     oldest_ms = now_ms - life_ms
     past = [*ring.past]
     if ring.members:
-        past.append(PastRing(ring.members, now_ms))
+        past.append(PastRing(ring.epoch, ring.members, now_ms))
     lost = [*ring.lost, *(Lost(member_id, now_ms) for member_id in lost_ids)]
     kept = tuple(p for p in past if p.ended_ms >= oldest_ms)
     known = {member.member_id for p in kept for member in p.members}
--- /dev/null
+++ b/thornport/once/claims.py
@@ -0,0 +1,177 @@
+"""The entry's side: claims a caller's key with its holders before it runs.
+
+Pure: messages and time in, messages and verdicts out.
+"""
+
+import enum
+
+import msgspec
+
+from thornport.kernel import ids
+from thornport.membership import record
+from thornport.once import messages
+from thornport.routing import outcome
+
+PATIENCE_S = 1.0
+
+
+class Ruling(enum.Enum):
+    """What the holders' votes come to.
+
+    FRESH: the request may run, and nobody else's may. All others: it may not.
+    """
+
+    FRESH = "fresh"
+    BUSY = "busy"
+    DONE = "done"
+    REUSED = "reused"
+    UNPROVABLE = "unprovable"
+    FULL = "full"
+    NO_QUORUM = "no-quorum"
+
+
+RULING_BY_VOTE = {
+    messages.Vote.HELD: Ruling.BUSY,
+    messages.Vote.DOUBT: Ruling.UNPROVABLE,
+    messages.Vote.FULL: Ruling.FULL,
+}
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """The end of a claim.
+
+    Attributes:
+      answer: The kept answer, with DONE; None if it was not kept.
+    """
+
+    claim_id: str
+    ruling: Ruling
+    answer: outcome.Answer | None = None
+
+
+class Pending(msgspec.Struct):
+    """A claim that holders are voting on."""
+
+    key: str
+    holders: list[record.Member]
+    give_up_at: float
+    vote_by_id: dict[str, messages.Vote] = msgspec.field(default_factory=dict)
+
+
+class Claims:
+    """The claims of one entry.
+
+    Attributes:
+      held_by_claim_id: The holders of claims that were granted, by claim.
+    """
+
+    def __init__(self):
+        """Start with no claims."""
+        self._incarnation = ids.make_incarnation()
+        self._next = 0
+        self._pending_by_id = {}
+        self._granted_by_id = {}
+
+    def start(self, ring, key, digest, life_ms, now):
+        """Start a claim.
+
+        Args:
+          ring: A record.Ring.
+          key: A str.
+          digest: Bytes.
+          life_ms: An int.
+          now: A float.
+        Returns:
+          A pair of the claim's id and a list of pairs of Member and Claim;
+          the list is empty if there is no ring.
+        """
+        self._next += 1
+        claim_id = f"{self._incarnation}-{self._next}"
+        holders = record.pick_holders(ring.members, key, messages.HOLDERS)
+        self._pending_by_id[claim_id] = Pending(key, holders, now + PATIENCE_S)
+        claim = messages.Claim(ring.epoch, key, claim_id, digest, life_ms)
+        return claim_id, [(member, claim) for member in holders]
+
+    def take_vote(self, sender_id, voted):
+        """Count a vote.
+
+        Args:
+          sender_id: A str.
+          voted: A messages.Voted.
+        Returns:
+          A Verdict if the claim has come to its end, else None.
+        """
+        pending = self._pending_by_id.get(voted.claim_id)
+        if pending is None:
+            return None
+        pending.vote_by_id[sender_id] = voted.vote
+        if voted.vote is messages.Vote.DONE:
+            return self._end(voted.claim_id, Ruling.DONE, voted.answer)
+        if voted.vote is messages.Vote.REUSED:
+            return self._end(voted.claim_id, Ruling.REUSED)
+        votes = list(pending.vote_by_id.values())
+        quorum = messages.QUORUM_BY_HOLDERS[len(pending.holders)]
+        if votes.count(messages.Vote.GRANTED) >= quorum:
+            return self._end(voted.claim_id, Ruling.FRESH)
+        if len(votes) == len(pending.holders):
+            return self._end(voted.claim_id, rule_without_quorum(votes))
+        return None
+
+    def _end(self, claim_id, ruling, answer=None):
+        pending = self._pending_by_id.pop(claim_id)
+        self._granted_by_id[claim_id] = pending
+        return Verdict(claim_id, ruling, answer)
+
+    def expire(self, now):
+        """End the claims whose holders stay silent.
+
+        Args:
+          now: A float.
+        Returns:
+          A list of Verdict.
+        """
+        late = [c for c, p in self._pending_by_id.items() if now >= p.give_up_at]
+        verdicts = []
+        for claim_id in late:
+            votes = list(self._pending_by_id[claim_id].vote_by_id.values())
+            verdicts.append(self._end(claim_id, rule_without_quorum(votes)))
+        return verdicts
+
+    def finish(self, claim_id, answer):
+        """Tell the holders that the request has ended, or may have run.
+
+        Args:
+          claim_id: A str of a FRESH claim.
+          answer: An outcome.Answer to keep, or None.
+        Returns:
+          A list of pairs of Member and messages.Done.
+        """
+        pending = self._granted_by_id.pop(claim_id)
+        done = messages.Done(pending.key, claim_id, answer)
+        return [(member, done) for member in pending.holders]
+
+    def release(self, claim_id):
+        """Tell the holders that the request was not run and will not be.
+
+        Args:
+          claim_id: A str of a claim that has come to its end.
+        Returns:
+          A list of pairs of Member and messages.Release.
+        """
+        pending = self._granted_by_id.pop(claim_id)
+        release = messages.Release(pending.key, claim_id)
+        return [(member, release) for member in pending.holders]
+
+
+def rule_without_quorum(votes):
+    """Rule on a claim that too few holders have granted.
+
+    Args:
+      votes: A list of messages.Vote.
+    Returns:
+      A Ruling other than FRESH.
+    """
+    for vote, ruling in RULING_BY_VOTE.items():
+        if vote in votes:
+            return ruling
+    return Ruling.NO_QUORUM
--- a/thornport/routing/lender.py
+++ b/thornport/routing/lender.py
@@ -12,10 +12,9 @@
 import msgspec
 
 from thornport.kernel import clock
-from thornport.membership import record
+from thornport.membership import settling
 from thornport.routing import homes, loans, shares
 
-EX_MEMBER_PATIENCE_S = 5.0
 UNKNOWN_BORROWER = "unknown"
 
 
@@ -86,11 +85,11 @@
         """
         self._me = me
         self._homes = homes.Homes()
-        self._settled_epoch = 0
+        self._settling = settling.Settling(me)
+        self._opened_epoch = 0
         self._next_seq = 0
         self._unknown_from = float("-inf")
         self._known_lost = frozenset()
-        self._to_ask = {}
         self._backends_by_address = {}
         self._borrowers_by_id = {}
         # What was handed over is kept until it has run out, since the answer
@@ -101,7 +100,7 @@
     @property
     def is_settled(self):
         """Whether every former home has let go of what is now this one's."""
-        return 0 < self._settled_epoch == self._homes.ring.epoch
+        return 0 < self._opened_epoch == self._homes.ring.epoch
 
     def take_ring(self, ring, now):
         """Take a new ring and find out whom to ask for what is now ours.
@@ -116,11 +115,7 @@
         if lost - self._known_lost or (first and lost):
             self._unknown_from = now
         self._known_lost |= lost
-        asked = {member.member_id: None for member in ring.members}
-        leavers = record.list_leavers(ring)
-        asked |= dict.fromkeys(sorted(leavers), now + EX_MEMBER_PATIENCE_S)
-        asked.pop(self._me, None)
-        self._to_ask = asked
+        self._settling.take_ring(ring, now)
         self._settle_if_done(now)
 
     def list_to_ask(self, now):
@@ -131,13 +126,12 @@
         Returns:
           A list of member ids.
         """
-        for member_id, deadline in list(self._to_ask.items()):
-            if deadline is not None and now >= deadline:
-                # It has left and handed nothing over after all.
-                del self._to_ask[member_id]
-                self._unknown_from = now
+        awaited, given_up = self._settling.list_to_ask(now)
+        if given_up:
+            # They have left and handed nothing over after all.
+            self._unknown_from = now
         self._settle_if_done(now)
-        return list(self._to_ask)
+        return awaited
 
     def take_handoff(self, sender_id, handoff, now):
         """Take over the loans of a former home.
@@ -147,11 +141,12 @@
           handoff: A loans.Handoff.
           now: A float.
         """
-        if handoff.epoch != self._homes.ring.epoch or sender_id not in self._to_ask:
+        same_epoch = handoff.epoch == self._homes.ring.epoch
+        if not same_epoch or not self._settling.is_awaited(sender_id):
             return
         for address, handed_by_id in handoff.by_backend.items():
             self._import_loans(address, handed_by_id, now)
-        del self._to_ask[sender_id]
+        self._settling.take_word(sender_id)
         self._settle_if_done(now)
 
     def _import_loans(self, address, handed_by_id, now):
@@ -170,9 +165,9 @@
             loan.over_at = max(loan.over_at, over_at)
 
     def _settle_if_done(self, now):
-        if self._to_ask or self.is_settled:
+        if not self._settling.is_settled or self.is_settled:
             return
-        self._settled_epoch = self._homes.ring.epoch
+        self._opened_epoch = self._homes.ring.epoch
         self._open_ledgers(now)
 
     def answer_takeover(self, sender_id, takeover, now):
