--- a/thornport/entry/thin.py
+++ b/bench/thin.py
@@ -1,11 +1,26 @@
-"""The first version of the request path: no queue, a fixed share of slots.
+"""The first version of the request path: no queue, all slots its own.
 
-It is kept as the baseline that `make bench` measures the entry against.
+It is kept as the baseline that `make bench` measures the entry against, and
+runs as a process with the settings of an entry: `python -m bench.thin FILE`.
 """
 
+import sys
+
+import treq
+from returns import result
+from twisted.internet import defer
+from twisted.web import client as webclient
+
+from thornport.commands import daemons
 from thornport.entry import callers, dispatch
+from thornport.fleet import vmlist
+from thornport.kernel import logs, metrics, tasks
 from thornport.routing import outcome
 from thornport.routing import request as requests
+from thornport.settings import inforce, watcher
+from thornport.store import client as storeclient
+
+TIMEOUT_S = 2.0
 
 
 class ThinFront:
@@ -76,3 +91,47 @@
             and in_flight[listed.address] < slots
         ]
         return min(free, key=in_flight.get, default=None)
+
+
+class ThinEntry:
+    """The process around it."""
+
+    def __init__(self, reactor, settings):
+        """Make the parts; as daemon.Entry."""
+        self._reactor = reactor
+        self._settings = settings
+        counts = metrics.Metrics()
+        url = settings.platform.store
+        self._store = storeclient.StoreClient(reactor, url, TIMEOUT_S, counts)
+        self._http = treq.client.HTTPClient(webclient.Agent(reactor))
+        self._in_force = inforce.InForce()
+        self._front = ThinFront(reactor, self._in_force, counts)
+
+    def start(self):
+        """Open the socket and start the periodic work."""
+        listen = self._settings.listen
+        app = callers.make_app(self._front)
+        bound = callers.listen(self._reactor, app, listen.ip, listen.http_port)
+        logs.log("listening", http=f"{listen.ip}:{bound.getHost().port}")
+        watching = watcher.watch_head(self._reactor, self._store, self._in_force.offer)
+        tasks.spawn(watching, "watch-settings")
+        period_s = self._settings.platform.vms_period_s
+        tasks.call_periodically(self._reactor, period_s, self._read, "read-vms")
+
+    def stop(self):
+        """Stop at once."""
+        return defer.succeed(None)
+
+    def _read(self):
+        return tasks.spawn(self._read_vms(), "read-vms")
+
+    async def _read_vms(self):
+        url = self._settings.platform.vms
+        read = await vmlist.read_list(self._http, url, TIMEOUT_S)
+        if isinstance(read, result.Success):
+            backends = vmlist.select_role(read.unwrap(), vmlist.Role.BACKEND)
+            self._front.listed_by_address = backends
+
+
+if __name__ == "__main__":
+    daemons.run(ThinEntry, sys.argv[1])
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -100,6 +100,8 @@
             return b""
         backend.start(request.getHeader("Thornport-Request-Id"))
         body = request.content.read()
+        # So that the load tool can be pointed here, without an entry.
+        request.setHeader("Thornport-Outcome", "answered")
         try:
             await task.deferLater(reactor, backend.run_ms / 1000)
         finally:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -55,6 +55,8 @@
         self.task_id = task_id
         self.start = start
         self.state = "running"
+        self.started_at = now
+        self.ended_at = 0.0
         self.lease_deadline = now + start.lease_ms / 1000
         self.finish_at = now + start.run_ms / 1000
 
@@ -89,9 +91,9 @@
             if run.state != "running":
                 continue
             if now >= run.finish_at:
-                run.state = "finished"
+                run.state, run.ended_at = "finished", now
             elif now >= run.lease_deadline:
-                run.state = "lapsed"
+                run.state, run.ended_at = "lapsed", now
 
     def describe(self):
         """Describe the worker as its status answer does."""
@@ -100,6 +102,8 @@
             {
                 "run_id": run_id,
                 "task_id": run.task_id,
+                "started_at": run.started_at,
+                "ended_at": run.ended_at,
                 "state": run.state,
                 "cores": run.start.cores,
                 "memory_mb": run.start.memory_mb,
@@ -109,7 +113,8 @@
             for run_id, run in self.by_run_id.items()
         ]
         options = msgspec.to_builtins(self.options)
-        return options | {"incarnation": self.incarnation, "runs": runs}
+        said = {"incarnation": self.incarnation, "over_capacity": self.over_capacity}
+        return options | said | {"runs": runs}
 
 
 def make_app(worker):
@@ -137,7 +142,7 @@
     def stop(request, run_id):
         run = worker.by_run_id.get(run_id)
         if run and run.state == "running":
-            run.state = "stopped"
+            run.state, run.ended_at = "stopped", time.monotonic()
         return b"{}"
 
     @app.route("/leases", methods=["POST"])
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import msgspec
@@ -25,6 +26,7 @@
 ip = 127.0.0.1
 http_port = {http_port}
 peer_port = {peer_port}
+peer_address = {peer_address}
 [platform]
 store = {store}
 vms = {vms}
@@ -172,6 +174,17 @@
         labels |= {"hall": hall, "state": state}
         self.listed.append({"targets": [self.http_by_name[name]], "labels": labels})
 
+    def start_proxy(self, name, target, **options):
+        """Start a fault-injecting proxy in front of a process or address."""
+        address = self.http_by_name.get(target, target)
+        arguments = [f"{key}={value}" for key, value in options.items()]
+        self.start(name, "tests.proxy", f"target={address}", *arguments)
+
+    def set_proxy(self, name, **faults):
+        """Switch faults of a proxy; all others off."""
+        url = f"http://{self.peer_by_name[name]}/faults"
+        call("POST", url, msgspec.json.encode(faults))
+
     def start_worker(self, name, **options):
         """Start a worker and put it on the list."""
         arguments = [f"{key}={value}" for key, value in options.items()]
@@ -192,6 +205,7 @@
             "hall": "h0",
             "http_port": 0,
             "peer_port": 0,
+            "peer_address": "",
             "store": self.url("kv"),
             "vms": self.url("vmlist", "/vms"),
             "seeds": "",
@@ -200,9 +214,9 @@
         path.write_text(ENTRY_SETTINGS.format(**(values | changes)))
         return str(path)
 
-    def start_entry(self, name, **changes):
+    def start_entry(self, name, module="thornport.entry", **changes):
         """Start an entry."""
-        return self.start(name, "thornport.entry", self.write_settings(name, **changes))
+        return self.start(name, module, self.write_settings(name, **changes))
 
     def start_placer(self, name, **changes):
         """Start a placer."""
@@ -246,7 +260,83 @@
         url = self.url(name, f"/v1/requests/{service}")
         return call("POST", url, body, sent, timeout_s)
 
+    def wait_slots(self, total, *names, service="press-desk"):
+        """Wait until entries together hold all slots of a service."""
+
+        def count():
+            held = [call_json("GET", self.url(n, "/v1/status")) for n in names]
+            return sum(h["slots"].get(service, 0) for h in held) == total
+
+        wait_until(count, f"{total} slots held")
+
     def count_runs(self, service="press-desk"):
         """Ask all backend servers of a service for their counts."""
         names = [name for name in self.by_name if name.startswith(service + "-")]
         return {n: call_json("GET", self.url(n, "/counts")) for n in names}
+
+
+class Load:
+    """Callers in threads: each sends its own bodies and checks its answers.
+
+    `results` has a Result for each request that has got its outcome.
+    """
+
+    def __init__(self, cell, entries, callers=8, **headers):
+        self.cell = cell
+        self.entries = list(entries)
+        self.headers = headers
+        self.results = []
+        self.stopping = threading.Event()
+        self.threads = [
+            threading.Thread(target=self.run, args=(number,), daemon=True)
+            for number in range(callers)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, caller):
+        """Send requests one after another until told to stop."""
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            body = f"{caller}-{count}".encode()
+            entry = self.entries[(caller + count) % len(self.entries)]
+            headers = dict(self.headers)
+            if headers.get("Thornport_Repeatable") == "no":
+                headers["Idempotency_Key"] = body.decode()
+            self.results.append(self.send(entry, body, headers))
+
+    def send(self, entry, body, headers):
+        """Send one request and note what came of it."""
+        try:
+            answer = self.cell.request(entry, body, **headers)
+        except urllib3.exceptions.HTTPError as error:
+            return Result(entry, body, "none", repr(error), time.monotonic())
+        outcome = answer.headers.get("Thornport-Outcome", "none")
+        whole = outcome != "answered" or answer.data == body
+        detail = "" if outcome == "answered" else answer.data.decode()
+        return Result(
+            entry, body, outcome if whole else "wrong", detail, time.monotonic()
+        )
+
+    def wait_for(self, count):
+        """Wait for so many more outcomes."""
+        wanted = len(self.results) + count
+        wait_until(lambda: len(self.results) >= wanted, f"{wanted} outcomes")
+
+    def stop(self):
+        """Stop all callers and return the results."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(PATIENCE_S)
+        return self.results
+
+
+class Result(msgspec.Struct):
+    """What came of one request."""
+
+    entry: str
+    body: bytes
+    outcome: str
+    detail: str
+    at: float
--- /dev/null
+++ b/tests/proxy.py
@@ -0,0 +1,150 @@
+"""A fault-injecting TCP proxy as a process, over Twisted's port forwarding.
+
+`POST /faults` with JSON sets: `cut` (end all connections, refuse new ones),
+`delay_ms` (each way), `freeze` (hold all bytes, keep connections open),
+`truncate` (end the connection after so many bytes of an answer).
+"""
+
+import klein
+import msgspec
+from twisted.internet import reactor
+from twisted.protocols import portforward
+
+from standins import serve
+
+
+class Options(msgspec.Struct):
+    """Options of the command line."""
+
+    target: str
+    port: int = 0
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong from now on."""
+
+    cut: bool = False
+    delay_ms: int = 0
+    freeze: bool = False
+    truncate: int = 0
+
+
+class State:
+    """The faults in force, the connections and the bytes held back."""
+
+    def __init__(self):
+        self.faults = Faults()
+        self.sides = set()
+        self.held = []
+
+    def set_faults(self, faults):
+        """Put faults in force, and let held bytes go if nothing is frozen."""
+        self.faults = faults
+        if faults.cut:
+            for side in list(self.sides):
+                side.transport.abortConnection()
+        if not faults.freeze:
+            held, self.held = self.held, []
+            for side, data in held:
+                side.pass_on(data)
+
+
+STATE = State()
+
+
+class Side:
+    """What both sides of a forwarded connection do with bytes."""
+
+    def connectionMade(self):
+        """Keep track of the side."""
+        STATE.sides.add(self)
+        self.passed = 0
+        super().connectionMade()
+
+    def connectionLost(self, reason):
+        """Forget the side."""
+        STATE.sides.discard(self)
+        super().connectionLost(reason)
+
+    def dataReceived(self, data):
+        """Pass bytes on as the faults have it."""
+        faults = STATE.faults
+        if faults.freeze:
+            STATE.held.append((self, data))
+        elif faults.delay_ms:
+            reactor.callLater(faults.delay_ms / 1000, self.pass_on, data)
+        else:
+            self.pass_on(data)
+
+    def pass_on(self, data):
+        """Pass bytes on to the other side, if it is still there."""
+        if self.peer is None:
+            return
+        limit = STATE.faults.truncate
+        if limit and self.is_answering:
+            data = data[: max(0, limit - self.passed)]
+        self.passed += len(data)
+        self.peer.transport.write(data)
+        if limit and self.is_answering and self.passed >= limit:
+            self.peer.transport.loseConnection()
+
+
+class Client(Side, portforward.ProxyClient):
+    """The side towards the target; what it receives are answers."""
+
+    is_answering = True
+
+
+class ClientFactory(portforward.ProxyClientFactory):
+    """Makes the side towards the target."""
+
+    protocol = Client
+
+
+class Server(Side, portforward.ProxyServer):
+    """The side towards the caller."""
+
+    clientProtocolFactory = ClientFactory
+    is_answering = False
+
+    def connectionMade(self):
+        """Refuse while cut."""
+        if STATE.faults.cut:
+            self.transport.abortConnection()
+            return
+        super().connectionMade()
+
+
+class Factory(portforward.ProxyFactory):
+    """Accepts callers."""
+
+    protocol = Server
+
+
+def make_control():
+    """Make the control interface."""
+    app = klein.Klein()
+
+    @app.route("/faults", methods=["POST"])
+    def set_faults(request):
+        STATE.set_faults(msgspec.json.decode(request.content.read(), type=Faults))
+        return b"ok"
+
+    return app
+
+
+def main():
+    """Run as a process; prints the proxy's address and that of its control."""
+    options = serve.read_options(Options)
+    host, port = options.target.split(":")
+    bound = reactor.listenTCP(
+        options.port, Factory(host, int(port)), interface=serve.HOST
+    )
+    control = serve.listen(make_control())
+    proxied = f"{serve.HOST}:{bound.getHost().port}"
+    print(f"event=listening http={proxied} peer={control}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -3,11 +3,13 @@
 import pathlib
 from typing import Annotated
 
+import msgspec
 import typer
 from returns import result
 
 from thornport.commands import daemons, offline
 from thornport.kernel import problem
+from thornport.load import arrivals, driver, report
 
 app = typer.Typer(no_args_is_help=True, help="A cluster scheduler for unlike work.")
 settings_app = typer.Typer(no_args_is_help=True, help="Edit the tree of settings.")
@@ -36,6 +38,33 @@
     daemons.run(daemon.PlacerDaemon, str(path))
 
 
+@app.command()
+def load(
+    entry: Annotated[list[str], typer.Option(help="URL of an entry; may repeat.")],
+    service: str,
+    workspace: str,
+    rate: Annotated[float, typer.Option(help="Requests a second.")] = 100.0,
+    count: Annotated[int, typer.Option(min=1, max=1_000_000)] = 1000,
+    tier: Annotated[list[str], typer.Option(help="TIER=SHARE; may repeat.")] = (),
+    not_repeatable: Annotated[float, typer.Option(min=0, max=1)] = 0.0,
+    deadline_ms: int = 5000,
+    body_bytes: int = 200,
+    seed: int = 1,
+    callers: Annotated[int, typer.Option(help="Closed loop; 0 for open.")] = 0,
+    backend: Annotated[list[str], typer.Option(help="Stand-in to count at.")] = (),
+    json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+):
+    """Send open-loop requests, check every answer, and report."""
+    shares = dict(pair.split("=") for pair in tier) or {"normal": "1"}
+    weights = {name: float(share) for name, share in shares.items()}
+    mix = arrivals.Mix(rate, count, weights, not_repeatable, deadline_ms, body_bytes)
+    where = driver.Where(list(entry), service, workspace, list(backend))
+    made = offline.run_load(where, mix, seed, callers)
+    typer.echo(msgspec.json.encode(made) if json else report.format_report(made))
+    if made.doubled or made.untrue:
+        raise typer.Exit(EXIT_REFUSED)
+
+
 @settings_app.command()
 def check(files: Files):
     """Check declarations; print every fault with its file and line."""
--- a/thornport/commands/offline.py
+++ b/thornport/commands/offline.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer, task
 
 from thornport.kernel import inifile, metrics, problem
+from thornport.load import arrivals, driver
 from thornport.settings import compile as compiling
 from thornport.settings import editing
 from thornport.store import client as storeclient
@@ -143,3 +144,25 @@
         if reached:
             lines.append(f"[{path}] reaches {', '.join(reached)}")
     return "\n".join(lines)
+
+
+def run_load(where, mix, seed, callers=0):
+    """Run load and wait for its end.
+
+    Args:
+      where: A driver.Where.
+      mix: An arrivals.Mix.
+      seed: An int.
+      callers: An int, a closed loop of so many; 0 for open-loop arrivals.
+    Returns:
+      A report.Report.
+    """
+    drawn = arrivals.draw_arrivals(mix, seed)
+
+    async def act(reactor):
+        made = driver.Driver(reactor, where)
+        if callers:
+            return await made.run_closed(drawn, callers, mix.deadline_ms)
+        return await made.run(drawn, mix.deadline_ms)
+
+    return run_in_reactor(act)
--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -5,15 +5,30 @@
 from twisted.internet import defer
 from twisted.web import client as webclient
 
-from thornport.entry import callers, thin
+from thornport.entry import callers, front, keys, peering, sharing
 from thornport.fleet import vmlist
-from thornport.kernel import logs, metrics, tasks
-from thornport.settings import inforce, watcher
+from thornport.kernel import clock, logs, metrics, tasks
+from thornport.membership import node
+from thornport.peers import bus
+from thornport.routing import loans
+from thornport.settings import inforce
 from thornport.store import client as storeclient
 
+RING_NAME = "entry"
+HEALTH_PERIOD_S = 1.0
+HEALTH_TIMEOUT_S = 1.0
+HTTP_UNAVAILABLE = 503
+DRAIN_S = 2.0
+HAND_OVER_S = 3.0
+POLL_S = 0.05
+
 
 class Entry:
-    """One entry process."""
+    """One entry process.
+
+    Attributes:
+      node, sharing, keys, front: The slices at the edge.
+    """
 
     def __init__(self, reactor, settings):
         """Make the parts; nothing is opened yet.
@@ -31,40 +46,88 @@
         self._store = storeclient.StoreClient(
             reactor, platform.store, platform.store_timeout_s, self._metrics
         )
-        self._http = treq.client.HTTPClient(webclient.Agent(reactor))
+        pool = webclient.HTTPConnectionPool(reactor)
+        agent = webclient.Agent(reactor, connectTimeout=HEALTH_TIMEOUT_S, pool=pool)
+        self._http = treq.client.HTTPClient(agent)
         self._in_force = inforce.InForce()
-        self._front = thin.ThinFront(reactor, self._in_force, self._metrics)
-
-    def start(self):
-        """Open the sockets and start the periodic work."""
-        listen = self._settings.listen
-        app = callers.make_app(self._front)
-        bound = callers.listen(self._reactor, app, listen.ip, listen.http_port)
-        logs.log("listening", http=f"{listen.ip}:{bound.getHost().port}")
-        watching = watcher.watch_head(self._reactor, self._store, self._take_settings)
-        tasks.spawn(watching, "watch-settings")
-        tasks.spawn(self._read_vms(), "read-vms")
-        period_s = self._settings.platform.vms_period_s
-        tasks.call_periodically(
-            self._reactor, period_s, lambda: self._start_reading(), "read-vms"
+        self._listed_by_address = {}
+        self._bound = None
+        self._bus = bus.Bus(reactor, peering.CODEC, self._metrics)
+        self.node = node.Node(
+            reactor, settings, self._store, self._bus, self._in_force, RING_NAME
         )
+        self.sharing = sharing.Sharing(
+            reactor, self.node, settings.process.hall, self._read_demand
+        )
+        self.keys = keys.Keys(reactor, self.node)
+        self.front = front.Front(
+            reactor, self._in_force, self.sharing, self.keys, self._metrics
+        )
+        self._wire()
 
-    def stop(self):
-        """Stop.
+    def _wire(self):
+        self.node.on_ring = self._take_ring
+        self.node.on_settings = self._take_settings
+        self.node.on_new_life = self._start_life
+        self.sharing.on_slots = self.front.pump
+        self.front.on_leaving = self.take_leaving
 
-        Returns:
-          A Deferred that fires when nothing is in flight.
-        """
-        return defer.succeed(None)
+    def _read_demand(self):
+        return self.front.read_demand()
+
+    def _start_life(self, member_id):
+        self.sharing.start_life(member_id)
+        self.keys.start_life(member_id)
+
+    def _take_ring(self, ring, now):
+        self.sharing.take_ring(ring, now)
+        self.keys.take_ring(ring, now)
+        self._limit_connections()
+
+    def _limit_connections(self):
+        """Keep few enough idle connections that all entries' stay in bounds."""
+        members = max(1, len(self.node.ring.members))
+        for service in self._in_force.config.services_by_name.values():
+            idle = (service.connections - service.slots) // members
+            self.front.dispatcher.limit_connections(max(1, idle))
+
+    def _take_settings(self):
+        self.front.take_settings()
+        self._limit_connections()
+        self._take_listed()
+
+    def _take_listed(self):
+        services = self._in_force.config.services_by_name
+        self.sharing.take_listed(self._listed_by_address, services)
+
+    def start(self):
+        """Open the sockets, join the ring and start the periodic work."""
+        listen = self._settings.listen
+        self._bus.bind(listen.ip, listen.peer_port, listen.peer_address)
+        app = callers.make_app(self)
+        self._bound = callers.listen(self._reactor, app, listen.ip, listen.http_port)
+        http = f"{listen.ip}:{self._bound.getHost().port}"
+        self.node.start(http)
+        self._bus.start(self._bus.member_id, self._take_message)
+        logs.log("listening", http=http, peer=self._bus.address)
+        self.sharing.start()
+        self.keys.start()
+        for period_s, action, what in (
+            (front.TICK_S, self.front.tick, "queues"),
+            (self._settings.platform.vms_period_s, self._read_vms, "read-vms"),
+            (HEALTH_PERIOD_S, self._check_health, "check-health"),
+            (metrics.FLUSH_PERIOD_S, self._metrics.flush, "metrics"),
+        ):
+            tasks.call_periodically(self._reactor, period_s, action, what)
+        self._read_vms()
 
-    def _start_reading(self):
-        return tasks.spawn(self._read_vms(), "read-vms")
+    def _take_message(self, sender_id, address, message):
+        peering.take(message, self, sender_id, address)
 
-    def _take_settings(self, data):
-        if self._in_force.offer(data):
-            logs.log("settings-in-force", revision=self._in_force.revision)
+    def _read_vms(self):
+        return tasks.spawn(self._read_vms_now(), "read-vms")
 
-    async def _read_vms(self):
+    async def _read_vms_now(self):
         platform = self._settings.platform
         read = await vmlist.read_list(
             self._http, platform.vms, platform.store_timeout_s
@@ -73,4 +136,89 @@
             logs.log("vms-unavailable", reason=read.failure().reason)
             return
         backends = vmlist.select_role(read.unwrap(), vmlist.Role.BACKEND)
-        self._front.listed_by_address = backends
+        self._listed_by_address = backends
+        self._take_listed()
+
+    def _check_health(self):
+        checks = [
+            tasks.spawn(self._check_backend(address), "check-health")
+            for address in self.sharing.list_homed()
+        ]
+        return defer.gatherResults(checks)
+
+    async def _check_backend(self, address):
+        """Ask a backend server that this process is the home of."""
+        try:
+            url = f"http://{address}/health"
+            response = await self._http.get(url, timeout=HEALTH_TIMEOUT_S)
+            await treq.content(response)
+        except Exception as error:
+            # A server that does not answer is passed over for its failed
+            # requests; only its own word makes it a leaving one.
+            logs.log("backend-unreachable", backend=address, reason=str(error))
+            return
+        if response.code == HTTP_UNAVAILABLE:
+            self.take_leaving(address)
+
+    def take_leaving(self, address, is_from_peer=False):
+        """Believe that a backend server is leaving, and tell the peers.
+
+        Args:
+          address: A str.
+          is_from_peer: A bool; peers' news is not passed on.
+        """
+        services = self._in_force.config.services_by_name
+        if self.sharing.take_leaving(address, services) and not is_from_peer:
+            for member_id in self.node.ring.member_ids:
+                self.node.send(member_id, loans.BackendNews(address))
+
+    # What follows is the interface that callers.make_app asks for.
+
+    def is_ready(self):
+        """Tell whether the balancer should send requests here."""
+        return self.front.is_ready()
+
+    def read_request(self, service, get_header, body):
+        """Check a request; as requests.read_request."""
+        return self.front.read_request(service, get_header, body)
+
+    def serve(self, request):
+        """Run a request; as front.Front.serve."""
+        return self.front.serve(request)
+
+    def describe(self):
+        """Describe the state for operators."""
+        now = clock.read_monotonic()
+        services = self._in_force.config.services_by_name
+        borrower = self.sharing.borrower
+        return {
+            "revision": self._in_force.revision,
+            "membership": self.node.describe(),
+            "in_flight": self.front.in_flight,
+            "slots": {name: borrower.count_limits(name, now) for name in services},
+            "keys": len(self.keys.holder.records_by_key),
+            "counts": dict(self._metrics.count_by_name),
+        }
+
+    def stop(self):
+        """Stop in the planned way: nothing in flight is cut.
+
+        Returns:
+          A Deferred that fires when all is done.
+        """
+        return tasks.spawn(self._stop(), "stop")
+
+    async def _stop(self):
+        logs.log("stopping", in_flight=self.front.in_flight)
+        self.front.stop_being_ready()
+        # The balancer sees it late; what it still sends is served.
+        await tasks.sleep(self._reactor, DRAIN_S)
+        await self._bound.stopListening()
+        while self.front.in_flight:
+            await tasks.sleep(self._reactor, POLL_S)
+        self.keys.holder.close()
+        if await self.node.leave():
+            # The others now ask for what this process lent and recorded.
+            await tasks.sleep(self._reactor, HAND_OVER_S)
+            await self.node.say_gone()
+        logs.log("stopped")
--- a/thornport/entry/dispatch.py
+++ b/thornport/entry/dispatch.py
@@ -71,7 +71,7 @@
         url = f"http://{address}/{request.service}".encode()
         sending = self._agent.request(b"POST", url, headers, producer)
         sending.addCallback(read_whole)
-        sending.addTimeout(timeout_s, self._reactor)
+        sending.addTimeout(timeout_s, self._reactor, raise_timeout)
         try:
             return await sending
         except NOT_SENT_ERRORS as error:
@@ -84,6 +84,15 @@
             return outcome.may_have_run(outcome.Reason.BROKEN_ANSWER, repr(error))
 
 
+def raise_timeout(result, timeout_s):
+    """Say that a dispatch was ended for its time, however it then failed.
+
+    Raises:
+      defer.TimeoutError: Always.
+    """
+    raise defer.TimeoutError(f"no whole answer in {timeout_s:.3f} s")
+
+
 def read_whole(response):
     """Read an answer to its proven end.
 
--- /dev/null
+++ b/thornport/entry/keys.py
@@ -0,0 +1,149 @@
+"""Keys at the edge: moves claims, votes and records between entries."""
+
+from twisted.internet import defer
+
+from thornport.kernel import clock, tasks
+from thornport.once import claims, holder, messages
+from thornport.routing import outcome
+from thornport.routing import request as requests
+
+TICK_S = 0.1
+NO_QUORUM_TRIES = 3
+RETRY_CLAIM_S = 0.2
+
+GIVEN_UP_BY_RULING = {
+    claims.Ruling.BUSY: outcome.may_have_run(
+        outcome.Reason.KEY_BUSY, "a request with this key is running", 1
+    ),
+    claims.Ruling.DONE: outcome.may_have_run(
+        outcome.Reason.KEY_BUSY, "the answer to this key was not kept"
+    ),
+    claims.Ruling.REUSED: outcome.not_run(
+        outcome.Reason.KEY_REUSED, "this key stands for another request"
+    ),
+    claims.Ruling.UNPROVABLE: outcome.may_have_run(
+        outcome.Reason.KEY_UNPROVABLE, "the record of this key may be lost"
+    ),
+    claims.Ruling.FULL: outcome.not_run(
+        outcome.Reason.KEY_MEMORY_FULL, "too many keys are remembered", 5
+    ),
+    claims.Ruling.NO_QUORUM: outcome.not_run(
+        outcome.Reason.KEY_NO_QUORUM, "too few entries can vouch for the key", 1
+    ),
+}
+
+
+class Keys:
+    """The claims and the held records of one entry."""
+
+    def __init__(self, reactor, node):
+        """Take what it works with.
+
+        Args:
+          reactor: Twisted's reactor.
+          node: A node.Node.
+        """
+        self._reactor = reactor
+        self._node = node
+        self._claims = claims.Claims()
+        self._waiting_by_claim_id = {}
+        self.holder = holder.Holder("")
+
+    def start(self):
+        """Start the periodic work."""
+        tasks.call_periodically(self._reactor, TICK_S, self._tick, "keys")
+
+    def start_life(self, member_id):
+        """Go on as another life: no record is held any more."""
+        self.holder = holder.Holder(member_id)
+
+    def take_ring(self, ring, now):
+        """Take a new ring."""
+        self.holder.take_ring(ring, now)
+
+    def _tick(self):
+        now = clock.read_monotonic()
+        for member_id in self.holder.list_to_ask(now):
+            self._node.send(member_id, messages.AskRecords(self.holder.ring.epoch))
+        self.holder.expire(now)
+        for verdict in self._claims.expire(now):
+            self._tell(verdict)
+
+    async def claim(self, request, key_life_ms):
+        """Claim the key of a request.
+
+        Args:
+          request: A requests.Request with a key.
+          key_life_ms: An int.
+        Returns:
+          A claims.Verdict. Whatever it rules, it is to be ended by `finish`
+          or `release`.
+        """
+        for _ in range(NO_QUORUM_TRIES):
+            verdict = await self._claim_once(request, key_life_ms)
+            if verdict.ruling is not claims.Ruling.NO_QUORUM:
+                return verdict
+            if clock.read_monotonic() + RETRY_CLAIM_S >= request.deadline:
+                return verdict
+            # The ring may just be changing; its members settle in moments.
+            self.release(verdict)
+            await tasks.sleep(self._reactor, RETRY_CLAIM_S)
+        return await self._claim_once(request, key_life_ms)
+
+    def _claim_once(self, request, key_life_ms):
+        now = clock.read_monotonic()
+        # The key outlives the request, or a late run could follow another.
+        life_ms = key_life_ms + clock.compute_remaining_ms(request.deadline, now)
+        key = f"{request.workspace}/{request.key}"
+        digest = requests.digest_request(request)
+        claim_id, said = self._claims.start(self._node.ring, key, digest, life_ms, now)
+        waiting = defer.Deferred()
+        self._waiting_by_claim_id[claim_id] = waiting
+        self._say(said)
+        return waiting
+
+    def _say(self, said):
+        for member, message in said:
+            self._node.send(member.member_id, message)
+
+    def finish(self, verdict, answer):
+        """End a claim whose request has run, or may have.
+
+        Args:
+          verdict: A claims.Verdict, FRESH.
+          answer: An outcome.Answer to keep, or None.
+        """
+        self._say(self._claims.finish(verdict.claim_id, answer))
+
+    def release(self, verdict):
+        """End a claim whose request was not run.
+
+        Args:
+          verdict: A claims.Verdict.
+        """
+        self._say(self._claims.release(verdict.claim_id))
+
+    def _tell(self, verdict):
+        self._waiting_by_claim_id.pop(verdict.claim_id).callback(verdict)
+
+    def take_claim(self, sender_id, claim):
+        """Vote on a claim."""
+        now = clock.read_monotonic()
+        may_act = self._node.may_act(now)
+        self._node.send(sender_id, self.holder.take_claim(claim, may_act, now))
+
+    def take_voted(self, sender_id, voted):
+        """Count a vote."""
+        verdict = self._claims.take_vote(sender_id, voted)
+        if verdict:
+            self._tell(verdict)
+
+    def take_ask(self, sender_id, ask):
+        """Give a member the records it should hold."""
+        now = clock.read_monotonic()
+        for part in self.holder.answer_ask(sender_id, ask, now):
+            self._node.send(sender_id, part)
+
+    def take_records(self, sender_id, part):
+        """Take a part of a member's records."""
+        self.holder.take_records(sender_id, part, clock.read_monotonic())
--- /dev/null
+++ b/thornport/entry/sharing.py
@@ -0,0 +1,152 @@
+"""Slots at the edge: moves demands, grants and handovers between entries."""
+
+from thornport.kernel import clock, logs, tasks
+from thornport.routing import borrower, homes, lender, loans
+
+TICK_S = 0.05
+DEMAND_PERIOD_S = 0.5
+SOON_S = 0.002
+
+
+class Sharing:
+    """The lender and the borrower of one entry.
+
+    Attributes:
+      lender: A lender.Lender of the present life.
+      borrower: A borrower.Borrower, the same over lives.
+    """
+
+    def __init__(self, reactor, node, hall, read_demand):
+        """Take what it works with.
+
+        Args:
+          reactor: Twisted's reactor.
+          node: A node.Node.
+          hall: A str.
+          read_demand: A callable that gives, by service, a dict from price to
+            the count of requests running or waiting.
+        """
+        self._reactor = reactor
+        self._node = node
+        self._read_demand = read_demand
+        self._homes = homes.Homes()
+        self._backends_by_address = {}
+        self._last_demand = {}
+        self._demanded_at = 0.0
+        self._pending = None
+        self.lender = lender.Lender("")
+        self.borrower = borrower.Borrower(hall)
+        self.on_slots = lambda: None
+
+    def start(self):
+        """Start the periodic work."""
+        tasks.call_periodically(self._reactor, TICK_S, self._tick, "share-slots")
+
+    def start_life(self, member_id):
+        """Go on as another life: nothing is lent any more."""
+        self.lender = lender.Lender(member_id)
+        self.lender.take_backends(self._backends_by_address, clock.read_monotonic())
+
+    def take_ring(self, ring, now):
+        """Take a new ring."""
+        self._homes = homes.Homes(ring)
+        self.lender.take_ring(ring, now)
+        self.lender.take_backends(self._backends_by_address, now)
+        self.tell_soon()
+
+    def take_listed(self, listed_by_address, services_by_name):
+        """Take the list of VMs and the services in force.
+
+        Args:
+          listed_by_address: A dict of vmlist.Listed.
+          services_by_name: A dict of schema.Service.
+        """
+        self.borrower.take_listed(listed_by_address)
+        self._refresh_backends(services_by_name)
+
+    def _refresh_backends(self, services_by_name):
+        self._backends_by_address = {
+            target.address: lender.Backend(
+                target.address,
+                target.service,
+                services_by_name[target.service].slots,
+                services_by_name[target.service].max_run_ms / clock.MS_PER_S,
+            )
+            for target in self.borrower.list_usable()
+            if target.service in services_by_name
+        }
+        now = clock.read_monotonic()
+        self.lender.take_backends(self._backends_by_address, now)
+
+    def take_leaving(self, address, services_by_name):
+        """Believe that a backend server is leaving.
+
+        Returns:
+          A bool, whether this is news.
+        """
+        if not self.borrower.take_leaving(address):
+            return False
+        logs.log("backend-leaving", backend=address)
+        self._refresh_backends(services_by_name)
+        return True
+
+    def list_homed(self):
+        """List the backend servers that this process is the home of."""
+        return self.lender.list_addresses()
+
+    def _tick(self):
+        now = clock.read_monotonic()
+        for member_id in self.lender.list_to_ask(now):
+            self._node.send(member_id, loans.Takeover(self._homes.ring.epoch))
+        if self._node.may_act(now):
+            for borrower_id, grants in self.lender.rebalance(now).items():
+                self._node.send(borrower_id, grants)
+        demand = self._read_demand()
+        is_due = now >= self._demanded_at + DEMAND_PERIOD_S
+        if is_due or demand != self._last_demand:
+            self._tell_all(demand, now)
+
+    def _tell_all(self, demand, now):
+        self._last_demand = demand
+        self._demanded_at = now
+        for home_id in self._homes.ring.member_ids:
+            said = self.borrower.make_demand(self._homes, home_id, demand, now)
+            self._node.send(home_id, said)
+
+    def tell_soon(self):
+        """Tell all homes within moments; many calls make one telling."""
+        if self._pending is None:
+            self._pending = self._reactor.callLater(SOON_S, self._tell_now)
+
+    def _tell_now(self):
+        self._pending = None
+        self._tell_all(self._read_demand(), clock.read_monotonic())
+
+    def take_demand(self, sender_id, demand):
+        """Take a borrower's demand, if this process may lend."""
+        now = clock.read_monotonic()
+        if not self._node.may_act(now):
+            return
+        grants = self.lender.take_demand(sender_id, demand, now)
+        if grants:
+            self._node.send(sender_id, grants)
+
+    def take_grants(self, sender_id, grants):
+        """Take a home's grants, and confirm what has moved."""
+        if self.borrower.take_grants(grants):
+            now = clock.read_monotonic()
+            demand = self._read_demand()
+            said = self.borrower.make_demand(self._homes, sender_id, demand, now)
+            self._node.send(sender_id, said)
+        self.on_slots()
+
+    def take_takeover(self, sender_id, takeover):
+        """Hand over what is now the sender's."""
+        now = clock.read_monotonic()
+        handoff = self.lender.answer_takeover(sender_id, takeover, now)
+        if handoff:
+            self._node.send(sender_id, handoff)
+
+    def take_handoff(self, sender_id, handoff):
+        """Take over from a former home."""
+        self.lender.take_handoff(sender_id, handoff, clock.read_monotonic())
--- a/thornport/kernel/procconf.py
+++ b/thornport/kernel/procconf.py
@@ -25,11 +25,17 @@
 
 
 class Listen(msgspec.Struct, frozen=True):
-    """What this process listens on; port 0 lets the kernel choose."""
+    """What this process listens on; port 0 lets the kernel choose.
+
+    Attributes:
+      peer_address: A str, `IP:PORT` that peers are told, where that is not
+        the one bound.
+    """
 
     ip: str
     http_port: Port = 0
     peer_port: Port = 0
+    peer_address: str = ""
 
 
 class Platform(msgspec.Struct, frozen=True):
--- a/thornport/membership/guard.py
+++ b/thornport/membership/guard.py
@@ -262,6 +262,18 @@
         tokens = (self._acked_token_by_id.get(m, NEVER) for m in others)
         return self.is_member and all(token >= oldest for token in tokens)
 
+    def is_removal_due(self, now):
+        """Tell whether the predecessor may be removed.
+
+        Args:
+          now: A float.
+        Returns:
+          A bool.
+        """
+        predecessor = record.find_predecessor(self.ring, self.me.member_id)
+        is_clear = self._clear_at is not None and now >= self._clear_at
+        return predecessor is not None and is_clear
+
     def start_removal(self, now):
         """Set out to remove the predecessor if it surely does not act.
 
@@ -272,8 +284,7 @@
         Returns:
           A record.Member to be removed from the ring of this epoch, or None.
         """
-        predecessor = record.find_predecessor(self.ring, self.me.member_id)
-        if predecessor is None or self._clear_at is None or now < self._clear_at:
+        if not self.is_removal_due(now):
             return None
         self._removing_epoch = self.ring.epoch
-        return predecessor
+        return record.find_predecessor(self.ring, self.me.member_id)
--- a/thornport/once/claims.py
+++ b/thornport/once/claims.py
@@ -59,18 +59,14 @@
 
 
 class Claims:
-    """The claims of one entry.
-
-    Attributes:
-      held_by_claim_id: The holders of claims that were granted, by claim.
-    """
+    """The claims of one entry, each open until it is finished or released."""
 
     def __init__(self):
         """Start with no claims."""
         self._incarnation = ids.make_incarnation()
         self._next = 0
         self._pending_by_id = {}
-        self._granted_by_id = {}
+        self._ended_by_id = {}
 
     def start(self, ring, key, digest, life_ms, now):
         """Start a claim.
@@ -119,7 +115,7 @@
 
     def _end(self, claim_id, ruling, answer=None):
         pending = self._pending_by_id.pop(claim_id)
-        self._granted_by_id[claim_id] = pending
+        self._ended_by_id[claim_id] = pending
         return Verdict(claim_id, ruling, answer)
 
     def expire(self, now):
@@ -146,7 +142,7 @@
         Returns:
           A list of pairs of Member and messages.Done.
         """
-        pending = self._granted_by_id.pop(claim_id)
+        pending = self._ended_by_id.pop(claim_id)
         done = messages.Done(pending.key, claim_id, answer)
         return [(member, done) for member in pending.holders]
 
@@ -158,7 +154,7 @@
         Returns:
           A list of pairs of Member and messages.Release.
         """
-        pending = self._granted_by_id.pop(claim_id)
+        pending = self._ended_by_id.pop(claim_id)
         release = messages.Release(pending.key, claim_id)
         return [(member, release) for member in pending.holders]
 
--- a/thornport/peers/bus.py
+++ b/thornport/peers/bus.py
@@ -63,18 +63,20 @@
         self.address = ""
         self.member_id = ""
 
-    def bind(self, ip, port):
+    def bind(self, ip, port, told=""):
         """Bind the receiving socket.
 
         Args:
           ip: A str.
           port: An int; 0 lets the kernel choose.
+          told: A str, `IP:PORT` that peers are told; empty for the one bound.
         Returns:
-          A str, the address bound.
+          A str, the address that peers are told.
         """
         bound = self._pull.bind(f"tcp://{ip}:{port or '*'}")
         endpoint = self._pull.get(zmq.LAST_ENDPOINT) if bound is not None else b""
-        self.address = endpoint.decode().rstrip("\x00").removeprefix("tcp://")
+        bound_to = endpoint.decode().rstrip("\x00").removeprefix("tcp://")
+        self.address = told or bound_to
         return self.address
 
     def start(self, member_id, take):
--- a/thornport/placement/daemon.py
+++ b/thornport/placement/daemon.py
@@ -9,15 +9,20 @@
 from twisted.web import server
 
 from thornport.fleet import vmlist
-from thornport.kernel import clock, ids, logs, metrics, tasks
+from thornport.kernel import clock, codec, ids, logs, metrics, tasks
+from thornport.membership import guard, node, relay
+from thornport.peers import bus
 from thornport.placement import model, placer, workers
-from thornport.settings import inforce, watcher
+from thornport.settings import inforce
 from thornport.store import client as storeclient
 from thornport.store import port
 
+RING_NAME = "placer"
 JOBS_PREFIX = "thornport/jobs/"
+FOUNDED_KEY = "thornport/placed"
 REPORT_PERIOD_S = 0.5
-WORKER_TIMEOUT_S = 2.0
+RETRY_STORE_S = 0.5
+CODEC = codec.Codec(guard.Beat | guard.Ack | relay.Want | relay.Have)
 
 
 class JobRecord(msgspec.Struct, frozen=True):
@@ -49,20 +54,31 @@
         pool.retryAutomatically = False
         agent = webclient.Agent(reactor, pool=pool)
         self._http = treq.client.HTTPClient(agent)
-        self._workers = workers.WorkerClient(self._http, WORKER_TIMEOUT_S)
+        self._workers = workers.WorkerClient(self._http, placer.COMMAND_TIMEOUT_S)
         self._in_force = inforce.InForce()
-        self._placer = placer.Placer(ids.make_incarnation())
+        self._bus = bus.Bus(reactor, CODEC, self._metrics)
+        self._node = node.Node(
+            reactor, settings, self._store, self._bus, self._in_force, RING_NAME
+        )
         self._addresses = []
+        self._forget()
+
+    def _forget(self):
+        """Know nothing: what another placer decided is not known here."""
+        self._placer = placer.Placer(ids.make_incarnation())
         self._jobs_known = False
+        self._may_place_at = None
 
     def start(self):
         """Open the socket and start the periodic work."""
         listen = self._settings.listen
         site = server.Site(self._make_app().resource())
         bound = self._reactor.listenTCP(listen.http_port, site, interface=listen.ip)
-        logs.log("listening", http=f"{listen.ip}:{bound.getHost().port}")
-        watching = watcher.watch_head(self._reactor, self._store, self._take_settings)
-        tasks.spawn(watching, "watch-settings")
+        self._bus.bind(listen.ip, listen.peer_port, listen.peer_address)
+        http = f"{listen.ip}:{bound.getHost().port}"
+        self._node.start(http)
+        self._bus.start(self._bus.member_id, self._take_message)
+        logs.log("listening", http=http, peer=self._bus.address)
         for period_s, action, what in (
             (self._settings.platform.vms_period_s, self._read_vms, "read-vms"),
             (REPORT_PERIOD_S, self._read_reports, "read-reports"),
@@ -77,7 +93,32 @@
         Returns:
           A Deferred that fires when done.
         """
-        return defer.succeed(None)
+        return tasks.spawn(self._node.leave(), "leave")
+
+    def _take_message(self, sender_id, address, message):
+        if isinstance(message, guard.Beat):
+            self._node.take_beat(sender_id, address, message)
+        elif isinstance(message, guard.Ack):
+            self._node.take_ack(sender_id, address, message)
+        elif isinstance(message, relay.Want):
+            self._node.take_want(sender_id, address, message)
+        else:
+            self._node.take_have(message)
+
+    def _decides(self, now):
+        """Tell whether this placer is the one that decides.
+
+        It is the member that joined first, while it surely is a member. One
+        that begins to decide, or does so again, knows nothing of before.
+        """
+        members = self._node.ring.members
+        first = min(members, key=lambda m: m.joined_epoch, default=None)
+        me = self._node.guard.me.member_id
+        decides = bool(first) and first.member_id == me and self._node.may_act(now)
+        if not decides and self._may_place_at is not None:
+            logs.log("stop-deciding")
+            self._forget()
+        return decides
 
     def _make_app(self):
         app = klein.Klein()
@@ -89,53 +130,71 @@
 
         return app
 
-    def _take_settings(self, data):
-        if self._in_force.offer(data):
-            logs.log("settings-in-force", revision=self._in_force.revision)
-
     def _read_vms(self):
         return tasks.spawn(self._read_vms_now(), "read-vms")
 
     async def _read_vms_now(self):
         url = self._settings.platform.vms
-        read = await vmlist.read_list(self._http, url, WORKER_TIMEOUT_S)
+        read = await vmlist.read_list(self._http, url, placer.COMMAND_TIMEOUT_S)
         if isinstance(read, result.Failure):
             logs.log("vms-unavailable", reason=read.failure().reason)
             return
         listed = vmlist.select_role(read.unwrap(), vmlist.Role.WORKER)
         self._addresses = sorted(listed)
 
-    async def _read_jobs(self):
-        """Learn which jobs have finished before any is placed."""
+    async def _begin(self):
+        """Learn what has finished, and how long to wait for earlier commands."""
         read = await self._store.list_prefix(JOBS_PREFIX)
         if isinstance(read, result.Failure):
             return
         names = (key.removeprefix(JOBS_PREFIX) for key in read.unwrap())
         self._placer.finished_jobs.update(names)
+        value = self._node.guard.me.member_id.encode()
+        founded = await port.resolve_write(
+            self._store, FOUNDED_KEY, value, port.ABSENT_INDEX
+        )
+        is_known = isinstance(founded, result.Success)
+        if not is_known and not port.is_failure(founded, port.Conflict):
+            return
+        # Only where no placer has ever decided is there nothing to wait for.
+        wait_s = 0.0 if is_known else placer.TAKEOVER_WAIT_S
+        self._may_place_at = clock.read_monotonic() + wait_s
         self._jobs_known = True
+        logs.log("begin-deciding", wait_s=wait_s)
 
     async def _read_reports(self):
+        if not self._decides(clock.read_monotonic()):
+            return
+        if not self._jobs_known:
+            await self._begin()
         if not self._jobs_known:
-            await self._read_jobs()
+            return
+        self._placer.take_config(self._in_force.config)
         reading = [
             tasks.spawn(self._read_report(address), "read-report")
             for address in self._addresses
         ]
         await defer.gatherResults(reading)
         now = clock.read_monotonic()
+        if not self._decides(now):
+            return
         self._placer.lapse(now)
-        if self._jobs_known:
-            self._placer.take_config(self._in_force.config)
+        if now >= self._may_place_at:
             self._carry_out(self._placer.place(now))
 
     async def _read_report(self, address):
+        deciding = self._placer
         read = await self._workers.read_report(address)
-        if isinstance(read, result.Success):
-            now = clock.read_monotonic()
+        now = clock.read_monotonic()
+        if isinstance(read, result.Failure) or deciding is not self._placer:
+            return
+        if self._decides(now):
             self._carry_out(self._placer.take_report(address, read.unwrap(), now))
 
     def _renew(self):
-        self._carry_out(self._placer.renew(clock.read_monotonic()))
+        now = clock.read_monotonic()
+        if self._decides(now) and self._jobs_known:
+            self._carry_out(self._placer.renew(now))
 
     def _carry_out(self, commands):
         for command in commands:
@@ -162,7 +221,7 @@
             conflict = port.is_failure(written, port.Conflict)
             if isinstance(written, result.Success) or conflict:
                 return
-            await tasks.sleep(self._reactor, watcher.RETRY_STORE_S)
+            await tasks.sleep(self._reactor, RETRY_STORE_S)
 
 
 def describe_jobs(state):
--- a/thornport/placement/placer.py
+++ b/thornport/placement/placer.py
@@ -5,8 +5,17 @@
 from thornport.kernel import clock
 from thornport.placement import model
 
-LEASE_MS = 10_000
-RENEW_PERIOD_S = 2.0
+LEASE_MS = 5_000
+RENEW_PERIOD_S = 1.0
+COMMAND_TIMEOUT_S = 2.0
+
+# A worker that has not reported for so long gets no renewals: its runs are
+# left to lapse, so that their tasks can start elsewhere.
+SILENCE_S = 2.0
+
+# A command sent just before this process lost the right to decide reaches
+# its worker within the command's time, and the lease it grants ends then.
+TAKEOVER_WAIT_S = (LEASE_MS / 1000 + COMMAND_TIMEOUT_S) * clock.CLOCK_RATE_MARGIN
 
 
 class Placer:
@@ -70,38 +79,59 @@
         worker.total = total
         worker.reported_at = now
         commands = []
+        if worker.incarnation != report.incarnation:
+            commands += self._end_former_runs(worker)
+            worker.incarnation = report.incarnation
         for run_report in report.runs:
             commands += self._take_run_report(worker, run_report, now)
         return commands
 
+    def _end_former_runs(self, worker):
+        """End the runs of a worker's earlier life: they died with it."""
+        commands = []
+        for run_id in list(worker.live_run_ids):
+            run = self.runs_by_id[run_id]
+            commands += self._end_run(run, model.RunState.LAPSED)
+        return commands
+
     def _take_run_report(self, worker, report, now):
         run = self.runs_by_id.get(report.run_id)
         if run is None:
-            run = self._adopt(worker, report, now)
-        if run is None or report.state in model.LIVE_STATES:
+            return self._adopt(worker, report, now)
+        if report.state in model.LIVE_STATES:
             return []
         return self._end_run(run, report.state)
 
     def _adopt(self, worker, report, now):
-        """Take over a live run that an earlier placer started."""
+        """Take over a run that an earlier placer started."""
+        task = self.tasks_by_id.get(report.task_id)
+        if report.state is model.RunState.FINISHED:
+            return self._adopt_finished(task)
         if report.state not in model.LIVE_STATES:
-            return None
+            return []
         needs = model.Needs(report.cores, report.memory_mb, report.accelerators)
-        deadline = clock.compute_deadline(report.lease_remaining_ms, now)
         run = model.Run(
             report.run_id,
             report.task_id,
             worker.address,
             needs,
             model.RunState.RUNNING,
-            deadline,
+            find_start_end(now),
         )
         self._hold(worker, run)
-        task = self.tasks_by_id.get(report.task_id)
-        if task and task.state is model.TaskState.PENDING:
-            task.state = model.TaskState.PLACED
-            task.run_id = run.run_id
-        return run
+        if task is None or task.state is not model.TaskState.PENDING:
+            # The task is done, or runs elsewhere, or was taken out: this run
+            # is one too many.
+            return [model.StopRun(worker.address, run.run_id)]
+        task.state = model.TaskState.PLACED
+        task.run_id = run.run_id
+        return []
+
+    def _adopt_finished(self, task):
+        if task is None or task.state is not model.TaskState.PENDING:
+            return []
+        task.state = model.TaskState.FINISHED
+        return self._count_finished(task)
 
     def _hold(self, worker, run):
         self.runs_by_id[run.run_id] = run
@@ -162,7 +192,7 @@
             task = self.tasks_by_id[item[1]]
             if task.state is not model.TaskState.PENDING:
                 continue
-            worker = self._choose_worker(task.needs)
+            worker = self._choose_worker(task.needs, now)
             if worker is None:
                 waiting.append(item)
                 continue
@@ -171,12 +201,12 @@
         heapq.heapify(self._queue)
         return commands
 
-    def _choose_worker(self, needs):
-        """Choose the worker that is left with the least room."""
+    def _choose_worker(self, needs, now):
+        """Choose the reporting worker that is left with the least room."""
         fitting = [
             worker
             for worker in self.workers_by_address.values()
-            if needs.fits(worker.free)
+            if now < worker.reported_at + SILENCE_S and needs.fits(worker.free)
         ]
         return min(fitting, key=measure_room, default=None)
 
@@ -184,14 +214,13 @@
         self._next_run += 1
         task.attempts += 1
         run_id = f"{self._incarnation}-{self._next_run}"
-        deadline = clock.compute_deadline(LEASE_MS * clock.CLOCK_RATE_MARGIN, now)
         run = model.Run(
             run_id,
             task.task_id,
             worker.address,
             task.needs,
             model.RunState.STARTING,
-            deadline,
+            find_start_end(now),
         )
         self._hold(worker, run)
         task.state = model.TaskState.PLACED
@@ -201,17 +230,18 @@
         )
 
     def renew(self, now):
-        """Renew the lease of every live run.
+        """Renew the lease of every live run on a worker that reports.
 
         Args:
           now: A float on the monotonic clock.
         Returns:
           A list of model.RenewLeases.
         """
-        deadline = clock.compute_deadline(LEASE_MS * clock.CLOCK_RATE_MARGIN, now)
+        deadline = find_start_end(now)
         commands = []
         for worker in self.workers_by_address.values():
-            if not worker.live_run_ids:
+            is_silent = now >= worker.reported_at + SILENCE_S
+            if is_silent or not worker.live_run_ids:
                 continue
             for run_id in worker.live_run_ids:
                 self.runs_by_id[run_id].lease_deadline = deadline
@@ -220,6 +250,18 @@
         return commands
 
 
+def find_start_end(now):
+    """Find when a run whose start is sent now has surely lapsed, if nothing
+    more is heard of it: the command may take its whole time to arrive.
+
+    Args:
+      now: A float on the monotonic clock.
+    Returns:
+      A float on the monotonic clock.
+    """
+    return now + TAKEOVER_WAIT_S
+
+
 def measure_room(worker):
     """Measure what a worker has left, as a share of what it has.
 
--- /dev/null
+++ b/thornport/routing/admission.py
@@ -0,0 +1,205 @@
+"""Who waits, who goes next, and who is given up on at once.
+
+The dearest waits in front. So that the cheapest is not starved, every tenth
+dispatch goes to whoever has waited longest. A request that cannot start
+before its deadline is given up on when it comes, with when to come back; a
+full queue gives up its cheapest request for a dearer one.
+
+Pure: requests and time in, requests and outcomes out.
+"""
+
+import math
+
+import msgspec
+import sortedcontainers
+
+from thornport.routing import outcome
+from thornport.routing import request as requests
+
+AGING_TURN = 10
+RUN_TIME_WEIGHT = 0.05
+MIN_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 60
+
+
+class Waiting(msgspec.Struct, eq=False):
+    """One request in the queue.
+
+    Attributes:
+      give_up_at: A float; a run that starts later is of no use.
+      order: A pair that sorts the dearest, then the first come, to the front.
+    """
+
+    request: requests.Request
+    give_up_at: float
+    order: tuple[int, int]
+
+
+class GivenUpOn(msgspec.Struct, frozen=True):
+    """A request that leaves the queue without having run."""
+
+    waiting: Waiting
+    given_up: outcome.GivenUp
+
+
+class Queue:
+    """The queue of one service at one entry."""
+
+    def __init__(self, limit):
+        """Start empty.
+
+        Args:
+          limit: An int, the most requests that wait.
+        """
+        self.limit = limit
+        self._next = 0
+        self._turns = 0
+        self._by_order = sortedcontainers.SortedDict()
+        self._by_age = sortedcontainers.SortedDict()
+        self._by_give_up = sortedcontainers.SortedDict()
+        self._waiting_by_price = {}
+        self._mean_run_s = 0.0
+
+    def __len__(self):
+        return len(self._by_order)
+
+    def count_by_price(self):
+        """Count who waits.
+
+        Returns:
+          A dict from price to a count.
+        """
+        return {price: n for price, n in self._waiting_by_price.items() if n}
+
+    def note_run(self, run_s):
+        """Note how long a request ran, to estimate waits by.
+
+        Args:
+          run_s: A float, seconds.
+        """
+        if not self._mean_run_s:
+            self._mean_run_s = run_s
+        self._mean_run_s += RUN_TIME_WEIGHT * (run_s - self._mean_run_s)
+
+    def estimate_wait_s(self, price, slots):
+        """Estimate how long a newcomer would wait.
+
+        Args:
+          price: An int.
+          slots: An int, how many requests this entry may run at once.
+        Returns:
+          A float in seconds; 0 if nothing is known yet.
+        """
+        if not slots:
+            return 0.0
+        ahead = sum(n for p, n in self._waiting_by_price.items() if p >= price)
+        return ahead * self._mean_run_s / slots
+
+    def offer(self, request, give_up_at, slots, now):
+        """Take a request, or give it or a cheaper one up.
+
+        Args:
+          request: A requests.Request.
+          give_up_at: A float.
+          slots: An int, how many requests this entry may run at once.
+          now: A float.
+        Returns:
+          A pair of the Waiting, or None if it is given up on, and a list of
+          GivenUpOn; a newcomer that is given up on is in the list.
+        """
+        self._next += 1
+        waiting = Waiting(request, give_up_at, (-request.price, self._next))
+        wait_s = self.estimate_wait_s(request.price, slots)
+        if now + wait_s > give_up_at:
+            given_up = self._make_given_up(outcome.Reason.DEADLINE, wait_s)
+            return None, [GivenUpOn(waiting, given_up)]
+        if len(self) < self.limit:
+            self._insert(waiting)
+            return waiting, []
+        _, cheapest = self._by_order.peekitem(-1)
+        if cheapest.request.price >= request.price:
+            reason = outcome.Reason.QUEUE_FULL
+            given_up = self._make_given_up(reason, wait_s)
+            return None, [GivenUpOn(waiting, given_up)]
+        self.remove(cheapest)
+        self._insert(waiting)
+        reason = outcome.Reason.OUTBID
+        wait_s = self.estimate_wait_s(cheapest.request.price, slots)
+        given_up = self._make_given_up(reason, wait_s)
+        return waiting, [GivenUpOn(cheapest, given_up)]
+
+    def _insert(self, waiting):
+        price, number = -waiting.order[0], waiting.order[1]
+        self._by_order[waiting.order] = waiting
+        self._by_age[number] = waiting
+        self._by_give_up[waiting.give_up_at, number] = waiting
+        self._waiting_by_price[price] = self._waiting_by_price.get(price, 0) + 1
+
+    def remove(self, waiting):
+        """Take a request out.
+
+        Args:
+          waiting: A Waiting.
+        Returns:
+          A bool, False if it was not in the queue any more.
+        """
+        if self._by_order.pop(waiting.order, None) is None:
+            return False
+        price, number = -waiting.order[0], waiting.order[1]
+        del self._by_age[number]
+        del self._by_give_up[waiting.give_up_at, number]
+        self._waiting_by_price[price] -= 1
+        return True
+
+    def take_next(self):
+        """Take out the request that goes next.
+
+        Returns:
+          A Waiting, or None if nobody waits.
+        """
+        if not self._by_order:
+            return None
+        self._turns += 1
+        if self._turns % AGING_TURN == 0:
+            waiting = self._by_age.peekitem(0)[1]
+        else:
+            waiting = self._by_order.peekitem(0)[1]
+        self.remove(waiting)
+        return waiting
+
+    def give_up_late(self, now):
+        """Take out the requests that can no longer start in time.
+
+        Args:
+          now: A float.
+        Returns:
+          A list of GivenUpOn.
+        """
+        late = []
+        while self._by_give_up and self._by_give_up.peekitem(0)[0][0] <= now:
+            waiting = self._by_give_up.peekitem(0)[1]
+            self.remove(waiting)
+            given_up = self._make_given_up(outcome.Reason.DEADLINE, 0.0)
+            late.append(GivenUpOn(waiting, given_up))
+        return late
+
+    def give_up_all(self, reason):
+        """Take out everybody.
+
+        Args:
+          reason: An outcome.Reason.
+        Returns:
+          A list of GivenUpOn.
+        """
+        everybody = list(self._by_order.values())
+        for waiting in everybody:
+            self.remove(waiting)
+        given_up = outcome.not_run(reason, retry_after_s=MIN_RETRY_AFTER_S)
+        return [GivenUpOn(waiting, given_up) for waiting in everybody]
+
+    def _make_given_up(self, reason, wait_s):
+        retry_after_s = min(
+            max(math.ceil(wait_s), MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S
+        )
+        detail = f"{len(self)} of {self.limit} wait"
+        return outcome.not_run(reason, detail, retry_after_s)
--- /dev/null
+++ b/thornport/routing/admission_test.py
@@ -0,0 +1,73 @@
+"""Tests of the queue: order, starvation, shedding, and nobody lost."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from thornport.routing import admission, outcome, retries
+from thornport.routing import request as requests
+
+
+def make_request(price):
+    return requests.Request("r", "s", "w", "t", price, 0.0, 9.0, True, "", "x", b"")
+
+
+class Order(unittest.TestCase):
+    """Who goes next."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(st.lists(st.integers(0, 5), max_size=60), st.integers(1, 40))
+    def test_everybody_goes_or_is_given_up_on_once(self, prices, limit):
+        queue = admission.Queue(limit)
+        given_up = []
+        for price in prices:
+            _, out = queue.offer(make_request(price), 9.0, 1, 0.0)
+            given_up += [entry.waiting.request for entry in out]
+        gone = []
+        while waiting := queue.take_next():
+            gone.append(waiting.request)
+        self.assertEqual(len(gone), min(limit, len(prices)))
+        self.assertEqual(sorted(r.price for r in gone + given_up), sorted(prices))
+        kept = sorted(prices, reverse=True)[: len(gone)]
+        self.assertEqual(sorted((r.price for r in gone), reverse=True), kept)
+
+    def test_cheapest_is_not_starved(self):
+        queue = admission.Queue(100)
+        queue.offer(make_request(1), 9.0, 1, 0.0)
+        seen = []
+        for _ in range(admission.AGING_TURN):
+            queue.offer(make_request(9), 9.0, 1, 0.0)
+            seen.append(queue.take_next().request.price)
+        self.assertEqual(seen.count(1), 1)
+
+
+class Shedding(unittest.TestCase):
+    """Who is given up on, when, and with what answer."""
+
+    def test_hopeless_newcomer_is_told_at_once_when_to_come_back(self):
+        queue = admission.Queue(1000)
+        queue.note_run(0.1)
+        for _ in range(200):
+            queue.offer(make_request(1), 100.0, 1, 10.0)
+        waiting, out = queue.offer(make_request(1), 15.0, 1, 10.0)
+        self.assertIsNone(waiting)
+        self.assertEqual(out[0].given_up.outcome, outcome.Outcome.NOT_RUN)
+        self.assertEqual(out[0].given_up.retry_after_s, 20)
+        waiting, out = queue.offer(make_request(2), 15.0, 1, 10.0)
+        self.assertIsNotNone(waiting)
+
+    def test_late_ones_leave_at_their_time(self):
+        queue = admission.Queue(10)
+        for give_up_at in (3.0, 1.0, 2.0):
+            queue.offer(make_request(1), give_up_at, 1, 0.0)
+        self.assertEqual(len(queue.give_up_late(2.0)), 2)
+        self.assertEqual(len(queue), 1)
+
+    def test_budget_holds_when_everything_fails(self):
+        budget = retries.RetryBudget(0.1)
+        made = 0
+        for _ in range(1000):
+            budget.earn()
+            made += budget.spend()
+        self.assertLessEqual(made, 100 + retries.MAX_SAVED)
