Take requests past klein's routing on the hot path

Cause: a profile of one entry at 32 callers gave klein's route match and its chain of Deferreds about a fifth of the processor time.

Change: a resource takes /v1/requests/ itself and leaves all other paths to klein.

--- a/thornport/entry/callers.py
+++ b/thornport/entry/callers.py
@@ -3,12 +3,15 @@
 import klein
 import msgspec
 from returns import result
-from twisted.web import server
+from twisted.internet import defer
+from twisted.web import resource, server
 
 from thornport.kernel import clock, ids
 from thornport.routing import outcome
 from thornport.routing import request as requests
 
+REQUESTS_PATH = b"/v1/requests/"
+HTTP_NOT_ALLOWED = 405
 MAX_BODY_BYTES = 1_048_576
 PROBLEM_TYPE = "application/problem+json"
 
@@ -44,19 +47,6 @@
     """
     app = klein.Klein()
 
-    @app.route("/v1/requests/<path:service>", methods=["POST"])
-    async def serve_request(request, service):
-        body = request.content.read(MAX_BODY_BYTES + 1)
-        read = front.read_request(service, request.getHeader, body)
-        if isinstance(read, result.Failure):
-            refusal = read.failure()
-            return write_given_up(request, refusal.given_up, refusal.status)
-        done = await front.serve(read.unwrap())
-        if isinstance(done, outcome.Answer):
-            return write_answer(request, done)
-        status = STATUS_BY_REASON.get(done.reason, STATUS_GIVEN_UP)
-        return write_given_up(request, done, status)
-
     @app.route("/health", methods=["GET"])
     def health(request):
         return b"ok"
@@ -76,6 +66,83 @@
     return app
 
 
+class Root(resource.Resource):
+    """Requests straight to the front, everything else to klein.
+
+    Requests are the hot path; klein's routing and its chain of Deferreds cost
+    a fifth of an entry's processor time (docs/REQUESTS.md).
+    """
+
+    isLeaf = True
+
+    def __init__(self, front, rest):
+        """Take where things go.
+
+        Args:
+          front: As in make_app.
+          rest: A resource, for all paths but those of requests.
+        """
+        super().__init__()
+        self._front = front
+        self._rest = rest
+
+    def render(self, request):
+        """Serve one HTTP request."""
+        path = request.path
+        if not path.startswith(REQUESTS_PATH):
+            return self._rest.render(request)
+        if request.method != b"POST":
+            request.setResponseCode(HTTP_NOT_ALLOWED)
+            return b""
+        service = path[len(REQUESTS_PATH) :].decode("ascii", "replace")
+        body = request.content.read(MAX_BODY_BYTES + 1)
+        read = self._front.read_request(service, request.getHeader, body)
+        if isinstance(read, result.Failure):
+            refusal = read.failure()
+            return write_given_up(request, refusal.given_up, refusal.status)
+        served = defer.ensureDeferred(self._front.serve(read.unwrap()))
+        served.addCallback(finish, request, Caller(request))
+        return server.NOT_DONE_YET
+
+
+class Caller:
+    """Whether the caller is still there."""
+
+    __slots__ = ("is_gone",)
+
+    def __init__(self, request):
+        """Watch the caller's connection.
+
+        Args:
+          request: A twisted IRequest.
+        """
+        self.is_gone = False
+        request.notifyFinish().addErrback(self._note_gone)
+
+    def _note_gone(self, _):
+        self.is_gone = True
+
+
+def finish(done, request, caller):
+    """Write the outcome of a request, if its caller is still there.
+
+    Args:
+      done: An outcome.Answer or outcome.GivenUp.
+      request: A twisted IRequest.
+      caller: A Caller.
+    """
+    if caller.is_gone:
+        return
+    if isinstance(done, outcome.Answer):
+        body = write_answer(request, done)
+    else:
+        status = STATUS_BY_REASON.get(done.reason, STATUS_GIVEN_UP)
+        body = write_given_up(request, done, status)
+    request.setHeader("Content-Length", str(len(body)))
+    request.write(body)
+    request.finish()
+
+
 def write_answer(request, answer):
     """Write a backend server's answer to the caller.
 
@@ -116,18 +183,18 @@
     return msgspec.json.encode(body)
 
 
-def listen(reactor, app, ip, port):
-    """Serve an app.
+def listen(reactor, front, ip, port):
+    """Serve the callers' interface.
 
     Args:
       reactor: Twisted's reactor.
-      app: A klein.Klein.
+      front: As in make_app.
       ip: A str.
       port: An int; 0 lets the kernel choose.
     Returns:
       Twisted's IListeningPort.
     """
-    site = server.Site(app.resource())
+    site = server.Site(Root(front, make_app(front).resource()))
     return reactor.listenTCP(port, site, interface=ip, backlog=1024)
 
 
--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -104,8 +104,7 @@
         """Open the sockets, join the ring and start the periodic work."""
         listen = self._settings.listen
         self._bus.bind(listen.ip, listen.peer_port, listen.peer_address)
-        app = callers.make_app(self)
-        self._bound = callers.listen(self._reactor, app, listen.ip, listen.http_port)
+        self._bound = callers.listen(self._reactor, self, listen.ip, listen.http_port)
         http = f"{listen.ip}:{self._bound.getHost().port}"
         self.node.start(http)
         self._bus.start(self._bus.member_id, self._take_message)
