Keep workers in order of room, so a decision looks at few of them

Cause: a decision scanned every worker; its time grew with the fleet.

Ruled out: the cost of comparing needs (it is the same for each worker looked at). Change: workers stand sorted by the processors they have left, and the first that has room is taken, which is the one with the fewest left.

Packing is now by processors first and has not been measured against the former rule.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -31,11 +31,11 @@
 store = {store}
 vms = {vms}
 store_timeout_s = 0.5
-vms_period_s = 0.2
+vms_period_s = {vms_period_s}
 [peers]
 seeds = {seeds}
-beat_s = 0.1
-lease_s = 1.0
+beat_s = {beat_s}
+lease_s = {lease_s}
 """
 DECLARATIONS = """
 [tiers/urgent]
@@ -209,6 +209,9 @@
             "store": self.url("kv"),
             "vms": self.url("vmlist", "/vms"),
             "seeds": "",
+            "vms_period_s": 0.2,
+            "beat_s": 0.1,
+            "lease_s": 1.0,
         }
         path = self.folder / f"{name}.ini"
         path.write_text(ENTRY_SETTINGS.format(**(values | changes)))
--- a/thornport/placement/model.py
+++ b/thornport/placement/model.py
@@ -98,11 +98,11 @@
     lease_deadline: float
 
 
-class Worker(msgspec.Struct):
+class Worker(msgspec.Struct, eq=False):
     """A worker as this placer knows it.
 
     Attributes:
-      used: Needs, the sum over runs that may be live.
+      free: Needs, what is left beside the runs that may be live.
       live_run_ids: A set of str, the ids of those runs.
     """
 
@@ -112,14 +112,9 @@
     hall: str
     total: Needs
     reported_at: float
-    used: Needs = NOTHING
+    free: Needs
     live_run_ids: set[str] = msgspec.field(default_factory=set)
 
-    @property
-    def free(self):
-        """What is left for new runs."""
-        return self.total.subtract(self.used)
-
 
 class TaskState(enum.Enum):
     """The states of a task."""
--- a/thornport/placement/placer.py
+++ b/thornport/placement/placer.py
@@ -2,6 +2,8 @@
 
 import heapq
 
+import sortedcontainers
+
 from thornport.kernel import clock
 from thornport.placement import model
 
@@ -36,6 +38,7 @@
         self._next_run = 0
         self._queue = []
         self._left_by_job = {}
+        self._room = sortedcontainers.SortedKeyList(key=order_by_room)
         self.workers_by_address = {}
         self.runs_by_id = {}
         self.tasks_by_id = {}
@@ -73,10 +76,14 @@
         total = model.Needs(report.cores, report.memory_mb, report.accelerators)
         if worker is None:
             worker = model.Worker(
-                address, report.incarnation, report.rack, report.hall, total, now
+                address, report.incarnation, report.rack, report.hall, total, now, total
             )
             self.workers_by_address[address] = worker
-        worker.total = total
+            self._room.add(worker)
+        if worker.total != total:
+            gained = total.subtract(worker.total)
+            self._change_free(worker, worker.free.add(gained))
+            worker.total = total
         worker.reported_at = now
         commands = []
         if worker.incarnation != report.incarnation:
@@ -133,10 +140,16 @@
         task.state = model.TaskState.FINISHED
         return self._count_finished(task)
 
+    def _change_free(self, worker, free):
+        """Change what a worker has left, and where it stands in the order."""
+        self._room.remove(worker)
+        worker.free = free
+        self._room.add(worker)
+
     def _hold(self, worker, run):
         self.runs_by_id[run.run_id] = run
         worker.live_run_ids.add(run.run_id)
-        worker.used = worker.used.add(run.needs)
+        self._change_free(worker, worker.free.subtract(run.needs))
 
     def _end_run(self, run, state):
         """Free what a run held and decide about its task."""
@@ -145,7 +158,7 @@
         run.state = state
         worker = self.workers_by_address[run.worker]
         worker.live_run_ids.discard(run.run_id)
-        worker.used = worker.used.subtract(run.needs)
+        self._change_free(worker, worker.free.add(run.needs))
         task = self.tasks_by_id.get(run.task_id)
         if task is None or task.run_id != run.run_id:
             return []
@@ -202,13 +215,13 @@
         return commands
 
     def _choose_worker(self, needs, now):
-        """Choose the reporting worker that is left with the least room."""
-        fitting = [
-            worker
-            for worker in self.workers_by_address.values()
-            if now < worker.reported_at + SILENCE_S and needs.fits(worker.free)
-        ]
-        return min(fitting, key=measure_room, default=None)
+        """Choose the reporting worker with the fewest processors left that
+        has room: workers stand in that order, so few are looked at."""
+        for worker in self._room.irange_key((needs.cores,)):
+            is_heard = now < worker.reported_at + SILENCE_S
+            if is_heard and needs.fits(worker.free):
+                return worker
+        return None
 
     def _start(self, task, worker, now):
         self._next_run += 1
@@ -262,13 +275,12 @@
     return now + TAKEOVER_WAIT_S
 
 
-def measure_room(worker):
-    """Measure what a worker has left, as a share of what it has.
+def order_by_room(worker):
+    """Give the key that sorts workers by what they have left.
 
     Args:
       worker: A model.Worker.
     Returns:
-      A float from 0 to 2.
+      A tuple; the address keeps the order the same in each run.
     """
-    free = worker.free
-    return free.cores / worker.total.cores + free.memory_mb / worker.total.memory_mb
+    return worker.free.cores, worker.free.memory_mb, worker.address
