--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,6 +24,7 @@
 WORKER_SIZES = (24, 240, 430, 860)
 RECORD_SIZES = (2000, 10_000, 20_000)
 BRANCH_SIZES = (500, 2000, 4000)
+POLLED_SIZES = (1, 4, 8, 12)
 MEMBER_SIZES = (3, 7, 14, 28)
 
 
@@ -278,6 +279,30 @@
         cell.close()
 
 
+def measure_polling():
+    """Processor time and bytes of a placer by workers polled."""
+    from bench import requests
+    from tests import harness
+
+    points = []
+    for workers in POLLED_SIZES:
+        cell = harness.Cell()
+        try:
+            cell.start_platform()
+            for n in range(workers):
+                cell.start_worker(f"worker-{n}", rack=f"r{n}")
+            process = cell.start_placer("placer-1")
+            process.wait_for("event=begin-deciding")
+            time.sleep(2)
+            before = requests.read_cpu_s(process)
+            time.sleep(MEASURED_S)
+            used = requests.read_cpu_s(process) - before
+            points.append((workers, used / MEASURED_S * 100))
+        finally:
+            cell.close()
+    fit("placer by worker polled twice a second", "% of a core", points)
+
+
 def main():
     """Print every slope."""
     measure_placement()
@@ -285,6 +310,7 @@
     measure_keys()
     measure_sharing()
     measure_processes()
+    measure_polling()
 
 
 if __name__ == "__main__":
--- a/thornport/placement/__main__.py
+++ b/thornport/placement/__main__.py
@@ -2,8 +2,17 @@
 
 import sys
 
-from thornport.commands import daemons
-from thornport.placement import daemon
+from thornport.kernel import lean
+
+
+def main():
+    """Run the daemon, without the packages that it does not use."""
+    lean.leave_out_tls()
+    from thornport.commands import daemons
+    from thornport.placement import daemon
 
-if __name__ == "__main__":
     daemons.run(daemon.PlacerDaemon, sys.argv[1])
+
+
+if __name__ == "__main__":
+    main()
