--- a/thornport/commands/offline.py
+++ b/thornport/commands/offline.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+import msgspec
 from returns import result
 from twisted.internet import defer, task
 
@@ -120,8 +121,8 @@
             return planned
         plan = planned.unwrap()
         if revision is not None and plan.revision != revision:
-            text = f"planned at {revision}, the store is at {plan.revision}"
-            return result.Failure(editing.EditError(text))
+            stale = msgspec.structs.replace(plan, revision=revision)
+            return await editing.apply_plan(store, stale)
         if not plan.changes:
             return result.Success(editing.Accepted(plan.revision))
         return await editing.apply_plan(store, plan)
--- a/thornport/membership/guard.py
+++ b/thornport/membership/guard.py
@@ -50,11 +50,13 @@
       token: A float, from the beat.
       epoch: An int, the ring the sender knows.
       lease_ms: An int, the promise not to remove; 0 for none.
+      revision: An int, the settings the sender has in force.
     """
 
     token: float
     epoch: int = 0
     lease_ms: int = 0
+    revision: int = 0
 
 
 class Guard:
@@ -204,12 +206,13 @@
             and member != record.find_predecessor(self.ring, self.me.member_id)
         )
 
-    def take_beat(self, sender_id, beat, now):
+    def take_beat(self, sender_id, beat, revision, now):
         """Answer a beat.
 
         Args:
           sender_id: A str.
           beat: A Beat.
+          revision: An int, the settings in force here.
           now: A float.
         Returns:
           An Ack.
@@ -231,7 +234,7 @@
             # but ours from now on, and what it holds ends by then.
             self._predecessor_beat = True
             self._clear_at = now + self._lease_s * clock.CLOCK_RATE_MARGIN
-        return Ack(beat.token, self.ring.epoch, lease_ms)
+        return Ack(beat.token, self.ring.epoch, lease_ms, revision)
 
     def take_ack(self, sender_id, ack, now):
         """Take the answer to a beat.
--- a/thornport/membership/guard_test.py
+++ b/thornport/membership/guard_test.py
@@ -70,7 +70,7 @@
                 continue
             member = self.guards[target]
             if isinstance(message, guard.Beat):
-                ack = member.take_beat(sender, message, self.now)
+                ack = member.take_beat(sender, message, 0, self.now)
                 self.send(target, sender, ack)
             elif isinstance(message, guard.Ack):
                 member.take_ack(sender, message, self.now)
--- a/thornport/membership/node.py
+++ b/thornport/membership/node.py
@@ -247,18 +247,22 @@
 
     def take_beat(self, sender_id, address, beat):
         """Answer a beat, and ask for what the sender has newer."""
-        ack = self.guard.take_beat(sender_id, beat, clock.read_monotonic())
+        revision = self.in_force.revision
+        now = clock.read_monotonic()
+        ack = self.guard.take_beat(sender_id, beat, revision, now)
         self._bus.send(address, sender_id, ack)
-        if beat.epoch > self.ring.epoch:
-            self._bus.send(address, sender_id, relay.Want(relay.Topic.RING))
-        if beat.revision > self.in_force.revision:
-            self._bus.send(address, sender_id, relay.Want(relay.Topic.SETTINGS))
+        self._ask_for_newer(sender_id, address, beat)
 
     def take_ack(self, sender_id, address, ack):
-        """Take the answer to a beat."""
+        """Take the answer to a beat, and ask for what the sender has newer."""
         self.guard.take_ack(sender_id, ack, clock.read_monotonic())
-        if ack.epoch > self.ring.epoch:
+        self._ask_for_newer(sender_id, address, ack)
+
+    def _ask_for_newer(self, sender_id, address, said):
+        if said.epoch > self.ring.epoch:
             self._bus.send(address, sender_id, relay.Want(relay.Topic.RING))
+        if said.revision > self.in_force.revision:
+            self._bus.send(address, sender_id, relay.Want(relay.Topic.SETTINGS))
 
     def take_want(self, sender_id, address, want):
         """Hand over the newest of a topic."""
