Do not start requests that cannot end before their deadline

Cause: under three times the capacity the cell collapsed and stayed collapsed. After two seconds the queue held requests near their deadline; each was started with less time than a run takes, timed out as "may have run", and kept its slot for the longest run. Soon every slot was held so and backend servers ran nothing.

Ruled out: processor time (an entry used 16% of a core), messages (88 a second), slots lost between entries (all 32 were lent throughout).

Change: a request leaves the queue when it can no longer end in time, by the mean run and two mean deviations of answered requests; one that got its slot too late is not sent, unless nothing runs.

--- a/thornport/entry/front.py
+++ b/thornport/entry/front.py
@@ -200,9 +200,7 @@
             if target:
                 return defer.succeed(target)
         slots = self._sharing.borrower.count_limits(request.service, now)
-        waiting, given_up_on = service.queue.offer(
-            request, request.deadline, slots, now
-        )
+        waiting, given_up_on = service.queue.offer(request, slots, now)
         told = defer.Deferred()
         if waiting:
             self._slot_by_waiting[waiting] = told
@@ -242,8 +240,12 @@
         now = callers.read_now()
         max_run_s = (declared.max_run_ms if declared else 1) / clock.MS_PER_S
         timeout_s = min(max_run_s, request.deadline - now)
-        if timeout_s <= 0 or now >= target.deadline:
-            # A pause may have come between the choice and now.
+        # With nothing running, one that may be late is tried all the same: an
+        # estimate that is too long must not keep everything from running.
+        is_alone = not service.running_by_price.total()
+        needed_s = 0.0 if is_alone else min(service.queue.long_run_s, max_run_s)
+        if timeout_s <= needed_s or now >= target.deadline:
+            # It waited, or a pause came between the choice and now.
             self._end_slot(service, target)
             return outcome.not_run(outcome.Reason.DEADLINE, "too late to start", 1)
         request.attempts += 1
@@ -251,8 +253,9 @@
         done = await self.dispatcher.send(request, target.address, timeout_s)
         service.running_by_price[request.price] -= 1
         ended_at = callers.read_now()
-        service.queue.note_run(ended_at - now)
         failed = isinstance(done, outcome.GivenUp)
+        if not failed:
+            service.queue.note_run(ended_at - now)
         self._sharing.borrower.note_result(target, failed, ended_at)
         if failed and done.reason is outcome.Reason.REFUSED:
             self.on_leaving(target.address)
--- a/thornport/routing/admission.py
+++ b/thornport/routing/admission.py
@@ -1,9 +1,13 @@
 """Who waits, who goes next, and who is given up on at once.
 
 The dearest waits in front. So that the cheapest is not starved, every tenth
-dispatch goes to whoever has waited longest. A request that cannot start
-before its deadline is given up on when it comes, with when to come back; a
-full queue gives up its cheapest request for a dearer one.
+dispatch goes to whoever has waited longest. A request that cannot end before
+its deadline is given up on when that is known, with when to come back; a full
+queue gives up its cheapest request for a dearer one.
+
+A request that starts too late to end in time is worse than one given up on:
+its slot stays taken after its caller has gone. Once all slots are taken so,
+nothing is answered any more, so the end counts and not the start.
 
 Pure: requests and time in, requests and outcomes out.
 """
@@ -18,6 +22,7 @@
 
 AGING_TURN = 10
 RUN_TIME_WEIGHT = 0.05
+DEVIATIONS = 2.0
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 60
 
@@ -26,7 +31,7 @@
     """One request in the queue.
 
     Attributes:
-      give_up_at: A float; a run that starts later is of no use.
+      give_up_at: A float; a run that starts later does not end in time.
       order: A pair that sorts the dearest, then the first come, to the front.
     """
 
@@ -59,6 +64,7 @@
         self._by_give_up = sortedcontainers.SortedDict()
         self._waiting_by_price = {}
         self._mean_run_s = 0.0
+        self._run_deviation_s = 0.0
 
     def __len__(self):
         return len(self._by_order)
@@ -72,14 +78,23 @@
         return {price: n for price, n in self._waiting_by_price.items() if n}
 
     def note_run(self, run_s):
-        """Note how long a request ran, to estimate waits by.
+        """Note how long an answered request ran, to estimate waits by.
 
         Args:
           run_s: A float, seconds.
         """
         if not self._mean_run_s:
             self._mean_run_s = run_s
-        self._mean_run_s += RUN_TIME_WEIGHT * (run_s - self._mean_run_s)
+        error_s = run_s - self._mean_run_s
+        self._mean_run_s += RUN_TIME_WEIGHT * error_s
+        self._run_deviation_s += RUN_TIME_WEIGHT * (
+            abs(error_s) - self._run_deviation_s
+        )
+
+    @property
+    def long_run_s(self):
+        """The time that few runs are longer than, seconds; 0 if not known."""
+        return self._mean_run_s + DEVIATIONS * self._run_deviation_s
 
     def estimate_wait_s(self, price, slots):
         """Estimate how long a newcomer would wait.
@@ -95,12 +110,11 @@
         ahead = sum(n for p, n in self._waiting_by_price.items() if p >= price)
         return ahead * self._mean_run_s / slots
 
-    def offer(self, request, give_up_at, slots, now):
+    def offer(self, request, slots, now):
         """Take a request, or give it or a cheaper one up.
 
         Args:
           request: A requests.Request.
-          give_up_at: A float.
           slots: An int, how many requests this entry may run at once.
           now: A float.
         Returns:
@@ -108,6 +122,7 @@
           GivenUpOn; a newcomer that is given up on is in the list.
         """
         self._next += 1
+        give_up_at = request.deadline - self.long_run_s
         waiting = Waiting(request, give_up_at, (-request.price, self._next))
         wait_s = self.estimate_wait_s(request.price, slots)
         if now + wait_s > give_up_at:
--- a/thornport/routing/admission_test.py
+++ b/thornport/routing/admission_test.py
@@ -9,8 +9,10 @@
 from thornport.routing import request as requests
 
 
-def make_request(price):
-    return requests.Request("r", "s", "w", "t", price, 0.0, 9.0, True, "", "x", b"")
+def make_request(price, deadline=9.0):
+    return requests.Request(
+        "r", "s", "w", "t", price, 0.0, deadline, True, "", "x", b""
+    )
 
 
 class Order(unittest.TestCase):
@@ -22,7 +24,7 @@
         queue = admission.Queue(limit)
         given_up = []
         for price in prices:
-            _, out = queue.offer(make_request(price), 9.0, 1, 0.0)
+            _, out = queue.offer(make_request(price), 1, 0.0)
             given_up += [entry.waiting.request for entry in out]
         gone = []
         while waiting := queue.take_next():
@@ -34,10 +36,10 @@
 
     def test_cheapest_is_not_starved(self):
         queue = admission.Queue(100)
-        queue.offer(make_request(1), 9.0, 1, 0.0)
+        queue.offer(make_request(1), 1, 0.0)
         seen = []
         for _ in range(admission.AGING_TURN):
-            queue.offer(make_request(9), 9.0, 1, 0.0)
+            queue.offer(make_request(9), 1, 0.0)
             seen.append(queue.take_next().request.price)
         self.assertEqual(seen.count(1), 1)
 
@@ -49,21 +51,29 @@
         queue = admission.Queue(1000)
         queue.note_run(0.1)
         for _ in range(200):
-            queue.offer(make_request(1), 100.0, 1, 10.0)
-        waiting, out = queue.offer(make_request(1), 15.0, 1, 10.0)
+            queue.offer(make_request(1, 100.0), 1, 10.0)
+        waiting, out = queue.offer(make_request(1, 15.0), 1, 10.0)
         self.assertIsNone(waiting)
         self.assertEqual(out[0].given_up.outcome, outcome.Outcome.NOT_RUN)
         self.assertEqual(out[0].given_up.retry_after_s, 20)
-        waiting, out = queue.offer(make_request(2), 15.0, 1, 10.0)
+        waiting, out = queue.offer(make_request(2, 15.0), 1, 10.0)
         self.assertIsNotNone(waiting)
 
     def test_late_ones_leave_at_their_time(self):
         queue = admission.Queue(10)
-        for give_up_at in (3.0, 1.0, 2.0):
-            queue.offer(make_request(1), give_up_at, 1, 0.0)
+        for deadline in (3.0, 1.0, 2.0):
+            queue.offer(make_request(1, deadline), 1, 0.0)
         self.assertEqual(len(queue.give_up_late(2.0)), 2)
         self.assertEqual(len(queue), 1)
 
+    def test_who_cannot_end_in_time_does_not_start(self):
+        queue = admission.Queue(10)
+        queue.note_run(0.5)
+        waiting, _ = queue.offer(make_request(1, 2.0), 1, 0.0)
+        self.assertEqual(queue.give_up_late(1.4), [])
+        late = queue.give_up_late(1.5)
+        self.assertEqual([entry.waiting for entry in late], [waiting])
+
     def test_budget_holds_when_everything_fails(self):
         budget = retries.RetryBudget(0.1)
         made = 0
