--- a/bench/thin.py
+++ b/bench/thin.py
@@ -16,13 +16,14 @@
 from twisted.web import client as webclient
 from twisted.web import http_headers, server
 
+from bench import watcher
 from thornport.commands import daemons
 from thornport.entry import callers, dispatch
 from thornport.fleet import vmlist
-from thornport.kernel import logs, metrics, tasks
+from thornport.kernel import clock, logs, metrics, tasks
 from thornport.routing import outcome
 from thornport.routing import request as requests
-from thornport.settings import inforce, watcher
+from thornport.settings import inforce
 from thornport.store import client as storeclient
 
 TIMEOUT_S = 2.0
@@ -108,7 +109,7 @@
             get_header,
             body,
             self._naming.make_id(),
-            callers.read_now(),
+            clock.read_monotonic(),
         )
 
     async def serve(self, request):
--- a/thornport/settings/watcher.py
+++ b/bench/watcher.py
@@ -1,4 +1,4 @@
-"""Watching the head of the settings in the store, through its outages."""
+"""Watching the settings in the store, as the first version of an entry did."""
 
 from returns import result
 
--- a/thornport/entry/callers.py
+++ b/thornport/entry/callers.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 from twisted.web import resource, server
 
-from thornport.kernel import clock, ids
+from thornport.kernel import ids
 from thornport.routing import outcome
 from thornport.routing import request as requests
 
@@ -215,12 +215,3 @@
         """
         self._next += 1
         return f"{self._incarnation}-{self._next}"
-
-
-def read_now():
-    """Read the clock that requests' deadlines are on.
-
-    Returns:
-      A float, seconds.
-    """
-    return clock.read_monotonic()
--- a/thornport/entry/front.py
+++ b/thornport/entry/front.py
@@ -75,7 +75,7 @@
     def is_ready(self):
         """Tell whether the balancer should send requests here."""
         is_started = self._in_force.revision > 0 and not self._is_stopping
-        return is_started and not self._is_cut_off(callers.read_now())
+        return is_started and not self._is_cut_off(clock.read_monotonic())
 
     def _is_cut_off(self, now):
         return self._connected_at is None or now >= self._connected_at + CUT_OFF_S
@@ -102,7 +102,7 @@
             get_header,
             body,
             self._naming.make_id(),
-            callers.read_now(),
+            clock.read_monotonic(),
         )
         return read.alt(self._count_refusal)
 
@@ -197,7 +197,10 @@
     def _may_retry(self, service, request, done):
         if done.outcome is outcome.Outcome.MAY_HAVE_RUN and not request.repeatable:
             return False
-        if request.attempts >= MAX_ATTEMPTS or callers.read_now() >= request.deadline:
+        if (
+            request.attempts >= MAX_ATTEMPTS
+            or clock.read_monotonic() >= request.deadline
+        ):
             return False
         return service.budget.spend()
 
@@ -214,7 +217,7 @@
         Returns:
           A Target, or an awaitable of a Target or a GivenUp.
         """
-        now = callers.read_now()
+        now = clock.read_monotonic()
         if self._is_cut_off(now):
             return defer.succeed(outcome.not_run(outcome.Reason.CUT_OFF, "", 1))
         if not service.queue:
@@ -241,7 +244,7 @@
 
     def pump(self):
         """Give free slots to who waits."""
-        now = callers.read_now()
+        now = clock.read_monotonic()
         borrower = self._sharing.borrower
         for name, service in self._services_by_name.items():
             while service.queue and borrower.has_free(name, now):
@@ -251,7 +254,7 @@
 
     def tick(self):
         """Give up on those who can no longer start in time."""
-        now = callers.read_now()
+        now = clock.read_monotonic()
         self._check_connected(now)
         for service in self._services_by_name.values():
             self._give_up(service.queue.give_up_late(now))
@@ -260,7 +263,7 @@
     async def _dispatch(self, service, request, target):
         """Send a request to the backend server whose slot it holds."""
         declared = self._config.services_by_name.get(request.service)
-        now = callers.read_now()
+        now = clock.read_monotonic()
         max_run_s = (declared.max_run_ms if declared else 1) / clock.MS_PER_S
         timeout_s = min(max_run_s, request.deadline - now)
         # With nothing running, one that may be late is tried all the same: an
@@ -275,7 +278,7 @@
         service.running_by_price[request.price] += 1
         done = await self.dispatcher.send(request, target.address, timeout_s)
         service.running_by_price[request.price] -= 1
-        ended_at = callers.read_now()
+        ended_at = clock.read_monotonic()
         failed = isinstance(done, outcome.GivenUp)
         if not failed:
             service.queue.note_run(ended_at - now)
--- a/thornport/membership/record.py
+++ b/thornport/membership/record.py
@@ -135,10 +135,7 @@
     Returns:
       A Member, or None if the member is not in the ring or alone in it.
     """
-    member_ids = ring.member_ids
-    if member_id not in member_ids or len(member_ids) == 1:
-        return None
-    return ring.members[(member_ids.index(member_id) + 1) % len(member_ids)]
+    return _find_neighbour(ring, member_id, 1)
 
 
 def find_predecessor(ring, member_id):
@@ -150,10 +147,14 @@
     Returns:
       A Member, or None if the member is not in the ring or alone in it.
     """
+    return _find_neighbour(ring, member_id, -1)
+
+
+def _find_neighbour(ring, member_id, step):
     member_ids = ring.member_ids
     if member_id not in member_ids or len(member_ids) == 1:
         return None
-    return ring.members[member_ids.index(member_id) - 1]
+    return ring.members[(member_ids.index(member_id) + step) % len(member_ids)]
 
 
 def pick_holders(members, key, count):
