--- /dev/null
+++ b/thornport/cell/advising.py
@@ -0,0 +1,80 @@
+"""Which of our processes calls for which advice.
+
+The advice service works on one call at a time for each caller, so a call of
+half a second holds up all later calls of the same caller. Calls that take
+long go to some of the processes, the short ones to the others.
+"""
+
+import msgspec
+
+LONG_CALL_S = 0.15  # between the dear queue's 0.75 s and the others' 0.06 s
+SILENCE_S = 1.6  # three greetings missed: the process gets no calls
+ANSWER_SLACK_S = 0.5  # beyond the time that a call takes, for the way and a busy node
+
+
+class Caller(msgspec.Struct, eq=False):
+    """A process that can call for advice.
+
+    Attributes:
+      address: A str, where it takes messages.
+      heard_at: A float, when it last greeted.
+      busy_until: A float, when it has made all calls given to it.
+    """
+
+    name: str
+    address: str
+    heard_at: float
+    busy_until: float = 0.0
+
+
+class Callers:
+    """The processes that can call, by name."""
+
+    def __init__(self):
+        self._by_name = {}
+
+    def greet(self, name, address, now):
+        """Take a greeting.
+
+        Args:
+          name, address: A str each.
+          now: A float.
+        """
+        caller = self._by_name.get(name)
+        if caller is None or caller.address != address:
+            caller = self._by_name[name] = Caller(name, address, now)
+        caller.heard_at = now
+
+    def choose(self, cost_s, now):
+        """Choose the process for a call and give it the call.
+
+        Args:
+          cost_s: A float, how long the call takes.
+          now: A float.
+        Returns:
+          A pair of the Caller and the deadline of the call, or None when
+          there is no process.
+        """
+        alive = [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
+        alive.sort(key=lambda caller: caller.name)
+        half = (len(alive) + 1) // 2
+        group = alive[:half] if cost_s >= LONG_CALL_S else alive[half:] or alive
+        caller = min(group, key=lambda caller: caller.busy_until, default=None)
+        if caller is None:
+            return None
+        caller.busy_until = max(caller.busy_until, now) + cost_s
+        return caller, caller.busy_until + ANSWER_SLACK_S
+
+    def distrust(self, name, now):
+        """Give no calls for a while to a process whose answer did not come.
+
+        Args:
+          name: A str.
+          now: A float.
+        """
+        if name in self._by_name:
+            self._by_name[name].busy_until = now + SILENCE_S
+
+    def list_addresses(self):
+        """The addresses of all known processes, as a set."""
+        return {caller.address for caller in self._by_name.values()}
--- /dev/null
+++ b/thornport/cell/ledger.py
@@ -0,0 +1,144 @@
+"""Keeping the owner's records, one transaction after the other.
+
+Each transaction names the owner's key and a head key that each changes, so
+that one whose answer was lost can be sent again and is applied once, and a
+late one is never applied over a newer one.
+"""
+
+from returns import result
+from twisted.internet import defer
+
+from thornport.cell import ownership
+from thornport.jobs import record
+from thornport.kernel import clock, logs, tasks
+from thornport.store import transactions
+
+HEAD_KEY = "thornport/cell/head"
+GAP_S = 0.012  # between transactions, so that records of a burst share one
+CONFIRM_PERIOD_S = 2.0  # an idle owner confirms that it is the owner
+RETRY_S = 0.1  # after a write that the store did not take
+
+
+class Ledger:
+    """Writes the batches of one ownership."""
+
+    def __init__(self, reactor, store, token, metrics):
+        """Begin.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A store client.
+          token: An int, the revision of the owner's key.
+          metrics: A metrics.Metrics.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._token = token
+        self._metrics = metrics
+        self._head_revision = None
+        self._sequence = 0
+        self._wake = None
+        self._is_stopped = False
+
+    def stop(self):
+        """Write no further batch."""
+        self._is_stopped = True
+        self.wake()
+
+    def wake(self):
+        """There is something to keep."""
+        if self._wake is not None and not self._wake.called:
+            self._wake.callback(None)
+
+    async def read_head(self):
+        """Read the head; a bool, whether the store answered."""
+        read = await self._store.read_key(HEAD_KEY)
+        if isinstance(read, result.Failure):
+            return False
+        self._head_revision = read.unwrap().revision
+        return True
+
+    async def write(self, make_batch, take_kept):
+        """Write batches until stopped or until the key is not ours.
+
+        Args:
+          make_batch: A callable giving the next core.Batch or None.
+          take_kept: A callable of a batch, or None, and the time it was sent.
+        """
+        while not self._is_stopped:
+            batch = make_batch()
+            if batch is None and not await self._sleep():
+                continue
+            if self._is_stopped:
+                return
+            sent_at = await self._commit(batch)
+            if sent_at is None or self._is_stopped:
+                return
+            take_kept(batch, sent_at)
+            await tasks.sleep(self._reactor, GAP_S)
+
+    async def _sleep(self):
+        """Wait for something to keep; true when it is time to confirm."""
+        self._wake = defer.Deferred()
+        timer = self._reactor.callLater(CONFIRM_PERIOD_S, self.wake)
+        await self._wake
+        is_due = not timer.active()
+        if timer.active():
+            timer.cancel()
+        return is_due
+
+    async def _commit(self, batch):
+        """Commit until the outcome is known.
+
+        Returns:
+          A float, when the transaction that was applied was sent; None when
+          the key is not ours any more.
+        """
+        self._sequence += 1
+        head = f"{self._token}:{self._sequence}".encode()
+        transaction = self._make_transaction(batch, head)
+        while not self._is_stopped:
+            sent_at = clock.read_monotonic()
+            written = await self._store.commit(transaction)
+            if isinstance(written, result.Success):
+                self._head_revision = written.unwrap()
+                return sent_at
+            error = written.failure()
+            if isinstance(error, transactions.Refused):
+                return sent_at if self._was_applied(error, head) else None
+            self._metrics.count("ledger.retries")
+            await tasks.sleep(self._reactor, RETRY_S)
+        return None
+
+    def _was_applied(self, error, head):
+        owner = error.by_key.get(ownership.OWNER_KEY)
+        if owner is None or owner.revision != self._token:
+            logs.log("ledger-refused", token=self._token, reason="not the owner")
+            return False
+        item = error.by_key.get(HEAD_KEY)
+        if item is None or item.value != head:
+            logs.log("ledger-refused", token=self._token, reason="unknown head")
+            return False
+        self._head_revision = item.revision
+        return True
+
+    def _make_transaction(self, batch, head):
+        conditions = [
+            transactions.Condition(ownership.OWNER_KEY, self._token),
+            transactions.Condition(HEAD_KEY, self._head_revision),
+        ]
+        puts = [transactions.Put(HEAD_KEY, head)]
+        removes = []
+        if batch is not None:
+            for job_id, value in batch.progress_by_job.items():
+                puts.append(transactions.Put(record.PROGRESS_PREFIX + job_id, value))
+            for job_id in batch.forgotten:
+                removes += [
+                    prefix + job_id
+                    for prefix in (
+                        record.JOB_PREFIX,
+                        record.CANCEL_PREFIX,
+                        record.PROGRESS_PREFIX,
+                    )
+                ]
+        return transactions.Transaction(conditions, puts, removes)
--- /dev/null
+++ b/thornport/cell/model.py
@@ -0,0 +1,204 @@
+"""What the owner of a cell knows: workers, runs, steps and jobs.
+
+A task has one live run at most. A run counts against its worker's room from
+the moment it is decided on until it is surely over.
+"""
+
+import enum
+
+import msgspec
+
+from thornport.cell import messages
+from thornport.jobs import record, spec
+
+# A worker's clock may run this much slower than ours (the users' bound).
+SLOWEST_CLOCK = 0.98
+LAPSE_MARGIN_S = 0.1  # for timers that fire late, ours and the worker's
+GANG_INDEX = -1  # stands for all tasks of a gang
+
+
+class RunState(enum.Enum):
+    """The states of a run that may be live.
+
+    RECORDING: decided; no order goes out before the store has it.
+    ORDERED: the worker was told; RUNNING: the worker has it.
+    UNHEARD: recorded by an earlier owner; the worker has not been asked.
+    STOPPING: to be stopped, and live until that is sure.
+    OVER: surely not live any more.
+    """
+
+    RECORDING = "recording"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    UNHEARD = "unheard"
+    STOPPING = "stopping"
+    OVER = "over"
+
+
+class Run(msgspec.Struct, eq=False):
+    """A run that may be live.
+
+    Attributes:
+      ordered_at: A float, when the worker was told; None before.
+      stop_confirmed_at: A float, when the worker took the stop; None before.
+      stop_due_at: A float, when the stop is to be sent (again).
+      percent: An int, the progress last heard, at `percent_at`.
+    """
+
+    key: messages.TaskKey
+    run: int
+    worker_id: str
+    demand: spec.Demand
+    state: RunState
+    ordered_at: float | None = None
+    stop_confirmed_at: float | None = None
+    stop_due_at: float = 0.0
+    percent: int = 0
+    percent_at: float = 0.0
+
+
+class Worker(msgspec.Struct, eq=False):
+    """A life of a worker.
+
+    Attributes:
+      entry: Its messages.WorkerEntry.
+      is_listed: Whether the store lists it.
+      is_heard: Whether it has answered this owner.
+      used: Demand of its live runs.
+      runs_by_key: Its live Runs by TaskKey.
+      clock_ms: An int of its clock, heard at `heard_at`.
+      granted_ms: An int on its clock, the latest deadline ever sent to it.
+      unheard_until: A float; if never heard by this owner, all that an
+        earlier owner started is over then.
+      seen_number, acked_number: Ends taken in; ends kept in the store.
+      failures: An int, failed runs since one was done.
+      avoid_until: A float; it gets no starts before.
+    """
+
+    entry: messages.WorkerEntry
+    unheard_until: float
+    is_listed: bool = True
+    is_heard: bool = False
+    used: spec.Demand = spec.Demand()
+    runs_by_key: dict[messages.TaskKey, Run] = msgspec.field(default_factory=dict)
+    clock_ms: int = 0
+    heard_at: float = 0.0
+    granted_ms: int = 0
+    seen_number: int = 0
+    acked_number: int = 0
+    failures: int = 0
+    avoid_until: float = 0.0
+
+    @property
+    def worker_id(self):
+        """A str, the id of this life."""
+        return self.entry.worker_id
+
+    def compute_free(self):
+        """The room that is left, as a Demand."""
+        return self.entry.total.subtract(self.used)
+
+    def read_clock_ms(self, now):
+        """Estimate the worker's clock; it is behind this if it runs slow."""
+        return self.clock_ms + int((now - self.heard_at) * 1000)
+
+    def compute_lapse_at(self):
+        """Say when every lease sent to it is over, whatever was lost."""
+        if not self.is_heard:
+            return self.unheard_until
+        left_s = max(0, self.granted_ms - self.clock_ms) / 1000
+        return self.heard_at + left_s / SLOWEST_CLOCK + LAPSE_MARGIN_S
+
+    def add_run(self, run):
+        """Count a run against the room."""
+        self.runs_by_key[run.key] = run
+        self.used = self.used.add(run.demand)
+
+    def remove_run(self, run):
+        """Free the room of a run."""
+        if self.runs_by_key.get(run.key) is run:
+            del self.runs_by_key[run.key]
+            self.used = self.used.subtract(run.demand)
+
+
+class StepState(msgspec.Struct, eq=False):
+    """A step of a job at one of its times.
+
+    Attributes:
+      key: Its messages.StepKey.
+      spec: Its spec.Step.
+      waiting: Indexes of tasks that have no live run and are not done.
+      done: Indexes of tasks that are done.
+      live_by_index: Live Runs by task index.
+      failures_by_index: Failed runs by task index; GANG_INDEX for a gang.
+      checkpoints_by_index: The latest checkpoint, likewise.
+      avoided_by_index: Ids of workers on which a task failed, likewise.
+      last_run: An int, the highest run number given out.
+      is_done: Whether every task is done.
+      is_advanced: Whether its job has taken note of that.
+      tickets_by_worker: Pairs of ticket text and its deadline.
+      asked_ids: Ids of workers that advice was asked about.
+      good_ids: Those of them that may run the step.
+      is_advising: Whether a call for advice is open.
+      retry_advice_at: A float, no call for advice before.
+    """
+
+    key: messages.StepKey
+    spec: spec.Step
+    waiting: set[int] = msgspec.field(default_factory=set)
+    done: set[int] = msgspec.field(default_factory=set)
+    live_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
+    failures_by_index: dict[int, int] = msgspec.field(default_factory=dict)
+    checkpoints_by_index: dict[int, str] = msgspec.field(default_factory=dict)
+    avoided_by_index: dict[int, set[str]] = msgspec.field(default_factory=dict)
+    last_run: int = 0
+    is_done: bool = False
+    is_advanced: bool = False
+    tickets_by_worker: dict[str, tuple[str, float]] = msgspec.field(
+        default_factory=dict
+    )
+    asked_ids: set[str] = msgspec.field(default_factory=set)
+    good_ids: set[str] = msgspec.field(default_factory=set)
+    is_advising: bool = False
+    retry_advice_at: float = 0.0
+
+    def index_for(self, index):
+        """The index that failures and checkpoints of a task are kept under."""
+        return GANG_INDEX if self.spec.gang else index
+
+
+class JobEntry(msgspec.Struct, eq=False):
+    """A job.
+
+    Attributes:
+      record: Its record.JobRecord.
+      order: An int that rises with acceptance.
+      state: The record.JobState decided; shown to callers once kept.
+      shown_state: The record.JobState that the store has.
+      steps_by_key: Its StepStates that have come into being, by StepKey.
+      times_done: An int, how many of its times are over, from the first on.
+      has_begun: Whether any task has been told to start.
+      ended_at: A float, when its end was kept; None before.
+      arrived_at: A float, when this owner learned of it.
+    """
+
+    record: record.JobRecord
+    order: int
+    arrived_at: float
+    state: record.JobState = record.JobState.QUEUED
+    shown_state: record.JobState = record.JobState.QUEUED
+    steps_by_key: dict[messages.StepKey, StepState] = msgspec.field(
+        default_factory=dict
+    )
+    times_done: int = 0
+    has_begun: bool = False
+    ended_at: float | None = None
+
+    @property
+    def job_id(self):
+        """A str."""
+        return self.record.job_id
+
+    def is_over(self):
+        """Whether its end is decided."""
+        return self.state in record.FINAL_STATES
--- /dev/null
+++ b/thornport/cell/ownership.py
@@ -0,0 +1,229 @@
+"""Becoming, being and ceasing to be the owner of a cell.
+
+The owner holds a key with a lease in the store. The revision of the key is
+its fencing token: it is higher for each later owner.
+"""
+
+import automat
+import msgspec
+from returns import result
+
+from thornport.kernel import ids, logs, tasks
+from thornport.store import port, transactions
+
+OWNER_KEY = "thornport/cell/owner"
+# Long enough for a store that answers 60 times slower (0.24 s), short enough
+# that leases of running tasks (6 s) outlive the takeover several times.
+LEASE_TTL_MS = 2000
+RENEW_PERIOD_S = 0.5  # four tries in a lease
+CLAIM_SPREAD_S = 0.08  # so that not all processes claim in the same instant
+RETRY_S = 0.2  # after a call that the store did not answer
+
+
+class Owner(msgspec.Struct, frozen=True):
+    """The value of the owner's key."""
+
+    name: str
+    address: str
+    incarnation: str
+    lease_id: int
+
+
+class Standing:
+    """The states of a process towards its cell.
+
+    A process follows until the key is free, claims it, rebuilds what the
+    earlier owner knew, decides, and follows again when it loses the key.
+    """
+
+    machine = automat.MethodicalMachine()
+
+    def __init__(self, actions):
+        """Take what is to be done.
+
+        Args:
+          actions: An object with `claim()`, `rebuild()`, `decide()` and
+            `forget()`.
+        """
+        self._actions = actions
+
+    @machine.state(initial=True, serialized="following")
+    def following(self):
+        """Another process decides, or none."""
+
+    @machine.state(serialized="claiming")
+    def claiming(self):
+        """The key is free and is being written."""
+
+    @machine.state(serialized="rebuilding")
+    def rebuilding(self):
+        """The key is ours; the records are being read."""
+
+    @machine.state(serialized="deciding")
+    def deciding(self):
+        """This process decides."""
+
+    @machine.state(serialized="leaving")
+    def leaving(self):
+        """This process stops and claims nothing any more."""
+
+    @machine.input()
+    def key_is_free(self):
+        """Nobody holds the key."""
+
+    @machine.input()
+    def claim_failed(self):
+        """Another process holds the key, or the store did not answer."""
+
+    @machine.input()
+    def claim_won(self):
+        """The key is ours."""
+
+    @machine.input()
+    def rebuilt(self):
+        """What the earlier owner knew is known."""
+
+    @machine.input()
+    def key_is_lost(self):
+        """The key is not ours any more, or a successor has been at a worker."""
+
+    @machine.input()
+    def leave(self):
+        """The process stops."""
+
+    @machine.output()
+    def _claim(self):
+        self._actions.claim()
+
+    @machine.output()
+    def _rebuild(self):
+        self._actions.rebuild()
+
+    @machine.output()
+    def _decide(self):
+        self._actions.decide()
+
+    @machine.output()
+    def _forget(self):
+        self._actions.forget()
+
+    following.upon(key_is_free, enter=claiming, outputs=[_claim])
+    following.upon(key_is_lost, enter=following, outputs=[])
+    following.upon(leave, enter=leaving, outputs=[])
+    claiming.upon(key_is_free, enter=claiming, outputs=[])
+    claiming.upon(claim_failed, enter=following, outputs=[])
+    claiming.upon(claim_won, enter=rebuilding, outputs=[_rebuild])
+    claiming.upon(key_is_lost, enter=claiming, outputs=[])
+    claiming.upon(leave, enter=leaving, outputs=[])
+    rebuilding.upon(rebuilt, enter=deciding, outputs=[_decide])
+    rebuilding.upon(key_is_lost, enter=following, outputs=[_forget])
+    rebuilding.upon(key_is_free, enter=following, outputs=[_forget])
+    rebuilding.upon(leave, enter=leaving, outputs=[_forget])
+    deciding.upon(key_is_lost, enter=following, outputs=[_forget])
+    deciding.upon(key_is_free, enter=following, outputs=[_forget])
+    deciding.upon(leave, enter=leaving, outputs=[_forget])
+    leaving.upon(key_is_free, enter=leaving, outputs=[])
+    leaving.upon(key_is_lost, enter=leaving, outputs=[])
+    leaving.upon(claim_failed, enter=leaving, outputs=[])
+    leaving.upon(claim_won, enter=leaving, outputs=[_forget])
+    leaving.upon(rebuilt, enter=leaving, outputs=[])
+    leaving.upon(leave, enter=leaving, outputs=[])
+
+
+class Claimer:
+    """Writes the owner's key and keeps its lease."""
+
+    def __init__(self, reactor, store, name, address):
+        """Take the ways to the store.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A store client with the calls of `store.transactions`.
+          name, address: A str each, of this process.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._name = name
+        self._address = address
+        self._incarnation = ids.make_incarnation()
+        self.lease_id = 0
+        self.token = 0
+
+    async def claim(self):
+        """Try once to get the key.
+
+        Returns:
+          A bool, whether the key is ours; `token` and `lease_id` are set then.
+        """
+        granted = await self._store.grant_lease(LEASE_TTL_MS)
+        if isinstance(granted, result.Failure):
+            return False
+        lease_id = granted.unwrap().lease_id
+        owner = Owner(self._name, self._address, self._incarnation, lease_id)
+        value = msgspec.json.encode(owner)
+        written = await self._store.commit(
+            transactions.Transaction(
+                [transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)],
+                [transactions.Put(OWNER_KEY, value, lease_id)],
+            )
+        )
+        if isinstance(written, result.Success):
+            self._take(lease_id, written.unwrap())
+            return True
+        if port.is_failure(written, port.Unavailable):
+            return False
+        # Refused or unknown: the key may be ours by this or an earlier claim.
+        return await self._find_own()
+
+    async def _find_own(self):
+        read = await self._store.read_key(OWNER_KEY)
+        if isinstance(read, result.Failure):
+            return False
+        owner = decode_owner(read.unwrap().value)
+        if owner is None or owner.incarnation != self._incarnation:
+            return False
+        self._take(owner.lease_id, read.unwrap().revision)
+        return True
+
+    def _take(self, lease_id, token):
+        self.lease_id = lease_id
+        self.token = token
+        logs.log("owner-key-claimed", token=token, lease=lease_id)
+
+    async def renew(self, is_current):
+        """Renew the lease until it is gone.
+
+        Args:
+          is_current: A callable telling whether it is still wanted.
+        Returns:
+          A bool, whether the lease went although it was wanted.
+        """
+        while is_current():
+            renewed = await self._store.renew_lease(self.lease_id)
+            if port.is_failure(renewed, transactions.LeaseGone):
+                return is_current()
+            await tasks.sleep(self._reactor, RENEW_PERIOD_S)
+        return False
+
+    async def release(self):
+        """End the lease, so that a successor need not wait for it."""
+        if self.lease_id:
+            ended = await self._store.end_lease(self.lease_id)
+            logs.log("owner-key-released", ok=isinstance(ended, result.Success))
+
+
+def decode_owner(value):
+    """Decode the owner's key.
+
+    Args:
+      value: Bytes, empty when there is none.
+    Returns:
+      An Owner or None.
+    """
+    if not value:
+        return None
+    try:
+        return msgspec.json.decode(value, type=Owner)
+    except msgspec.MsgspecError as error:
+        logs.log("owner-key-undecodable", reason=str(error))
+        return None
--- /dev/null
+++ b/thornport/cell/placing.py
@@ -0,0 +1,153 @@
+"""Where the tasks of a step go: pure, and without any order of steps."""
+
+import msgspec
+
+TICKET_MARGIN_S = 0.1  # from the decision to the worker: a commit and a call
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """A task index and the worker that it goes to."""
+
+    index: int
+    worker_id: str
+
+
+def is_allowed(step, worker, now):
+    """Tell whether a worker may get tasks of a step at all.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    if step.spec.label and step.spec.label not in worker.entry.labels:
+        return False
+    return is_taking(worker, now)
+
+
+def is_taking(worker, now):
+    """Tell whether a worker takes new tasks.
+
+    Args:
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    return (
+        worker.is_listed
+        and worker.is_heard
+        and now >= worker.avoid_until
+        and worker.entry.state.value == "ready"
+    )
+
+
+def has_ticket(step, worker, now):
+    """Tell whether a step has a ticket for a worker that still holds."""
+    ticket = step.tickets_by_worker.get(worker.worker_id)
+    return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
+
+
+def assign_step(step, workers):
+    """Choose workers for the waiting tasks of a step.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker that may run it now.
+    Returns:
+      A list of Assignment; for a gang, of all its tasks or of none.
+    """
+    if not step.spec.gang:
+        return fill(step, workers)
+    if step.live_by_index:
+        return []
+    if step.spec.same_rack:
+        for rack in sorted({worker.entry.rack for worker in workers}):
+            within = [worker for worker in workers if worker.entry.rack == rack]
+            assigned = fill(step, within)
+            if len(assigned) == step.spec.count:
+                return assigned
+    assigned = fill(step, workers)
+    return assigned if len(assigned) == step.spec.count else []
+
+
+def fill(step, workers):
+    """Assign waiting tasks, each to the worker that is left with least room.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker.
+    Returns:
+      A list of Assignment.
+    """
+    demand = step.spec.demand
+    free_by_id = {}
+    for worker in workers:
+        free = worker.compute_free()
+        if demand.fits(free):
+            free_by_id[worker.worker_id] = free
+    held_by_id = count_held(step)
+    near = {w.worker_id for w in workers if step.spec.near_rack in w.entry.labels}
+    assigned = []
+    for index in sorted(step.waiting):
+        avoided = step.avoided_by_index.get(step.index_for(index), ())
+        best = choose_best(step, free_by_id, held_by_id, near, avoided)
+        if best is None:
+            continue
+        assigned.append(Assignment(index, best))
+        held_by_id[best] = held_by_id.get(best, 0) + 1
+        left = free_by_id[best].subtract(demand)
+        if demand.fits(left):
+            free_by_id[best] = left
+        else:
+            del free_by_id[best]
+        if not free_by_id:
+            break
+    return assigned
+
+
+def count_held(step):
+    """Count the live runs of a step by worker id."""
+    held_by_id = {}
+    for run in step.live_by_index.values():
+        held_by_id[run.worker_id] = held_by_id.get(run.worker_id, 0) + 1
+    return held_by_id
+
+
+def choose_best(step, free_by_id, held_by_id, near, avoided):
+    """Choose the worker for one task.
+
+    Args:
+      step: A model.StepState.
+      free_by_id: Demands that are left, by worker id; the task fits each.
+      held_by_id: Tasks of the step there, by worker id.
+      near: Ids of workers at the step's data.
+      avoided: Ids of workers on which the task failed: only if no other is left.
+    Returns:
+      A str, a worker id, or None.
+    """
+    limit = step.spec.max_per_worker
+    best = None
+    best_rank = None
+    for worker_id, free in free_by_id.items():
+        if limit and held_by_id.get(worker_id, 0) >= limit:
+            continue
+        rank = (worker_id in avoided, worker_id not in near, free.millicores, worker_id)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = worker_id, rank
+    return best
+
+
+def has_room(step, workers):
+    """Tell whether the tasks of a step could start: all of a gang, or any.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker.
+    Returns:
+      A bool.
+    """
+    assigned = fill(step, workers)
+    return len(assigned) >= (step.spec.count if step.spec.gang else 1)
--- /dev/null
+++ b/thornport/cell/progress.py
@@ -0,0 +1,98 @@
+"""Between the owner's state of a job and the record of it in the store."""
+
+from thornport.cell import messages, model
+from thornport.jobs import record
+
+
+def make_progress(job):
+    """Make the record of how far a job has come.
+
+    Args:
+      job: A model.JobEntry.
+    Returns:
+      A record.Progress.
+    """
+    if job.is_over():
+        live = tuple(
+            make_step(step) for step in job.steps_by_key.values() if step.live_by_index
+        )
+        return record.Progress(job.state, live, job.times_done)
+    steps = (step for step in job.steps_by_key.values() if has_begun(step))
+    return record.Progress(
+        job.state, tuple(make_step(step) for step in steps), job.times_done
+    )
+
+
+def has_begun(step):
+    """Tell whether there is anything to keep of a step."""
+    return bool(step.is_done or step.last_run)
+
+
+def make_step(step):
+    """Make the record of a step.
+
+    Args:
+      step: A model.StepState.
+    Returns:
+      A record.StepProgress.
+    """
+    key = step.key
+    if step.is_done and not step.live_by_index:
+        return record.StepProgress(key.time, key.step, step.last_run, all_done=True)
+    live = tuple(
+        record.LiveRun(index, run.run, run.worker_id)
+        for index, run in step.live_by_index.items()
+    )
+    return record.StepProgress(
+        key.time,
+        key.step,
+        step.last_run,
+        step.is_done,
+        tuple(step.done),
+        tuple(step.failures_by_index.items()),
+        live,
+        tuple(step.checkpoints_by_index.items()),
+    )
+
+
+def make_step_state(job, time, number):
+    """Make the state of a step that has not begun.
+
+    Args:
+      job: A model.JobEntry.
+      time, number: An int each.
+    Returns:
+      A model.StepState, added to the job.
+    """
+    key = messages.StepKey(job.job_id, time, number)
+    step_spec = job.record.job.steps[number]
+    step = model.StepState(key, step_spec, waiting=set(range(step_spec.count)))
+    job.steps_by_key[key] = step
+    return step
+
+
+def restore_step(job, kept):
+    """Make the state of a step from its record.
+
+    Args:
+      job: A model.JobEntry.
+      kept: A record.StepProgress.
+    Returns:
+      A pair of the model.StepState, added to the job, and its Runs, UNHEARD.
+    """
+    step = make_step_state(job, kept.time, kept.step)
+    step.last_run = kept.last_run
+    step.is_done = step.is_advanced = kept.all_done
+    step.done = set(kept.done)
+    step.failures_by_index = dict(kept.failures)
+    step.checkpoints_by_index = dict(kept.checkpoints)
+    for live in kept.live:
+        key = messages.TaskKey(job.job_id, kept.time, kept.step, live.index)
+        step.live_by_index[live.index] = model.Run(
+            key, live.run, live.worker_id, step.spec.demand, model.RunState.UNHEARD
+        )
+    if kept.all_done:
+        step.waiting.clear()
+    step.waiting -= step.done
+    step.waiting -= step.live_by_index.keys()
+    return step, list(step.live_by_index.values())
--- a/thornport/commands/daemons.py
+++ b/thornport/commands/daemons.py
@@ -9,18 +9,40 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def load_settings(path):
-    """Read the settings of a process, or say what is wrong and exit.
+class SettingsError(Exception):
+    """The settings of a process can't be read or are wrong."""
+
+
+def load(path, parse_settings):
+    """Read the settings of a process.
 
     Args:
       path: A str.
+      parse_settings: A callable of the path and the text of the file.
     Returns:
-      A procconf.ProcessSettings.
+      What the callable returns.
+    Raises:
+      SettingsError: With every fault in the file.
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        return procconf.parse_settings(path, text)
+        return parse_settings(path, text)
     except (OSError, problem.ProblemsError) as error:
+        raise SettingsError(str(error)) from error
+
+
+def load_or_exit(path, parse_settings):
+    """Read the settings of a process, or say what is wrong and exit.
+
+    Args:
+      path: A str.
+      parse_settings: A callable of the path and the text of the file.
+    Returns:
+      What the callable returns.
+    """
+    try:
+        return load(path, parse_settings)
+    except SettingsError as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS) from error
 
@@ -33,7 +55,7 @@
         `start()`, and `stop()` giving a Deferred.
       path: A str, the settings of the process.
     """
-    settings = load_settings(path)
+    settings = load_or_exit(path, procconf.parse_settings)
     # The reactor is imported late, so that a bad file is reported at once.
     from twisted.internet import reactor
 
--- /dev/null
+++ b/thornport/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: what callers hand in, what is kept of it, and its state."""
--- /dev/null
+++ b/thornport/jobs/intake.py
@@ -0,0 +1,203 @@
+"""Taking jobs and cancels: each is kept in the store before it is accepted.
+
+Submissions that come close together share a transaction. Every job has a key
+of its own that must not be there yet, so the same ID is one job, at whatever
+process and however often it comes, and a write can be sent again when its
+answer was lost.
+"""
+
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from thornport.jobs import record
+from thornport.kernel import clock, logs, tasks
+from thornport.store import port, transactions
+
+BATCH_JOBS = 16  # two of a transaction's 32 entries each
+GATHER_S = 0.002  # jobs that come within this share a transaction
+RETRY_S = 0.06  # after a write that the store did not take
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """The job, or the cancel, is kept."""
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """It is not kept and never will be; come back in `retry_s`."""
+
+    reason: str
+    retry_s: int = 1
+
+
+class Unknown(msgspec.Struct, frozen=True):
+    """It may be kept: the store's answer was lost."""
+
+    reason: str
+
+
+class NoSuchJob(msgspec.Struct, frozen=True):
+    """There is no such job."""
+
+
+class Pending(msgspec.Struct, eq=False):
+    """A submission that waits for the store.
+
+    Attributes:
+      refuse_at: A float, when it is refused if that is true by then.
+      give_up_at: A float, when its outcome is said to be unknown.
+      may_be_kept: Whether a write of it had no answer.
+    """
+
+    kept: record.JobRecord
+    refuse_at: float
+    give_up_at: float
+    outcome: defer.Deferred
+    may_be_kept: bool = False
+
+
+class Intake:
+    """Writes submissions and cancels."""
+
+    def __init__(self, reactor, store, metrics):
+        """Begin.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A store client.
+          metrics: A metrics.Metrics.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._metrics = metrics
+        self._gathered = []
+
+    def submit(self, kept, refuse_at, give_up_at):
+        """Keep a job.
+
+        Args:
+          kept: A record.JobRecord.
+          refuse_at, give_up_at: A float each.
+        Returns:
+          A Deferred of Accepted, Refused or Unknown.
+        """
+        pending = Pending(kept, refuse_at, give_up_at, defer.Deferred())
+        if not self._gathered:
+            self._reactor.callLater(GATHER_S, self._flush)
+        self._gathered.append(pending)
+        return pending.outcome
+
+    def _flush(self):
+        gathered, self._gathered = self._gathered, []
+        for start in range(0, len(gathered), BATCH_JOBS):
+            batch = gathered[start : start + BATCH_JOBS]
+            tasks.spawn(self._write(batch), "write-jobs")
+
+    async def _write(self, batch):
+        while batch:
+            written = await self._store.commit(make_transaction(batch))
+            now = clock.read_monotonic()
+            if isinstance(written, result.Success):
+                for pending in batch:
+                    self._settle(pending, Accepted(), "kept")
+                return
+            error = written.failure()
+            if isinstance(error, transactions.Refused):
+                batch = self._settle_known(batch, error)
+                continue
+            if isinstance(error, port.Ambiguous):
+                for pending in batch:
+                    pending.may_be_kept = True
+            batch = [p for p in batch if not self._give_up(p, error, now)]
+            await tasks.sleep(self._reactor, RETRY_S)
+
+    def _settle_known(self, batch, error):
+        """Settle the jobs that are in the store already; the others go on."""
+        left = []
+        for pending in batch:
+            if record.JOB_PREFIX + pending.kept.job_id in error.by_key:
+                self._settle(pending, Accepted(), "known")
+            else:
+                left.append(pending)
+        return left
+
+    def _give_up(self, pending, error, now):
+        if pending.may_be_kept:
+            if now < pending.give_up_at:
+                return False
+            self._settle(pending, Unknown(error.reason), "unknown")
+            return True
+        if now < pending.refuse_at:
+            return False
+        self._settle(pending, Refused(error.reason), "refused")
+        return True
+
+    def _settle(self, pending, outcome, what):
+        self._metrics.count(f"jobs.{what}")
+        kept = pending.kept
+        logs.log(
+            "job-submitted",
+            job=kept.job_id,
+            queue=kept.queue.name,
+            outcome=what,
+            reason=getattr(outcome, "reason", ""),
+        )
+        pending.outcome.callback(outcome)
+
+    async def cancel(self, job_id, give_up_at):
+        """Keep a cancel.
+
+        Args:
+          job_id: A str.
+          give_up_at: A float.
+        Returns:
+          Accepted, NoSuchJob, Refused or Unknown.
+        """
+        may_be_kept = False
+        while True:
+            outcome = await self._try_cancel(job_id)
+            if not isinstance(outcome, port.StoreError):
+                logs.log("job-cancelled", job=job_id, outcome=type(outcome).__name__)
+                return outcome
+            may_be_kept = may_be_kept or isinstance(outcome, port.Ambiguous)
+            if clock.read_monotonic() >= give_up_at:
+                kind = Unknown if may_be_kept else Refused
+                logs.log("job-cancelled", job=job_id, outcome=kind.__name__)
+                return kind(outcome.reason)
+            await tasks.sleep(self._reactor, RETRY_S)
+
+    async def _try_cancel(self, job_id):
+        read = await self._store.read_key(record.JOB_PREFIX + job_id)
+        if isinstance(read, result.Failure):
+            return read.failure()
+        if read.unwrap().revision == transactions.ABSENT_REVISION:
+            return NoSuchJob()
+        key = record.CANCEL_PREFIX + job_id
+        written = await self._store.commit(
+            transactions.Transaction(
+                [transactions.Condition(key, transactions.ABSENT_REVISION)],
+                [transactions.Put(key, b"1")],
+            )
+        )
+        if isinstance(written, result.Success):
+            return Accepted()
+        error = written.failure()
+        return Accepted() if isinstance(error, transactions.Refused) else error
+
+
+def make_transaction(batch):
+    """Make the transaction of some submissions.
+
+    Args:
+      batch: A list of Pending.
+    Returns:
+      A transactions.Transaction.
+    """
+    keys = [record.JOB_PREFIX + pending.kept.job_id for pending in batch]
+    return transactions.Transaction(
+        [transactions.Condition(key, transactions.ABSENT_REVISION) for key in keys],
+        [
+            transactions.Put(key, record.encode_record(pending.kept))
+            for key, pending in zip(keys, batch, strict=True)
+        ],
+    )
--- /dev/null
+++ b/thornport/jobs/queue.py
@@ -0,0 +1,77 @@
+"""Queues and the configuration that names them."""
+
+import msgspec
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """How a queue's advice behaves.
+
+    Attributes:
+      base_ms: A float, milliseconds of one call.
+      worker_ms: A float, more for each worker that it names.
+      valid_ms: An int, how long a ticket holds.
+    """
+
+    base_ms: float = 0.0
+    worker_ms: float = 0.0
+    valid_ms: int = 0
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """A queue of jobs.
+
+    Attributes:
+      name: A str.
+      host, path_prefix: Where callers reach it.
+      service: A str, the pool of workers that runs its tasks.
+      priority: An int; 0 goes first and may preempt others.
+      max_attempts: An int, failed runs of a task until its job has failed.
+      stretch, target_ms: A job is in time within its longest chain of work
+        times the stretch, and the target more.
+      advice: Advice, or None when any worker may run its tasks.
+      is_queue: Whether it takes jobs at all.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+    advice: Advice | None = None
+
+
+class Config(msgspec.Struct, frozen=True):
+    """A version of the configuration.
+
+    Attributes:
+      version: An int; within a process it only rises.
+      queues: A tuple of Queue.
+      guarded_services: Names of services whose workers refuse what does not fit.
+      max_body_bytes: An int, the largest body taken from callers.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded_services: frozenset[str] = frozenset()
+    max_body_bytes: int = 262_144
+
+
+def find_queue(config, host, path):
+    """Find the queue of a request: its host's longest prefix of the path.
+
+    Args:
+      config: A Config.
+      host: A str, without a port.
+      path: A str.
+    Returns:
+      A Queue or None.
+    """
+    matching = [
+        queue
+        for queue in config.queues
+        if queue.host == host and path.startswith(queue.path_prefix)
+    ]
+    return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
--- /dev/null
+++ b/thornport/jobs/reading.py
@@ -0,0 +1,57 @@
+"""The state of jobs as the store has it, for when the owner can't be asked."""
+
+from returns import result
+
+from thornport.jobs import record
+from thornport.kernel import logs
+from thornport.store import transactions, watching
+
+
+async def read_state(store, job_id):
+    """Read the state of a job.
+
+    Args:
+      store: A store client.
+      job_id: A str.
+    Returns:
+      A Result of record.JobState, or of None when there is no such job.
+    """
+    read = await store.read_key(record.PROGRESS_PREFIX + job_id)
+    if isinstance(read, result.Failure):
+        return read
+    if read.unwrap().revision != transactions.ABSENT_REVISION:
+        return result.Success(record.decode_progress(read.unwrap().value).state)
+    read = await store.read_key(record.JOB_PREFIX + job_id)
+    if isinstance(read, result.Failure):
+        return read
+    if read.unwrap().revision == transactions.ABSENT_REVISION:
+        return result.Success(None)
+    return result.Success(record.JobState.QUEUED)
+
+
+async def count_waiting(store, queue_name):
+    """Count the jobs of a queue of which no task has begun.
+
+    Args:
+      store: A store client.
+      queue_name: A str.
+    Returns:
+      A Result of int.
+    """
+    begun = await watching.read_prefix(store, record.PROGRESS_PREFIX)
+    if isinstance(begun, result.Failure):
+        return begun
+    begun_ids = {item.key.rsplit("/", 1)[1] for item in begun.unwrap()[0]}
+    read = await watching.read_prefix(store, record.JOB_PREFIX)
+    if isinstance(read, result.Failure):
+        return read
+    count = 0
+    for item in read.unwrap()[0]:
+        try:
+            kept = record.decode_job(item.value)
+        except record.RecordError as error:
+            logs.log("job-undecodable", key=item.key, reason=str(error))
+            continue
+        is_waiting = kept.job_id not in begun_ids and not kept.job.repeats
+        count += is_waiting and kept.queue.name == queue_name
+    return result.Success(count)
--- /dev/null
+++ b/thornport/jobs/record.py
@@ -0,0 +1,136 @@
+"""What is kept of jobs in the store: keys and values.
+
+A job is written once by whoever takes it, a cancel once by whoever takes
+that, and the progress of a job again and again by the owner of its cell.
+"""
+
+import enum
+
+import msgspec
+
+from thornport.jobs import queue, spec
+
+INBOX_PREFIX = "thornport/inbox/"
+JOB_PREFIX = INBOX_PREFIX + "job/"
+CANCEL_PREFIX = INBOX_PREFIX + "cancel/"
+PROGRESS_PREFIX = "thornport/progress/"
+
+
+class JobState(enum.Enum):
+    """The states that callers are shown."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.SUCCEEDED, JobState.FAILED, JobState.CANCELLED})
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """A job as it was accepted, with its queue as it was then."""
+
+    job_id: str
+    queue: queue.Queue
+    job: spec.Job
+    accepted_at_ms: int
+
+
+class LiveRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may be live: written before the worker is told to start it."""
+
+    index: int
+    run: int
+    worker_id: str
+
+
+class StepProgress(msgspec.Struct, frozen=True, array_like=True):
+    """How far a step has come.
+
+    Attributes:
+      time: An int, which of the job's times.
+      step: An int, its place in the job.
+      last_run: An int, the highest run number given out.
+      all_done: A bool, every task is done; the fields below are then empty.
+      done: Indexes of tasks that are done.
+      failures: Pairs of task index and failed runs; GANG_INDEX for a gang.
+      live: The runs that may be live.
+      checkpoints: Pairs of task index and the latest checkpoint known.
+    """
+
+    time: int
+    step: int
+    last_run: int = 0
+    all_done: bool = False
+    done: tuple[int, ...] = ()
+    failures: tuple[tuple[int, int], ...] = ()
+    live: tuple[LiveRun, ...] = ()
+    checkpoints: tuple[tuple[int, str], ...] = ()
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """How far a job has come.
+
+    Attributes:
+      state: A JobState.
+      steps: The StepProgress of steps that have begun.
+      times_done: An int, how many of the job's times are over.
+    """
+
+    state: JobState
+    steps: tuple[StepProgress, ...] = ()
+    times_done: int = 0
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_JOB_DECODER = msgspec.msgpack.Decoder(JobRecord)
+_PROGRESS_DECODER = msgspec.msgpack.Decoder(Progress)
+
+
+class RecordError(Exception):
+    """A value in the store is not a record of ours."""
+
+
+def encode_record(record):
+    """Encode a record.
+
+    Args:
+      record: A JobRecord or Progress.
+    Returns:
+      Bytes.
+    """
+    return _ENCODER.encode(record)
+
+
+def decode_job(value):
+    """Decode a JobRecord.
+
+    Args:
+      value: Bytes.
+    Returns:
+      A JobRecord.
+    Raises:
+      RecordError: The bytes are no such record.
+    """
+    try:
+        return _JOB_DECODER.decode(value)
+    except msgspec.MsgspecError as error:
+        raise RecordError(str(error)) from error
+
+
+def decode_progress(value):
+    """Decode a Progress.
+
+    Args:
+      value: Bytes.
+    Returns:
+      A Progress.
+    Raises:
+      RecordError: The bytes are no such record.
+    """
+    try:
+        return _PROGRESS_DECODER.decode(value)
+    except msgspec.MsgspecError as error:
+        raise RecordError(str(error)) from error
--- /dev/null
+++ b/thornport/kernel/httpcalls.py
@@ -0,0 +1,220 @@
+"""HTTP/1.1 calls to servers that are called often, on kept connections.
+
+The owner of a cell makes hundreds of small calls a second, so this is a bare
+protocol over the parser of httptools: about half the processor time of
+Twisted's Agent (docs/PLATFORM.md). It also tells what callers must know of a
+call that failed: whether its request can have reached the server.
+"""
+
+import collections
+
+import httptools
+import msgspec
+from returns import result
+from twisted.internet import defer, protocol
+from twisted.internet.error import ConnectionAborted
+
+CONNECT_TIMEOUT_S = 1.0  # links have delays of milliseconds; a silent peer is cut
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """The status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class CallError(msgspec.Struct, frozen=True):
+    """A call has no answer."""
+
+    reason: str
+
+
+class NotSent(CallError, frozen=True):
+    """No byte of the request left, so the server has done nothing."""
+
+
+class NoAnswer(CallError, frozen=True):
+    """The request may have reached the server, and may be carried out later."""
+
+
+class Connection(protocol.Protocol):
+    """One connection, with one call on it at a time."""
+
+    def __init__(self, pool):
+        self._pool = pool
+        self._parser = None
+        self._waiting = None
+        self._body = []
+        self._keeps = True
+        self.is_open = False
+
+    def connectionMade(self):
+        """Send small requests at once."""
+        self.is_open = True
+        self.transport.setTcpNoDelay(True)
+
+    def send(self, data):
+        """Send a request.
+
+        Args:
+          data: Bytes, the whole request.
+        Returns:
+          A Deferred of a Result of Answer or NoAnswer.
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = []
+        self._waiting = defer.Deferred(lambda _: self.transport.abortConnection())
+        self.transport.write(data)
+        return self._waiting
+
+    def dataReceived(self, data):
+        """Feed the parser; bytes that are no answer end the connection."""
+        if self._parser is None:
+            self.transport.abortConnection()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._finish(result.Failure(NoAnswer(f"bad answer: {error}")))
+            self.transport.abortConnection()
+
+    def on_body(self, data):
+        """Collect a part of the body; called by the parser."""
+        self._body.append(data)
+
+    def on_message_complete(self):
+        """Give the answer to the caller; called by the parser."""
+        parser, self._parser = self._parser, None
+        self._keeps = parser.should_keep_alive()
+        answer = Answer(parser.get_status_code(), b"".join(self._body))
+        if self._keeps:
+            self._pool.put_back(self)
+        else:
+            self.transport.loseConnection()
+        self._finish(result.Success(answer))
+
+    def _finish(self, outcome):
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None and not waiting.called:
+            waiting.callback(outcome)
+
+    def connectionLost(self, reason):
+        """Tell the caller whose answer will not come."""
+        self.is_open = False
+        self._pool.drop(self)
+        text = "aborted" if reason.check(ConnectionAborted) else str(reason.value)
+        self._finish(result.Failure(NoAnswer(text)))
+
+
+class Pool:
+    """The idle connections to one address."""
+
+    __slots__ = ("idle",)
+
+    def __init__(self):
+        self.idle = collections.deque()
+
+    def take(self):
+        """Take an idle connection, the one used last; None if there is none."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_open:
+                return connection
+        return None
+
+    def put_back(self, connection):
+        """Keep a connection for the next call."""
+        self.idle.append(connection)
+
+    def drop(self, connection):
+        """Forget a connection that was lost."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close(self):
+        """Close the idle connections."""
+        for connection in list(self.idle):
+            connection.transport.loseConnection()
+        self.idle.clear()
+
+
+class HttpCalls:
+    """Calls servers by address, keeping connections between calls."""
+
+    def __init__(self, reactor):
+        """Take the reactor.
+
+        Args:
+          reactor: Twisted's reactor.
+        """
+        self._reactor = reactor
+        self._pool_by_address = {}
+
+    async def call(self, address, method, path, body=b"", timeout_s=1.0, headers=()):
+        """Make one call.
+
+        Args:
+          address: A str, `IP:PORT`.
+          method, path: A str each; the path with its query.
+          body: Bytes, JSON; empty for none.
+          timeout_s: A float, seconds for the whole call.
+          headers: An iterable of pairs of str.
+        Returns:
+          A Result of Answer, NotSent or NoAnswer.
+        """
+        pool = self._pool_by_address.setdefault(address, Pool())
+        connection = pool.take()
+        if connection is None:
+            opened = await self._open(address, pool, min(timeout_s, CONNECT_TIMEOUT_S))
+            if isinstance(opened, result.Failure):
+                return opened
+            connection = opened.unwrap()
+        data = format_request(address, method, path, body, headers)
+        waiting = connection.send(data)
+        timer = self._reactor.callLater(timeout_s, waiting.cancel)
+        try:
+            return await waiting
+        except defer.CancelledError:
+            return result.Failure(NoAnswer(f"no answer in {timeout_s} s"))
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    async def _open(self, address, pool, timeout_s):
+        host, port = address.rsplit(":", 1)
+        creator = protocol.ClientCreator(self._reactor, Connection, pool)
+        try:
+            opened = await creator.connectTCP(host, int(port), timeout=timeout_s)
+        except Exception as error:
+            return result.Failure(NotSent(f"not connected: {error}"))
+        return result.Success(opened)
+
+    def forget(self, address):
+        """Close the idle connections to an address that is not needed now.
+
+        Args:
+          address: A str, `IP:PORT`.
+        """
+        pool = self._pool_by_address.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+
+def format_request(address, method, path, body, headers):
+    """Format a request.
+
+    Args:
+      address, method, path: A str each.
+      body: Bytes.
+      headers: An iterable of pairs of str.
+    Returns:
+      Bytes.
+    """
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body:
+        lines.append("Content-Type: application/json")
+    if body or method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/thornport/kernel/inifile.py
+++ b/thornport/kernel/inifile.py
@@ -118,6 +118,37 @@
     return struct_type(**values), []
 
 
+def convert_document(document, struct_type):
+    """Convert a whole file to a struct, finding every fault in it.
+
+    Args:
+      document: A Document.
+      struct_type: A msgspec struct type, a field of a struct type for each section.
+    Returns:
+      A struct of that type.
+    Raises:
+      problem.ProblemsError: With every fault in the file.
+    """
+    problems = list(document.problems)
+    fields = {field.name: field for field in msgspec.structs.fields(struct_type)}
+    values = {}
+    for section in document.by_name.values():
+        if section.name not in fields:
+            fault = describe_unknown("section", section.name, fields)
+            problems.append(problem.Problem(document.path, section.line, fault))
+            continue
+        value, faults = convert_section(document, section, fields[section.name].type)
+        problems += faults
+        values[section.name] = value
+    for field in fields.values():
+        if field.required and field.name not in document.by_name:
+            text = f"lacks [{field.name}]"
+            problems.append(problem.Problem(document.path, 0, text))
+    if problems:
+        raise problem.ProblemsError(problems)
+    return struct_type(**values)
+
+
 def describe_unknown(what, name, known):
     """Say that a name is unknown, with the nearest known one.
 
--- a/thornport/kernel/metrics.py
+++ b/thornport/kernel/metrics.py
@@ -7,14 +7,17 @@
 import collections
 
 import statsd
+from hdrh import histogram
 
 FLUSH_PERIOD_S = 1.0
+LONGEST_US = 60_000_000  # of a histogram; no call of ours waits for a minute
+SIGNIFICANT_DIGITS = 2  # 1% is finer than any decision taken on them
 
 
 class Metrics:
     """The counters and gauges of one process."""
 
-    __slots__ = ("_client", "_sent_by_name", "count_by_name")
+    __slots__ = ("_client", "_sent_by_name", "count_by_name", "histogram_by_name")
 
     def __init__(self, host=None, port=0, prefix="thornport"):
         """Open the socket, or none.
@@ -25,6 +28,7 @@
           prefix: A str before every name.
         """
         self.count_by_name = collections.Counter()
+        self.histogram_by_name = {}
         self._sent_by_name = collections.Counter()
         self._client = statsd.StatsClient(host, port, prefix) if host else None
 
@@ -37,6 +41,19 @@
         """
         self.count_by_name[name] += step
 
+    def observe(self, name, value_ms):
+        """Add a latency to a histogram.
+
+        Args:
+          name: A str, dotted.
+          value_ms: A float, milliseconds.
+        """
+        kept = self.histogram_by_name.get(name)
+        if kept is None:
+            kept = histogram.HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+            self.histogram_by_name[name] = kept
+        kept.record_value(min(LONGEST_US, max(1, int(value_ms * 1000))))
+
     def set_gauge(self, name, value):
         """Send a gauge now.
 
--- a/thornport/kernel/procconf.py
+++ b/thornport/kernel/procconf.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from thornport.kernel import inifile, problem
+from thornport.kernel import inifile
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
@@ -100,23 +100,4 @@
     Raises:
       problem.ProblemsError: With every fault in the file.
     """
-    document = inifile.parse_text(path, text)
-    problems = list(document.problems)
-    fields = {field.name: field for field in msgspec.structs.fields(ProcessSettings)}
-    values = {}
-    for section in document.by_name.values():
-        if section.name not in fields:
-            fault = inifile.describe_unknown("section", section.name, fields)
-            problems.append(problem.Problem(path, section.line, fault))
-            continue
-        value, faults = inifile.convert_section(
-            document, section, fields[section.name].type
-        )
-        problems += faults
-        values[section.name] = value
-    for field in fields.values():
-        if field.required and field.name not in document.by_name:
-            problems.append(problem.Problem(path, 0, f"lacks [{field.name}]"))
-    if problems:
-        raise problem.ProblemsError(problems)
-    return ProcessSettings(**values)
+    return inifile.convert_document(inifile.parse_text(path, text), ProcessSettings)
--- /dev/null
+++ b/thornport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/thornport/platform/__main__.py
@@ -0,0 +1,99 @@
+"""`python -m thornport.platform` runs a scheduler on the users' platform."""
+
+import os
+import signal
+import sys
+
+from thornport.kernel import lean
+
+lean.leave_out_tls()
+
+import msgspec  # noqa: E402
+from twisted.internet import reactor  # noqa: E402
+from twisted.web import server  # noqa: E402
+
+from thornport.cell import daemon, peering, ports, settings  # noqa: E402
+from thornport.commands import daemons  # noqa: E402
+from thornport.kernel import httpcalls, logs, metrics, metricsweb  # noqa: E402
+from thornport.peers import bus  # noqa: E402
+from thornport.platform import (  # noqa: E402
+    advice,
+    config,
+    ingress,
+    store,
+    workers,
+)
+
+SETTINGS_VARIABLE = "THORNPORT_SETTINGS"
+STORE_TIMEOUT_S = 0.6  # a store that answers 60 times slower takes 0.24 s
+ORDER_TIMEOUT_S = 0.6  # workers answer orders in milliseconds
+
+
+def make_ports(calls, process_settings, counters):
+    """Make the clients of the platform's services.
+
+    Args:
+      calls: An httpcalls.HttpCalls.
+      process_settings: A settings.SchedulerSettings.
+      counters: A metrics.Metrics.
+    Returns:
+      A ports.Ports.
+    """
+    services = process_settings.services
+    return ports.Ports(
+        store.StoreClient(calls, services.store, STORE_TIMEOUT_S, counters),
+        workers.WorkerClient(calls, ORDER_TIMEOUT_S),
+        advice.AdviceClient(calls, services.advice),
+        config.CONFIG_KEY,
+        config.decode_config,
+        workers.ENTRY_PREFIX,
+        workers.decode_entry,
+        (msgspec.MsgspecError, ValueError),
+    )
+
+
+def listen(address, app):
+    """Serve an app at an address, `IP:PORT`."""
+    ip, port = address.rsplit(":", 1)
+    site = server.Site(app.resource(), timeout=None)
+    site.noisy = False
+    reactor.listenTCP(int(port), site, interface=ip, backlog=1024)
+
+
+def reload(path):
+    """Check changed settings; what they name is bound at the start only."""
+    try:
+        daemons.load(path, settings.parse_settings)
+        logs.log("settings-reloaded", path=path)
+    except daemons.SettingsError as error:
+        logs.log("settings-not-reloaded", path=path, reason=str(error))
+
+
+def main():
+    """Run the process."""
+    path = os.environ.get(SETTINGS_VARIABLE) or sys.argv[1]
+    process_settings = daemons.load_or_exit(path, settings.parse_settings)
+    logs.start_logging(sys.stdout, process=process_settings.process.name)
+    counters = metrics.Metrics()
+    calls = httpcalls.HttpCalls(reactor)
+    message_bus = bus.Bus(reactor, peering.CODEC, counters)
+    scheduler = daemon.SchedulerDaemon(
+        reactor,
+        process_settings,
+        make_ports(calls, process_settings, counters),
+        message_bus,
+        counters,
+    )
+    listen(process_settings.listen.jobs, ingress.make_app(scheduler))
+    listen(process_settings.listen.ready, ingress.make_ready_app(scheduler))
+    if process_settings.listen.metrics_port:
+        shown = f"{process_settings.listen.ip}:{process_settings.listen.metrics_port}"
+        listen(shown, metricsweb.make_app(counters))
+    reactor.callWhenRunning(scheduler.start)
+    reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/thornport/platform/ingress.py
@@ -0,0 +1,199 @@
+"""The platform's callers over HTTP: jobs, their state, cancels and counts."""
+
+import time
+
+import klein
+import msgspec
+from returns import result
+
+from thornport.jobs import intake, record, spec
+from thornport.kernel import clock
+from thornport.platform import jobs
+
+DEADLINE_HEADER = "Thornport-Deadline-Ms"
+ID_DIGITS = 16  # hex digits of a job's ID, chosen by the caller
+DEFAULT_DEADLINE_MS = 3000  # the callers' usual deadline on these deployments
+ANSWER_MARGIN_S = 0.15  # an answer is on its way before the caller gives up
+# A refusal that comes later than a quarter of the objective is priced.
+REFUSE_SHARE = 0.25
+MAX_REFUSE_S = 0.7
+
+
+class WireState(msgspec.Struct, frozen=True):
+    """The answer to a GET of a job."""
+
+    state: str
+
+
+class WireWaiting(msgspec.Struct, frozen=True):
+    """The answer to a GET of a queue."""
+
+    waiting: int
+
+
+class WireError(msgspec.Struct, frozen=True):
+    """The body of an answer that is no success."""
+
+    error: str
+
+
+def make_app(daemon):
+    """Make the interface for callers.
+
+    Args:
+      daemon: A daemon.SchedulerDaemon.
+    Returns:
+      A klein.Klein.
+    """
+    app = klein.Klein()
+
+    @app.route("/", branch=True)
+    async def take(request):
+        if daemon.config is None:
+            return refuse(request, 503, "no configuration yet")
+        host = request.getRequestHostname().decode("latin-1")
+        path = request.path.decode("latin-1")
+        queue = daemon.find_queue(host, path)
+        if queue is None:
+            return answer(request, 404, WireError("no such queue"))
+        rest = path.removeprefix(queue.path_prefix)
+        if daemon.is_stopping:
+            request.setHeader("Connection", "close")
+        if request.method == b"GET" and not rest:
+            return await count_waiting(daemon, request, queue)
+        if not is_job_id(rest):
+            return answer(request, 404, WireError("no such job"))
+        if request.method == b"POST":
+            return await submit(daemon, request, queue, rest)
+        if request.method == b"GET":
+            return await read_state(daemon, request, rest)
+        if request.method == b"DELETE":
+            return await cancel(daemon, request, rest)
+        return answer(request, 405, WireError("GET, POST or DELETE"))
+
+    return app
+
+
+def make_ready_app(daemon):
+    """Make the interface that the balancer asks.
+
+    Args:
+      daemon: A daemon.SchedulerDaemon.
+    Returns:
+      A klein.Klein.
+    """
+    app = klein.Klein()
+
+    @app.route("/-/ready")
+    def ready(request):
+        request.setResponseCode(200 if daemon.is_ready() else 503)
+        return b""
+
+    return app
+
+
+async def submit(daemon, request, queue, job_id):
+    """Take a job."""
+    body = request.content.read()
+    if len(body) > daemon.config.max_body_bytes:
+        return answer(request, 413, WireError("the body is too large"))
+    try:
+        job = jobs.decode_job(body)
+    except spec.SpecError as error:
+        return answer(request, 400, WireError(str(error)))
+    now = clock.read_monotonic()
+    kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
+    outcome = await daemon.intake.submit(
+        kept, now + compute_refuse_s(queue, job), read_deadline(request, now)
+    )
+    if isinstance(outcome, intake.Accepted):
+        return answer(request, 200, WireState(record.JobState.QUEUED.value))
+    if isinstance(outcome, intake.Refused):
+        return refuse(request, 503, outcome.reason, outcome.retry_s)
+    return answer(request, 504, WireError(outcome.reason))
+
+
+async def read_state(daemon, request, job_id):
+    """Answer the state of a job."""
+    read = await daemon.read_state(job_id)
+    if isinstance(read, result.Failure):
+        return refuse(request, 503, read.failure().reason)
+    state = read.unwrap()
+    if state is None:
+        return answer(request, 410, WireError("no such job"))
+    return answer(request, 200, WireState(state.value))
+
+
+async def cancel(daemon, request, job_id):
+    """Cancel a job."""
+    deadline = read_deadline(request, clock.read_monotonic())
+    outcome = await daemon.intake.cancel(job_id, deadline)
+    if isinstance(outcome, intake.Accepted):
+        return answer(request, 200, WireState(record.JobState.CANCELLED.value))
+    if isinstance(outcome, intake.NoSuchJob):
+        return answer(request, 410, WireError("no such job"))
+    if isinstance(outcome, intake.Refused):
+        return refuse(request, 503, outcome.reason, outcome.retry_s)
+    return answer(request, 504, WireError(outcome.reason))
+
+
+async def count_waiting(daemon, request, queue):
+    """Answer how many jobs of a queue have not begun."""
+    read = await daemon.count_waiting(queue.name)
+    if isinstance(read, result.Failure):
+        return refuse(request, 503, read.failure().reason)
+    return answer(request, 200, WireWaiting(read.unwrap()))
+
+
+def is_job_id(text):
+    """Tell whether a text is a job's ID."""
+    return len(text) == ID_DIGITS and all(c in "0123456789abcdef" for c in text)
+
+
+def compute_refuse_s(queue, job):
+    """How long a job may wait for the store until it is refused, seconds.
+
+    Args:
+      queue: A queue.Queue.
+      job: A spec.Job.
+    Returns:
+      A float.
+    """
+    longest_ms = max(step.estimate_ms for step in job.steps)
+    objective_ms = queue.target_ms + queue.stretch * longest_ms
+    return min(MAX_REFUSE_S, REFUSE_SHARE * objective_ms / 1000)
+
+
+def read_deadline(request, now):
+    """Read when the caller gives up.
+
+    Args:
+      request: A twisted request.
+      now: A float.
+    Returns:
+      A float, a little before that.
+    """
+    text = request.getHeader(DEADLINE_HEADER) or ""
+    wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    return now + max(0.05, wait_ms / 1000 - ANSWER_MARGIN_S)
+
+
+def answer(request, status, body):
+    """Answer.
+
+    Args:
+      request: A twisted request.
+      status: An int.
+      body: A struct.
+    Returns:
+      Bytes, the body.
+    """
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    return msgspec.json.encode(body)
+
+
+def refuse(request, status, reason, retry_s=1):
+    """Answer that nothing was done, and when to come back."""
+    request.setHeader("Retry-After", str(retry_s))
+    return answer(request, status, WireError(reason))
--- /dev/null
+++ b/thornport/platform/store.py
@@ -0,0 +1,247 @@
+"""The platform's store over HTTP, as `store.transactions` asks for it."""
+
+import base64
+import urllib.parse
+
+import msgspec
+from returns import result
+
+from thornport.kernel import httpcalls
+from thornport.store import port, transactions
+
+WATCH_SLACK_S = 1.0  # beyond the wait, for the way there and back
+MAX_WATCH_MS = 30_000  # the platform's limit on a waiting watch
+
+
+class WireItem(msgspec.Struct, frozen=True):
+    """An item; `gone` in an event of a removed key."""
+
+    key: str
+    value: str = ""
+    rev: int = 0
+    at: int = 0
+    gone: bool = False
+
+
+class WirePage(msgspec.Struct, frozen=True):
+    """The answer to a range."""
+
+    items: list[WireItem] = []
+    more: bool = False
+    at: int = 0
+
+
+class WireEvents(msgspec.Struct, frozen=True):
+    """The answer to a watch."""
+
+    events: list[WireItem] = []
+    at: int = 0
+
+
+class WireRevision(msgspec.Struct, frozen=True):
+    """The answer to a transaction that was applied."""
+
+    rev: int
+
+
+class WireCondition(msgspec.Struct, frozen=True):
+    """A row of `expected_rev`."""
+
+    key: str
+    rev: int
+
+
+class WirePut(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A row of `put`."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class WireTransaction(msgspec.Struct, frozen=True):
+    """The body of a transaction."""
+
+    expected_rev: list[WireCondition]
+    put: list[WirePut]
+    remove: list[str]
+
+
+class WireLease(msgspec.Struct, frozen=True):
+    """The answer to a lease."""
+
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+class StoreClient:
+    """Calls the store; every method gives a Result with errors of `port`."""
+
+    def __init__(self, calls, address, timeout_s, metrics):
+        """Take the ways to call.
+
+        Args:
+          calls: An httpcalls.HttpCalls.
+          address: A str, `IP:PORT`.
+          timeout_s: A float, seconds to wait for an answer.
+          metrics: A metrics.Metrics.
+        """
+        self._calls = calls
+        self._address = address
+        self._timeout_s = timeout_s
+        self._metrics = metrics
+
+    async def read_key(self, key):
+        """Read a key; a Result of Item, absent with ABSENT_REVISION."""
+        path = "/-/kv-key?" + urllib.parse.urlencode({"key": key})
+        answer = await self._call("GET", path)
+        if is_status(answer, 404):
+            absent = transactions.Item(key, b"", transactions.ABSENT_REVISION)
+            return result.Success(absent)
+        return decode_body(answer, WireItem).map(decode_item)
+
+    async def read_page(self, prefix, after_key=""):
+        """Read a page of the keys with a prefix; a Result of Page."""
+        query = {"path_prefix": prefix}
+        if after_key:
+            query["after"] = after_key
+        path = "/-/kv-range?" + urllib.parse.urlencode(query)
+        answer = await self._call("GET", path)
+        return decode_body(answer, WirePage).map(decode_page)
+
+    async def watch(self, prefix, after_revision, wait_ms):
+        """Wait for changes under a prefix; a Result of Changes."""
+        wait_ms = min(wait_ms, MAX_WATCH_MS)
+        query = {"path_prefix": prefix, "after": after_revision, "wait_ms": wait_ms}
+        path = "/-/kv-watch?" + urllib.parse.urlencode(query)
+        answer = await self._call("GET", path, timeout_s=wait_ms / 1000 + WATCH_SLACK_S)
+        if is_status(answer, 410):
+            return result.Failure(transactions.HistoryGone("history is gone"))
+        return decode_body(answer, WireEvents).map(decode_events)
+
+    async def commit(self, transaction):
+        """Apply a transaction; a Result of its revision, an int."""
+        body = msgspec.json.encode(encode_transaction(transaction))
+        answer = await self._call("POST", "/-/kv-txn", body, is_write=True)
+        if is_status(answer, 412):
+            page = decode_body(answer, WirePage, good=412)
+            return page.bind(refuse)
+        if is_status(answer, 404):
+            return result.Failure(transactions.LeaseGone("no such lease"))
+        return decode_body(answer, WireRevision).map(lambda wire: wire.rev)
+
+    async def grant_lease(self, ttl_ms):
+        """Get a lease; a Result of Lease."""
+        body = msgspec.json.encode({"ttl_ms": ttl_ms})
+        answer = await self._call("POST", "/-/kv-lease", body, is_write=True)
+        wire = decode_body(answer, WireLease)
+        return wire.map(lambda w: transactions.Lease(w.lease, w.ttl_ms))
+
+    async def renew_lease(self, lease_id):
+        """Renew a lease; a Result of its time in milliseconds."""
+        answer = await self._call("POST", f"/-/kv-keep/{lease_id}")
+        if is_status(answer, 404):
+            return result.Failure(transactions.LeaseGone("no such lease"))
+        return decode_body(answer, WireLease).map(lambda wire: wire.ttl_ms)
+
+    async def end_lease(self, lease_id):
+        """End a lease; a Result of None."""
+        answer = await self._call(
+            "DELETE", f"/-/kv-lease-end/{lease_id}", is_write=True
+        )
+        return answer.map(lambda _: None)
+
+    async def _call(self, method, path, body=b"", is_write=False, timeout_s=None):
+        self._metrics.count("store.writes" if is_write else "store.reads")
+        answer = await self._calls.call(
+            self._address, method, path, body, timeout_s or self._timeout_s
+        )
+        if isinstance(answer, result.Failure):
+            return result.Failure(turn_error(answer.failure(), is_write))
+        if answer.unwrap().status in (429, 503):
+            self._metrics.count("store.refused")
+            return result.Failure(port.Unavailable(f"status {answer.unwrap().status}"))
+        return answer
+
+
+def turn_error(error, is_write):
+    """Turn an error of the transport into one of the store.
+
+    Args:
+      error: An httpcalls.CallError.
+      is_write: A bool.
+    Returns:
+      A port.StoreError.
+    """
+    if is_write and isinstance(error, httpcalls.NoAnswer):
+        return port.Ambiguous(error.reason)
+    return port.Unavailable(error.reason)
+
+
+def is_status(answer, status):
+    """Tell whether a call was answered with a status."""
+    return isinstance(answer, result.Success) and answer.unwrap().status == status
+
+
+def decode_body(answer, struct_type, good=200):
+    """Decode the body of an answer.
+
+    Args:
+      answer: A Result of httpcalls.Answer.
+      struct_type: The msgspec type of the body.
+      good: An int, the status that it comes with.
+    Returns:
+      A Result of the struct or a port.StoreError.
+    """
+    if isinstance(answer, result.Failure):
+        return answer
+    given = answer.unwrap()
+    if given.status != good:
+        return result.Failure(port.Unavailable(f"status {given.status}"))
+    try:
+        return result.Success(msgspec.json.decode(given.body, type=struct_type))
+    except msgspec.MsgspecError as error:
+        return result.Failure(port.Unavailable(f"bad answer: {error}"))
+
+
+def decode_item(wire):
+    """Decode an item."""
+    return transactions.Item(wire.key, base64.b64decode(wire.value), wire.rev)
+
+
+def decode_page(wire):
+    """Decode a page."""
+    items = [decode_item(item) for item in wire.items]
+    return transactions.Page(items, wire.more, wire.at)
+
+
+def decode_events(wire):
+    """Decode the events of a watch."""
+    changes = [
+        transactions.Change(
+            event.key,
+            None if event.gone else base64.b64decode(event.value),
+            event.rev,
+        )
+        for event in wire.events
+    ]
+    return transactions.Changes(changes, wire.at)
+
+
+def refuse(wire):
+    """Turn the items of failed conditions into an error."""
+    items = [decode_item(item) for item in wire.items]
+    by_key = {item.key: item for item in items if item.revision}
+    return result.Failure(transactions.Refused("a condition failed", by_key))
+
+
+def encode_transaction(transaction):
+    """Encode a transaction."""
+    return WireTransaction(
+        [WireCondition(c.key, c.revision) for c in transaction.conditions],
+        [
+            WirePut(put.key, base64.b64encode(put.value).decode(), put.lease_id)
+            for put in transaction.puts
+        ],
+        transaction.removes,
+    )
--- /dev/null
+++ b/thornport/platform/workers.py
@@ -0,0 +1,271 @@
+"""The platform's workers over HTTP, and their entries in the store."""
+
+import msgspec
+from returns import result
+
+from thornport.cell import messages
+from thornport.jobs import spec
+from thornport.kernel import httpcalls
+
+EXPECT_HEADER = "Thornport-Expect-Instance"
+HOLD_SLACK_S = 0.6  # beyond the wait; links have delays of milliseconds
+ENTRY_PREFIX = "servers/"
+
+
+class WireRoom(msgspec.Struct, frozen=True):
+    """`capacity` of a worker."""
+
+    cpu: int = 0  # thousandths of a core
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class WireEntry(msgspec.Struct, frozen=True):
+    """The value under `servers/ID`."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: WireRoom = WireRoom()
+    labels: list[str] = []  # its kind, then its rack
+    remaining_ms: int = 0
+
+
+class WireHold(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of a hold."""
+
+    fencing_token: int
+    last_seen: int
+    deadline_ms: int = 0
+    wait_ms: int = 0
+
+
+class WireHoldAnswer(msgspec.Struct, frozen=True):
+    """The answer to a hold; its rows are lists."""
+
+    clock_ms: int
+    running: list[list] = []
+    ended: list[list] = []
+
+
+class WireStart(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of a start."""
+
+    task: str
+    run: int
+    spec: str
+    deadline_ms: int
+    fencing_token: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class WireStop(msgspec.Struct, frozen=True):
+    """The body of a stop."""
+
+    task: str
+    run: int
+    fencing_token: int
+
+
+class WireOutcome(msgspec.Struct, frozen=True):
+    """The answer to an order."""
+
+    clock_ms: int = 0
+    reason: str = ""
+
+
+HOLD_DECODER = msgspec.json.Decoder(WireHoldAnswer)
+OUTCOME_DECODER = msgspec.json.Decoder(WireOutcome)
+
+
+def format_step(step):
+    """Format a StepKey as the platform names steps."""
+    return f"{step.job_id}.{step.time}.{step.step}"
+
+
+def format_task(key):
+    """Format a TaskKey as the platform names tasks."""
+    return f"{key.job_id}.{key.time}.{key.step}.{key.index}"
+
+
+def parse_task(name):
+    """Parse the name of a task.
+
+    Args:
+      name: A str, `ID.TIME.STEP.INDEX`.
+    Returns:
+      A messages.TaskKey.
+    Raises:
+      ValueError: It is no such name.
+    """
+    job_id, time, step, index = name.split(".")
+    return messages.TaskKey(job_id, int(time), int(step), int(index))
+
+
+def decode_entry(worker_id, value):
+    """Decode a worker's entry.
+
+    Args:
+      worker_id: A str.
+      value: Bytes.
+    Returns:
+      A messages.WorkerEntry.
+    Raises:
+      msgspec.MsgspecError: The bytes are no such entry.
+    """
+    wire = msgspec.json.decode(value, type=WireEntry)
+    room = wire.capacity
+    return messages.WorkerEntry(
+        worker_id,
+        wire.address,
+        wire.service,
+        wire.zone,
+        messages.WorkerState(wire.state),
+        spec.Demand(room.cpu, room.mem_mb, room.gpu),
+        frozenset(wire.labels),
+        wire.labels[1] if len(wire.labels) > 1 else "",
+        wire.remaining_ms,
+    )
+
+
+def decode_hold(body):
+    """Decode the answer to a hold.
+
+    Args:
+      body: Bytes.
+    Returns:
+      A messages.HoldAnswer.
+    Raises:
+      ValueError: The body is no such answer.
+    """
+    wire = HOLD_DECODER.decode(body)
+    running = [
+        messages.RunningRow(parse_task(row[0]), row[1], row[2], row[3])
+        for row in wire.running
+    ]
+    ended = [
+        messages.EndRow(
+            row[0], parse_task(row[1]), row[2], messages.EndKind(row[3]), row[4]
+        )
+        for row in wire.ended
+    ]
+    return messages.HoldAnswer(wire.clock_ms, running, ended)
+
+
+class WorkerClient:
+    """Calls workers."""
+
+    def __init__(self, calls, order_timeout_s):
+        """Take the ways to call.
+
+        Args:
+          calls: An httpcalls.HttpCalls.
+          order_timeout_s: A float, seconds to wait for a start or a stop.
+        """
+        self._calls = calls
+        self._order_timeout_s = order_timeout_s
+
+    async def hold(self, request):
+        """Renew and look.
+
+        Args:
+          request: A messages.HoldRequest.
+        Returns:
+          A HoldAnswer, Rejected, NotReached or Unanswered.
+        """
+        body = WireHold(
+            request.token, request.last_seen, request.deadline_ms, request.wait_ms
+        )
+        timeout_s = request.wait_ms / 1000 + HOLD_SLACK_S
+        answer = await self._call(request, "/-/hold", body, timeout_s)
+        if not isinstance(answer, httpcalls.Answer):
+            return answer
+        if answer.status != 200:
+            return decode_rejection(answer)
+        try:
+            return decode_hold(answer.body)
+        except (msgspec.MsgspecError, ValueError, IndexError) as error:
+            return messages.Unanswered(f"bad answer: {error}")
+
+    async def start(self, order):
+        """Start a run.
+
+        Args:
+          order: A messages.StartOrder.
+        Returns:
+          A Done, Rejected, NotReached or Unanswered.
+        """
+        body = WireStart(
+            format_task(order.key),
+            order.run,
+            order.text,
+            order.deadline_ms,
+            order.token,
+            order.checkpoint,
+            order.ticket,
+        )
+        return await self._order(order, "/-/run-start", body)
+
+    async def stop(self, order):
+        """Stop a run.
+
+        Args:
+          order: A messages.StopOrder.
+        Returns:
+          A Done, Rejected, NotReached or Unanswered.
+        """
+        body = WireStop(format_task(order.key), order.run, order.token)
+        return await self._order(order, "/-/run-stop", body)
+
+    def forget(self, address):
+        """Close the idle connections to a worker that is gone."""
+        self._calls.forget(address)
+
+    async def _order(self, order, path, body):
+        answer = await self._call(order, path, body, self._order_timeout_s)
+        if not isinstance(answer, httpcalls.Answer):
+            return answer
+        if answer.status != 200:
+            return decode_rejection(answer)
+        try:
+            return messages.Done(OUTCOME_DECODER.decode(answer.body).clock_ms)
+        except msgspec.MsgspecError as error:
+            return messages.Unanswered(f"bad answer: {error}")
+
+    async def _call(self, request, path, body, timeout_s):
+        data = msgspec.json.encode(body)
+        headers = ((EXPECT_HEADER, request.worker_id),)
+        called = await self._calls.call(
+            request.address, "POST", path, data, timeout_s, headers
+        )
+        if isinstance(called, result.Success):
+            return called.unwrap()
+        error = called.failure()
+        if isinstance(error, httpcalls.NotSent):
+            return messages.NotReached(error.reason)
+        return messages.Unanswered(error.reason)
+
+
+def decode_rejection(answer):
+    """Decode an answer that is no success.
+
+    Args:
+      answer: An httpcalls.Answer.
+    Returns:
+      A messages.Rejected, or Unanswered if it can't be told what was done.
+    """
+    if answer.status == 421:
+        return messages.Rejected(messages.Rejection.REPLACED)
+    if answer.status in (429, 503):
+        return messages.Rejected(messages.Rejection.UNHEALTHY)
+    if answer.status == 400:
+        return messages.Rejected(messages.Rejection.INVALID)
+    if answer.status != 409:
+        return messages.Unanswered(f"status {answer.status}")
+    try:
+        reason = OUTCOME_DECODER.decode(answer.body).reason
+        return messages.Rejected(messages.Rejection(reason))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return messages.Unanswered(f"bad rejection: {error}")
--- /dev/null
+++ b/thornport/store/watching.py
@@ -0,0 +1,113 @@
+"""Following the keys under a prefix, through lost answers and lost history."""
+
+from returns import result
+
+from thornport.kernel import logs, tasks
+from thornport.store import port, transactions
+
+WATCH_MS = 1500  # a silent store is noticed after this and a little more
+RETRY_S = 0.2  # after a call that the store did not answer
+
+
+async def read_prefix(store, prefix):
+    """Read all pages of a prefix.
+
+    Args:
+      store: A store client.
+      prefix: A str.
+    Returns:
+      A Result of a pair: a list of transactions.Item, and the revision from
+      which a watch misses nothing.
+    """
+    items = []
+    at = None
+    after = ""
+    while True:
+        read = await store.read_page(prefix, after)
+        if isinstance(read, result.Failure):
+            return read
+        page = read.unwrap()
+        # Pages form no snapshot; changes after the first one come again.
+        at = page.at if at is None else min(at, page.at)
+        items += page.items
+        if not page.more or not page.items:
+            return result.Success((items, at))
+        after = page.items[-1].key
+
+
+class Follower:
+    """Follows a prefix until it is stopped."""
+
+    def __init__(self, reactor, store, prefix, take_all, take_change):
+        """Take what is told of changes.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A store client.
+          prefix: A str.
+          take_all: A callable of a list of Item, all there are.
+          take_change: A callable of a transactions.Change.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._prefix = prefix
+        self._take_all = take_all
+        self._take_change = take_change
+        self._is_stopped = False
+        self._is_lost = False
+
+    def stop(self):
+        """Tell nothing any more."""
+        self._is_stopped = True
+
+    async def follow(self, at=None):
+        """Follow.
+
+        Args:
+          at: An int, the revision to go on from; None to read all first.
+        """
+        while not self._is_stopped:
+            if at is None:
+                at = await self._read_all()
+                continue
+            watched = await self._store.watch(self._prefix, at, WATCH_MS)
+            if self._is_stopped:
+                return
+            if isinstance(watched, result.Success):
+                self._regain()
+                at = self._take(watched.unwrap(), at)
+            elif port.is_failure(watched, transactions.HistoryGone):
+                logs.log("watch-history-gone", prefix=self._prefix, after=at)
+                at = None
+            else:
+                self._lose(watched.failure().reason)
+                await tasks.sleep(self._reactor, RETRY_S)
+
+    async def _read_all(self):
+        read = await read_prefix(self._store, self._prefix)
+        if self._is_stopped:
+            return None
+        if isinstance(read, result.Failure):
+            self._lose(read.failure().reason)
+            await tasks.sleep(self._reactor, RETRY_S)
+            return None
+        self._regain()
+        items, at = read.unwrap()
+        self._take_all(items)
+        return at
+
+    def _take(self, changes, at):
+        for change in changes.changes:
+            if not self._is_stopped:
+                self._take_change(change)
+        return max(at, changes.at)
+
+    def _lose(self, reason):
+        if not self._is_lost:
+            self._is_lost = True
+            logs.log("store-watch-lost", prefix=self._prefix, reason=reason)
+
+    def _regain(self):
+        if self._is_lost:
+            self._is_lost = False
+            logs.log("store-watch-regained", prefix=self._prefix)
