Let the leases of a silent worker lapse; test the core against a faulty world

Cause: each look at a worker that does not answer carried a later deadline, which may arrive, so its leases were never surely over and its tasks waited for good (10 s until the owner itself stopped).

Change: no later deadline is sent to a worker that has been silent for 2.5 s. The test's world loses and delays answers, replaces owners, crashes workers and takes the store away, and checks that nothing runs twice, over its room, after its noted end, or unrecorded.

--- /dev/null
+++ b/standins/leased_worker.py
@@ -0,0 +1,159 @@
+"""A stand-in for a worker that runs tasks under one lease, pure: time comes in.
+
+It keeps the platform's rules: it follows the highest fencing token it has
+seen, kills everything when its lease is over, bars a run that was stopped
+before it came, and lists each end until it is told that the end was seen.
+What it counts (tasks running twice is for the caller to see) is `over_room`.
+"""
+
+import msgspec
+
+from thornport.cell import messages
+from thornport.jobs import spec
+
+MAX_HOLD_MS = 6000
+
+
+class Active(msgspec.Struct):
+    """A run that is live here; `ends_at_ms` is on this worker's clock."""
+
+    key: messages.TaskKey
+    run: int
+    demand: spec.Demand
+    ends_at_ms: int
+    fails: bool
+
+
+class LeasedWorker:
+    """One life of a worker.
+
+    Attributes:
+      started: Triples of TaskKey, run and time, each start that was done.
+      over_room: An int, starts that took it past its room.
+      noted_done: TaskKeys of ends `done` that it was told are seen.
+    """
+
+    def __init__(self, worker_id, total, clock_rate=1.0):
+        """Begin.
+
+        Args:
+          worker_id: A str.
+          total: A spec.Demand.
+          clock_rate: A float, how fast its clock runs.
+        """
+        self.worker_id = worker_id
+        self.total = total
+        self._rate = clock_rate
+        self._token = 0
+        self._deadline_ms = 0
+        self._barred_by_key = {}
+        self._number = 0
+        self.active_by_key = {}
+        self.ended = []
+        self.started = []
+        self.over_room = 0
+        self.noted_done = set()
+
+    def read_clock_ms(self, now):
+        """The worker's clock at a time in seconds."""
+        return int(now * 1000 * self._rate)
+
+    def advance(self, now):
+        """Let runs end that are due, and kill all when the lease is over."""
+        clock_ms = self.read_clock_ms(now)
+        for active in sorted(self.active_by_key.values(), key=lambda a: a.ends_at_ms):
+            if active.ends_at_ms <= min(clock_ms, self._deadline_ms):
+                kind = messages.EndKind.FAILED if active.fails else None
+                self._end(active, kind or messages.EndKind.DONE)
+        if clock_ms >= self._deadline_ms:
+            for active in list(self.active_by_key.values()):
+                self._end(active, messages.EndKind.LAPSED)
+
+    def _end(self, active, kind):
+        del self.active_by_key[active.key]
+        self._bar(active.key, active.run)
+        self._number += 1
+        row = messages.EndRow(self._number, active.key, active.run, kind, "")
+        self.ended.append(row)
+
+    def _bar(self, key, run):
+        self._barred_by_key[key] = max(run, self._barred_by_key.get(key, 0))
+
+    def _grant(self, deadline_ms, clock_ms):
+        wanted = min(deadline_ms, clock_ms + MAX_HOLD_MS)
+        self._deadline_ms = max(self._deadline_ms, wanted)
+
+    def _is_fenced(self, token):
+        if token < self._token:
+            return True
+        self._token = token
+        return False
+
+    def start(self, order, demand, run_ms, fails, now):
+        """Carry out a start.
+
+        Args:
+          order: A messages.StartOrder.
+          demand: The spec.Demand of the task.
+          run_ms: An int, how long it runs.
+          fails: A bool, whether it ends as failed.
+          now: A float.
+        Returns:
+          A messages.Done or Rejected.
+        """
+        self.advance(now)
+        clock_ms = self.read_clock_ms(now)
+        if order.worker_id != self.worker_id:
+            return messages.Rejected(messages.Rejection.REPLACED)
+        if self._is_fenced(order.token):
+            return messages.Rejected(messages.Rejection.FENCED)
+        if order.deadline_ms <= clock_ms:
+            return messages.Rejected(messages.Rejection.LATE)
+        self._grant(order.deadline_ms, clock_ms)
+        active = self.active_by_key.get(order.key)
+        if active is not None and active.run == order.run:
+            return messages.Done(clock_ms)
+        if order.run <= self._barred_by_key.get(order.key, 0) or active is not None:
+            return messages.Rejected(messages.Rejection.OLD)
+        self.active_by_key[order.key] = Active(
+            order.key, order.run, demand, clock_ms + run_ms, fails
+        )
+        self.started.append((order.key, order.run, now))
+        used = spec.Demand()
+        for active in self.active_by_key.values():
+            used = used.add(active.demand)
+        self.over_room += not used.fits(self.total)
+        return messages.Done(clock_ms)
+
+    def stop(self, order, now):
+        """Carry out a stop; returns a messages.Done or Rejected."""
+        self.advance(now)
+        if order.worker_id != self.worker_id:
+            return messages.Rejected(messages.Rejection.REPLACED)
+        if self._is_fenced(order.token):
+            return messages.Rejected(messages.Rejection.FENCED)
+        active = self.active_by_key.get(order.key)
+        if active is not None and active.run == order.run:
+            self._end(active, messages.EndKind.STOPPED)
+        self._bar(order.key, order.run)
+        return messages.Done(self.read_clock_ms(now))
+
+    def hold(self, request, now):
+        """Carry out a look; returns a messages.HoldAnswer or Rejected."""
+        self.advance(now)
+        clock_ms = self.read_clock_ms(now)
+        if request.worker_id != self.worker_id:
+            return messages.Rejected(messages.Rejection.REPLACED)
+        if self._is_fenced(request.token):
+            return messages.Rejected(messages.Rejection.FENCED)
+        if request.deadline_ms:
+            self._grant(request.deadline_ms, clock_ms)
+        for row in self.ended:
+            if row.number <= request.last_seen and row.kind is messages.EndKind.DONE:
+                self.noted_done.add(row.key)
+        self.ended = [row for row in self.ended if row.number > request.last_seen]
+        running = [
+            messages.RunningRow(active.key, active.run, "", 0)
+            for active in self.active_by_key.values()
+        ]
+        return messages.HoldAnswer(clock_ms, running, list(self.ended))
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -13,6 +13,7 @@
 
 HOLD_MS = 6000  # the longest lease that workers grant
 HOLD_WAIT_MS = 1500  # a look that waits; a quarter of the lease, for three tries
+GRANT_SILENCE_S = 2.5  # a look that waits and its time-out, 2.1 s, and a little
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -230,7 +231,14 @@
         )
 
     def _grant(self, worker, now):
-        worker.granted_ms = max(worker.granted_ms, worker.read_clock_ms(now) + HOLD_MS)
+        """Say how long a worker may run on; a silent one gets nothing more.
+
+        Each longer deadline that is sent may arrive, so the leases of a worker
+        that does not answer are over only if this stops.
+        """
+        if now - worker.heard_at <= GRANT_SILENCE_S:
+            deadline_ms = worker.read_clock_ms(now) + HOLD_MS
+            worker.granted_ms = max(worker.granted_ms, deadline_ms)
         return worker.granted_ms
 
     def take_hold(self, request, sent_at, answer, now):
