Reach the store by way of peers; refuse at once and truthfully while it is away

When the store was away for all, each call was held for its 3 s. An owner that the store did not answer was replaced only after its lease of 2 s.

Ruled out: the owner's processor time (9.5% of a core at most); lost messages.

Change: writes and reads of keys go by way of a peer too when there is no answer in 120 ms; readiness is false while the store is away; a job whose write is open is answered as unknown at once, remembered by all processes, and never refused; an owner that the store does not answer offers the cell to a peer, which overwrites the key; the lease is 1.2 s; expired tickets are not sent.

Left: while the store is away for all, new jobs are refused.

--- a/thornport/cell/advising.py
+++ b/thornport/cell/advising.py
@@ -18,12 +18,14 @@
     Attributes:
       address: A str, where it takes messages.
       heard_at: A float, when it last greeted.
+      has_store: Whether the store answers it.
       busy_until: A float, when it has made all calls given to it.
     """
 
     name: str
     address: str
     heard_at: float
+    has_store: bool = True
     busy_until: float = 0.0
 
 
@@ -33,17 +35,34 @@
     def __init__(self):
         self._by_name = {}
 
-    def greet(self, name, address, now):
+    def greet(self, name, address, has_store, now):
         """Take a greeting.
 
         Args:
           name, address: A str each.
+          has_store: A bool, whether the store answers the process.
           now: A float.
         """
         caller = self._by_name.get(name)
         if caller is None or caller.address != address:
             caller = self._by_name[name] = Caller(name, address, now)
         caller.heard_at = now
+        caller.has_store = has_store
+
+    def list_addresses(self, has_store, now):
+        """The addresses of processes that are well.
+
+        Args:
+          has_store: A bool, of those that the store answers or of the others.
+          now: A float.
+        Returns:
+          A list of str.
+        """
+        return [
+            caller.address
+            for caller in self._by_name.values()
+            if caller.has_store is has_store and now - caller.heard_at < SILENCE_S
+        ]
 
     def choose(self, cost_s, now):
         """Choose the process for a call and give it the call.
@@ -74,7 +93,3 @@
         """
         if name in self._by_name:
             self._by_name[name].busy_until = now + SILENCE_S
-
-    def list_addresses(self):
-        """The addresses of all known processes, as a set."""
-        return {caller.address for caller in self._by_name.values()}
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -718,7 +718,11 @@
         worker = self.workers_by_id.get(run.worker_id)
         job = self.jobs_by_id[run.key.job_id]
         step = self._find_step(run.key)
-        ticket = step.tickets_by_worker.get(run.worker_id, ("", 0.0))[0]
+        ticket, deadline = step.tickets_by_worker.get(run.worker_id, ("", None))
+        if deadline is not None and now > deadline:
+            # Keeping the record took longer than the ticket holds.
+            self._release_run(run, now)
+            return
         run.state = model.RunState.ORDERED
         run.ordered_at = run.percent_at = now
         self.orders.append(
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -1,17 +1,18 @@
 """The scheduler process: takes jobs from callers, and may own the cell."""
 
 import functools
+import random
 
 import xxhash
 from returns import result
 
-from thornport.cell import asking, messages, owner, ownership, peering
+from thornport.cell import asking, messages, owner, ownership, peering, relaying
 from thornport.jobs import intake, queue, reading, record
 from thornport.kernel import clock, logs, tasks
-from thornport.store import watching
+from thornport.store import transactions, watching
 
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
-FLUSH_PERIOD_S = 1.0  # metrics
+OFFER_PERIOD_S = 0.2  # offers of an owner that the store does not answer
 LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
@@ -37,15 +38,20 @@
         self._settings = settings
         self._ports = ports
         self._bus = bus
+        self._relayed = relaying.RelayedStore(reactor, ports.store, bus)
         self.metrics = metrics
         self.config = None
         self.is_stopping = False
-        self.intake = intake.Intake(reactor, ports.store, metrics)
+        self.intake = intake.Intake(
+            reactor, self._relayed, metrics, self.tell_unresolved
+        )
+        self._all_peers = set()
         self._asker = asking.Asker(reactor, bus)
         self._standing = ownership.Standing(self)
         self._claimer = None
         self._session = None
         self._owner = None
+        self._offered_token = transactions.ABSENT_REVISION
 
     def start(self):
         """Open the socket for messages and begin to follow the store."""
@@ -61,6 +67,7 @@
         self._follow(self._ports.config_key, self._take_config)
         self._follow(ownership.OWNER_KEY, self._take_owner)
         tasks.call_periodically(self._reactor, HELLO_PERIOD_S, self._greet, "greet")
+        tasks.call_periodically(self._reactor, OFFER_PERIOD_S, self._offer, "offer")
         logs.log("started", peer=self._bus.address, **describe(self._settings))
 
     def _follow(self, key, take_value):
@@ -96,7 +103,11 @@
 
     def is_ready(self):
         """Whether callers are to be sent here."""
-        return self.config is not None and not self.is_stopping
+        return self.config is not None and not self.is_stopping and self.has_store()
+
+    def has_store(self):
+        """Whether the store answers this process."""
+        return not self._ports.store.is_away()
 
     # What the store tells.
 
@@ -139,10 +150,11 @@
         while self.config is None:
             await tasks.sleep(self._reactor, ownership.RETRY_S)
         await tasks.sleep(self._reactor, spread_claim(self._settings.process.name))
-        if self._owner is not None:
+        offered, self._offered_token = self._offered_token, 0
+        if self._owner is not None and not offered:
             self._standing.claim_failed()
             return
-        if await self._claimer.claim():
+        if await self._claimer.claim(offered):
             self._standing.claim_won()
             return
         self._standing.claim_failed()
@@ -198,7 +210,8 @@
     def _greet(self):
         if self._owner is not None and not self.is_stopping:
             name = self._settings.process.name
-            self._bus.send(self._owner.address, "", peering.Hello(name))
+            hello = peering.Hello(name, self.has_store())
+            self._bus.send(self._owner.address, "", hello)
 
     def _take_message(self, sender, address, message):
         take(message, self, address)
@@ -267,7 +280,7 @@
             state = await self._asker.ask_state(self._owner.address, job_id)
             if state:
                 return result.Success(record.JobState(state))
-        return await reading.read_state(self._ports.store, job_id)
+        return await reading.read_state(self._relayed, job_id)
 
     async def count_waiting(self, queue_name):
         """Count the jobs of a queue of which no task has begun.
@@ -284,7 +297,7 @@
             count = await self._asker.ask_waiting(self._owner.address, queue_name)
             if count is not None:
                 return result.Success(count)
-        return await reading.count_waiting(self._ports.store, queue_name)
+        return await reading.count_waiting(self._relayed, queue_name)
 
     def find_queue(self, host, path):
         """Find the queue of a request, a queue.Queue or None."""
@@ -308,8 +321,55 @@
     def take_hello(self, address, message):
         """Take a greeting, if this process decides."""
         core = self.get_core()
-        if core is not None:
-            core.callers.greet(message.name, address, clock.read_monotonic())
+        if core is None:
+            return
+        now = clock.read_monotonic()
+        core.callers.greet(message.name, address, message.has_store, now)
+        peers = peering.Peers(
+            tuple(core.callers.list_addresses(True, now)),
+            tuple(core.callers.list_addresses(False, now)),
+        )
+        self._bus.send(address, "", peers)
+
+    def take_peers(self, message):
+        """Take the addresses of the other processes."""
+        own = {self._bus.address}
+        self._relayed.peer_addresses = tuple(set(message.with_store) - own)
+        self._all_peers = (set(message.with_store) | set(message.others)) - own
+
+    def tell_unresolved(self, job_id):
+        """Tell all peers of a job that may be kept, and be told of as not."""
+        for address in self._all_peers:
+            self._bus.send(address, "", peering.Unresolved(job_id))
+
+    def take_unresolved(self, message):
+        """Take that a job at a peer may be kept."""
+        self.intake.note_unresolved(message.job_id)
+
+    def _offer(self):
+        """Offer the cell to a peer while the store does not answer us."""
+        session = self._session
+        if session is None or self.has_store():
+            return
+        addresses = self._relayed.peer_addresses
+        if addresses:
+            address = random.choice(addresses)
+            logs.log("cell-offered", token=session.core.token, to=address)
+            self._bus.send(address, "", peering.Offer(session.core.token))
+
+    def take_offer(self, message):
+        """Take the offer of an owner, if the store answers us."""
+        if self.has_store() and self.config is not None:
+            self._offered_token = message.token
+            self._standing.key_is_offered()
+
+    def take_relayed(self, message):
+        """Take a peer's answer for the store."""
+        self._relayed.take_answer(message)
+
+    def relay(self, address, message):
+        """Call the store for a peer."""
+        tasks.spawn(self._relayed.serve(address, message), "relay")
 
 
 @functools.singledispatch
@@ -330,6 +390,39 @@
     daemon.take_hello(address, message)
 
 
+@take.register
+def take_peers(message: peering.Peers, daemon, address):
+    """The owner tells which peers the store answers."""
+    daemon.take_peers(message)
+
+
+@take.register
+def take_unresolved(message: peering.Unresolved, daemon, address):
+    """A job at a peer may be kept."""
+    daemon.take_unresolved(message)
+
+
+@take.register
+def take_offer(message: peering.Offer, daemon, address):
+    """An owner that the store does not answer offers the cell."""
+    daemon.take_offer(message)
+
+
+@take.register(peering.RelayRead)
+@take.register(peering.RelayCommit)
+def relay(message, daemon, address):
+    """A process that the store does not answer wants a call made."""
+    daemon.relay(address, message)
+
+
+@take.register(peering.RelayedItem)
+@take.register(peering.RelayedRevision)
+@take.register(peering.RelayedFailure)
+def take_relayed(message, daemon, address):
+    """A peer has made a call to the store."""
+    daemon.take_relayed(message)
+
+
 @take.register
 def take_ask_state(message: peering.AskState, daemon, address):
     """A process asks for a job's state."""
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -63,8 +63,9 @@
         self._ledger.stop()
         for follower in self._followers:
             follower.stop()
-        if self._ticker is not None:
-            self._ticker.stop()
+        ticker, self._ticker = self._ticker, None
+        if ticker is not None:
+            ticker.stop()
 
     def lose(self, reason):
         """Tell that the ownership is lost."""
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -13,9 +13,9 @@
 
 OWNER_KEY = "thornport/cell/owner"
 # Long enough for a store that answers 60 times slower (0.24 s), short enough
-# that leases of running tasks (6 s) outlive the takeover several times.
-LEASE_TTL_MS = 2000
-RENEW_PERIOD_S = 0.5  # four tries in a lease
+# that urgent jobs still are in time after a takeover.
+LEASE_TTL_MS = 1200
+RENEW_PERIOD_S = 0.3  # three tries in a lease
 CLAIM_SPREAD_S = 0.08  # so that not all processes claim in the same instant
 RETRY_S = 0.2  # after a call that the store did not answer
 
@@ -71,6 +71,10 @@
     def key_is_free(self):
         """Nobody holds the key."""
 
+    @machine.input()
+    def key_is_offered(self):
+        """The owner, which the store does not answer, wants to be replaced."""
+
     @machine.input()
     def claim_failed(self):
         """Another process holds the key, or the store did not answer."""
@@ -108,13 +112,18 @@
         self._actions.forget()
 
     following.upon(key_is_free, enter=claiming, outputs=[_claim])
+    following.upon(key_is_offered, enter=claiming, outputs=[_claim])
     following.upon(key_is_lost, enter=following, outputs=[])
     following.upon(leave, enter=leaving, outputs=[])
+    claiming.upon(key_is_offered, enter=claiming, outputs=[])
     claiming.upon(key_is_free, enter=claiming, outputs=[])
     claiming.upon(claim_failed, enter=following, outputs=[])
     claiming.upon(claim_won, enter=rebuilding, outputs=[_rebuild])
     claiming.upon(key_is_lost, enter=claiming, outputs=[])
     claiming.upon(leave, enter=leaving, outputs=[])
+    rebuilding.upon(key_is_offered, enter=rebuilding, outputs=[])
+    deciding.upon(key_is_offered, enter=deciding, outputs=[])
+    leaving.upon(key_is_offered, enter=leaving, outputs=[])
     rebuilding.upon(rebuilt, enter=deciding, outputs=[_decide])
     rebuilding.upon(key_is_lost, enter=following, outputs=[_forget])
     rebuilding.upon(key_is_free, enter=following, outputs=[_forget])
@@ -149,9 +158,11 @@
         self.lease_id = 0
         self.token = 0
 
-    async def claim(self):
+    async def claim(self, revision):
         """Try once to get the key.
 
+        Args:
+          revision: An int, of the key to be replaced; ABSENT_REVISION if free.
         Returns:
           A bool, whether the key is ours; `token` and `lease_id` are set then.
         """
@@ -163,7 +174,7 @@
         value = msgspec.json.encode(owner)
         written = await self._store.commit(
             transactions.Transaction(
-                [transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)],
+                [transactions.Condition(OWNER_KEY, revision)],
                 [transactions.Put(OWNER_KEY, value, lease_id)],
             )
         )
--- a/thornport/cell/peering.py
+++ b/thornport/cell/peering.py
@@ -1,12 +1,89 @@
 """Messages between the processes of a cell, over the bus."""
 
 from thornport.kernel import codec
+from thornport.store import transactions
 
 
 class Hello(codec.Message, frozen=True):
-    """To the owner, again and again: this process can call for advice."""
+    """To the owner, again and again: this process can call for advice.
+
+    Attributes:
+      has_store: Whether the store answers it.
+    """
 
     name: str
+    has_store: bool = True
+
+
+class Peers(codec.Message, frozen=True):
+    """From the owner: addresses of other processes.
+
+    Attributes:
+      with_store: Those that the store answers.
+      others: Those that it does not answer.
+    """
+
+    with_store: tuple[str, ...]
+    others: tuple[str, ...] = ()
+
+
+class Unresolved(codec.Message, frozen=True):
+    """To all peers: this job may be kept, and its caller was told neither."""
+
+    job_id: str
+
+
+class Offer(codec.Message, frozen=True):
+    """From an owner that the store does not answer: become the owner.
+
+    Attributes:
+      token: The revision of the owner's key, to be overwritten.
+    """
+
+    token: int
+
+
+class RelayRead(codec.Message, frozen=True):
+    """To a peer: read a key of the store."""
+
+    ask_id: int
+    key: str
+
+
+class RelayCommit(codec.Message, frozen=True):
+    """To a peer: apply a transaction."""
+
+    ask_id: int
+    transaction: transactions.Transaction
+
+
+class RelayedItem(codec.Message, frozen=True):
+    """The answer to RelayRead."""
+
+    ask_id: int
+    item: transactions.Item
+
+
+class RelayedRevision(codec.Message, frozen=True):
+    """The answer to RelayCommit that was applied."""
+
+    ask_id: int
+    revision: int
+
+
+class RelayedFailure(codec.Message, frozen=True):
+    """The answer to either that failed.
+
+    Attributes:
+      is_refused: Whether a condition failed; `by_key` are the items then.
+      is_ambiguous: Whether it may have been applied.
+    """
+
+    ask_id: int
+    reason: str
+    is_refused: bool
+    is_ambiguous: bool
+    by_key: dict[str, transactions.Item]
 
 
 class AskState(codec.Message, frozen=True):
@@ -65,5 +142,19 @@
 
 
 CODEC = codec.Codec(
-    Hello | AskState | StateIs | AskWaiting | WaitingIs | Advise | Advised
+    Hello
+    | Peers
+    | Unresolved
+    | Offer
+    | RelayRead
+    | RelayCommit
+    | RelayedItem
+    | RelayedRevision
+    | RelayedFailure
+    | AskState
+    | StateIs
+    | AskWaiting
+    | WaitingIs
+    | Advise
+    | Advised
 )
--- /dev/null
+++ b/thornport/cell/relaying.py
@@ -0,0 +1,183 @@
+"""Calls to the store by way of a peer, for when it does not answer us.
+
+The store may turn some processes away and serve the others. A write by way of
+a peer has the same conditions as one of our own, so it does no harm when both
+arrive. The owner tells each process which peers the store answers.
+"""
+
+import itertools
+import random
+
+from returns import result
+from twisted.internet import defer
+
+from thornport.cell import peering
+from thornport.kernel import tasks
+from thornport.store import port, transactions
+
+HEDGE_S = 0.12  # the store answers in 4 ms; a busy one in some tens
+PEER_S = 0.4  # longest wait for a peer's answer
+
+
+class RelayedStore:
+    """Reads and writes keys directly, or by way of a peer."""
+
+    def __init__(self, reactor, store, bus):
+        """Take the ways to the store.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A health.CheckedStore.
+          bus: A bus.Bus.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._bus = bus
+        self._ids = itertools.count(1)
+        self._random = random.Random()
+        self._waiting_by_id = {}
+        self.peer_addresses = ()
+
+    def is_away(self):
+        """Whether the store answers neither this process nor a peer."""
+        return self._store.is_away() and not self.peer_addresses
+
+    async def read_page(self, prefix, after_key=""):
+        """As the client's; pages are read directly alone."""
+        return await self._store.read_page(prefix, after_key)
+
+    def read_key(self, key):
+        """Read a key; a Deferred of a Result of Item."""
+
+        def make_question(ask_id):
+            return peering.RelayRead(ask_id, key)
+
+        return self._call(lambda: self._store.read_key(key), make_question)
+
+    def commit(self, transaction):
+        """Apply a transaction; a Deferred of a Result of its revision."""
+
+        def make_question(ask_id):
+            return peering.RelayCommit(ask_id, transaction)
+
+        return self._call(lambda: self._store.commit(transaction), make_question)
+
+    def _call(self, call, make_question):
+        return defer.ensureDeferred(self._race(call, make_question))
+
+    async def _race(self, call, make_question):
+        """Call directly; by way of a peer too if that fails or takes long."""
+        if self._store.is_away():
+            if self.peer_addresses:
+                return await self._ask_peer(make_question)
+            return result.Failure(port.Unavailable("the store is away"))
+        first = defer.Deferred()
+        direct = tasks.spawn(call(), "store-call")
+        direct.addCallback(lambda outcome: first.called or first.callback(outcome))
+        timer = self._reactor.callLater(
+            HEDGE_S, lambda: first.called or first.callback(None)
+        )
+        outcome = await first
+        if timer.active():
+            timer.cancel()
+        if is_known(outcome) or not self.peer_addresses:
+            return outcome if outcome is not None else await direct_outcome(direct)
+        relayed = await self._ask_peer(make_question)
+        if is_known(relayed):
+            return relayed
+        if outcome is None:
+            # The direct call is still open: the write may have been applied.
+            return result.Failure(port.Ambiguous("no answer yet"))
+        return outcome if is_ambiguous(outcome) else relayed
+
+    async def _ask_peer(self, make_question):
+        address = self._random.choice(self.peer_addresses)
+        ask_id = next(self._ids)
+        waiting = self._waiting_by_id[ask_id] = defer.Deferred()
+        self._bus.send(address, "", make_question(ask_id))
+        timer = self._reactor.callLater(PEER_S, waiting.callback, None)
+        try:
+            answer = await waiting
+        finally:
+            del self._waiting_by_id[ask_id]
+            if timer.active():
+                timer.cancel()
+        if answer is None:
+            return result.Failure(port.Ambiguous("no answer of a peer"))
+        return decode_answer(answer)
+
+    def take_answer(self, message):
+        """Take a peer's answer; one that came too late is dropped.
+
+        Args:
+          message: A peering.RelayedItem, RelayedRevision or RelayedFailure.
+        """
+        waiting = self._waiting_by_id.get(message.ask_id)
+        if waiting is not None and not waiting.called:
+            waiting.callback(message)
+
+    async def serve(self, address, message):
+        """Make a call for a peer and send the answer.
+
+        Args:
+          address: A str, the peer's.
+          message: A peering.RelayRead or RelayCommit.
+        """
+        if isinstance(message, peering.RelayRead):
+            outcome = await self._store.read_key(message.key)
+        else:
+            outcome = await self._store.commit(message.transaction)
+        self._bus.send(address, "", encode_answer(message.ask_id, outcome))
+
+
+async def direct_outcome(direct):
+    """Wait for the direct call."""
+    outcome = await direct
+    if outcome is None:
+        return result.Failure(port.Ambiguous("the call failed"))
+    return outcome
+
+
+def is_known(outcome):
+    """Tell whether an outcome says what is in the store now."""
+    if outcome is None:
+        return False
+    return isinstance(outcome, result.Success) or port.is_failure(
+        outcome, transactions.Refused
+    )
+
+
+def is_ambiguous(outcome):
+    """Tell whether a call may have been carried out."""
+    return port.is_failure(outcome, port.Ambiguous)
+
+
+def encode_answer(ask_id, outcome):
+    """Encode the outcome of a call for a peer."""
+    if isinstance(outcome, result.Success):
+        value = outcome.unwrap()
+        if isinstance(value, transactions.Item):
+            return peering.RelayedItem(ask_id, value)
+        return peering.RelayedRevision(ask_id, value)
+    error = outcome.failure()
+    by_key = error.by_key if isinstance(error, transactions.Refused) else {}
+    return peering.RelayedFailure(
+        ask_id,
+        error.reason,
+        isinstance(error, transactions.Refused),
+        isinstance(error, port.Ambiguous),
+        by_key,
+    )
+
+
+def decode_answer(answer):
+    """Decode a peer's answer into a Result."""
+    if isinstance(answer, peering.RelayedItem):
+        return result.Success(answer.item)
+    if isinstance(answer, peering.RelayedRevision):
+        return result.Success(answer.revision)
+    if answer.is_refused:
+        return result.Failure(transactions.Refused(answer.reason, answer.by_key))
+    if answer.is_ambiguous:
+        return result.Failure(port.Ambiguous(answer.reason))
+    return result.Failure(port.Unavailable(answer.reason))
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -17,6 +17,9 @@
 BATCH_JOBS = 16  # two of a transaction's 32 entries each
 GATHER_S = 0.002  # jobs that come within this share a transaction
 RETRY_S = 0.06  # after a write that the store did not take
+# A write without an answer is carried out seconds later at most; callers send
+# the same ID again for some seconds.
+UNRESOLVED_S = 30.0
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -59,19 +62,35 @@
 class Intake:
     """Writes submissions and cancels."""
 
-    def __init__(self, reactor, store, metrics):
+    def __init__(self, reactor, store, metrics, tell_unresolved):
         """Begin.
 
         Args:
           reactor: Twisted's reactor.
-          store: A store client.
+          store: A relaying.RelayedStore.
           metrics: A metrics.Metrics.
+          tell_unresolved: A callable of the ID of a job whose outcome is
+            unknown, to tell the other processes.
         """
         self._reactor = reactor
         self._store = store
         self._metrics = metrics
+        self._tell_unresolved = tell_unresolved
+        self._unresolved_until_by_id = {}
         self._gathered = []
 
+    def note_unresolved(self, job_id):
+        """Note that a job may be kept: it can't be refused truthfully.
+
+        Args:
+          job_id: A str.
+        """
+        now = clock.read_monotonic()
+        by_id = self._unresolved_until_by_id
+        for known_id in [known for known, until in by_id.items() if until < now]:
+            del by_id[known_id]
+        by_id[job_id] = now + UNRESOLVED_S
+
     def submit(self, kept, refuse_at, give_up_at):
         """Keep a job.
 
@@ -82,6 +101,11 @@
           A Deferred of Accepted, Refused or Unknown.
         """
         pending = Pending(kept, refuse_at, give_up_at, defer.Deferred())
+        if kept.job_id in self._unresolved_until_by_id:
+            pending.may_be_kept = True
+        elif self._store.is_away():
+            self._settle(pending, Refused("the store is away"), "refused")
+            return pending.outcome
         if not self._gathered:
             self._reactor.callLater(GATHER_S, self._flush)
         self._gathered.append(pending)
@@ -123,8 +147,11 @@
 
     def _give_up(self, pending, error, now):
         if pending.may_be_kept:
-            if now < pending.give_up_at:
+            # The caller sends the same ID again, to another process.
+            if now < min(pending.give_up_at, pending.refuse_at):
                 return False
+            self.note_unresolved(pending.kept.job_id)
+            self._tell_unresolved(pending.kept.job_id)
             self._settle(pending, Unknown(error.reason), "unknown")
             return True
         if now < pending.refuse_at:
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -23,6 +23,7 @@
     store,
     workers,
 )
+from thornport.store import health  # noqa: E402
 
 SETTINGS_VARIABLE = "THORNPORT_SETTINGS"
 STORE_TIMEOUT_S = 0.6  # a store that answers 60 times slower takes 0.24 s
@@ -41,7 +42,9 @@
     """
     services = process_settings.services
     return ports.Ports(
-        store.StoreClient(calls, services.store, STORE_TIMEOUT_S, counters),
+        health.CheckedStore(
+            store.StoreClient(calls, services.store, STORE_TIMEOUT_S, counters)
+        ),
         workers.WorkerClient(calls, ORDER_TIMEOUT_S),
         advice.AdviceClient(calls, services.advice),
         config.CONFIG_KEY,
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -16,7 +16,7 @@
 ANSWER_MARGIN_S = 0.15  # an answer is on its way before the caller gives up
 # A refusal that comes later than a quarter of the objective is priced.
 REFUSE_SHARE = 0.25
-MAX_REFUSE_S = 0.7
+MAX_REFUSE_S = 0.35  # a caller tries four times within its deadline
 
 
 class WireState(msgspec.Struct, frozen=True):
@@ -57,7 +57,8 @@
         if queue is None:
             return answer(request, 404, WireError("no such queue"))
         rest = path.removeprefix(queue.path_prefix)
-        if daemon.is_stopping:
+        if not daemon.is_ready():
+            # So that the caller's next connection goes to another process.
             request.setHeader("Connection", "close")
         if request.method == b"GET" and not rest:
             return await count_waiting(daemon, request, queue)
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -9,7 +9,7 @@
 from thornport.kernel import httpcalls
 from thornport.store import port, transactions
 
-WATCH_SLACK_S = 1.0  # beyond the wait, for the way there and back
+WATCH_SLACK_S = 0.6  # beyond the wait, for the way there and back
 MAX_WATCH_MS = 30_000  # the platform's limit on a waiting watch
 
 
--- /dev/null
+++ b/thornport/store/health.py
@@ -0,0 +1,81 @@
+"""Whether the store answers this process, told by its calls."""
+
+from returns import result
+
+from thornport.kernel import clock, logs
+from thornport.store import port
+
+# Failing for this long means away: longer than one lost answer takes to be
+# sent again, shorter than callers wait.
+AWAY_S = 0.3
+
+
+class CheckedStore:
+    """A store client that notes which of its calls are answered."""
+
+    def __init__(self, store):
+        """Take the client.
+
+        Args:
+          store: A store client.
+        """
+        self._store = store
+        self._failing_since = None
+        self._was_away = False
+
+    def is_away(self):
+        """Whether the store has not answered for a while."""
+        if self._failing_since is None:
+            return False
+        return clock.read_monotonic() - self._failing_since > AWAY_S
+
+    def _note(self, began_at, outcome):
+        is_lost = port.is_failure(outcome, port.Unavailable) or port.is_failure(
+            outcome, port.Ambiguous
+        )
+        if is_lost:
+            # A call that was not answered in a second has failed for a second.
+            if self._failing_since is None:
+                self._failing_since = began_at
+        else:
+            self._failing_since = None
+        if self.is_away() != self._was_away:
+            self._was_away = not self._was_away
+            event = "store-lost" if self._was_away else "store-regained"
+            logs.log(event, reason=outcome.failure().reason if is_lost else "")
+        return outcome
+
+    async def _check(self, call):
+        began_at = clock.read_monotonic()
+        return self._note(began_at, await call)
+
+    async def read_key(self, key):
+        """As the client's."""
+        return await self._check(self._store.read_key(key))
+
+    async def read_page(self, prefix, after_key=""):
+        """As the client's."""
+        return await self._check(self._store.read_page(prefix, after_key))
+
+    async def watch(self, prefix, after_revision, wait_ms):
+        """As the client's; one that is cut while it waits is not held against it."""
+        watched = await self._store.watch(prefix, after_revision, wait_ms)
+        if isinstance(watched, result.Success) or not wait_ms:
+            self._note(clock.read_monotonic(), watched)
+        return watched
+
+    async def commit(self, transaction):
+        """As the client's."""
+        return await self._check(self._store.commit(transaction))
+
+    async def grant_lease(self, ttl_ms):
+        """As the client's."""
+        return await self._check(self._store.grant_lease(ttl_ms))
+
+    async def renew_lease(self, lease_id):
+        """As the client's."""
+        return await self._check(self._store.renew_lease(lease_id))
+
+    async def end_lease(self, lease_id):
+        """As the client's."""
+        return await self._check(self._store.end_lease(lease_id))
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -70,7 +70,9 @@
             if at is None:
                 at = await self._read_all()
                 continue
-            watched = await self._store.watch(self._prefix, at, WATCH_MS)
+            # A store that did not answer is asked without waiting.
+            wait_ms = 0 if self._is_lost else WATCH_MS
+            watched = await self._store.watch(self._prefix, at, wait_ms)
             if self._is_stopped:
                 return
             if isinstance(watched, result.Success):
