Call for advice while a job is being kept; look again after a stop

An order without an answer held its task for up to 1.5 s, since only a look sent after the stop shows that the run is gone.

Ruled out: workers' answers (1 to 2 ms).

Change: the process that takes a job tells the owner while it writes; gaps of 2 and 4 ms; orders time out after 0.25 s, a look is repeated at once after a stop; looks wait 0.7 s, the lease of the owner's key is 1 s.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -12,8 +12,10 @@
 from thornport.jobs import record
 
 HOLD_MS = 6000  # the longest lease that workers grant
-HOLD_WAIT_MS = 1500  # a look that waits; a quarter of the lease, for three tries
-GRANT_SILENCE_S = 2.5  # a look that waits and its time-out, 2.1 s, and a little
+# A look that waits: one whose answer is lost hides ends for this long and a
+# little, and urgent tasks are late after some tenths of a second.
+HOLD_WAIT_MS = 700
+GRANT_SILENCE_S = 1.5  # a look that waits and its time-out, 1.0 s, and a little
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -24,6 +26,7 @@
 SUSPECT_S = 4.0  # how long it gets no starts then
 AVOID_S = 0.5  # after an order that a worker did not take
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
+INCOMING_S = 5.0  # a job that is not accepted by then was refused
 LATE_STATUS_S = 10.0  # beyond the time that a job's state is asked for
 
 
@@ -93,6 +96,7 @@
         self._next_order = 0
         self._recording = []
         self._open_advice = {}
+        self._incoming = {}
         self._unended = {}
         self.needs_round = False
         self._wall_ms = 0
@@ -147,13 +151,36 @@
         """
         if kept.job_id in self.jobs_by_id:
             return
-        self._next_order += 1
-        job = model.JobEntry(kept, self._next_order, now)
+        job = self._incoming.pop(kept.job_id, None)
+        if job is None or job.record != kept:
+            job = self._make_job(kept, now)
         self.jobs_by_id[kept.job_id] = job
         self._unended[kept.job_id] = job
+        self.needs_round = True
+
+    def _make_job(self, kept, now):
+        self._next_order += 1
+        job = model.JobEntry(kept, self._next_order, now)
         if not kept.job.repeats:
             self._begin_time(job, 0)
-        self.needs_round = True
+        return job
+
+    def take_incoming(self, kept, now):
+        """Take a job that may come to be accepted, to call for its advice.
+
+        Nothing of it starts before `take_job`.
+
+        Args:
+          kept: A record.JobRecord.
+          now: A float.
+        """
+        if kept.job_id in self.jobs_by_id or kept.job_id in self._incoming:
+            return
+        job = self._incoming[kept.job_id] = self._make_job(kept, now)
+        for step in list(job.steps_by_key.values()):
+            if not step.spec.after:
+                queue = self._queue_of(job)
+                self._ask_advice(step, queue, self._list_allowed(step, queue, now), now)
 
     def _begin_time(self, job, time):
         for number in range(len(job.record.job.steps)):
@@ -554,12 +581,7 @@
 
     def _place_step(self, job, step, now):
         queue = self._queue_of(job)
-        allowed = [
-            worker
-            for worker in self.workers_by_id.values()
-            if worker.entry.service == queue.service
-            and placing.is_allowed(step, worker, now)
-        ]
+        allowed = self._list_allowed(step, queue, now)
         if queue.advice is None:
             self._start_step(job, step, allowed, now)
             return
@@ -569,6 +591,14 @@
         if step.waiting and not step.is_advising:
             self._ask_advice(step, queue, allowed, now)
 
+    def _list_allowed(self, step, queue, now):
+        return [
+            worker
+            for worker in self.workers_by_id.values()
+            if worker.entry.service == queue.service
+            and placing.is_allowed(step, worker, now)
+        ]
+
     def _ask_advice(self, step, queue, allowed, now):
         if now < step.retry_advice_at:
             return
@@ -755,6 +785,9 @@
             if now > call.deadline:
                 self.callers.distrust(call.name, now)
                 self.take_advice(call.request, None, 0.0, now)
+        for job in list(self._incoming.values()):
+            if now - job.arrived_at > INCOMING_S:
+                del self._incoming[job.job_id]
         for job in list(self._unended.values()):
             if job.record.job.repeats:
                 self._begin_due_times(job, wall_ms)
@@ -817,7 +850,7 @@
         return queue if isinstance(queue, queues.Queue) else job.record.queue
 
     def _find_step(self, key):
-        job = self.jobs_by_id.get(key.job_id)
+        job = self.jobs_by_id.get(key.job_id) or self._incoming.get(key.job_id)
         if job is None:
             return None
         return job.steps_by_key.get(messages.StepKey(key.job_id, key.time, key.step))
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -43,7 +43,11 @@
         self.config = None
         self.is_stopping = False
         self.intake = intake.Intake(
-            reactor, self._relayed, metrics, self.tell_unresolved
+            reactor,
+            self._relayed,
+            metrics,
+            self.tell_unresolved,
+            self.tell_incoming,
         )
         self._all_peers = set()
         self._asker = asking.Asker(reactor, bus)
@@ -342,6 +346,18 @@
         for address in self._all_peers:
             self._bus.send(address, "", peering.Unresolved(job_id))
 
+    def tell_incoming(self, value):
+        """Tell the owner of a job that is being kept."""
+        if self._session is not None and self._session.is_deciding:
+            self._session.take_incoming(value)
+        elif self._owner is not None:
+            self._bus.send(self._owner.address, "", peering.Incoming(value))
+
+    def take_incoming(self, message):
+        """Take a job that a peer is keeping, if this process decides."""
+        if self.get_core() is not None:
+            self._session.take_incoming(message.record)
+
     def take_unresolved(self, message):
         """Take that a job at a peer may be kept."""
         self.intake.note_unresolved(message.job_id)
@@ -402,6 +418,12 @@
     daemon.take_unresolved(message)
 
 
+@take.register
+def take_incoming(message: peering.Incoming, daemon, address):
+    """A job is being kept by a peer."""
+    daemon.take_incoming(message)
+
+
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
     """An owner that the store does not answer offers the cell."""
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -14,7 +14,9 @@
 from thornport.store import transactions
 
 HEAD_KEY = "thornport/cell/head"
-GAP_S = 0.012  # between transactions, so that records of a burst share one
+# Between transactions, so that records share one: calls are priced, but urgent
+# jobs are in time by tens of milliseconds.
+GAP_S = 0.004
 CONFIRM_PERIOD_S = 2.0  # an idle owner confirms that it is the owner
 RETRY_S = 0.1  # after a write that the store did not take
 
--- a/thornport/cell/orders.py
+++ b/thornport/cell/orders.py
@@ -45,6 +45,9 @@
     log_order("run-stop", order, outcome)
     if session.is_active:
         session.core.take_stop_outcome(order, outcome, clock.read_monotonic())
+        if isinstance(outcome, messages.Done):
+            # Whether the run is gone only a look that is sent from now on tells.
+            session.look_again(order.worker_id)
         session.pump()
 
 
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -3,13 +3,17 @@
 import time
 
 from returns import result
+from twisted.internet import defer
 
 from thornport.cell import core, ledger, messages, orders
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import watching
 
-ROUND_GAP_S = 0.006  # from a change to a round of placement, to gather changes
+ROUND_GAP_S = 0.002  # from a change to a round of placement, to gather changes
+ACK_POLL_S = 0.004  # between looks whether ends are kept
+WATCH_GAP_S = 0.002  # between watches of jobs and workers: calls are priced
+LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
 TICK_S = 0.1  # between looks at what is due
 RETRY_S = 0.1  # after a read that the store did not answer
 LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
@@ -50,7 +54,8 @@
             token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
         self._followers = []
-        self._looked_at = set()
+        self._hurried = set()
+        self._look_by_worker = {}
         self._ticker = None
         self._round = None
         self.is_active = True
@@ -121,7 +126,7 @@
             record.INBOX_PREFIX: self._take_inbox,
         }[prefix]
         follower = watching.Follower(
-            self._reactor, self.ports.store, prefix, take_all, take_change
+            self._reactor, self.ports.store, prefix, take_all, take_change, WATCH_GAP_S
         )
         self._followers.append(follower)
         tasks.spawn(follower.follow(at), f"follow {prefix}")
@@ -207,6 +212,17 @@
                 continue
             self.core.restore_progress(job_id, kept, now)
 
+    def take_incoming(self, value):
+        """Take a job that a process is about to keep.
+
+        Args:
+          value: Bytes, of a record.JobRecord.
+        """
+        kept = self._decode_job("incoming", value)
+        if kept is not None:
+            self.core.take_incoming(kept, clock.read_monotonic())
+            self.pump()
+
     # Deciding.
 
     def decide(self):
@@ -229,8 +245,8 @@
     def _tick(self):
         self.core.tick(clock.read_monotonic(), int(time.time() * 1000))
         for worker_id, worker in list(self.core.workers_by_id.items()):
-            if worker_id not in self._looked_at and worker.entry.address:
-                self._looked_at.add(worker_id)
+            if worker_id not in self._look_by_worker and worker.entry.address:
+                self._look_by_worker[worker_id] = None
                 tasks.spawn(self._look_at(worker_id), f"look at {worker_id}")
         self.pump()
 
@@ -268,13 +284,23 @@
                     break
                 await tasks.sleep(self._reactor, LOOK_RETRY_S)
                 continue
-            answer = await self.ports.workers.hold(request)
+            look = defer.ensureDeferred(self.ports.workers.hold(request))
+            self._look_by_worker[worker_id] = look
+            answer = await look
             if not self.is_active:
                 break
             self.metrics.count("worker.looks")
-            self._take_look(request, sent_at, answer)
+            if worker_id not in self._hurried:
+                self._take_look(request, sent_at, answer)
             await self._rest(worker_id, answer)
-        self._looked_at.discard(worker_id)
+        self._look_by_worker.pop(worker_id, None)
+
+    def look_again(self, worker_id):
+        """End a look that waits, so that the next one is sent at once."""
+        look = self._look_by_worker.get(worker_id)
+        if look is not None and not look.called:
+            self._hurried.add(worker_id)
+            look.cancel()
 
     def _take_look(self, request, sent_at, answer):
         now = clock.read_monotonic()
@@ -293,15 +319,20 @@
 
     async def _rest(self, worker_id, answer):
         """Wait until the next look is due."""
+        if worker_id in self._hurried:
+            self._hurried.discard(worker_id)
+            return
         if not isinstance(answer, messages.HoldAnswer):
             await tasks.sleep(self._reactor, LOOK_RETRY_S)
             return
+        if answer.ended:
+            await tasks.sleep(self._reactor, LOOK_GAP_S)
         patience_until = clock.read_monotonic() + ACK_PATIENCE_S
         while self.is_active and clock.read_monotonic() < patience_until:
             worker = self.core.workers_by_id.get(worker_id)
             if worker is None or worker.acked_number >= worker.seen_number:
                 return
-            await tasks.sleep(self._reactor, ROUND_GAP_S)
+            await tasks.sleep(self._reactor, ACK_POLL_S)
 
 
 def log_end(worker_id, end):
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -14,8 +14,8 @@
 OWNER_KEY = "thornport/cell/owner"
 # Long enough for a store that answers 60 times slower (0.24 s), short enough
 # that urgent jobs still are in time after a takeover.
-LEASE_TTL_MS = 1200
-RENEW_PERIOD_S = 0.3  # three tries in a lease
+LEASE_TTL_MS = 1000
+RENEW_PERIOD_S = 0.25  # three tries in a lease
 CLAIM_SPREAD_S = 0.08  # so that not all processes claim in the same instant
 RETRY_S = 0.2  # after a call that the store did not answer
 
--- a/thornport/cell/peering.py
+++ b/thornport/cell/peering.py
@@ -27,6 +27,16 @@
     others: tuple[str, ...] = ()
 
 
+class Incoming(codec.Message, frozen=True):
+    """To the owner: a job that is being kept, to see to its advice meanwhile.
+
+    Attributes:
+      record: The record.JobRecord as it is kept.
+    """
+
+    record: bytes
+
+
 class Unresolved(codec.Message, frozen=True):
     """To all peers: this job may be kept, and its caller was told neither."""
 
@@ -145,6 +155,7 @@
     Hello
     | Peers
     | Unresolved
+    | Incoming
     | Offer
     | RelayRead
     | RelayCommit
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -15,7 +15,7 @@
 from thornport.store import port, transactions
 
 BATCH_JOBS = 16  # two of a transaction's 32 entries each
-GATHER_S = 0.002  # jobs that come within this share a transaction
+GATHER_S = 0.001  # jobs that come within this share a transaction
 RETRY_S = 0.06  # after a write that the store did not take
 # A write without an answer is carried out seconds later at most; callers send
 # the same ID again for some seconds.
@@ -50,6 +50,7 @@
       refuse_at: A float, when it is refused if that is true by then.
       give_up_at: A float, when its outcome is said to be unknown.
       may_be_kept: Whether a write of it had no answer.
+      value: Bytes, its record encoded.
     """
 
     kept: record.JobRecord
@@ -57,12 +58,13 @@
     give_up_at: float
     outcome: defer.Deferred
     may_be_kept: bool = False
+    value: bytes = b""
 
 
 class Intake:
     """Writes submissions and cancels."""
 
-    def __init__(self, reactor, store, metrics, tell_unresolved):
+    def __init__(self, reactor, store, metrics, tell_unresolved, tell_incoming):
         """Begin.
 
         Args:
@@ -71,11 +73,14 @@
           metrics: A metrics.Metrics.
           tell_unresolved: A callable of the ID of a job whose outcome is
             unknown, to tell the other processes.
+          tell_incoming: A callable of the bytes of a job's record that is being
+            kept, to tell the owner.
         """
         self._reactor = reactor
         self._store = store
         self._metrics = metrics
         self._tell_unresolved = tell_unresolved
+        self._tell_incoming = tell_incoming
         self._unresolved_until_by_id = {}
         self._gathered = []
 
@@ -106,6 +111,9 @@
         elif self._store.is_away():
             self._settle(pending, Refused("the store is away"), "refused")
             return pending.outcome
+        pending.value = record.encode_record(kept)
+        if kept.queue.advice is not None:
+            self._tell_incoming(pending.value)
         if not self._gathered:
             self._reactor.callLater(GATHER_S, self._flush)
         self._gathered.append(pending)
@@ -224,7 +232,7 @@
     return transactions.Transaction(
         [transactions.Condition(key, transactions.ABSENT_REVISION) for key in keys],
         [
-            transactions.Put(key, record.encode_record(pending.kept))
+            transactions.Put(key, pending.value)
             for key, pending in zip(keys, batch, strict=True)
         ],
     )
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -27,7 +27,7 @@
 
 SETTINGS_VARIABLE = "THORNPORT_SETTINGS"
 STORE_TIMEOUT_S = 0.6  # a store that answers 60 times slower takes 0.24 s
-ORDER_TIMEOUT_S = 0.6  # workers answer orders in milliseconds
+ORDER_TIMEOUT_S = 0.25  # workers answer orders in milliseconds
 
 
 def make_ports(calls, process_settings, counters):
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -8,7 +8,7 @@
 from thornport.kernel import httpcalls
 
 EXPECT_HEADER = "Thornport-Expect-Instance"
-HOLD_SLACK_S = 0.6  # beyond the wait; links have delays of milliseconds
+HOLD_SLACK_S = 0.3  # beyond the wait; links have delays of milliseconds
 ENTRY_PREFIX = "servers/"
 
 
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -5,7 +5,7 @@
 from thornport.kernel import logs, tasks
 from thornport.store import port, transactions
 
-WATCH_MS = 1500  # a silent store is noticed after this and a little more
+WATCH_MS = 2000  # a silent store is noticed after this and a little more
 RETRY_S = 0.2  # after a call that the store did not answer
 
 
@@ -38,7 +38,7 @@
 class Follower:
     """Follows a prefix until it is stopped."""
 
-    def __init__(self, reactor, store, prefix, take_all, take_change):
+    def __init__(self, reactor, store, prefix, take_all, take_change, gap_s=0.0):
         """Take what is told of changes.
 
         Args:
@@ -47,7 +47,10 @@
           prefix: A str.
           take_all: A callable of a list of Item, all there are.
           take_change: A callable of a transactions.Change.
+          gap_s: A float, from one answer to the next watch, so that changes
+            share an answer.
         """
+        self._gap_s = gap_s
         self._reactor = reactor
         self._store = store
         self._prefix = prefix
@@ -78,6 +81,8 @@
             if isinstance(watched, result.Success):
                 self._regain()
                 at = self._take(watched.unwrap(), at)
+                if self._gap_s and watched.unwrap().changes:
+                    await tasks.sleep(self._reactor, self._gap_s)
             elif port.is_failure(watched, transactions.HistoryGone):
                 logs.log("watch-history-gone", prefix=self._prefix, after=at)
                 at = None
