Tell the owner of kept jobs directly; look less often where nothing runs

Change: the process that keeps a job or a cancel tells the owner, whose watch now answers every 0.3 s at most and is for what could not be told; looks at workers on which nothing runs wait 1.5 s.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -15,7 +15,8 @@
 # A look that waits: one whose answer is lost hides ends for this long and a
 # little, and urgent tasks are late after some tenths of a second.
 HOLD_WAIT_MS = 700
-GRANT_SILENCE_S = 1.5  # a look that waits and its time-out, 1.0 s, and a little
+IDLE_WAIT_MS = 1500  # where nothing runs there is little to hide; looks are priced
+GRANT_SILENCE_S = 2.0  # an idle look that waits and its time-out, 1.8 s, and a little
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -165,6 +166,12 @@
             self._begin_time(job, 0)
         return job
 
+    def accept_incoming(self, job_id, now):
+        """Take that a job that was incoming is accepted."""
+        job = self._incoming.get(job_id)
+        if job is not None:
+            self.take_job(job.record, now)
+
     def take_incoming(self, kept, now):
         """Take a job that may come to be accepted, to call for its advice.
 
@@ -248,13 +255,14 @@
             )
         deadline_ms = self._grant(worker, now)
         is_acked = worker.acked_number >= worker.seen_number
+        wait_ms = HOLD_WAIT_MS if worker.runs_by_key else IDLE_WAIT_MS
         return messages.HoldRequest(
             worker_id,
             worker.entry.address,
             self.token,
             deadline_ms,
             worker.acked_number,
-            HOLD_WAIT_MS if is_acked else 0,
+            wait_ms if is_acked else 0,
         )
 
     def _grant(self, worker, now):
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -16,7 +16,7 @@
 LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
-class SchedulerDaemon:
+class SchedulerDaemon(intake.Telling):
     """One scheduler process.
 
     Attributes:
@@ -42,13 +42,7 @@
         self.metrics = metrics
         self.config = None
         self.is_stopping = False
-        self.intake = intake.Intake(
-            reactor,
-            self._relayed,
-            metrics,
-            self.tell_unresolved,
-            self.tell_incoming,
-        )
+        self.intake = intake.Intake(reactor, self._relayed, metrics, self)
         self._all_peers = set()
         self._asker = asking.Asker(reactor, bus)
         self._standing = ownership.Standing(self)
@@ -358,6 +352,19 @@
         if self.get_core() is not None:
             self._session.take_incoming(message.record)
 
+    def tell_kept(self, job_id, is_cancel=False):
+        """Tell the owner that a job, or its cancel, is kept."""
+        if self._session is not None and self._session.is_deciding:
+            self._session.take_kept_by_peer(job_id, is_cancel)
+        elif self._owner is not None:
+            message = peering.Kept(job_id, is_cancel)
+            self._bus.send(self._owner.address, "", message)
+
+    def take_kept(self, message):
+        """Take that a job or a cancel is kept, if this process decides."""
+        if self.get_core() is not None:
+            self._session.take_kept_by_peer(message.job_id, message.is_cancel)
+
     def take_unresolved(self, message):
         """Take that a job at a peer may be kept."""
         self.intake.note_unresolved(message.job_id)
@@ -424,6 +431,12 @@
     daemon.take_incoming(message)
 
 
+@take.register
+def take_kept(message: peering.Kept, daemon, address):
+    """A job, or its cancel, is kept."""
+    daemon.take_kept(message)
+
+
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
     """An owner that the store does not answer offers the cell."""
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -12,7 +12,9 @@
 
 ROUND_GAP_S = 0.002  # from a change to a round of placement, to gather changes
 ACK_POLL_S = 0.004  # between looks whether ends are kept
-WATCH_GAP_S = 0.002  # between watches of jobs and workers: calls are priced
+# Between answers of a watch: peers tell of jobs at once, so the watch is for
+# what they could not tell, and calls are priced.
+WATCH_GAP_S = 0.3
 LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
 TICK_S = 0.1  # between looks at what is due
 RETRY_S = 0.1  # after a read that the store did not answer
@@ -223,6 +225,23 @@
             self.core.take_incoming(kept, clock.read_monotonic())
             self.pump()
 
+    def take_kept_by_peer(self, job_id, is_cancel):
+        """Take that a job, or its cancel, is in the store.
+
+        The watch of the store tells it too, a little later.
+
+        Args:
+          job_id: A str.
+          is_cancel: A bool.
+        """
+        now = clock.read_monotonic()
+        if is_cancel:
+            self.core.take_cancel(job_id, now)
+        else:
+            self.core.accept_incoming(job_id, now)
+        logs.log("cancel-taken" if is_cancel else "job-taken", job=job_id, by="peer")
+        self.pump()
+
     # Deciding.
 
     def decide(self):
--- a/thornport/cell/peering.py
+++ b/thornport/cell/peering.py
@@ -37,6 +37,13 @@
     record: bytes
 
 
+class Kept(codec.Message, frozen=True):
+    """To the owner: a job, or the cancel of one, is in the store."""
+
+    job_id: str
+    is_cancel: bool = False
+
+
 class Unresolved(codec.Message, frozen=True):
     """To all peers: this job may be kept, and its caller was told neither."""
 
@@ -156,6 +163,7 @@
     | Peers
     | Unresolved
     | Incoming
+    | Kept
     | Offer
     | RelayRead
     | RelayCommit
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -43,6 +43,19 @@
     """There is no such job."""
 
 
+class Telling:
+    """Tells the other processes of what is being kept."""
+
+    def tell_incoming(self, value):
+        """Tell the owner that a job is being kept; bytes of its record."""
+
+    def tell_kept(self, job_id, is_cancel=False):
+        """Tell the owner that a job, or its cancel, is kept."""
+
+    def tell_unresolved(self, job_id):
+        """Tell all that a job may be kept, and its caller was told neither."""
+
+
 class Pending(msgspec.Struct, eq=False):
     """A submission that waits for the store.
 
@@ -64,23 +77,19 @@
 class Intake:
     """Writes submissions and cancels."""
 
-    def __init__(self, reactor, store, metrics, tell_unresolved, tell_incoming):
+    def __init__(self, reactor, store, metrics, tell):
         """Begin.
 
         Args:
           reactor: Twisted's reactor.
           store: A relaying.RelayedStore.
           metrics: A metrics.Metrics.
-          tell_unresolved: A callable of the ID of a job whose outcome is
-            unknown, to tell the other processes.
-          tell_incoming: A callable of the bytes of a job's record that is being
-            kept, to tell the owner.
+          tell: A Telling, to tell the other processes.
         """
         self._reactor = reactor
         self._store = store
         self._metrics = metrics
-        self._tell_unresolved = tell_unresolved
-        self._tell_incoming = tell_incoming
+        self._tell = tell
         self._unresolved_until_by_id = {}
         self._gathered = []
 
@@ -112,8 +121,7 @@
             self._settle(pending, Refused("the store is away"), "refused")
             return pending.outcome
         pending.value = record.encode_record(kept)
-        if kept.queue.advice is not None:
-            self._tell_incoming(pending.value)
+        self._tell.tell_incoming(pending.value)
         if not self._gathered:
             self._reactor.callLater(GATHER_S, self._flush)
         self._gathered.append(pending)
@@ -159,7 +167,7 @@
             if now < min(pending.give_up_at, pending.refuse_at):
                 return False
             self.note_unresolved(pending.kept.job_id)
-            self._tell_unresolved(pending.kept.job_id)
+            self._tell.tell_unresolved(pending.kept.job_id)
             self._settle(pending, Unknown(error.reason), "unknown")
             return True
         if now < pending.refuse_at:
@@ -177,6 +185,8 @@
             outcome=what,
             reason=getattr(outcome, "reason", ""),
         )
+        if isinstance(outcome, Accepted):
+            self._tell.tell_kept(kept.job_id)
         pending.outcome.callback(outcome)
 
     async def cancel(self, job_id, give_up_at):
@@ -191,6 +201,8 @@
         may_be_kept = False
         while True:
             outcome = await self._try_cancel(job_id)
+            if isinstance(outcome, Accepted):
+                self._tell.tell_kept(job_id, is_cancel=True)
             if not isinstance(outcome, port.StoreError):
                 logs.log("job-cancelled", job=job_id, outcome=type(outcome).__name__)
                 return outcome
