Give urgent tasks the faster workers; send a transaction again without waiting

Cause: workers run at unlike speeds (a fifth and more), and urgent jobs miss their aim by tenths of a second; best fit chose by room alone. A transaction whose answer was lost was sent again after 0.6 s, which held up every decision. A store that fell silent was noticed after 0.6 to 0.9 s.

Ruled out: estimates of single jobs, which are off by half; the mean logarithm of 40 ends a worker tells the paces apart.

Change: each worker's pace is learned from ends; urgent steps prefer low paces, others leave them free; a transaction is sent again after four times the usual latency while the first copy is open (its head lets it be applied once); an open call of 0.35 s counts as the store being away; a peer whose store is away says so.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -374,6 +374,8 @@
             self.needs_round = True
             return
         if end.kind is messages.EndKind.DONE and not step.spec.lasting:
+            if run.ordered_at is not None and not step.checkpoints_by_index:
+                worker.note_pace(now - run.ordered_at, step.spec.estimate_ms)
             self._take_done(step, run)
         elif end.kind is messages.EndKind.FAILED and not step.spec.lasting:
             self._take_failed(step, run)
@@ -668,7 +670,8 @@
         self.needs_round = True
 
     def _start_step(self, job, step, workers, now):
-        assigned = placing.assign_step(step, workers)
+        wants_fast = self._queue_of(job).priority == 0
+        assigned = placing.assign_step(step, workers, wants_fast)
         if not assigned:
             return
         step.last_run += 1
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -12,7 +12,7 @@
 from thornport.store import transactions, watching
 
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
-OFFER_PERIOD_S = 0.2  # offers of an owner that the store does not answer
+OFFER_PERIOD_S = 0.1  # offers of an owner that the store does not answer
 LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -19,6 +19,13 @@
 GAP_S = 0.004
 CONFIRM_PERIOD_S = 2.0  # an idle owner confirms that it is the owner
 RETRY_S = 0.1  # after a write that the store did not take
+# A transaction is sent again when it has taken this many times as long as usual.
+AGAIN_TIMES = 4
+MIN_AGAIN_S = 0.06  # several times the store's usual 5 ms
+MAX_AGAIN_S = 0.5
+MAX_OPEN = 3  # copies of a transaction that are open together
+LATENCY_WEIGHT = 0.2  # of the newest answer in the usual latency
+USUAL_S = 0.005  # the store's usual answer, until measured
 
 
 class Ledger:
@@ -39,6 +46,7 @@
         self._metrics = metrics
         self._head_revision = None
         self._sequence = 0
+        self._typical_s = USUAL_S
         self._wake = None
         self._is_stopped = False
 
@@ -92,6 +100,9 @@
     async def _commit(self, batch):
         """Commit until the outcome is known.
 
+        A transaction without an answer is sent again while the first is open:
+        its head lets it be applied only once.
+
         Returns:
           A float, when the transaction that was applied was sent; None when
           the key is not ours any more.
@@ -99,19 +110,43 @@
         self._sequence += 1
         head = f"{self._token}:{self._sequence}".encode()
         transaction = self._make_transaction(batch, head)
+        began_at = clock.read_monotonic()
+        outcomes = defer.DeferredQueue()
+        open_count = 0
         while not self._is_stopped:
-            sent_at = clock.read_monotonic()
-            written = await self._store.commit(transaction)
+            if open_count < MAX_OPEN:
+                open_count += 1
+                sent = tasks.spawn(self._store.commit(transaction), "commit")
+                sent.addCallback(outcomes.put)
+            written = await self._next_outcome(outcomes)
+            if written is None:
+                self._metrics.count("ledger.sent_again")
+                continue
+            open_count -= 1
             if isinstance(written, result.Success):
                 self._head_revision = written.unwrap()
-                return sent_at
+                self._note_latency(clock.read_monotonic() - began_at)
+                return began_at
             error = written.failure()
             if isinstance(error, transactions.Refused):
-                return sent_at if self._was_applied(error, head) else None
+                return began_at if self._was_applied(error, head) else None
             self._metrics.count("ledger.retries")
             await tasks.sleep(self._reactor, RETRY_S)
         return None
 
+    async def _next_outcome(self, outcomes):
+        """Wait for an outcome; None when it is time to send again."""
+        wait_s = min(MAX_AGAIN_S, max(MIN_AGAIN_S, AGAIN_TIMES * self._typical_s))
+        waiting = outcomes.get().addTimeout(wait_s, self._reactor)
+        try:
+            return await waiting
+        except defer.TimeoutError:
+            return None
+
+    def _note_latency(self, took_s):
+        self._typical_s += LATENCY_WEIGHT * (took_s - self._typical_s)
+        self._metrics.observe("ledger.commit_ms", took_s * 1000)
+
     def _was_applied(self, error, head):
         owner = error.by_key.get(ownership.OWNER_KEY)
         if owner is None or owner.revision != self._token:
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 
 import msgspec
 
@@ -15,6 +16,11 @@
 SLOWEST_CLOCK = 0.98
 LAPSE_MARGIN_S = 0.1  # for timers that fire late, ours and the worker's
 GANG_INDEX = -1  # stands for all tasks of a gang
+# Estimates are rough, so a worker's pace is the mean of many ends; the oldest
+# fade, for a worker may turn slow.
+PACE_SAMPLES = 40
+PACE_KNOWN_AFTER = 6  # ends until a worker's pace counts for anything
+PACE_GRADE = 0.12  # of the logarithm; paces of workers differ by a fifth and more
 
 
 class RunState(enum.Enum):
@@ -73,6 +79,8 @@
       seen_number, acked_number: Ends taken in; ends kept in the store.
       failures: An int, failed runs since one was done.
       avoid_until: A float; it gets no starts before.
+      pace_count, pace_log: Ends so far, and the mean logarithm of the time that
+        a task took against its estimate.
     """
 
     entry: messages.WorkerEntry
@@ -88,6 +96,27 @@
     acked_number: int = 0
     failures: int = 0
     avoid_until: float = 0.0
+    pace_count: int = 0
+    pace_log: float = 0.0
+
+    def note_pace(self, took_s, estimate_ms):
+        """Take the time that a task took here.
+
+        Args:
+          took_s: A float, seconds.
+          estimate_ms: An int, the job's own guess.
+        """
+        if took_s <= 0 or estimate_ms <= 0:
+            return
+        self.pace_count = min(PACE_SAMPLES, self.pace_count + 1)
+        sample = math.log(took_s * 1000 / estimate_ms)
+        self.pace_log += (sample - self.pace_log) / self.pace_count
+
+    def grade_pace(self):
+        """Grade the worker's pace, an int: lower is faster; 0 if not known."""
+        if self.pace_count < PACE_KNOWN_AFTER:
+            return 0
+        return round(self.pace_log / PACE_GRADE)
 
     @property
     def worker_id(self):
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -50,35 +50,38 @@
     return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
 
 
-def assign_step(step, workers):
+def assign_step(step, workers, wants_fast=False):
     """Choose workers for the waiting tasks of a step.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker that may run it now.
+      wants_fast: Whether it is urgent, and gets the fastest that have room;
+        others leave those free.
     Returns:
       A list of Assignment; for a gang, of all its tasks or of none.
     """
     if not step.spec.gang:
-        return fill(step, workers)
+        return fill(step, workers, wants_fast)
     if step.live_by_index:
         return []
     if step.spec.same_rack:
         for rack in sorted({worker.entry.rack for worker in workers}):
             within = [worker for worker in workers if worker.entry.rack == rack]
-            assigned = fill(step, within)
+            assigned = fill(step, within, wants_fast)
             if len(assigned) == step.spec.count:
                 return assigned
-    assigned = fill(step, workers)
+    assigned = fill(step, workers, wants_fast)
     return assigned if len(assigned) == step.spec.count else []
 
 
-def fill(step, workers):
-    """Assign waiting tasks, each to the worker that is left with least room.
+def fill(step, workers, wants_fast=False):
+    """Assign waiting tasks, each to the best worker that has room.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
+      wants_fast: As for `assign_step`.
     Returns:
       A list of Assignment.
     """
@@ -89,11 +92,14 @@
         if demand.fits(free):
             free_by_id[worker.worker_id] = free
     held_by_id = count_held(step)
-    near = {w.worker_id for w in workers if step.spec.near_rack in w.entry.labels}
+    preference_by_id = {
+        worker.worker_id: compute_preference(step, worker, wants_fast)
+        for worker in workers
+    }
     assigned = []
     for index in sorted(step.waiting):
         avoided = step.avoided_by_index.get(step.index_for(index), ())
-        best = choose_best(step, free_by_id, held_by_id, near, avoided)
+        best = choose_best(step, free_by_id, held_by_id, preference_by_id, avoided)
         if best is None:
             continue
         assigned.append(Assignment(index, best))
@@ -116,14 +122,30 @@
     return held_by_id
 
 
-def choose_best(step, free_by_id, held_by_id, near, avoided):
+def compute_preference(step, worker, wants_fast):
+    """Say how well a worker suits a step, whatever its room.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+      wants_fast: As for `assign_step`.
+    Returns:
+      A pair that is lower for a better worker: away from the step's data or
+      not, then its pace.
+    """
+    is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
+    grade = worker.grade_pace()
+    return is_away, grade if wants_fast else -grade
+
+
+def choose_best(step, free_by_id, held_by_id, preference_by_id, avoided):
     """Choose the worker for one task.
 
     Args:
       step: A model.StepState.
       free_by_id: Demands that are left, by worker id; the task fits each.
       held_by_id: Tasks of the step there, by worker id.
-      near: Ids of workers at the step's data.
+      preference_by_id: What `compute_preference` gives, by worker id.
       avoided: Ids of workers on which the task failed: only if no other is left.
     Returns:
       A str, a worker id, or None.
@@ -134,7 +156,8 @@
     for worker_id, free in free_by_id.items():
         if limit and held_by_id.get(worker_id, 0) >= limit:
             continue
-        rank = (worker_id in avoided, worker_id not in near, free.millicores, worker_id)
+        is_avoided = worker_id in avoided
+        rank = (is_avoided, preference_by_id[worker_id], free.millicores, worker_id)
         if best_rank is None or rank < best_rank:
             best, best_rank = worker_id, rank
     return best
--- a/thornport/cell/relaying.py
+++ b/thornport/cell/relaying.py
@@ -123,7 +123,9 @@
           address: A str, the peer's.
           message: A peering.RelayRead or RelayCommit.
         """
-        if isinstance(message, peering.RelayRead):
+        if self._store.is_away():
+            outcome = result.Failure(port.Unavailable("the store is away here too"))
+        elif isinstance(message, peering.RelayRead):
             outcome = await self._store.read_key(message.key)
         else:
             outcome = await self._store.commit(message.transaction)
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -5,9 +5,11 @@
 from thornport.kernel import clock, logs
 from thornport.store import port
 
-# Failing for this long means away: longer than one lost answer takes to be
-# sent again, shorter than callers wait.
-AWAY_S = 0.3
+# Failing for this long means away; a single refusal for the rate does not.
+AWAY_S = 0.15
+# A call that is open for so long, and none answered since, means away too; a
+# store that answers 60 times slower takes 0.24 s.
+SILENT_S = 0.35
 
 
 class CheckedStore:
@@ -21,13 +23,17 @@
         """
         self._store = store
         self._failing_since = None
+        self._answered_at = 0.0
+        self._open_since_by_id = {}
         self._was_away = False
 
     def is_away(self):
         """Whether the store has not answered for a while."""
-        if self._failing_since is None:
-            return False
-        return clock.read_monotonic() - self._failing_since > AWAY_S
+        now = clock.read_monotonic()
+        if self._failing_since is not None and now - self._failing_since > AWAY_S:
+            return True
+        oldest = min(self._open_since_by_id.values(), default=now)
+        return now - max(oldest, self._answered_at) > SILENT_S and oldest < now
 
     def _note(self, began_at, outcome):
         is_lost = port.is_failure(outcome, port.Unavailable) or port.is_failure(
@@ -39,6 +45,7 @@
                 self._failing_since = began_at
         else:
             self._failing_since = None
+            self._answered_at = clock.read_monotonic()
         if self.is_away() != self._was_away:
             self._was_away = not self._was_away
             event = "store-lost" if self._was_away else "store-regained"
@@ -47,7 +54,13 @@
 
     async def _check(self, call):
         began_at = clock.read_monotonic()
-        return self._note(began_at, await call)
+        call_id = object()
+        self._open_since_by_id[call_id] = began_at
+        try:
+            outcome = await call
+        finally:
+            del self._open_since_by_id[call_id]
+        return self._note(began_at, outcome)
 
     async def read_key(self, key):
         """As the client's."""
