--- a/thornport/cell/relaying.py
+++ b/thornport/cell/relaying.py
@@ -72,8 +72,13 @@
                 return await self._ask_peer(make_question)
             return result.Failure(port.Unavailable("the store is away"))
         first = defer.Deferred()
-        direct = tasks.spawn(call(), "store-call")
-        direct.addCallback(lambda outcome: first.called or first.callback(outcome))
+
+        def note(outcome):
+            if not first.called:
+                first.callback(outcome)
+            return outcome
+
+        direct = tasks.spawn(call(), "store-call").addCallback(note)
         timer = self._reactor.callLater(
             HEDGE_S, lambda: first.called or first.callback(None)
         )
@@ -103,6 +108,10 @@
             if timer.active():
                 timer.cancel()
         if answer is None:
+            # The owner tells again which peers the store answers.
+            self.peer_addresses = tuple(
+                other for other in self.peer_addresses if other != address
+            )
             return result.Failure(port.Ambiguous("no answer of a peer"))
         return decode_answer(answer)
 
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -20,6 +20,7 @@
 # A write without an answer is carried out seconds later at most; callers send
 # the same ID again for some seconds.
 UNRESOLVED_S = 30.0
+RESOLVE_S = 0.9  # for an open write to be resolved; a third of callers' deadline
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -163,8 +164,11 @@
 
     def _give_up(self, pending, error, now):
         if pending.may_be_kept:
-            # The caller sends the same ID again, to another process.
-            if now < min(pending.give_up_at, pending.refuse_at):
+            # Sending it again tells what became of it, unless the store is away.
+            patient_until = pending.refuse_at
+            if not self._store.is_away():
+                patient_until += RESOLVE_S
+            if now < min(pending.give_up_at, patient_until):
                 return False
             self.note_unresolved(pending.kept.job_id)
             self._tell.tell_unresolved(pending.kept.job_id)
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -56,11 +56,19 @@
 
 
 def listen(address, app):
-    """Serve an app at an address, `IP:PORT`."""
+    """Serve an app.
+
+    Args:
+      address: A str, `IP:PORT`; port 0 lets the kernel choose.
+      app: A klein.Klein.
+    Returns:
+      A str, the address that was bound.
+    """
     ip, port = address.rsplit(":", 1)
     site = server.Site(app.resource(), timeout=None)
     site.noisy = False
-    reactor.listenTCP(int(port), site, interface=ip, backlog=1024)
+    bound = reactor.listenTCP(int(port), site, interface=ip, backlog=1024)
+    return f"{ip}:{bound.getHost().port}"
 
 
 def reload(path):
@@ -87,12 +95,16 @@
         message_bus,
         counters,
     )
-    listen(process_settings.listen.jobs, ingress.make_app(scheduler))
-    listen(process_settings.listen.ready, ingress.make_ready_app(scheduler))
-    if process_settings.listen.metrics_port:
-        shown = f"{process_settings.listen.ip}:{process_settings.listen.metrics_port}"
-        listen(shown, metricsweb.make_app(counters))
+    listening = process_settings.listen
+    bound = {
+        "http": listen(listening.jobs, ingress.make_app(scheduler)),
+        "ready": listen(listening.ready, ingress.make_ready_app(scheduler)),
+    }
+    if listening.metrics_port:
+        shown = f"{listening.ip}:{listening.metrics_port}"
+        bound["metrics"] = listen(shown, metricsweb.make_app(counters))
     reactor.callWhenRunning(scheduler.start)
+    reactor.callWhenRunning(lambda: logs.log("listening", **bound))
     reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     reactor.run()
