Add a randomized soak of the real programs

Change: soak/ draws faults from a seed (processes killed, paused, stopped; the store delayed, reset, silent, cut one way for one process, silent for all, its answers lost, its history gone; workers replaced; configurations) and checks from what callers and workers saw: accepted jobs end, refused ones never start, nothing twice, after its noted end or over room, versions only rise.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real programs, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,89 @@
+"""Callers of a soak: they hand in jobs on kept connections and note answers."""
+
+import random
+import threading
+import time
+
+import msgspec
+import urllib3
+
+from tests import schedulers
+
+TRIES = 5  # the users' callers try again four times
+PAUSE_S = 0.1  # between the jobs of a caller
+CANCEL_SHARE = 0.15  # of accepted jobs
+
+
+class Book:
+    """What callers were told, by job ID.
+
+    Attributes:
+      accepted, refused, unknown, cancelled: Sets of job IDs. A job is refused
+        when each try was, and cancelled when its cancel was accepted.
+    """
+
+    def __init__(self):
+        self.accepted = set()
+        self.refused = set()
+        self.unknown = set()
+        self.cancelled = set()
+
+
+class Caller(threading.Thread):
+    """One caller."""
+
+    def __init__(self, cell, book, seed):
+        super().__init__(daemon=True)
+        self._cell = cell
+        self._book = book
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self.stopping = threading.Event()
+
+    def run(self):
+        """Hand in jobs until told to stop."""
+        number = 0
+        while not self.stopping.wait(PAUSE_S):
+            number += 1
+            job_id = f"{self._seed & 0xFFFFFFFF:08x}{number:08x}"
+            self._submit(job_id)
+            is_accepted = job_id in self._book.accepted
+            if is_accepted and self._rng.random() < CANCEL_SHARE:
+                self._cancel(job_id)
+
+    def _submit(self, job_id):
+        count = self._rng.randint(1, 6)
+        body = schedulers.make_job(
+            count, self._rng.randint(50, 2500), gang=self._rng.random() < 0.3
+        )
+        statuses = set()
+        for _ in range(TRIES):
+            status = self._call("POST", job_id, body)
+            statuses.add(status)
+            if status == 200:
+                self._book.accepted.add(job_id)
+                return
+            time.sleep(self._rng.uniform(0.05, 0.3))
+        if statuses == {503}:
+            self._book.refused.add(job_id)
+        else:
+            self._book.unknown.add(job_id)
+
+    def _cancel(self, job_id):
+        for _ in range(TRIES):
+            if self._call("DELETE", job_id, None) == 200:
+                self._book.cancelled.add(job_id)
+                return
+
+    def _call(self, method, job_id, body):
+        """Call any scheduler; returns the status, 0 for no answer."""
+        url = self._cell.url(self._rng.choice(self._cell.names), f"/editions/{job_id}")
+        data = msgspec.json.encode(body) if body is not None else None
+        headers = {"Host": schedulers.HOST}
+        try:
+            return self._pool.request(
+                method, url, body=data, headers=headers, timeout=3.0
+            ).status
+        except urllib3.exceptions.HTTPError:
+            return 0
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,75 @@
+"""What must hold after a soak, from what callers and workers saw."""
+
+import re
+
+from tests import harness
+
+FINAL_STATES = frozenset({"succeeded", "failed", "cancelled"})
+
+
+def check_workers(seen, book):
+    """Check what the workers saw.
+
+    Args:
+      seen: A dict, the stand-in's answer.
+      book: A callers.Book.
+    Returns:
+      A list of str, a line for each broken promise.
+    """
+    broken = []
+    for name in ("twice", "after_done", "unknown"):
+        broken += [f"{name}: {task}" for task in seen[name]]
+    if seen["over_room"]:
+        broken.append(f"over room: {seen['over_room']} starts")
+    started = {task.split(".")[0] for task, _, _ in seen["starts"]}
+    broken += [f"refused, and started: {job}" for job in book.refused & started]
+    return broken
+
+
+def check_jobs(cell, book):
+    """Wait for the accepted jobs to end, and check how.
+
+    Args:
+      cell: A schedulers.Schedulers.
+      book: A callers.Book.
+    Returns:
+      A list of str, a line for each broken promise.
+    """
+    broken = []
+    for job_id in sorted(book.accepted):
+        try:
+            state = harness.wait_until(
+                lambda j=job_id: read_final(cell, j), f"the end of {job_id}", 60.0
+            )
+        except AssertionError as error:
+            broken.append(f"{error}, last {cell.read_state(cell.names[0], job_id)!r}")
+            continue
+        wanted = {"succeeded"}
+        if job_id in book.cancelled:
+            wanted.add("cancelled")
+        if state not in wanted:
+            broken.append(f"{job_id} is {state}")
+    return broken
+
+
+def read_final(cell, job_id):
+    """A job's state if it has ended, else empty."""
+    state = cell.read_state(cell.names[0], job_id)
+    return state if state in FINAL_STATES else ""
+
+
+def check_configs(cell):
+    """Check that versions only rose in each life of each scheduler.
+
+    Args:
+      cell: A schedulers.Schedulers.
+    Returns:
+      A list of str, a line for each broken promise.
+    """
+    broken = []
+    for name in cell.names:
+        log = cell.by_name[name].read_log()
+        versions = [int(v) for v in re.findall(r"config-in-force version=(\d+)", log)]
+        if versions != sorted(set(versions)):
+            broken.append(f"{name}: versions {versions}")
+    return broken
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 It speaks the platform's published interface. `POST /faults` on the store's
 address sets what goes wrong: `away` (silent to all), `lose_writes` (apply, then
-say nothing). `GET /seen` tells what the workers saw.
+say nothing), `forgets` (the history goes). `POST /crash` replaces a worker by
+another life. `GET /seen` tells what the workers saw.
 """
 
 import base64
@@ -19,8 +20,8 @@
 from thornport.platform import workers
 
 TICK_S = 0.02
-ENTRY_S = 0.5
 ADVICE_VALID_MS = 1500
+SLOW_CLOCK = 0.98
 
 
 class Options(msgspec.Struct):
@@ -36,6 +37,7 @@
 
     away: bool = False
     lose_writes: int = 0
+    forgets: bool = False
 
 
 class Platform:
@@ -49,6 +51,9 @@
         self.workers_by_id = {}
         self.twice = []
         self.unknown = []
+        self.after_done = []
+        self.crashed = []
+        self.numbers = itertools.count()
 
     def tick(self):
         """Let time pass."""
@@ -200,11 +205,22 @@
     @app.route("/faults", methods=["POST"])
     def set_faults(request):
         platform.faults = msgspec.json.decode(request.content.read(), type=Faults)
+        if platform.faults.forgets:
+            store.forget_history()
+        return b"{}"
+
+    @app.route("/crash", methods=["POST"])
+    def crash(request):
+        worker_id = min(platform.workers_by_id)
+        platform.crashed.append(platform.workers_by_id.pop(worker_id))
+        store.commit([], [], [workers.ENTRY_PREFIX + worker_id])
+        add_worker(platform)
+        platform.wake()
         return b"{}"
 
     @app.route("/seen", methods=["GET"])
     def seen(request):
-        all_workers = platform.workers_by_id.values()
+        all_workers = [*platform.workers_by_id.values(), *platform.crashed]
         body = {
             "starts": [
                 [workers.format_task(key), run, worker.worker_id]
@@ -214,6 +230,7 @@
             "over_room": sum(worker.over_room for worker in all_workers),
             "twice": platform.twice,
             "unknown": platform.unknown,
+            "after_done": platform.after_done,
         }
         return reply(request, 200, body)
 
@@ -228,6 +245,10 @@
         expected = request.getHeader(workers.EXPECT_HEADER)
         return expected is not None and expected != worker.worker_id
 
+    async def silent_if_crashed():
+        if worker.worker_id not in platform.workers_by_id:
+            await defer.Deferred()
+
     def answer(request, outcome):
         if isinstance(outcome, messages.Rejected):
             body = {"clock_ms": worker.read_clock_ms(time.monotonic())}
@@ -235,9 +256,10 @@
         return reply(request, 200, {"clock_ms": outcome.clock_ms})
 
     @app.route("/-/run-start", methods=["POST"])
-    def start(request):
+    async def start(request):
         if is_other(request):
             return reply(request, 421, {})
+        await silent_if_crashed()
         now = time.monotonic()
         wire = msgspec.json.decode(request.content.read(), type=workers.WireStart)
         key = workers.parse_task(wire.task)
@@ -262,15 +284,21 @@
             wire.fencing_token,
         )
         run_ms = int(step.estimate_ms * platform.options.runtime_share)
+        count = len(worker.started)
         outcome = worker.start(order, step.demand, run_ms, False, now)
-        if isinstance(outcome, messages.Done) and elsewhere:
-            platform.twice.append(wire.task)
+        if len(worker.started) > count:
+            if elsewhere:
+                platform.twice.append(wire.task)
+            every_life = [*platform.workers_by_id.values(), *platform.crashed]
+            if any(key in life.noted_done for life in every_life):
+                platform.after_done.append(wire.task)
         return answer(request, outcome)
 
     @app.route("/-/run-stop", methods=["POST"])
-    def stop(request):
+    async def stop(request):
         if is_other(request):
             return reply(request, 421, {})
+        await silent_if_crashed()
         wire = msgspec.json.decode(request.content.read(), type=workers.WireStop)
         key = workers.parse_task(wire.task)
         order = messages.StopOrder(
@@ -284,6 +312,7 @@
     async def hold(request):
         if is_other(request):
             return reply(request, 421, {})
+        await silent_if_crashed()
         wire = msgspec.json.decode(request.content.read(), type=workers.WireHold)
         look = messages.HoldRequest(
             worker.worker_id,
@@ -336,11 +365,14 @@
     return app
 
 
-def add_worker(platform, number):
-    """Start a worker and list it in the store."""
+def add_worker(platform):
+    """Start a life of a worker and list it in the store."""
+    number = next(platform.numbers)
     worker_id = f"i-{number:04x}"
     total = spec.Demand(platform.options.cores * 1000, 131_072, 0)
-    worker = leased_worker.LeasedWorker(worker_id, total)
+    # Every other clock runs as slow as the users allow.
+    rate = SLOW_CLOCK if number % 2 else 1.0
+    worker = leased_worker.LeasedWorker(worker_id, total, rate)
     platform.workers_by_id[worker_id] = worker
     address = serve.listen(make_worker_app(platform, worker))
     entry = {
@@ -362,8 +394,8 @@
 def main():
     """Run as a process."""
     platform = Platform(serve.read_options(Options))
-    for number in range(platform.options.workers):
-        add_worker(platform, number)
+    for _ in range(platform.options.workers):
+        add_worker(platform)
     advice = serve.listen(make_advice_app())
     print(f"event=advice http={advice}", flush=True)
     task.LoopingCall(platform.tick).start(TICK_S)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -136,10 +136,14 @@
         self.peer_by_name = {}
         self.listed = []
 
-    def close(self):
-        """End every process and remove the folder."""
+    def end_processes(self):
+        """End every process; their logs stay."""
         for process in self.by_name.values():
             process.kill()
+
+    def close(self):
+        """End every process and remove the folder."""
+        self.end_processes()
         shutil.rmtree(self.folder)
 
     def start(self, name, *arguments):
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -2,6 +2,7 @@
 
 `POST /faults` with JSON sets: `cut` (end all connections, refuse new ones),
 `delay_ms` (each way), `freeze` (hold all bytes, keep connections open),
+`one_way` (hold the bytes of answers alone),
 `truncate` (end the connection after so many bytes of an answer).
 """
 
@@ -26,6 +27,7 @@
     cut: bool = False
     delay_ms: int = 0
     freeze: bool = False
+    one_way: bool = False
     truncate: int = 0
 
 
@@ -43,7 +45,7 @@
         if faults.cut:
             for side in list(self.sides):
                 side.transport.abortConnection()
-        if not faults.freeze:
+        if not faults.freeze and not faults.one_way:
             held, self.held = self.held, []
             for side, data in held:
                 side.pass_on(data)
@@ -69,7 +71,7 @@
     def dataReceived(self, data):
         """Pass bytes on as the faults have it."""
         faults = STATE.faults
-        if faults.freeze:
+        if faults.freeze or (faults.one_way and self.is_answering):
             STATE.held.append((self, data))
         elif faults.delay_ms:
             reactor.callLater(faults.delay_ms / 1000, self.pass_on, data)
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -1,143 +1,16 @@
 """Jobs through real scheduler processes, a stand-in platform, and failures."""
 
-import base64
-import itertools
 import signal
 import unittest
 
-import msgspec
-import urllib3
-
-from tests import harness
-
-SETTINGS = """
-[process]
-name = {name}
-hall = h1
-[listen]
-ip = 127.0.0.1
-jobs = 127.0.0.1:0
-ready = 127.0.0.1:0
-peer_port = 0
-[services]
-store = {store}
-advice = {advice}
-[bounds]
-grace_s = 1.5
-"""
-HOST = "press.example"
-CONFIG = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "editions",
-            "host": HOST,
-            "path_prefix": "/editions/",
-            "service": "press-desk",
-            "priority": 1,
-            "max_attempts": 3,
-            "stretch": 2.0,
-            "target_latency_ms": 1000,
-            "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500},
-        }
-    ],
-    "services": [{"name": "press-desk", "rejects_overload": False}],
-    "limits": {"max_body_bytes": 262144},
-}
-
-
-def make_job(count=2, run_ms=200, **more):
-    """Make the body of a job: a step, and one that comes after it."""
-    step = {"count": count, "cpu": 4000, "mem_mb": 100, "est_runtime_ms": run_ms}
-    after = {"count": 1, "cpu": 1000, "mem_mb": 10, "est_runtime_ms": 50, "after": [0]}
-    return {"spec": "text", "steps": [step | more, after]}
-
-
-class Schedulers(harness.Cell):
-    """Scheduler processes on a stand-in platform."""
-
-    def __init__(self, count, workers=3):
-        super().__init__()
-        self.ids = (f"{number:016x}" for number in itertools.count(1))
-        platform = self.start("platform", "standins.platform", f"workers={workers}")
-        advice = platform.wait_for(r"event=advice http=(\S+)")[1]
-        self.advice = advice
-        self.put_config(CONFIG)
-        self.names = [f"scheduler-{number}" for number in range(count)]
-        for name in self.names:
-            self.start_scheduler(name)
-        for name in self.names:
-            self.by_name[name].wait_for(r"event=config-in-force")
-
-    def start_scheduler(self, name):
-        """Start a scheduler process, or start it again."""
-        path = self.folder / f"{name}.ini"
-        values = {"name": name, "store": self.http_by_name["platform"]}
-        path.write_text(SETTINGS.format(advice=self.advice, **values))
-        return self.start(name, "thornport.platform", str(path))
-
-    def put_config(self, config):
-        """Write the configuration as the operator does."""
-        value = base64.b64encode(msgspec.json.encode(config))
-        harness.call("PUT", self.url("platform", "/operator/op/config"), value)
-
-    def send(self, method, name, path, body=None, timeout_s=5.0):
-        """Call a scheduler as a caller does; None when there is no answer."""
-        data = msgspec.json.encode(body) if body is not None else None
-        headers = {"Host": HOST}
-        try:
-            return harness.call(method, self.url(name, path), data, headers, timeout_s)
-        except urllib3.exceptions.HTTPError:
-            return None
-
-    def submit(self, name, body=None, job_id=None):
-        """Hand in a job; returns its ID and the status, 0 for no answer."""
-        job_id = job_id or next(self.ids)
-        answer = self.send("POST", name, f"/editions/{job_id}", body or make_job())
-        return job_id, answer.status if answer is not None else 0
-
-    def read_state(self, name, job_id):
-        """Ask for a job's state; empty when there is no such answer."""
-        answer = self.send("GET", name, f"/editions/{job_id}")
-        if answer is None or answer.status != 200:
-            return ""
-        return msgspec.json.decode(answer.data)["state"]
-
-    def wait_state(self, name, job_id, state):
-        """Wait for a job's state."""
-        harness.wait_until(
-            lambda: self.read_state(name, job_id) == state, f"{job_id} {state}"
-        )
-
-    def find_owner(self):
-        """Wait until one scheduler decides; returns its name."""
-
-        def look():
-            for name in self.names:
-                process = self.by_name[name]
-                log = process.read_log()
-                decides = log.rfind("event=deciding") > log.rfind("event=not-deciding")
-                if process.popen.poll() is None and decides:
-                    return name
-            return None
-
-        return harness.wait_until(look, "an owner")
-
-    def set_platform_faults(self, **faults):
-        """Switch faults of the platform's store; all others off."""
-        url = self.url("platform", "/faults")
-        harness.call("POST", url, msgspec.json.encode(faults))
-
-    def read_seen(self):
-        """What the workers saw."""
-        return harness.call_json("GET", self.url("platform", "/seen"))
+from tests import harness, schedulers
 
 
 class SchedulerCase(unittest.TestCase):
     """A cell of three schedulers, with what must always hold checked at the end."""
 
     def setUp(self):
-        self.cell = Schedulers(3)
+        self.cell = schedulers.Schedulers(3)
         self.addCleanup(self.cell.close)
         self.owner = self.cell.find_owner()
         self.other = next(name for name in self.cell.names if name != self.owner)
@@ -160,7 +33,7 @@
     """Nothing goes wrong."""
 
     def test_job_with_a_gang_ends_and_every_process_says_so(self):
-        body = make_job(count=4, gang=True)
+        body = schedulers.make_job(count=4, gang=True)
         job_id, status = self.cell.submit(self.other, body)
         self.assertEqual(status, 200)
         for name in self.cell.names:
@@ -175,7 +48,7 @@
         self.assertEqual(self.count_starts(job_id), 3)
 
     def test_cancel_stops_a_job_at_the_workers(self):
-        job_id, _ = self.cell.submit(self.other, make_job(run_ms=60_000))
+        job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=60_000))
         self.cell.wait_state(self.other, job_id, "running")
         answer = self.cell.send("DELETE", self.other, f"/editions/{job_id}")
         self.assertEqual(answer.status, 200)
@@ -197,14 +70,16 @@
         self.assertEqual(answer.status, 410)
 
     def test_dropped_route_is_refused_everywhere(self):
-        self.cell.put_config(CONFIG | {"version": 5, "routes": []})
+        self.cell.put_config(schedulers.CONFIG | {"version": 5, "routes": []})
         for name in self.cell.names:
             harness.wait_until(
                 lambda n=name: self.cell.submit(n)[1] == 404, f"{name} refuses"
             )
         # An older version that is written later does not come into force.
-        self.cell.put_config(CONFIG | {"version": 4})
-        self.cell.put_config(CONFIG | {"version": 6, "routes": [], "services": []})
+        self.cell.put_config(schedulers.CONFIG | {"version": 4})
+        self.cell.put_config(
+            schedulers.CONFIG | {"version": 6, "routes": [], "services": []}
+        )
         self.cell.by_name[self.other].wait_for(r"event=config-in-force version=6")
         self.assertEqual(self.cell.submit(self.other)[1], 404)
 
@@ -214,7 +89,8 @@
 
     def test_killed_owner_is_replaced_and_nothing_runs_twice(self):
         jobs = [
-            self.cell.submit(self.other, make_job(run_ms=1500))[0] for _ in range(6)
+            self.cell.submit(self.other, schedulers.make_job(run_ms=1500))[0]
+            for _ in range(6)
         ]
         self.cell.wait_state(self.other, jobs[0], "running")
         self.cell.by_name[self.owner].kill()
@@ -223,7 +99,7 @@
             self.assertEqual(self.count_starts(job_id), 3)
 
     def test_frozen_owner_wakes_to_a_successor(self):
-        job_id, _ = self.cell.submit(self.other, make_job(run_ms=2500))
+        job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=2500))
         self.cell.wait_state(self.other, job_id, "running")
         frozen = self.cell.by_name[self.owner]
         frozen.freeze()
@@ -247,7 +123,7 @@
             self.assertEqual(self.count_starts(job_id), 3)
 
     def test_stopped_owner_hands_over_and_ends_by_itself(self):
-        job_id, _ = self.cell.submit(self.other, make_job(run_ms=2000))
+        job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=2000))
         stopped = self.cell.by_name[self.owner]
         stopped.signal(signal.SIGTERM)
         self.assertEqual(stopped.popen.wait(harness.PATIENCE_S), 0)
@@ -281,7 +157,7 @@
         return harness.wait_until(submit, "a refusal")
 
     def test_running_work_outlives_an_outage_of_the_store(self):
-        job_id, _ = self.cell.submit(self.other, make_job(run_ms=3000))
+        job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=3000))
         self.cell.wait_state(self.other, job_id, "running")
         self.cell.set_platform_faults(away=True)
         self.cell.by_name[self.owner].wait_for(r"event=store-lost")
--- /dev/null
+++ b/tests/schedulers.py
@@ -0,0 +1,142 @@
+"""Scheduler processes on a stand-in platform, for proofs and the soak."""
+
+import base64
+import itertools
+
+import msgspec
+import urllib3
+
+from tests import harness
+
+SETTINGS = """
+[process]
+name = {name}
+hall = h1
+[listen]
+ip = 127.0.0.1
+jobs = 127.0.0.1:0
+ready = 127.0.0.1:0
+peer_port = 0
+[services]
+store = {store}
+advice = {advice}
+[bounds]
+grace_s = 1.5
+"""
+HOST = "press.example"
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "editions",
+            "host": HOST,
+            "path_prefix": "/editions/",
+            "service": "press-desk",
+            "priority": 1,
+            "max_attempts": 3,
+            "stretch": 2.0,
+            "target_latency_ms": 1000,
+            "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500},
+        }
+    ],
+    "services": [{"name": "press-desk", "rejects_overload": False}],
+    "limits": {"max_body_bytes": 262144},
+}
+
+
+def make_job(count=2, run_ms=200, **more):
+    """Make the body of a job: a step, and one that comes after it."""
+    step = {"count": count, "cpu": 4000, "mem_mb": 100, "est_runtime_ms": run_ms}
+    after = {"count": 1, "cpu": 1000, "mem_mb": 10, "est_runtime_ms": 50, "after": [0]}
+    return {"spec": "text", "steps": [step | more, after]}
+
+
+class Schedulers(harness.Cell):
+    """Scheduler processes on a stand-in platform."""
+
+    def __init__(self, count, workers=3, has_proxies=False):
+        """Start a platform and schedulers.
+
+        Args:
+          count, workers: Ints, how many of each.
+          has_proxies: Whether each scheduler reaches the store by a proxy of
+            its own, named `store-of-NAME`.
+        """
+        super().__init__()
+        self.has_proxies = has_proxies
+        self.ids = (f"{number:016x}" for number in itertools.count(1))
+        platform = self.start("platform", "standins.platform", f"workers={workers}")
+        advice = platform.wait_for(r"event=advice http=(\S+)")[1]
+        self.advice = advice
+        self.put_config(CONFIG)
+        self.names = [f"scheduler-{number}" for number in range(count)]
+        for name in self.names:
+            if has_proxies:
+                self.start_proxy(f"store-of-{name}", "platform")
+            self.start_scheduler(name)
+        for name in self.names:
+            self.by_name[name].wait_for(r"event=config-in-force")
+
+    def start_scheduler(self, name):
+        """Start a scheduler process, or start it again."""
+        path = self.folder / f"{name}.ini"
+        store = f"store-of-{name}" if self.has_proxies else "platform"
+        values = {"name": name, "store": self.http_by_name[store]}
+        path.write_text(SETTINGS.format(advice=self.advice, **values))
+        return self.start(name, "thornport.platform", str(path))
+
+    def put_config(self, config):
+        """Write the configuration as the operator does."""
+        value = base64.b64encode(msgspec.json.encode(config))
+        harness.call("PUT", self.url("platform", "/operator/op/config"), value)
+
+    def send(self, method, name, path, body=None, timeout_s=5.0):
+        """Call a scheduler as a caller does; None when there is no answer."""
+        data = msgspec.json.encode(body) if body is not None else None
+        headers = {"Host": HOST}
+        try:
+            return harness.call(method, self.url(name, path), data, headers, timeout_s)
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def submit(self, name, body=None, job_id=None):
+        """Hand in a job; returns its ID and the status, 0 for no answer."""
+        job_id = job_id or next(self.ids)
+        answer = self.send("POST", name, f"/editions/{job_id}", body or make_job())
+        return job_id, answer.status if answer is not None else 0
+
+    def read_state(self, name, job_id):
+        """Ask for a job's state; empty when there is no such answer."""
+        answer = self.send("GET", name, f"/editions/{job_id}")
+        if answer is None or answer.status != 200:
+            return ""
+        return msgspec.json.decode(answer.data)["state"]
+
+    def wait_state(self, name, job_id, state):
+        """Wait for a job's state."""
+        harness.wait_until(
+            lambda: self.read_state(name, job_id) == state, f"{job_id} {state}"
+        )
+
+    def find_owner(self):
+        """Wait until one scheduler decides; returns its name."""
+
+        def look():
+            for name in self.names:
+                process = self.by_name[name]
+                log = process.read_log()
+                decides = log.rfind("event=deciding") > log.rfind("event=not-deciding")
+                if process.popen.poll() is None and decides:
+                    return name
+            return None
+
+        return harness.wait_until(look, "an owner")
+
+    def set_platform_faults(self, **faults):
+        """Switch faults of the platform's store; all others off."""
+        url = self.url("platform", "/faults")
+        harness.call("POST", url, msgspec.json.encode(faults))
+
+    def read_seen(self):
+        """What the workers saw."""
+        return harness.call_json("GET", self.url("platform", "/seen"))
