Gather ends where nothing urgent runs; let large VMs claim the cell first

On VMs of unlike size the owner may be a small one.

Change: after ends, the next look at a worker on which nothing urgent runs waits 0.25 s, or until something urgent starts there; idle looks wait 2 s; the wait before a claim is shorter the more processor a VM has.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -15,8 +15,8 @@
 # A look that waits: one whose answer is lost hides ends for this long and a
 # little, and urgent tasks are late after some tenths of a second.
 HOLD_WAIT_MS = 700
-IDLE_WAIT_MS = 1500  # where nothing runs there is little to hide; looks are priced
-GRANT_SILENCE_S = 2.0  # an idle look that waits and its time-out, 1.8 s, and a little
+IDLE_WAIT_MS = 2000  # where nothing runs there is little to hide; looks are priced
+GRANT_SILENCE_S = 2.5  # an idle look that waits and its time-out, 2.3 s, and a little
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -265,6 +265,14 @@
             wait_ms if is_acked else 0,
         )
 
+    def is_urgent_at(self, worker_id):
+        """Tell whether a run of the first priority is live at a worker."""
+        worker = self.workers_by_id.get(worker_id)
+        if worker is None:
+            return False
+        jobs = (self.jobs_by_id.get(key.job_id) for key in worker.runs_by_key)
+        return any(job and self._queue_of(job).priority == 0 for job in jobs)
+
     def _grant(self, worker, now):
         """Say how long a worker may run on; a silent one gets nothing more.
 
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -147,7 +147,7 @@
     async def _claim(self):
         while self.config is None:
             await tasks.sleep(self._reactor, ownership.RETRY_S)
-        await tasks.sleep(self._reactor, spread_claim(self._settings.process.name))
+        await tasks.sleep(self._reactor, spread_claim(self._settings.process))
         offered, self._offered_token = self._offered_token, 0
         if self._owner is not None and not offered:
             self._standing.claim_failed()
@@ -489,16 +489,18 @@
     daemon.take_advised(message)
 
 
-def spread_claim(name):
+def spread_claim(process):
     """Choose how long a process waits before it claims.
 
     Args:
-      name: A str, the process.
+      process: A settings.Process.
     Returns:
-      A float, seconds.
+      A float, seconds: less for a VM with more processor.
     """
-    share = xxhash.xxh3_64_intdigest(name.encode()) % 1000 / 1000
-    return share * ownership.CLAIM_SPREAD_S
+    share = xxhash.xxh3_64_intdigest(process.name.encode()) % 1000 / 1000
+    cores = process.cpu_share * process.cores
+    lack = max(0.0, 1.0 - cores / ownership.LARGE_CORES)
+    return share * ownership.CLAIM_SPREAD_S + lack * ownership.SMALL_WAIT_S
 
 
 def describe(settings):
--- a/thornport/cell/orders.py
+++ b/thornport/cell/orders.py
@@ -20,6 +20,8 @@
 @carry_out.register
 def start_run(order: messages.StartOrder, session):
     """Tell a worker to start a run."""
+    if session.core.is_urgent_at(order.worker_id):
+        session.end_pause(order.worker_id)
     tasks.spawn(_start_run(order, session), "start-run")
 
 
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -16,6 +16,7 @@
 # what they could not tell, and calls are priced.
 WATCH_GAP_S = 0.3
 LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
+PATIENT_GAP_S = 0.25  # likewise, while nothing urgent runs there
 TICK_S = 0.1  # between looks at what is due
 RETRY_S = 0.1  # after a read that the store did not answer
 LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
@@ -57,6 +58,7 @@
         )
         self._followers = []
         self._hurried = set()
+        self._resting_by_worker = {}
         self._look_by_worker = {}
         self._ticker = None
         self._round = None
@@ -65,6 +67,8 @@
 
     def stop(self):
         """End this ownership; nothing is decided any more."""
+        for worker_id in list(self._resting_by_worker):
+            self.end_pause(worker_id)
         self.is_active = False
         self.is_deciding = False
         self._ledger.stop()
@@ -345,7 +349,7 @@
             await tasks.sleep(self._reactor, LOOK_RETRY_S)
             return
         if answer.ended:
-            await tasks.sleep(self._reactor, LOOK_GAP_S)
+            await self._pause(worker_id)
         patience_until = clock.read_monotonic() + ACK_PATIENCE_S
         while self.is_active and clock.read_monotonic() < patience_until:
             worker = self.core.workers_by_id.get(worker_id)
@@ -353,6 +357,23 @@
                 return
             await tasks.sleep(self._reactor, ACK_POLL_S)
 
+    async def _pause(self, worker_id):
+        """Let ends gather where nothing urgent runs."""
+        await tasks.sleep(self._reactor, LOOK_GAP_S)
+        if self.core.is_urgent_at(worker_id):
+            return
+        resting = self._resting_by_worker[worker_id] = defer.Deferred()
+        timer = self._reactor.callLater(PATIENT_GAP_S, self.end_pause, worker_id)
+        await resting
+        if timer.active():
+            timer.cancel()
+
+    def end_pause(self, worker_id):
+        """Look at a worker again: something urgent starts there, or it is time."""
+        resting = self._resting_by_worker.pop(worker_id, None)
+        if resting is not None:
+            resting.callback(None)
+
 
 def log_end(worker_id, end):
     """Log the end of a run."""
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -16,7 +16,10 @@
 # that urgent jobs still are in time after a takeover.
 LEASE_TTL_MS = 1000
 RENEW_PERIOD_S = 0.25  # three tries in a lease
-CLAIM_SPREAD_S = 0.08  # so that not all processes claim in the same instant
+CLAIM_SPREAD_S = 0.02  # so that not all processes claim in the same instant
+# The owner of a large cell needs the processor of a large VM, so small ones wait.
+SMALL_WAIT_S = 0.12
+LARGE_CORES = 2.0  # at which a VM waits for nobody
 RETRY_S = 0.2  # after a call that the store did not answer
 
 
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -16,10 +16,14 @@
     Attributes:
       name: A str, the same over restarts.
       hall: A str, its data hall.
+      cpu_share, cores: The share of a core that it has, and how many times as
+        fast that core runs: a VM with more processor owns the cell rather.
     """
 
     name: str
     hall: str
+    cpu_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
 class Listen(msgspec.Struct, frozen=True):
