--- /dev/null
+++ b/thornport/platform/platform_test.py
@@ -0,0 +1,342 @@
+"""Each message of the platform, decoded and encoded, without the platform."""
+
+import base64
+import unittest
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from returns import result
+
+from thornport.cell import messages
+from thornport.jobs import spec
+from thornport.kernel import httpcalls
+from thornport.platform import advice, config, jobs, store, workers
+from thornport.store import port, transactions
+
+STEP = messages.StepKey("5c0e7a21d94b36f8", 0, 1)
+TASK = messages.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+
+
+def answer(status, body):
+    """Make the answer to a call."""
+    return httpcalls.Answer(status, msgspec.json.encode(body))
+
+
+class FakeCalls:
+    """Answers every call alike and keeps what was asked."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.asked = []
+
+    async def call(self, address, method, path, body=b"", timeout_s=1.0, headers=()):
+        """Note the call and answer."""
+        self.asked.append((method, path, body, dict(headers)))
+        return self.outcome
+
+
+class FakeMetrics:
+    """Counts nothing."""
+
+    def count(self, name, step=1):
+        """Count."""
+
+
+def run(coroutine):
+    """Run a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as done:
+        return done.value
+    raise AssertionError("the call waits")
+
+
+class Jobs(unittest.TestCase):
+    """A job as callers write it."""
+
+    def test_every_field_finds_its_name(self):
+        body = {
+            "spec": "text",
+            "repeats": 3,
+            "start_at_ms": 1_700_000_000_000,
+            "interval_ms": 500,
+            "steps": [
+                {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 1, "gang": True},
+                {
+                    "count": 2,
+                    "after": [0],
+                    "est_runtime_ms": 900,
+                    "checkpointing": True,
+                    "same_rack": True,
+                    "constraints": "b",
+                    "affinity": "r1-3",
+                    "anti_affinity": 2,
+                    "speculative": True,
+                    "long_running": True,
+                    "image": "web",
+                    "target_ms": 40,
+                    "fills": True,
+                    "may_miss": 0,
+                },
+            ],
+        }
+        job = jobs.decode_job(msgspec.json.encode(body))
+        self.assertEqual(job.steps[0].demand, spec.Demand(500, 256, 1))
+        self.assertTrue(job.steps[0].gang)
+        wanted = spec.Step(
+            count=2,
+            demand=spec.Demand(),
+            estimate_ms=900,
+            after=(0,),
+            checkpoints=True,
+            same_rack=True,
+            label="b",
+            near_rack="r1-3",
+            max_per_worker=2,
+            copies_allowed=True,
+            lasting=True,
+            image="web",
+            tail_target_ms=40,
+            fills=True,
+            may_miss=0,
+        )
+        self.assertEqual(job.steps[1], wanted)
+        self.assertEqual((job.repeats, job.interval_ms), (3, 500))
+        self.assertEqual(job.first_at_ms, 1_700_000_000_000)
+
+    def test_faults_are_named_with_their_place(self):
+        for body, place in (
+            (b"{", "truncated"),
+            (b'{"spec":"x","steps":[]}', "steps"),
+            (b'{"spec":"x","steps":[{"count":"two"}]}', "$.steps[0].count"),
+            (b'{"spec":"x","steps":[{"count":1,"after":[0]}]}', "steps[0].after"),
+            (b'{"spec":"x","steps":[{"count":0}]}', "steps[0].count"),
+            (b'{"spec":"x","steps":[{"cpu":-1}]}', "$.steps[0].cpu"),
+        ):
+            with self.assertRaises(spec.SpecError) as raised:
+                jobs.decode_job(body)
+            self.assertIn(place, str(raised.exception))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_give_a_job_or_a_fault(self, body):
+        try:
+            jobs.decode_job(body)
+        except spec.SpecError:
+            return
+
+
+class Workers(unittest.TestCase):
+    """Workers' entries, orders and answers."""
+
+    def test_entry(self):
+        wire = {
+            "service": "press",
+            "address": "10.0.0.9:80",
+            "zone": "h1",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 2},
+            "labels": ["a", "r1-3"],
+            "clock_ms": 5,
+            "seq": 4,
+            "remaining_ms": 900,
+        }
+        entry = workers.decode_entry("i-1", msgspec.json.encode(wire))
+        self.assertEqual(entry.total, spec.Demand(16000, 32768, 2))
+        self.assertEqual((entry.hall, entry.rack), ("h1", "r1-3"))
+        self.assertEqual(entry.state, messages.WorkerState.DRAINING)
+        self.assertEqual(entry.leaves_in_ms, 900)
+
+    def test_look(self):
+        name = "5c0e7a21d94b36f8.0.1.17"
+        body = {
+            "clock_ms": 482113,
+            "running": [[name, 2, "cp", 41, 7]],
+            "ended": [[58, name, 1, "done", ""]],
+        }
+        calls = FakeCalls(result.Success(answer(200, body)))
+        client = workers.WorkerClient(calls, 0.2)
+        request = messages.HoldRequest("i-1", "10.0.0.9:80", 7, 486000, 57, 700)
+        held = run(client.hold(request))
+        self.assertEqual(held.running, [messages.RunningRow(TASK, 2, "cp", 41)])
+        done = messages.EndRow(58, TASK, 1, messages.EndKind.DONE, "")
+        self.assertEqual(held.ended, [done])
+        method, path, sent, headers = calls.asked[0]
+        self.assertEqual((method, path), ("POST", "/-/hold"))
+        self.assertEqual(headers, {"Thornport-Expect-Instance": "i-1"})
+        wanted = {
+            "fencing_token": 7,
+            "last_seen": 57,
+            "deadline_ms": 486000,
+            "wait_ms": 700,
+        }
+        self.assertEqual(msgspec.json.decode(sent), wanted)
+
+    def test_start(self):
+        calls = FakeCalls(result.Success(answer(200, {"clock_ms": 5})))
+        client = workers.WorkerClient(calls, 0.2)
+        order = messages.StartOrder(
+            "i-1", "10.0.0.9:80", TASK, 2, "text", 486000, 7, "cp", "c81e"
+        )
+        self.assertEqual(run(client.start(order)), messages.Done(5))
+        wanted = {
+            "task": "5c0e7a21d94b36f8.0.1.17",
+            "run": 2,
+            "spec": "text",
+            "deadline_ms": 486000,
+            "fencing_token": 7,
+            "checkpoint": "cp",
+            "ticket": "c81e",
+        }
+        self.assertEqual(msgspec.json.decode(calls.asked[0][2]), wanted)
+
+    def test_rejections(self):
+        for status, body, reason in (
+            (409, {"reason": "fence"}, messages.Rejection.FENCED),
+            (409, {"reason": "ticket"}, messages.Rejection.TICKET),
+            (421, {}, messages.Rejection.REPLACED),
+            (503, {}, messages.Rejection.UNHEALTHY),
+            (429, {}, messages.Rejection.UNHEALTHY),
+            (400, {}, messages.Rejection.INVALID),
+        ):
+            told = workers.decode_rejection(answer(status, body))
+            self.assertEqual(told, messages.Rejected(reason))
+        told = workers.decode_rejection(answer(409, {"reason": "other"}))
+        self.assertIsInstance(told, messages.Unanswered)
+
+    def test_calls_that_failed_say_whether_they_were_sent(self):
+        order = messages.StopOrder("i-1", "10.0.0.9:80", TASK, 2, 7)
+        for error, kind in (
+            (httpcalls.NotSent("refused"), messages.NotReached),
+            (httpcalls.NoAnswer("cut"), messages.Unanswered),
+        ):
+            client = workers.WorkerClient(FakeCalls(result.Failure(error)), 0.2)
+            self.assertIsInstance(run(client.stop(order)), kind)
+
+
+class Store(unittest.TestCase):
+    """The store's calls."""
+
+    def ask(self, outcome, call):
+        """Make a call that is answered so; returns its outcome and what was sent."""
+        calls = FakeCalls(outcome)
+        client = store.StoreClient(calls, "10.0.0.7:80", 0.5, FakeMetrics())
+        return run(call(client)), calls.asked[0]
+
+    def test_transaction(self):
+        transaction = transactions.Transaction(
+            [transactions.Condition("k", 0)], [transactions.Put("k", b"v", 9)], ["old"]
+        )
+        written, asked = self.ask(
+            result.Success(answer(200, {"rev": 412})), lambda c: c.commit(transaction)
+        )
+        self.assertEqual(written.unwrap(), 412)
+        wanted = {
+            "expected_rev": [{"key": "k", "rev": 0}],
+            "put": [{"key": "k", "value": "dg==", "lease": 9}],
+            "remove": ["old"],
+        }
+        self.assertEqual(msgspec.json.decode(asked[2]), wanted)
+
+    def test_failed_condition_gives_the_items(self):
+        items = [{"key": "k", "value": "dg==", "rev": 3, "made": 3, "lease": 0}]
+        refused, _ = self.ask(
+            result.Success(answer(412, {"items": items})),
+            lambda c: c.commit(transactions.Transaction()),
+        )
+        wanted = {"k": transactions.Item("k", b"v", 3)}
+        self.assertEqual(refused.failure().by_key, wanted)
+
+    def test_write_without_an_answer_is_ambiguous_and_a_read_is_not(self):
+        lost = result.Failure(httpcalls.NoAnswer("cut"))
+        written, _ = self.ask(lost, lambda c: c.commit(transactions.Transaction()))
+        self.assertIsInstance(written.failure(), port.Ambiguous)
+        read, _ = self.ask(lost, lambda c: c.read_key("k"))
+        self.assertIsInstance(read.failure(), port.Unavailable)
+
+    def test_refused_calls_did_nothing(self):
+        for status in (429, 503):
+            written, _ = self.ask(
+                result.Success(answer(status, {})),
+                lambda c: c.commit(transactions.Transaction()),
+            )
+            self.assertIsInstance(written.failure(), port.Unavailable)
+
+    def test_watch(self):
+        value = base64.b64encode(b"node-1").decode()
+        events = [
+            {"key": "a", "value": value, "rev": 412, "made": 412, "lease": 7},
+            {"key": "b", "rev": 413, "gone": True},
+        ]
+        body = {"events": events, "at": 413}
+        seen, asked = self.ask(
+            result.Success(answer(200, body)), lambda c: c.watch("p/", 411, 500)
+        )
+        wanted = [
+            transactions.Change("a", b"node-1", 412),
+            transactions.Change("b", None, 413),
+        ]
+        self.assertEqual(seen.unwrap(), transactions.Changes(wanted, 413))
+        self.assertEqual(asked[1], "/-/kv-watch?path_prefix=p%2F&after=411&wait_ms=500")
+        gone, _ = self.ask(
+            result.Success(answer(410, {})), lambda c: c.watch("p/", 1, 500)
+        )
+        self.assertIsInstance(gone.failure(), transactions.HistoryGone)
+
+    def test_lease_that_is_over(self):
+        over, asked = self.ask(
+            result.Success(answer(404, {})), lambda c: c.renew_lease(77)
+        )
+        self.assertIsInstance(over.failure(), transactions.LeaseGone)
+        self.assertEqual(asked[:2], ("POST", "/-/kv-keep/77"))
+
+
+class AdviceAndConfig(unittest.TestCase):
+    """Advice and the configuration."""
+
+    def test_advice(self):
+        body = {"good": [["i-1", "c81e"]], "valid_ms": 3000}
+        calls = FakeCalls(result.Success(answer(200, body)))
+        client = advice.AdviceClient(calls, "10.0.0.1:9")
+        request = messages.AdviceRequest(STEP, ("i-1", "i-2"))
+        told = run(client.advise(request, 1.0)).unwrap()
+        good = (messages.Ticket("i-1", "c81e"),)
+        self.assertEqual(told, messages.AdviceAnswer(good, 3000))
+        wanted = {"step": "5c0e7a21d94b36f8.0.1", "workers": ["i-1", "i-2"]}
+        self.assertEqual(msgspec.json.decode(calls.asked[0][2]), wanted)
+
+    def test_config(self):
+        wire = {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": "a.example",
+                    "path_prefix": "/p/",
+                    "kind": "non_idempotent",
+                    "timeout_ms": 3000,
+                    "target_latency_ms": 1000,
+                    "priority": 1,
+                    "service": "s",
+                    "max_attempts": 3,
+                    "stretch": 2.2,
+                    "advice": {"decide_ms": 8.0, "each_ms": 0.5, "valid_ms": 1500},
+                }
+            ],
+            "services": [{"name": "s", "rejects_overload": True}],
+            "limits": {"max_body_bytes": 1000},
+        }
+        decoded = config.decode_config(msgspec.json.encode(wire))
+        queue = decoded.queues[0]
+        self.assertEqual((queue.name, queue.service), ("r-1", "s"))
+        self.assertEqual((queue.max_attempts, queue.target_ms), (3, 1000))
+        self.assertEqual(queue.advice.worker_ms, 0.5)
+        self.assertEqual(decoded.guarded_services, {"s"})
+        self.assertEqual((decoded.version, decoded.max_body_bytes), (7, 1000))
+
+
+if __name__ == "__main__":
+    unittest.main()
