Ask earlier owners whether they ceased, instead of waiting out their time

Change: the head key names who wrote last and who has not ceased yet; a successor writes it before its first order and asks each of them; once all have said so, what they renewed last is over in 6.3 s. A silent worker is granted nothing after 1.5 s (2.5 before).

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -16,7 +16,9 @@
 # little, and urgent tasks are late after some tenths of a second.
 HOLD_WAIT_MS = 700
 IDLE_WAIT_MS = 2000  # where nothing runs there is little to hide; looks are priced
-GRANT_SILENCE_S = 2.5  # an idle look that waits and its time-out, 2.3 s, and a little
+GRANT_SILENCE_S = 1.5  # a look that waits and its time-out, 1.0 s, and a little
+# The longest lease by the slowest clock, and an order that was on its way.
+EARLIER_LEASE_S = HOLD_MS / 1000 / model.SLOWEST_CLOCK + 0.2
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -102,6 +104,19 @@
         self.needs_round = False
         self._wall_ms = 0
 
+    def end_earlier(self, now):
+        """Take that no earlier owner gives orders any more.
+
+        What it renewed last is over within the longest lease.
+
+        Args:
+          now: A float.
+        """
+        over_at = now + EARLIER_LEASE_S
+        self._earlier_over_at = min(self._earlier_over_at, over_at)
+        for worker in self.workers_by_id.values():
+            worker.unheard_until = min(worker.unheard_until, over_at)
+
     # What is told of configuration, workers and jobs.
 
     def take_config(self, config):
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -74,6 +74,8 @@
             self.owner.restore_progress(job_id, kept, self.now)
         for job_id in self.cancelled:
             self.owner.take_cancel(job_id, self.now)
+        # The earlier owner is no more; what it sent may still arrive.
+        self.owner.end_earlier(self.now)
 
     def list_worker(self, worker_id):
         """Show a worker in the store."""
@@ -279,6 +281,17 @@
         self.assertFalse(cut.active_by_key)
         self.assertLess(self.world.now - cut_at, 10.0)
 
+    def test_worker_lost_before_a_takeover_does_not_hold_its_task_for_long(self):
+        self.world.submit(make_job("f", make_step(1, 60, 60_000)))
+        self.world.run(1)
+        place = next(w for w in self.world.workers_by_id.values() if w.active_by_key)
+        self.world.crash(place.worker_id)
+        self.world.take_over()
+        taken_over_at = self.world.now
+        while not any(w.active_by_key for w in self.world.workers_by_id.values()):
+            self.world.step()
+            self.assertLess(self.world.now - taken_over_at, 7.0)
+
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
         self.world.run(0.2)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -380,6 +380,20 @@
             logs.log("cell-offered", token=session.core.token, to=address)
             self._bus.send(address, "", peering.Offer(session.core.token))
 
+    def answer_ceased(self, address, message):
+        """Tell a successor that this process gives no orders of its own."""
+        session = self._session
+        if session is not None and session.core.token < message.token:
+            session.lose("a successor asks")
+        if self._session is None:
+            self._bus.send(address, "", peering.Ceased(message.token))
+
+    def take_ceased(self, address, message):
+        """Take that an earlier owner has ceased."""
+        session = self._session
+        if session is not None and session.core.token == message.token:
+            session.take_ceased(address)
+
     def take_offer(self, message):
         """Take the offer of an owner, if the store answers us."""
         if self.has_store() and self.config is not None:
@@ -443,6 +457,18 @@
     daemon.take_offer(message)
 
 
+@take.register
+def take_ask_ceased(message: peering.AskCeased, daemon, address):
+    """A successor asks whether this process gives orders yet."""
+    daemon.answer_ceased(address, message)
+
+
+@take.register
+def take_ceased(message: peering.Ceased, daemon, address):
+    """An earlier owner gives no orders any more."""
+    daemon.take_ceased(address, message)
+
+
 @take.register(peering.RelayRead)
 @take.register(peering.RelayCommit)
 def relay(message, daemon, address):
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -5,6 +5,7 @@
 late one is never applied over a newer one.
 """
 
+import msgspec
 from returns import result
 from twisted.internet import defer
 
@@ -28,18 +29,41 @@
 USUAL_S = 0.005  # the store's usual answer, until measured
 
 
+class Head(msgspec.Struct, frozen=True):
+    """The value of the head key: who wrote last, and who may still give orders.
+
+    Attributes:
+      token: An int, the revision of the owner's key.
+      sequence: An int that rises with each transaction of this owner.
+      address: A str, where the owner takes messages.
+      earlier: Addresses of earlier owners that have not said that they ceased.
+    """
+
+    token: int
+    sequence: int
+    address: str
+    earlier: tuple[str, ...] = ()
+
+
 class Ledger:
-    """Writes the batches of one ownership."""
+    """Writes the batches of one ownership.
 
-    def __init__(self, reactor, store, token, metrics):
+    Attributes:
+      earlier: A tuple of str, as in Head; whoever ceases is taken out.
+    """
+
+    def __init__(self, reactor, store, token, address, metrics):
         """Begin.
 
         Args:
           reactor: Twisted's reactor.
           store: A store client.
           token: An int, the revision of the owner's key.
+          address: A str, where this process takes messages.
           metrics: A metrics.Metrics.
         """
+        self._address = address
+        self.earlier = ()
         self._reactor = reactor
         self._store = store
         self._token = token
@@ -66,8 +90,21 @@
         if isinstance(read, result.Failure):
             return False
         self._head_revision = read.unwrap().revision
+        last = decode_head(read.unwrap().value)
+        if last is not None:
+            self.earlier = tuple(dict.fromkeys((*last.earlier, last.address)))
         return True
 
+    async def register(self):
+        """Write the head before any order goes out.
+
+        A successor then knows whom to ask whether orders may still come.
+
+        Returns:
+          A bool, whether the key is ours.
+        """
+        return await self._commit(None) is not None
+
     async def write(self, make_batch, take_kept):
         """Write batches until stopped or until the key is not ours.
 
@@ -108,7 +145,9 @@
           the key is not ours any more.
         """
         self._sequence += 1
-        head = f"{self._token}:{self._sequence}".encode()
+        head = msgspec.json.encode(
+            Head(self._token, self._sequence, self._address, self.earlier)
+        )
         transaction = self._make_transaction(batch, head)
         began_at = clock.read_monotonic()
         outcomes = defer.DeferredQueue()
@@ -179,3 +218,20 @@
                     )
                 ]
         return transactions.Transaction(conditions, puts, removes)
+
+
+def decode_head(value):
+    """Decode the head key.
+
+    Args:
+      value: Bytes, empty when there is none.
+    Returns:
+      A Head or None.
+    """
+    if not value:
+        return None
+    try:
+        return msgspec.json.decode(value, type=Head)
+    except msgspec.MsgspecError as error:
+        logs.log("head-undecodable", reason=str(error))
+        return None
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -5,7 +5,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import core, ledger, messages, orders
+from thornport.cell import core, ledger, messages, orders, peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import watching
@@ -22,7 +22,8 @@
 LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
 ACK_PATIENCE_S = 0.3  # longest wait until ends are kept before the next look
 # An earlier owner renews this long without the store; then its leases lapse.
-EARLIER_OWNER_S = core.UNCONFIRMED_LIMIT_S + core.HOLD_MS / 1000 / 0.98 + 0.2
+EARLIER_OWNER_S = core.UNCONFIRMED_LIMIT_S + core.EARLIER_LEASE_S
+ASK_CEASED_S = 0.3  # between questions to earlier owners
 
 
 class OwnerSession:
@@ -51,7 +52,7 @@
         self.bus = bus
         self.metrics = metrics
         self._on_lost = on_lost
-        self._ledger = ledger.Ledger(reactor, ports.store, token, metrics)
+        self._ledger = ledger.Ledger(reactor, ports.store, token, bus.address, metrics)
         now = clock.read_monotonic()
         self.core = core.CellCore(
             token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
@@ -102,7 +103,7 @@
         workers_at = await self._read(self.ports.worker_prefix, self._take_workers)
         inbox_at = await self._read(record.INBOX_PREFIX, self._take_inbox)
         await self._read(record.PROGRESS_PREFIX, self._take_progress)
-        if not self.is_active:
+        if not self.is_active or not await self._ledger.register():
             return False
         self._cancel_kept()
         self._follow(self.ports.worker_prefix, workers_at, self._take_worker_change)
@@ -255,8 +256,34 @@
             self._reactor, TICK_S, self._tick, "tick"
         )
         tasks.spawn(self._write(), "write-records")
+        tasks.spawn(self._ask_earlier(), "ask-earlier-owners")
         self._tick()
 
+    async def _ask_earlier(self):
+        """Ask earlier owners until each has ceased, or its time is over."""
+        self.take_ceased(self.bus.address)
+        give_up_at = clock.read_monotonic() + EARLIER_OWNER_S
+        while self.is_active and self._ledger.earlier:
+            if clock.read_monotonic() > give_up_at:
+                logs.log("earlier-owners-silent", left=",".join(self._ledger.earlier))
+                self._ledger.earlier = ()
+                return
+            for address in self._ledger.earlier:
+                self.bus.send(address, "", peering.AskCeased(self.core.token))
+            await tasks.sleep(self._reactor, ASK_CEASED_S)
+
+    def take_ceased(self, address):
+        """Take that an earlier owner gives no orders any more.
+
+        Args:
+          address: A str, where it takes messages.
+        """
+        left = tuple(other for other in self._ledger.earlier if other != address)
+        self._ledger.earlier = left
+        if not left:
+            logs.log("earlier-owners-ceased", token=self.core.token)
+            self.core.end_earlier(clock.read_monotonic())
+
     async def _write(self):
         await self._ledger.write(self.core.make_batch, self._take_kept)
         self.lose("a transaction was refused")
--- a/thornport/cell/peering.py
+++ b/thornport/cell/peering.py
@@ -60,6 +60,22 @@
     token: int
 
 
+class AskCeased(codec.Message, frozen=True):
+    """To an earlier owner: does it give orders yet?
+
+    Attributes:
+      token: The token of the owner that asks.
+    """
+
+    token: int
+
+
+class Ceased(codec.Message, frozen=True):
+    """The answer: it gives none under a lower token, and never will."""
+
+    token: int
+
+
 class RelayRead(codec.Message, frozen=True):
     """To a peer: read a key of the store."""
 
@@ -165,6 +181,8 @@
     | Incoming
     | Kept
     | Offer
+    | AskCeased
+    | Ceased
     | RelayRead
     | RelayCommit
     | RelayedItem
