Give back the tasks of a worker that left as it said; keep filling work from serving

Cause: tasks at a worker that drained and ended waited 7.5 s for its leases. Work that fills beside work that serves can push that over its target.

Change: a worker that was draining, answered within 2.5 s, whose port refuses and whose entry is gone has ended; steps that fill and steps that serve users of their own never share a worker.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -10,6 +10,7 @@
 from thornport.cell import advising, messages, model, placing, progress
 from thornport.jobs import queue as queues
 from thornport.jobs import record
+from thornport.jobs import spec as specs
 
 HOLD_MS = 6000  # the longest lease that workers grant
 # A look that waits: one whose answer is lost hides ends for this long and a
@@ -19,6 +20,9 @@
 GRANT_SILENCE_S = 1.5  # a look that waits and its time-out, 1.0 s, and a little
 # The longest lease by the slowest clock, and an order that was on its way.
 EARLIER_LEASE_S = HOLD_MS / 1000 / model.SLOWEST_CLOCK + 0.2
+# An entry goes after three heartbeats of silence, 4.5 s; well below that, it went
+# because the worker ended.
+LEFT_S = 2.5
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
@@ -317,6 +321,8 @@
         if not isinstance(answer, messages.HoldAnswer):
             # Orders would fail as this look did; the next look clears it.
             worker.avoid_until = max(worker.avoid_until, now + AVOID_S)
+            if has_left(worker, answer, now):
+                self.end_worker(worker, now)
             return
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
@@ -369,11 +375,13 @@
     def _stop_unknown(self, worker, row, now):
         """A run of an earlier owner that no record names: it is not needed."""
         step = self._find_step(row.key)
-        demand = step.spec.demand if step is not None else worker.entry.total
+        # Of a job that is not known, it may take the whole worker.
+        unknown = specs.Step(1, worker.entry.total)
+        spec = step.spec if step is not None else unknown
         if row.key in worker.runs_by_key:
             return
         run = model.Run(
-            row.key, row.run, worker.worker_id, demand, model.RunState.RUNNING
+            row.key, row.run, worker.worker_id, spec, model.RunState.RUNNING
         )
         worker.add_run(run)
         self._stop_run(run, now)
@@ -707,7 +715,7 @@
                 key,
                 step.last_run,
                 assignment.worker_id,
-                step.spec.demand,
+                step.spec,
                 model.RunState.RECORDING,
             )
             step.live_by_index[assignment.index] = run
@@ -891,3 +899,26 @@
 
     def _mark(self, job):
         self.dirty[job.job_id] = None
+
+
+def has_left(worker, answer, now):
+    """Tell whether a worker has ended as it said it would.
+
+    It was draining, answered a moment ago, its port refuses now, and the store
+    does not list it: an entry of a worker that is merely silent stays longer.
+
+    Args:
+      worker: A model.Worker.
+      answer: A messages.NotReached or Unanswered.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    return (
+        isinstance(answer, messages.NotReached)
+        and answer.is_refused
+        and worker.is_heard
+        and not worker.is_listed
+        and worker.entry.state is messages.WorkerState.DRAINING
+        and now - worker.heard_at < LEFT_S
+    )
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -56,6 +56,7 @@
             for n in range(worker_count)
         }
         self.noted_done = set()
+        self.refusing = set()
         self.is_store_away = False
         self.owner = None
         self.take_over()
@@ -77,14 +78,14 @@
         # The earlier owner is no more; what it sent may still arrive.
         self.owner.end_earlier(self.now)
 
-    def list_worker(self, worker_id):
+    def list_worker(self, worker_id, state=messages.WorkerState.READY):
         """Show a worker in the store."""
         entry = messages.WorkerEntry(
             worker_id,
             f"10.0.0.{worker_id[1:]}:1",
             "press-desk",
             "h1",
-            messages.WorkerState.READY,
+            state,
             ROOM,
         )
         self.owner.take_worker(entry, self.now)
@@ -104,6 +105,11 @@
         del self.workers_by_id[worker_id]
         self.owner.drop_worker(worker_id)
 
+    def leave(self, worker_id):
+        """A worker ends as it said it would: its port refuses."""
+        self.crash(worker_id)
+        self.refusing.add(worker_id)
+
     def step(self):
         """Let a little time pass."""
         self.now += STEP_S
@@ -178,7 +184,9 @@
         if request is None:
             return
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or self.faults.draw(self.faults.lost):
+        if worker_id in self.refusing:
+            answer = messages.NotReached("refused", is_refused=True)
+        elif worker is None or self.faults.draw(self.faults.lost):
             answer = messages.Unanswered("lost")
         else:
             answer = worker.hold(request, self.now)
@@ -292,6 +300,28 @@
             self.world.step()
             self.assertLess(self.world.now - taken_over_at, 7.0)
 
+    def test_worker_that_left_as_it_said_gives_its_tasks_back_at_once(self):
+        self.world.submit(make_job("g", make_step(1, 60, 60_000)))
+        self.world.run(1)
+        place = next(w for w in self.world.workers_by_id.values() if w.active_by_key)
+        self.world.list_worker(place.worker_id, messages.WorkerState.DRAINING)
+        self.world.run(1)
+        self.world.leave(place.worker_id)
+        self.world.run(0.5)
+        live = [w.active_by_key for w in self.world.workers_by_id.values()]
+        self.assertTrue(any(live))
+
+    def test_work_that_fills_is_kept_from_work_that_serves(self):
+        fills = make_step(6, 2, 60_000, lasting=True, fills=True)
+        serves = make_step(2, 2, 60_000, lasting=True, tail_target_ms=40)
+        self.world.submit(make_job("h", serves))
+        self.world.run(0.5)
+        self.world.submit(make_job("i", fills))
+        self.world.run(0.5)
+        for worker in self.world.workers_by_id.values():
+            jobs = {key.job_id for key in worker.active_by_key}
+            self.assertLess(len(jobs), 2)
+
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
         self.world.run(0.2)
--- a/thornport/cell/messages.py
+++ b/thornport/cell/messages.py
@@ -170,9 +170,14 @@
 
 
 class NotReached(msgspec.Struct, frozen=True):
-    """The worker was not reached: nothing was done."""
+    """The worker was not reached: nothing was done.
+
+    Attributes:
+      is_refused: Whether its address refused the connection.
+    """
 
     reason: str
+    is_refused: bool = False
 
 
 class Unanswered(msgspec.Struct, frozen=True):
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -54,7 +54,7 @@
     key: messages.TaskKey
     run: int
     worker_id: str
-    demand: spec.Demand
+    step: spec.Step
     state: RunState
     ordered_at: float | None = None
     stop_confirmed_at: float | None = None
@@ -62,6 +62,11 @@
     percent: int = 0
     percent_at: float = 0.0
 
+    @property
+    def demand(self):
+        """The Demand that counts against the worker's room."""
+        return self.step.demand
+
 
 class Worker(msgspec.Struct, eq=False):
     """A life of a worker.
@@ -79,6 +84,8 @@
       seen_number, acked_number: Ends taken in; ends kept in the store.
       failures: An int, failed runs since one was done.
       avoid_until: A float; it gets no starts before.
+      filling_count, serving_count: Live runs that use what others leave, and
+        live runs that serve users of their own.
       pace_count, pace_log: Ends so far, and the mean logarithm of the time that
         a task took against its estimate.
     """
@@ -96,6 +103,8 @@
     acked_number: int = 0
     failures: int = 0
     avoid_until: float = 0.0
+    filling_count: int = 0
+    serving_count: int = 0
     pace_count: int = 0
     pace_log: float = 0.0
 
@@ -142,12 +151,16 @@
         """Count a run against the room."""
         self.runs_by_key[run.key] = run
         self.used = self.used.add(run.demand)
+        self.filling_count += run.step.fills
+        self.serving_count += run.step.tail_target_ms > 0
 
     def remove_run(self, run):
         """Free the room of a run."""
         if self.runs_by_key.get(run.key) is run:
             del self.runs_by_key[run.key]
             self.used = self.used.subtract(run.demand)
+            self.filling_count -= run.step.fills
+            self.serving_count -= run.step.tail_target_ms > 0
 
 
 class StepState(msgspec.Struct, eq=False):
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -24,6 +24,11 @@
     """
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return False
+    # Filling work disturbs serving work by unknown amounts: they stay apart.
+    if step.spec.fills and worker.serving_count:
+        return False
+    if step.spec.tail_target_ms and worker.filling_count:
+        return False
     return is_taking(worker, now)
 
 
--- a/thornport/cell/progress.py
+++ b/thornport/cell/progress.py
@@ -89,7 +89,7 @@
     for live in kept.live:
         key = messages.TaskKey(job.job_id, kept.time, kept.step, live.index)
         step.live_by_index[live.index] = model.Run(
-            key, live.run, live.worker_id, step.spec.demand, model.RunState.UNHEARD
+            key, live.run, live.worker_id, step.spec, model.RunState.UNHEARD
         )
     if kept.all_done:
         step.waiting.clear()
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -12,7 +12,7 @@
 import msgspec
 from returns import result
 from twisted.internet import defer, protocol
-from twisted.internet.error import ConnectionAborted
+from twisted.internet.error import ConnectionAborted, ConnectionRefusedError
 
 CONNECT_TIMEOUT_S = 1.0  # links have delays of milliseconds; a silent peer is cut
 
@@ -31,7 +31,13 @@
 
 
 class NotSent(CallError, frozen=True):
-    """No byte of the request left, so the server has done nothing."""
+    """No byte of the request left, so the server has done nothing.
+
+    Attributes:
+      is_refused: Whether the address refused the connection.
+    """
+
+    is_refused: bool = False
 
 
 class NoAnswer(CallError, frozen=True):
@@ -187,7 +193,8 @@
         try:
             opened = await creator.connectTCP(host, int(port), timeout=timeout_s)
         except Exception as error:
-            return result.Failure(NotSent(f"not connected: {error}"))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return result.Failure(NotSent(f"not connected: {error}", is_refused))
         return result.Success(opened)
 
     def forget(self, address):
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -244,7 +244,7 @@
             return called.unwrap()
         error = called.failure()
         if isinstance(error, httpcalls.NotSent):
-            return messages.NotReached(error.reason)
+            return messages.NotReached(error.reason, error.is_refused)
         return messages.Unanswered(error.reason)
 
 
