Let steps that no worker may run hold up no others

Cause: a round tried the 80 foremost steps, so as many that can't be placed (a label that no worker has, more processors than any) stopped all placement.

Ruled out: advice (none was open), tickets, a dead owner (it logged on).

Change: workers are listed once a round for each kind of step; what fits nowhere by the most room costs a comparison and does not count; filling and serving work is kept apart within a round too.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -27,7 +27,7 @@
 # An owner that can't confirm that it is the owner stops renewing after this;
 # longer than the store's outages that the users list (9 s).
 UNCONFIRMED_LIMIT_S = 10.0
-ROUND_STEPS = 80  # steps looked at in a round, to bound its processor time
+ROUND_STEPS = 80  # steps tried in a round, to bound its processor time
 BATCH_JOBS = 28  # of a transaction's 32 entries, two are conditions, one the head
 SUSPECT_FAILURES = 2  # failed runs in a row that make a worker suspect
 SUSPECT_S = 4.0  # how long it gets no starts then
@@ -600,8 +600,21 @@
     def place(self, now):
         """Start what can start, the foremost steps first."""
         self.needs_round = False
-        for job, step in self._list_ready()[:ROUND_STEPS]:
-            self._place_step(job, step, now)
+        candidates_by_kind = {}
+        tried = 0
+        for job, step in self._list_ready():
+            queue = self._queue_of(job)
+            kind = (queue.service, placing.read_kind(step))
+            if kind not in candidates_by_kind:
+                allowed = self._list_allowed(step, queue, now)
+                candidates_by_kind[kind] = placing.Candidates(allowed)
+            candidates = candidates_by_kind[kind]
+            # What no worker has room for costs a comparison, and holds up nothing.
+            if candidates.may_hold(step.spec.demand):
+                self._place_step(job, step, queue, candidates.workers, now)
+                tried += 1
+            if tried >= ROUND_STEPS:
+                return
 
     def _list_ready(self):
         ready = []
@@ -620,9 +633,7 @@
             for number in step.spec.after
         )
 
-    def _place_step(self, job, step, now):
-        queue = self._queue_of(job)
-        allowed = self._list_allowed(step, queue, now)
+    def _place_step(self, job, step, queue, allowed, now):
         if queue.advice is None:
             self._start_step(job, step, allowed, now)
             return
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -315,12 +315,23 @@
         fills = make_step(6, 2, 60_000, lasting=True, fills=True)
         serves = make_step(2, 2, 60_000, lasting=True, tail_target_ms=40)
         self.world.submit(make_job("h", serves))
-        self.world.run(0.5)
         self.world.submit(make_job("i", fills))
         self.world.run(0.5)
+        self.world.submit(make_job("j", fills))
+        self.world.run(0.5)
         for worker in self.world.workers_by_id.values():
             jobs = {key.job_id for key in worker.active_by_key}
-            self.assertLess(len(jobs), 2)
+            self.assertFalse("h" in jobs and len(jobs) > 1)
+
+    def test_steps_that_no_worker_may_run_hold_up_no_others(self):
+        for number in range(core.ROUND_STEPS + 10):
+            step = make_step(1, 1, 100, label="no worker has this")
+            self.world.submit(make_job(f"n{number}", step))
+            too_large = make_step(1, 100, 100)
+            self.world.submit(make_job(f"l{number}", too_large))
+        self.world.submit(make_job("plain", make_step(1, 1, 100)))
+        self.world.run(2)
+        self.assertEqual(self.world.read_states()["plain"], "succeeded")
 
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -12,6 +12,51 @@
     worker_id: str
 
 
+class Candidates:
+    """The workers that steps of one kind may use, and the most room of any.
+
+    Attributes:
+      workers: A list of model.Worker.
+    """
+
+    __slots__ = ("_memory_mb", "_millicores", "workers")
+
+    def __init__(self, workers):
+        """Look at the room of each once.
+
+        Args:
+          workers: A list of model.Worker.
+        """
+        self.workers = workers
+        frees = [worker.compute_free() for worker in workers]
+        self._millicores = max((free.millicores for free in frees), default=-1)
+        self._memory_mb = max((free.memory_mb for free in frees), default=-1)
+
+    def may_hold(self, demand):
+        """Tell whether a task could fit, by the most room that there was.
+
+        Args:
+          demand: A spec.Demand.
+        Returns:
+          A bool; true does not mean that one worker has room for all of it.
+        """
+        return (
+            demand.millicores <= self._millicores
+            and demand.memory_mb <= self._memory_mb
+        )
+
+
+def read_kind(step):
+    """What `is_allowed` depends on of a step.
+
+    Args:
+      step: A model.StepState.
+    Returns:
+      A tuple that is equal for steps that the same workers may run.
+    """
+    return step.spec.label, step.spec.fills, step.spec.tail_target_ms > 0
+
+
 def is_allowed(step, worker, now):
     """Tell whether a worker may get tasks of a step at all.
 
@@ -24,12 +69,23 @@
     """
     if step.spec.label and step.spec.label not in worker.entry.labels:
         return False
-    # Filling work disturbs serving work by unknown amounts: they stay apart.
-    if step.spec.fills and worker.serving_count:
-        return False
-    if step.spec.tail_target_ms and worker.filling_count:
-        return False
-    return is_taking(worker, now)
+    return not disturbs(step, worker) and is_taking(worker, now)
+
+
+def disturbs(step, worker):
+    """Tell whether a step and what runs at a worker must stay apart.
+
+    Filling work disturbs serving work by amounts that are not known.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+    Returns:
+      A bool.
+    """
+    if step.spec.fills:
+        return worker.serving_count > 0
+    return step.spec.tail_target_ms > 0 and worker.filling_count > 0
 
 
 def is_taking(worker, now):
@@ -94,7 +150,8 @@
     free_by_id = {}
     for worker in workers:
         free = worker.compute_free()
-        if demand.fits(free):
+        # The workers were listed before others of this round were placed.
+        if demand.fits(free) and not disturbs(step, worker):
             free_by_id[worker.worker_id] = free
     held_by_id = count_held(step)
     preference_by_id = {
