--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """`python -m bench` runs every measurement but the slopes of capacity."""
 
-from bench import requests, tiers
+from bench import cell, requests, tiers
 
 if __name__ == "__main__":
     requests.main()
     tiers.main()
+    cell.main()
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -155,7 +155,12 @@
             return
         known = self.core.workers_by_id.get(worker_id)
         if known is None or known.entry.state is not entry.state:
-            logs.log("worker-listed", worker=worker_id, state=entry.state.value)
+            logs.log(
+                "worker-listed",
+                worker=worker_id,
+                state=entry.state.value,
+                labels=",".join(sorted(entry.labels)),
+            )
         self.core.take_worker(entry, clock.read_monotonic())
 
     def _take_worker_change(self, change):
