Move tasks that stand still; keep new ones from their worker for a while

Cause: tasks at a worker on which all stand still waited until it went on, and new ones joined them: nothing but ends was looked at.

Change: when no run at a worker has made progress for 1.5 s, it gets nothing for 3 s, then longer, and its runs that are no gang's are stopped and start elsewhere.

--- a/standins/leased_worker.py
+++ b/standins/leased_worker.py
@@ -15,14 +15,20 @@
 
 
 class Active(msgspec.Struct):
-    """A run that is live here; `ends_at_ms` is on this worker's clock."""
+    """A run that is live here; its times are on this worker's clock."""
 
     key: messages.TaskKey
     run: int
     demand: spec.Demand
+    began_at_ms: int
     ends_at_ms: int
     fails: bool
 
+    def read_percent(self, clock_ms):
+        """Its progress, an int."""
+        whole_ms = max(1, self.ends_at_ms - self.began_at_ms)
+        return min(99, 100 * (clock_ms - self.began_at_ms) // whole_ms)
+
 
 class LeasedWorker:
     """One life of a worker.
@@ -31,6 +37,8 @@
       started: Triples of TaskKey, run and time, each start that was done.
       over_room: An int, starts that took it past its room.
       noted_done: TaskKeys of ends `done` that it was told are seen.
+      hung_at_ms: An int of its clock from when all its tasks stand still; None
+        when they do not.
     """
 
     def __init__(self, worker_id, total, clock_rate=1.0):
@@ -53,6 +61,7 @@
         self.started = []
         self.over_room = 0
         self.noted_done = set()
+        self.hung_at_ms = None
 
     def read_clock_ms(self, now):
         """The worker's clock at a time in seconds."""
@@ -62,13 +71,23 @@
         """Let runs end that are due, and kill all when the lease is over."""
         clock_ms = self.read_clock_ms(now)
         for active in sorted(self.active_by_key.values(), key=lambda a: a.ends_at_ms):
-            if active.ends_at_ms <= min(clock_ms, self._deadline_ms):
+            if active.ends_at_ms <= min(
+                self._read_work_ms(clock_ms), self._deadline_ms
+            ):
                 kind = messages.EndKind.FAILED if active.fails else None
                 self._end(active, kind or messages.EndKind.DONE)
         if clock_ms >= self._deadline_ms:
             for active in list(self.active_by_key.values()):
                 self._end(active, messages.EndKind.LAPSED)
 
+    def hang(self, now):
+        """Let all tasks stand still from now on."""
+        self.hung_at_ms = self.read_clock_ms(now)
+
+    def _read_work_ms(self, clock_ms):
+        """The clock by which tasks make progress."""
+        return clock_ms if self.hung_at_ms is None else self.hung_at_ms
+
     def _end(self, active, kind):
         del self.active_by_key[active.key]
         self._bar(active.key, active.run)
@@ -116,7 +135,7 @@
         if order.run <= self._barred_by_key.get(order.key, 0) or active is not None:
             return messages.Rejected(messages.Rejection.OLD)
         self.active_by_key[order.key] = Active(
-            order.key, order.run, demand, clock_ms + run_ms, fails
+            order.key, order.run, demand, clock_ms, clock_ms + run_ms, fails
         )
         self.started.append((order.key, order.run, now))
         used = spec.Demand()
@@ -153,7 +172,12 @@
                 self.noted_done.add(row.key)
         self.ended = [row for row in self.ended if row.number > request.last_seen]
         running = [
-            messages.RunningRow(active.key, active.run, "", 0)
+            messages.RunningRow(
+                active.key,
+                active.run,
+                "",
+                max(0, active.read_percent(self._read_work_ms(clock_ms))),
+            )
             for active in self.active_by_key.values()
         ]
         return messages.HoldAnswer(clock_ms, running, list(self.ended))
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -31,6 +31,10 @@
 BATCH_JOBS = 28  # of a transaction's 32 entries, two are conditions, one the head
 SUSPECT_FAILURES = 2  # failed runs in a row that make a worker suspect
 SUSPECT_S = 4.0  # how long it gets no starts then
+# Tasks whose percent has not changed for so long stand still: the longest task of
+# the users changes every 0.2 s, and a look waits for 0.7 s at most.
+STALLED_S = 1.5
+MAX_STALL_AVOID_S = 6.0  # for a worker on which one task after the other stood still
 AVOID_S = 0.5  # after an order that a worker did not take
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
 INCOMING_S = 5.0  # a job that is not accepted by then was refused
@@ -352,10 +356,36 @@
                 self._take_present(run, row, now)
         for row in rows_by_key.values():
             self._stop_unknown(worker, row, now)
+        self._judge_progress(worker, now)
+
+    def _judge_progress(self, worker, now):
+        """Move tasks from a worker on which all stand still."""
+        running = [
+            run
+            for run in worker.runs_by_key.values()
+            if run.state is model.RunState.RUNNING
+            # A gang's member waits for the others before it makes progress.
+            and (run.percent > 0 or not run.step.gang)
+            and not run.step.lasting
+        ]
+        if any(now - run.percent_at <= STALLED_S for run in running):
+            if any(run.percent > 0 for run in running):
+                worker.stalls = 0
+            return
+        if not running:
+            return
+        worker.stalls += 1
+        avoid_s = min(MAX_STALL_AVOID_S, STALLED_S * 2**worker.stalls)
+        worker.avoid_until = max(worker.avoid_until, now + avoid_s)
+        for run in running:
+            # A gang would lose the work of all its members.
+            if not run.step.gang:
+                self._stop_run(run, now)
 
     def _take_present(self, run, row, now):
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
+            run.percent_at = now
             job = self.jobs_by_id.get(run.key.job_id)
             if job is not None and job.is_over():
                 self._stop_run(run, now)
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -333,6 +333,21 @@
         self.world.run(2)
         self.assertEqual(self.world.read_states()["plain"], "succeeded")
 
+    def test_tasks_that_stand_still_go_to_another_worker(self):
+        self.world.submit(make_job("k", make_step(2, 30, 4000)))
+        self.world.run(1)
+        hung = next(w for w in self.world.workers_by_id.values() if w.active_by_key)
+        hung.hang(self.world.now)
+        self.world.run(3)
+        self.assertFalse(hung.active_by_key)
+        others = self.world.workers_by_id.values()
+        self.assertEqual(sum(len(w.active_by_key) for w in others), 2)
+        # It gets little as long as what it was given stood still.
+        for number in range(20):
+            self.world.submit(make_job(f"k{number}", make_step(1, 1, 200)))
+            self.world.run(0.2)
+        self.assertLess(len(hung.started), 2 + 10)
+
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
         self.world.run(0.2)
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -83,6 +83,7 @@
         earlier owner started is over then.
       seen_number, acked_number: Ends taken in; ends kept in the store.
       failures: An int, failed runs since one was done.
+      stalls: An int, how often all its tasks stood still since any went on.
       avoid_until: A float; it gets no starts before.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
@@ -102,6 +103,7 @@
     seen_number: int = 0
     acked_number: int = 0
     failures: int = 0
+    stalls: int = 0
     avoid_until: float = 0.0
     filling_count: int = 0
     serving_count: int = 0
