Test the owner's writing and the notice of a store that is away

Change: tests of the ledger against lost answers, refusals, late copies and a lost key, and of when the store counts as away.

--- /dev/null
+++ b/thornport/cell/ledger_test.py
@@ -0,0 +1,155 @@
+"""Records are kept once, whatever becomes of the answers."""
+
+import unittest
+
+from returns import result
+from twisted.internet import defer, task
+
+from standins import transaction_store
+from thornport.cell import core, ledger, ownership
+from thornport.jobs import record
+from thornport.kernel import metrics, tasks
+from thornport.store import port, transactions
+
+TOKEN_VALUE = "owner"
+
+
+class FakeStore:
+    """A store whose answers are lost, or that refuses, as told."""
+
+    def __init__(self):
+        self.kept = transaction_store.TransactionStore()
+        self.token = self.kept.commit([], [(ownership.OWNER_KEY, TOKEN_VALUE, 0)], [])
+        self.lost_answers = 0
+        self.refusals = 0
+        self.held = []
+        self.hold_next = 0
+        self.commits = 0
+
+    async def read_key(self, key):
+        """Read a key."""
+        item = self.kept.by_key.get(key)
+        if item is None:
+            return result.Success(transactions.Item(key, b"", 0))
+        return result.Success(transactions.Item(key, item.value, item.rev))
+
+    async def commit(self, transaction):
+        """Apply a transaction, unless it is to be held back."""
+        self.commits += 1
+        if self.refusals:
+            self.refusals -= 1
+            return result.Failure(port.Unavailable("status 503"))
+        if self.hold_next:
+            self.hold_next -= 1
+            self.held.append(transaction)
+            return await defer.Deferred()
+        return await self.answer(self.apply(transaction))
+
+    async def answer(self, outcome):
+        """Answer, unless the answer is to be lost."""
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return await defer.Deferred()
+        return outcome
+
+    def apply(self, transaction):
+        """Apply a transaction now; returns a Result."""
+        conditions = [(c.key, c.revision) for c in transaction.conditions]
+        puts = [(put.key, put.value, put.lease_id) for put in transaction.puts]
+        revision = self.kept.commit(conditions, puts, transaction.removes)
+        if revision is not None:
+            return result.Success(revision)
+        by_key = {}
+        for key, _ in conditions:
+            item = self.kept.by_key.get(key)
+            if item is not None:
+                by_key[key] = transactions.Item(key, item.value, item.rev)
+        return result.Failure(transactions.Refused("a condition failed", by_key))
+
+
+class LedgerCase(unittest.TestCase):
+    """A ledger that writes batches to a faulty store."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = FakeStore()
+        self.batches = []
+        self.kept = []
+        self.ended = []
+        self.ledger = ledger.Ledger(
+            self.clock, self.store, self.store.token, "10.0.0.1:1", metrics.Metrics()
+        )
+
+    def write(self, *job_ids):
+        """Write batches of one job each, and let time pass."""
+        self.batches = [
+            core.Batch({job_id: job_id.encode()}, [], [], {}, []) for job_id in job_ids
+        ]
+        tasks.spawn(self.run_ledger(), "ledger")
+        for _ in range(400):
+            self.clock.advance(0.01)
+
+    async def run_ledger(self):
+        """Write until there is nothing left or the key is lost."""
+        await self.ledger.read_head()
+        await self.ledger.write(
+            lambda: self.batches.pop(0) if self.batches else None,
+            lambda batch, sent_at: self.kept.append(batch),
+        )
+        self.ended.append(True)
+
+    def read_value(self, job_id):
+        """The record of a job in the store."""
+        return self.store.kept.by_key[record.PROGRESS_PREFIX + job_id].value
+
+    def list_kept(self):
+        """The job ids of the batches that were told as kept."""
+        return [next(iter(b.progress_by_job)) for b in self.kept if b is not None]
+
+
+class Ledger(LedgerCase):
+    """Writing through faults."""
+
+    def test_batches_are_kept_in_order(self):
+        self.write("a", "b", "c")
+        self.assertEqual(self.list_kept(), ["a", "b", "c"])
+        self.assertEqual(self.read_value("b"), b"b")
+
+    def test_lost_answer_is_resolved_by_sending_again(self):
+        self.store.lost_answers = 1
+        self.write("a", "b")
+        self.assertEqual(self.list_kept(), ["a", "b"])
+        self.assertEqual(self.ended, [])
+
+    def test_refused_call_is_sent_again(self):
+        self.store.refusals = 3
+        self.write("a")
+        self.assertEqual(self.list_kept(), ["a"])
+
+    def test_late_copy_is_not_applied_over_a_newer_record(self):
+        self.store.hold_next = 1
+        self.write("a", "a2")
+        late = self.store.held[0]
+        outcome = self.store.apply(late)
+        self.assertIsInstance(outcome.failure(), transactions.Refused)
+        self.assertEqual(self.list_kept(), ["a", "a2"])
+
+    def test_lost_key_ends_the_ledger_and_keeps_nothing_more(self):
+        self.store.kept.commit([], [(ownership.OWNER_KEY, "successor", 0)], [])
+        self.write("a")
+        self.assertEqual(self.list_kept(), [])
+        self.assertEqual(self.ended, [True])
+
+    def test_successor_learns_whom_to_ask(self):
+        self.write("a")
+        key = ownership.OWNER_KEY
+        token = self.store.kept.commit([], [(key, "successor", 0)], [])
+        successor = ledger.Ledger(
+            self.clock, self.store, token, "10.0.0.2:1", metrics.Metrics()
+        )
+        tasks.spawn(successor.read_head(), "read-head")
+        self.assertEqual(successor.earlier, ("10.0.0.1:1",))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/thornport/store/health_test.py
@@ -0,0 +1,82 @@
+"""When the store counts as away."""
+
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import defer
+
+from thornport.kernel import clock, tasks
+from thornport.store import health, port, transactions
+
+
+class FakeStore:
+    """Answers when told."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def read_key(self, key):
+        """Read a key, some time."""
+        self.waiting.append(defer.Deferred())
+        return self.waiting[-1]
+
+    def answer(self, outcome):
+        """Answer the oldest call."""
+        self.waiting.pop(0).callback(outcome)
+
+
+class Away(unittest.TestCase):
+    """Calls that are answered, fail, or stay open."""
+
+    def setUp(self):
+        self.now = 50.0
+        patched = mock.patch.object(clock, "read_monotonic", lambda: self.now)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.fake = FakeStore()
+        self.store = health.CheckedStore(self.fake)
+
+    def call(self):
+        """Make a call."""
+        tasks.spawn(self.store.read_key("k"), "call")
+
+    def fail(self):
+        """Fail the oldest call."""
+        self.fake.answer(result.Failure(port.Unavailable("status 503")))
+
+    def succeed(self):
+        """Answer the oldest call."""
+        self.fake.answer(result.Success(transactions.Item("k", b"", 0)))
+
+    def test_one_refused_call_is_not_enough(self):
+        self.call()
+        self.fail()
+        self.assertFalse(self.store.is_away())
+
+    def test_failing_for_a_while_is_away_until_one_is_answered(self):
+        self.call()
+        self.fail()
+        self.now += health.AWAY_S + 0.01
+        self.assertTrue(self.store.is_away())
+        self.call()
+        self.succeed()
+        self.assertFalse(self.store.is_away())
+
+    def test_open_call_is_away_after_a_while(self):
+        self.call()
+        self.assertFalse(self.store.is_away())
+        self.now += health.SILENT_S + 0.01
+        self.assertTrue(self.store.is_away())
+
+    def test_open_call_does_not_count_while_others_are_answered(self):
+        self.call()
+        self.call()
+        self.now += health.SILENT_S + 0.01
+        self.fake.waiting.reverse()
+        self.succeed()
+        self.assertFalse(self.store.is_away())
+
+
+if __name__ == "__main__":
+    unittest.main()
