--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,7 +1,8 @@
 """A stand-in for the users' platform: store, workers and advice, one process.
 
 It speaks the platform's published interface. `POST /faults` on the store's
-address sets what goes wrong: `away` (silent to all), `lose_writes` (apply, then
+address sets what goes wrong: `away` (silent to all; what came meanwhile is done
+once it is back), `lose_writes` (apply, then
 say nothing), `forgets` (the history goes). `POST /crash` replaces a worker by
 another life. `GET /seen` tells what the workers saw.
 """
@@ -48,6 +49,7 @@
         self.store = transaction_store.TransactionStore()
         self.faults = Faults()
         self.changed = []
+        self.held = []
         self.workers_by_id = {}
         self.twice = []
         self.unknown = []
@@ -124,8 +126,11 @@
     store = platform.store
 
     async def hold():
-        if platform.faults.away:
-            await defer.Deferred()
+        # What came while the store was away is carried out when it is back.
+        while platform.faults.away:
+            waiter = defer.Deferred()
+            platform.held.append(waiter)
+            await waiter
 
     @app.route("/-/kv-key", methods=["GET"])
     async def read_key(request):
@@ -207,6 +212,9 @@
         platform.faults = msgspec.json.decode(request.content.read(), type=Faults)
         if platform.faults.forgets:
             store.forget_history()
+        held, platform.held = platform.held, []
+        for waiter in held:
+            call_once(waiter)
         return b"{}"
 
     @app.route("/crash", methods=["POST"])
