Show a job with a gang on the users' platform in the demo

Cause: the main job of the demo knew nothing of the new path.

Change: two schedulers on the stand-in platform run a gang and a step after it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: setup demo test lint bench capacity
+.PHONY: setup demo test lint bench capacity soak
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -26,3 +26,6 @@
 
 capacity: setup
 	$(BIN)/python -m bench.capacity
+
+soak: setup
+	$(BIN)/python -m soak --count 10
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from tests import harness
+from tests import harness, schedulers
 
 REQUESTS = 20
 
@@ -14,6 +14,11 @@
         show(cell)
     finally:
         cell.close()
+    cell = schedulers.Schedulers(2)
+    try:
+        show_jobs(cell)
+    finally:
+        cell.close()
 
 
 def show(cell):
@@ -43,5 +48,15 @@
     print(f"job edition: {len(job['tasks'])} tasks finished on worker-1")
 
 
+def show_jobs(cell):
+    """Hand in a job with a gang and a step after it, and say what happened."""
+    print("started: the users' platform (store, 3 workers, advice), 2 schedulers")
+    job_id, status = cell.submit(cell.names[0], schedulers.make_job(4, gang=True))
+    print(f"job {job_id}: accepted with {status}, a gang of 4 and a step after it")
+    cell.wait_state(cell.names[1], job_id, "succeeded")
+    starts = [task for task, _, _ in cell.read_seen()["starts"]]
+    print(f"job {job_id}: succeeded, as the other scheduler says too; starts: {starts}")
+
+
 if __name__ == "__main__":
     main()
--- a/tests/path_test.py
+++ b/tests/path_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bench import demo
-from tests import harness
+from tests import harness, schedulers
 
 
 class WholePath(unittest.TestCase):
@@ -13,3 +13,8 @@
         cell = harness.Cell()
         self.addCleanup(cell.close)
         demo.show(cell)
+
+    def test_job_on_the_users_platform(self):
+        cell = schedulers.Schedulers(2)
+        self.addCleanup(cell.close)
+        demo.show_jobs(cell)
