Part the owner's looks and its following of the store from its session

One class led the ownership, sent the looks at workers and read and followed the store's keys. Looks are now in looks.Looks, keys in following.Following; the session keeps the beginning, the rounds and the end, and the method that picked a callback by prefix is gone.

--- /dev/null
+++ b/thornport/cell/following.py
@@ -0,0 +1,186 @@
+"""Following what the store keeps of a cell: workers, jobs, cancels and progress.
+
+All is read once at the beginning, and the progress of jobs only then: it is
+this owner that writes it afterwards.
+"""
+
+from returns import result
+
+from thornport.jobs import record
+from thornport.kernel import clock, logs, tasks
+from thornport.store import watching
+
+# Between answers of a watch: peers tell of jobs at once, so the watch is for
+# what they could not tell, and calls are priced.
+WATCH_GAP_S = 0.3
+RETRY_S = 0.1  # after a read that the store did not answer
+
+
+class Following:
+    """Reads the keys of a cell, follows them, and tells the core of each."""
+
+    def __init__(self, reactor, session):
+        """Begin; nothing is read yet.
+
+        Args:
+          reactor: Twisted's reactor.
+          session: The owner.OwnerSession whose core is told.
+        """
+        self._reactor = reactor
+        self._session = session
+        self._core = session.core
+        self._ports = session.ports
+        self._followers = []
+        self._kept_cancels = []
+        self._workers_at = None
+        self._inbox_at = None
+
+    async def read(self):
+        """Read all that is kept, until the store has answered."""
+        self._workers_at = await self._read(
+            self._ports.worker_prefix, self._take_workers
+        )
+        self._inbox_at = await self._read(record.INBOX_PREFIX, self._take_inbox)
+        await self._read(record.PROGRESS_PREFIX, self._take_progress)
+
+    def follow(self):
+        """Follow the keys from where they were read."""
+        self._cancel_kept()
+        self._follow(
+            self._ports.worker_prefix,
+            self._workers_at,
+            self._take_workers,
+            self._take_worker_change,
+        )
+        self._follow(
+            record.INBOX_PREFIX,
+            self._inbox_at,
+            self._take_inbox,
+            self._take_inbox_change,
+        )
+
+    def stop(self):
+        """Follow no more."""
+        for follower in self._followers:
+            follower.stop()
+
+    async def _read(self, prefix, take_items):
+        while self._session.is_active:
+            read = await watching.read_prefix(self._ports.store, prefix)
+            if isinstance(read, result.Success):
+                items, at = read.unwrap()
+                take_items(items)
+                return at
+            await tasks.sleep(self._reactor, RETRY_S)
+        return None
+
+    def _follow(self, prefix, at, take_all, take_change):
+        follower = watching.Follower(
+            self._reactor,
+            self._ports.store,
+            prefix,
+            take_all,
+            take_change,
+            WATCH_GAP_S,
+        )
+        self._followers.append(follower)
+        tasks.spawn(follower.follow(at), f"follow {prefix}")
+
+    # Workers.
+
+    def _take_workers(self, items):
+        listed = set()
+        for item in items:
+            listed.add(item.key.removeprefix(self._ports.worker_prefix))
+            self._take_worker(item.key, item.value)
+        self._core.keep_listed(listed)
+        self._session.pump()
+
+    def _take_worker(self, key, value):
+        worker_id = key.removeprefix(self._ports.worker_prefix)
+        try:
+            entry = self._ports.decode_worker(worker_id, value)
+        except self._ports.decode_errors as error:
+            logs.log("worker-entry-undecodable", worker=worker_id, reason=str(error))
+            return
+        known = self._core.workers_by_id.get(worker_id)
+        if known is None or known.entry.state is not entry.state:
+            logs.log(
+                "worker-listed",
+                worker=worker_id,
+                state=entry.state.value,
+                labels=",".join(sorted(entry.labels)),
+            )
+        self._core.take_worker(entry, clock.read_monotonic())
+
+    def _take_worker_change(self, change):
+        if change.value is None:
+            worker_id = change.key.removeprefix(self._ports.worker_prefix)
+            logs.log("worker-unlisted", worker=worker_id, revision=change.revision)
+            self._core.drop_worker(worker_id)
+        else:
+            self._take_worker(change.key, change.value)
+        self._session.pump()
+
+    # Jobs.
+
+    def _take_inbox(self, items):
+        jobs = [item for item in items if item.key.startswith(record.JOB_PREFIX)]
+        decoded = [decode_job(item.key, item.value) for item in jobs]
+        known = [kept for kept in decoded if kept is not None]
+        for kept in sorted(known, key=lambda kept: kept.accepted_at_ms):
+            self._core.take_job(kept, clock.read_monotonic())
+        self._kept_cancels = [
+            item.key.removeprefix(record.CANCEL_PREFIX)
+            for item in items
+            if item.key.startswith(record.CANCEL_PREFIX)
+        ]
+        if self._session.is_deciding:
+            self._cancel_kept()
+            self._session.pump()
+
+    def _cancel_kept(self):
+        for job_id in self._kept_cancels:
+            self._core.take_cancel(job_id, clock.read_monotonic())
+
+    def _take_inbox_change(self, change):
+        if change.value is None:
+            return
+        now = clock.read_monotonic()
+        if change.key.startswith(record.JOB_PREFIX):
+            kept = decode_job(change.key, change.value)
+            if kept is not None:
+                self._core.take_job(kept, now)
+                logs.log("job-taken", job=kept.job_id, revision=change.revision)
+        elif change.key.startswith(record.CANCEL_PREFIX):
+            job_id = change.key.removeprefix(record.CANCEL_PREFIX)
+            self._core.take_cancel(job_id, now)
+            logs.log("cancel-taken", job=job_id, revision=change.revision)
+        self._session.pump()
+
+    def _take_progress(self, items):
+        now = clock.read_monotonic()
+        for item in items:
+            job_id = item.key.removeprefix(record.PROGRESS_PREFIX)
+            try:
+                kept = record.decode_progress(item.value)
+            except record.RecordError as error:
+                logs.log("progress-undecodable", job=job_id, reason=str(error))
+                continue
+            self._core.restore_progress(job_id, kept, now)
+
+
+def decode_job(key, value):
+    """Decode the record of a job.
+
+    Args:
+      key: A str for the log.
+      value: Bytes.
+    Returns:
+      A record.JobRecord, or None when it can't be decoded.
+    """
+    try:
+        return record.decode_job(value)
+    except record.RecordError as error:
+        logs.log("job-undecodable", key=key, reason=str(error))
+        return None
--- /dev/null
+++ b/thornport/cell/looks.py
@@ -0,0 +1,138 @@
+"""Looks at workers, one after the other at each: when they are sent and ended.
+
+A look renews the leases of a worker and waits there for ends, so each end is
+known at once; but looks are priced, so they pause where nothing urgent runs.
+"""
+
+from twisted.internet import defer
+
+from thornport.cell import messages
+from thornport.kernel import clock, logs, tasks
+
+ACK_POLL_S = 0.004  # between looks whether ends are kept
+LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
+PATIENT_GAP_S = 0.25  # likewise, while nothing urgent runs there
+LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
+ACK_PATIENCE_S = 0.3  # longest wait until ends are kept before the next look
+
+
+class Looks:
+    """Sends the looks of one ownership; it has ended when its session has."""
+
+    def __init__(self, reactor, session):
+        """Begin; nothing is sent yet.
+
+        Args:
+          reactor: Twisted's reactor.
+          session: The owner.OwnerSession that the answers go to.
+        """
+        self._reactor = reactor
+        self._session = session
+        self._core = session.core
+        self._ports = session.ports
+        self._hurried = set()
+        self._resting_by_worker = {}
+        self._look_by_worker = {}
+
+    def look_at_new(self):
+        """Begin to look at the workers that are not looked at yet."""
+        for worker_id, worker in list(self._core.workers_by_id.items()):
+            if worker_id not in self._look_by_worker and worker.entry.address:
+                self._look_by_worker[worker_id] = None
+                tasks.spawn(self._look_at(worker_id), f"look at {worker_id}")
+
+    def end_pauses(self):
+        """End all pauses, so that nothing waits on."""
+        for worker_id in list(self._resting_by_worker):
+            self.end_pause(worker_id)
+
+    async def _look_at(self, worker_id):
+        """Renew the leases of a worker and see what ended, again and again."""
+        while self._session.is_active:
+            sent_at = clock.read_monotonic()
+            request = self._core.make_hold(worker_id, sent_at)
+            if request is None:
+                if worker_id not in self._core.workers_by_id:
+                    break
+                await tasks.sleep(self._reactor, LOOK_RETRY_S)
+                continue
+            look = defer.ensureDeferred(self._ports.workers.hold(request))
+            self._look_by_worker[worker_id] = look
+            answer = await look
+            if not self._session.is_active:
+                break
+            self._session.metrics.count("worker.looks")
+            if worker_id not in self._hurried:
+                self._take_look(request, sent_at, answer)
+            await self._rest(worker_id, answer)
+        self._look_by_worker.pop(worker_id, None)
+
+    def look_again(self, worker_id):
+        """End a look that waits, so that the next one is sent at once."""
+        look = self._look_by_worker.get(worker_id)
+        if look is not None and not look.called:
+            self._hurried.add(worker_id)
+            look.cancel()
+
+    def _take_look(self, request, sent_at, answer):
+        now = clock.read_monotonic()
+        self._core.take_hold(request, sent_at, answer, now)
+        if not isinstance(answer, messages.HoldAnswer):
+            logs.log(
+                "look-failed",
+                worker=request.worker_id,
+                outcome=type(answer).__name__,
+                reason=getattr(answer.reason, "value", answer.reason),
+            )
+        else:
+            for end in answer.ended:
+                log_end(request.worker_id, end)
+        self._session.pump()
+
+    async def _rest(self, worker_id, answer):
+        """Wait until the next look is due."""
+        if worker_id in self._hurried:
+            self._hurried.discard(worker_id)
+            return
+        if not isinstance(answer, messages.HoldAnswer):
+            await tasks.sleep(self._reactor, LOOK_RETRY_S)
+            return
+        if answer.ended:
+            await self._pause(worker_id)
+        patience_until = clock.read_monotonic() + ACK_PATIENCE_S
+        while self._session.is_active and clock.read_monotonic() < patience_until:
+            worker = self._core.workers_by_id.get(worker_id)
+            if worker is None or worker.acked_number >= worker.seen_number:
+                return
+            await tasks.sleep(self._reactor, ACK_POLL_S)
+
+    async def _pause(self, worker_id):
+        """Let ends gather where nothing urgent runs."""
+        await tasks.sleep(self._reactor, LOOK_GAP_S)
+        if self._core.is_urgent_at(worker_id):
+            return
+        resting = self._resting_by_worker[worker_id] = defer.Deferred()
+        timer = self._reactor.callLater(PATIENT_GAP_S, self.end_pause, worker_id)
+        await resting
+        if timer.active():
+            timer.cancel()
+
+    def end_pause(self, worker_id):
+        """Look at a worker again: something urgent starts there, or it is time."""
+        resting = self._resting_by_worker.pop(worker_id, None)
+        if resting is not None:
+            resting.callback(None)
+
+
+def log_end(worker_id, end):
+    """Log the end of a run."""
+    key = end.key
+    logs.log(
+        "run-ended",
+        job=key.job_id,
+        task=f"{key.time}.{key.step}.{key.index}",
+        run=end.run,
+        worker=worker_id,
+        number=end.number,
+        how=end.kind.value,
+    )
--- a/thornport/cell/orders.py
+++ b/thornport/cell/orders.py
@@ -21,7 +21,7 @@
 def start_run(order: messages.StartOrder, session):
     """Tell a worker to start a run."""
     if session.core.is_urgent_at(order.worker_id):
-        session.end_pause(order.worker_id)
+        session.looks.end_pause(order.worker_id)
     tasks.spawn(_start_run(order, session), "start-run")
 
 
@@ -49,7 +49,7 @@
         session.core.take_stop_outcome(order, outcome, clock.read_monotonic())
         if isinstance(outcome, messages.Done):
             # Whether the run is gone only a look that is sent from now on tells.
-            session.look_again(order.worker_id)
+            session.looks.look_again(order.worker_id)
         session.pump()
 
 
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -2,25 +2,12 @@
 
 import time
 
-from returns import result
-from twisted.internet import defer
-
-from thornport.cell import core, leases, ledger, messages, orders, peering
-from thornport.jobs import record
+from thornport.cell import core, following, leases, ledger, looks, orders, peering
 from thornport.kernel import clock, logs, tasks
-from thornport.store import watching
 
 ROUND_GAP_S = 0.002  # from a change to a round of placement, to gather changes
-ACK_POLL_S = 0.004  # between looks whether ends are kept
-# Between answers of a watch: peers tell of jobs at once, so the watch is for
-# what they could not tell, and calls are priced.
-WATCH_GAP_S = 0.3
-LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
-PATIENT_GAP_S = 0.25  # likewise, while nothing urgent runs there
-TICK_S = 0.1  # between looks at what is due
+TICK_S = 0.1  # between searches for what is due
 RETRY_S = 0.1  # after a read that the store did not answer
-LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
-ACK_PATIENCE_S = 0.3  # longest wait until ends are kept before the next look
 # An earlier owner renews this long without the store; then its leases lapse.
 EARLIER_OWNER_S = leases.UNCONFIRMED_LIMIT_S + leases.EARLIER_LEASE_S
 ASK_CEASED_S = 0.3  # between questions to earlier owners
@@ -31,6 +18,7 @@
 
     Attributes:
       core: The core.CellCore.
+      looks: The looks.Looks at workers.
       is_active: Whether this ownership goes on.
       is_deciding: Whether the records have been read.
     """
@@ -57,10 +45,8 @@
         self.core = core.CellCore(
             token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
-        self._followers = []
-        self._hurried = set()
-        self._resting_by_worker = {}
-        self._look_by_worker = {}
+        self._following = following.Following(reactor, self)
+        self.looks = looks.Looks(reactor, self)
         self._ticker = None
         self._round = None
         self.is_active = True
@@ -68,13 +54,11 @@
 
     def stop(self):
         """End this ownership; nothing is decided any more."""
-        for worker_id in list(self._resting_by_worker):
-            self.end_pause(worker_id)
+        self.looks.end_pauses()
         self.is_active = False
         self.is_deciding = False
         self._ledger.stop()
-        for follower in self._followers:
-            follower.stop()
+        self._following.stop()
         ticker, self._ticker = self._ticker, None
         if ticker is not None:
             ticker.stop()
@@ -100,14 +84,10 @@
         self.core.take_config(config)
         while self.is_active and not await self._ledger.read_head():
             await tasks.sleep(self._reactor, RETRY_S)
-        workers_at = await self._read(self.ports.worker_prefix, self._take_workers)
-        inbox_at = await self._read(record.INBOX_PREFIX, self._take_inbox)
-        await self._read(record.PROGRESS_PREFIX, self._take_progress)
+        await self._following.read()
         if not self.is_active or not await self._ledger.register():
             return False
-        self._cancel_kept()
-        self._follow(self.ports.worker_prefix, workers_at, self._take_worker_change)
-        self._follow(record.INBOX_PREFIX, inbox_at, self._take_inbox_change)
+        self._following.follow()
         logs.log(
             "records-read",
             token=self.core.token,
@@ -117,120 +97,13 @@
         )
         return True
 
-    async def _read(self, prefix, take_items):
-        while self.is_active:
-            read = await watching.read_prefix(self.ports.store, prefix)
-            if isinstance(read, result.Success):
-                items, at = read.unwrap()
-                take_items(items)
-                return at
-            await tasks.sleep(self._reactor, RETRY_S)
-        return None
-
-    def _follow(self, prefix, at, take_change):
-        take_all = {
-            self.ports.worker_prefix: self._take_workers,
-            record.INBOX_PREFIX: self._take_inbox,
-        }[prefix]
-        follower = watching.Follower(
-            self._reactor, self.ports.store, prefix, take_all, take_change, WATCH_GAP_S
-        )
-        self._followers.append(follower)
-        tasks.spawn(follower.follow(at), f"follow {prefix}")
-
-    def _take_workers(self, items):
-        listed = set()
-        for item in items:
-            listed.add(item.key.removeprefix(self.ports.worker_prefix))
-            self._take_worker(item.key, item.value)
-        self.core.keep_listed(listed)
-        self.pump()
-
-    def _take_worker(self, key, value):
-        worker_id = key.removeprefix(self.ports.worker_prefix)
-        try:
-            entry = self.ports.decode_worker(worker_id, value)
-        except self.ports.decode_errors as error:
-            logs.log("worker-entry-undecodable", worker=worker_id, reason=str(error))
-            return
-        known = self.core.workers_by_id.get(worker_id)
-        if known is None or known.entry.state is not entry.state:
-            logs.log(
-                "worker-listed",
-                worker=worker_id,
-                state=entry.state.value,
-                labels=",".join(sorted(entry.labels)),
-            )
-        self.core.take_worker(entry, clock.read_monotonic())
-
-    def _take_worker_change(self, change):
-        if change.value is None:
-            worker_id = change.key.removeprefix(self.ports.worker_prefix)
-            logs.log("worker-unlisted", worker=worker_id, revision=change.revision)
-            self.core.drop_worker(worker_id)
-        else:
-            self._take_worker(change.key, change.value)
-        self.pump()
-
-    def _take_inbox(self, items):
-        jobs = [item for item in items if item.key.startswith(record.JOB_PREFIX)]
-        decoded = [self._decode_job(item.key, item.value) for item in jobs]
-        known = [kept for kept in decoded if kept is not None]
-        for kept in sorted(known, key=lambda kept: kept.accepted_at_ms):
-            self.core.take_job(kept, clock.read_monotonic())
-        self._kept_cancels = [
-            item.key.removeprefix(record.CANCEL_PREFIX)
-            for item in items
-            if item.key.startswith(record.CANCEL_PREFIX)
-        ]
-        if self.is_deciding:
-            self._cancel_kept()
-            self.pump()
-
-    def _cancel_kept(self):
-        for job_id in self._kept_cancels:
-            self.core.take_cancel(job_id, clock.read_monotonic())
-
-    def _decode_job(self, key, value):
-        try:
-            return record.decode_job(value)
-        except record.RecordError as error:
-            logs.log("job-undecodable", key=key, reason=str(error))
-            return None
-
-    def _take_inbox_change(self, change):
-        if change.value is None:
-            return
-        now = clock.read_monotonic()
-        if change.key.startswith(record.JOB_PREFIX):
-            kept = self._decode_job(change.key, change.value)
-            if kept is not None:
-                self.core.take_job(kept, now)
-                logs.log("job-taken", job=kept.job_id, revision=change.revision)
-        elif change.key.startswith(record.CANCEL_PREFIX):
-            job_id = change.key.removeprefix(record.CANCEL_PREFIX)
-            self.core.take_cancel(job_id, now)
-            logs.log("cancel-taken", job=job_id, revision=change.revision)
-        self.pump()
-
-    def _take_progress(self, items):
-        now = clock.read_monotonic()
-        for item in items:
-            job_id = item.key.removeprefix(record.PROGRESS_PREFIX)
-            try:
-                kept = record.decode_progress(item.value)
-            except record.RecordError as error:
-                logs.log("progress-undecodable", job=job_id, reason=str(error))
-                continue
-            self.core.restore_progress(job_id, kept, now)
-
     def take_incoming(self, value):
         """Take a job that a process is about to keep.
 
         Args:
           value: Bytes, of a record.JobRecord.
         """
-        kept = self._decode_job("incoming", value)
+        kept = following.decode_job("incoming", value)
         if kept is not None:
             self.core.take_incoming(kept, clock.read_monotonic())
             self.pump()
@@ -299,10 +172,7 @@
 
     def _tick(self):
         self.core.tick(clock.read_monotonic(), int(time.time() * 1000))
-        for worker_id, worker in list(self.core.workers_by_id.items()):
-            if worker_id not in self._look_by_worker and worker.entry.address:
-                self._look_by_worker[worker_id] = None
-                tasks.spawn(self._look_at(worker_id), f"look at {worker_id}")
+        self.looks.look_at_new()
         self.pump()
 
     def pump(self):
@@ -328,94 +198,3 @@
                 "placement.round_ms", (clock.read_monotonic() - began) * 1000
             )
             self.pump()
-
-    async def _look_at(self, worker_id):
-        """Renew the leases of a worker and see what ended, again and again."""
-        while self.is_active:
-            sent_at = clock.read_monotonic()
-            request = self.core.make_hold(worker_id, sent_at)
-            if request is None:
-                if worker_id not in self.core.workers_by_id:
-                    break
-                await tasks.sleep(self._reactor, LOOK_RETRY_S)
-                continue
-            look = defer.ensureDeferred(self.ports.workers.hold(request))
-            self._look_by_worker[worker_id] = look
-            answer = await look
-            if not self.is_active:
-                break
-            self.metrics.count("worker.looks")
-            if worker_id not in self._hurried:
-                self._take_look(request, sent_at, answer)
-            await self._rest(worker_id, answer)
-        self._look_by_worker.pop(worker_id, None)
-
-    def look_again(self, worker_id):
-        """End a look that waits, so that the next one is sent at once."""
-        look = self._look_by_worker.get(worker_id)
-        if look is not None and not look.called:
-            self._hurried.add(worker_id)
-            look.cancel()
-
-    def _take_look(self, request, sent_at, answer):
-        now = clock.read_monotonic()
-        self.core.take_hold(request, sent_at, answer, now)
-        if not isinstance(answer, messages.HoldAnswer):
-            logs.log(
-                "look-failed",
-                worker=request.worker_id,
-                outcome=type(answer).__name__,
-                reason=getattr(answer.reason, "value", answer.reason),
-            )
-        else:
-            for end in answer.ended:
-                log_end(request.worker_id, end)
-        self.pump()
-
-    async def _rest(self, worker_id, answer):
-        """Wait until the next look is due."""
-        if worker_id in self._hurried:
-            self._hurried.discard(worker_id)
-            return
-        if not isinstance(answer, messages.HoldAnswer):
-            await tasks.sleep(self._reactor, LOOK_RETRY_S)
-            return
-        if answer.ended:
-            await self._pause(worker_id)
-        patience_until = clock.read_monotonic() + ACK_PATIENCE_S
-        while self.is_active and clock.read_monotonic() < patience_until:
-            worker = self.core.workers_by_id.get(worker_id)
-            if worker is None or worker.acked_number >= worker.seen_number:
-                return
-            await tasks.sleep(self._reactor, ACK_POLL_S)
-
-    async def _pause(self, worker_id):
-        """Let ends gather where nothing urgent runs."""
-        await tasks.sleep(self._reactor, LOOK_GAP_S)
-        if self.core.is_urgent_at(worker_id):
-            return
-        resting = self._resting_by_worker[worker_id] = defer.Deferred()
-        timer = self._reactor.callLater(PATIENT_GAP_S, self.end_pause, worker_id)
-        await resting
-        if timer.active():
-            timer.cancel()
-
-    def end_pause(self, worker_id):
-        """Look at a worker again: something urgent starts there, or it is time."""
-        resting = self._resting_by_worker.pop(worker_id, None)
-        if resting is not None:
-            resting.callback(None)
-
-
-def log_end(worker_id, end):
-    """Log the end of a run."""
-    key = end.key
-    logs.log(
-        "run-ended",
-        job=key.job_id,
-        task=f"{key.time}.{key.step}.{key.index}",
-        run=end.run,
-        worker=worker_id,
-        number=end.number,
-        how=end.kind.value,
-    )
