Give the messages between processes a module of their own

Each message had a function that called a method of the daemon of nearly the same name. The functions in receiving now do the work themselves, the daemon keeps the ownership, callers' questions and what it tells others; the parts that the functions use are its public attributes, and a request for advice is made in one place.

--- /dev/null
+++ b/thornport/cell/receiving.py
@@ -0,0 +1,210 @@
+"""Messages from the other processes of a cell: what each makes this one do.
+
+Many are meant for the owner; a process that does not decide drops those, and the
+sender asks or tells again, or finds what it wants in the store.
+"""
+
+import functools
+
+from returns import result
+
+from thornport.cell import messages, peering
+from thornport.kernel import clock, logs, tasks
+
+
+@functools.singledispatch
+def take(message, daemon, address):
+    """Take a message of another process.
+
+    Args:
+      message: A message of peering.
+      daemon: A daemon.SchedulerDaemon.
+      address: A str, the sender's.
+    """
+    raise TypeError(f"no way to take {message!r}")
+
+
+# Who is there.
+
+
+@take.register
+def take_hello(message: peering.Hello, daemon, address):
+    """A process can call for advice; tell it of the others."""
+    core = daemon.get_core()
+    if core is None:
+        return
+    now = clock.read_monotonic()
+    core.callers.greet(message.name, address, message.has_store, now)
+    peers = peering.Peers(
+        tuple(core.callers.list_addresses(True, now)),
+        tuple(core.callers.list_addresses(False, now)),
+    )
+    daemon.bus.send(address, "", peers)
+
+
+@take.register
+def take_peers(message: peering.Peers, daemon, address):
+    """The owner tells which peers the store answers."""
+    own = {daemon.bus.address}
+    daemon.relayed.peer_addresses = tuple(set(message.with_store) - own)
+    daemon.peer_addresses = (set(message.with_store) | set(message.others)) - own
+
+
+# Jobs that peers keep.
+
+
+@take.register
+def take_unresolved(message: peering.Unresolved, daemon, address):
+    """A job at a peer may be kept."""
+    daemon.intake.note_unresolved(message.job_id)
+
+
+@take.register
+def take_incoming(message: peering.Incoming, daemon, address):
+    """A job is being kept by a peer."""
+    if daemon.get_core() is not None:
+        daemon.session.take_incoming(message.record)
+
+
+@take.register
+def take_kept(message: peering.Kept, daemon, address):
+    """A job, or its cancel, is kept."""
+    if daemon.get_core() is not None:
+        daemon.session.take_kept_by_peer(message.job_id, message.is_cancel)
+
+
+# From one owner to the next.
+
+
+@take.register
+def take_offer(message: peering.Offer, daemon, address):
+    """An owner that the store does not answer offers the cell."""
+    daemon.take_offer(message.token)
+
+
+@take.register
+def take_ask_ceased(message: peering.AskCeased, daemon, address):
+    """A successor asks whether this process gives orders yet."""
+    session = daemon.session
+    if session is not None and session.core.token < message.token:
+        session.lose("a successor asks")
+    # A session that is lost is the daemon's no more.
+    if daemon.session is None:
+        daemon.bus.send(address, "", peering.Ceased(message.token))
+
+
+@take.register
+def take_ceased(message: peering.Ceased, daemon, address):
+    """An earlier owner gives no orders any more."""
+    session = daemon.session
+    if session is not None and session.core.token == message.token:
+        session.take_ceased(address)
+
+
+# Calls to the store for a peer.
+
+
+@take.register(peering.RelayRead)
+@take.register(peering.RelayCommit)
+def relay(message, daemon, address):
+    """A process that the store does not answer wants a call made."""
+    tasks.spawn(daemon.relayed.serve(address, message), "relay")
+
+
+@take.register(peering.RelayedItem)
+@take.register(peering.RelayedRevision)
+@take.register(peering.RelayedFailure)
+def take_relayed(message, daemon, address):
+    """A peer has made a call to the store."""
+    daemon.relayed.take_answer(message)
+
+
+# Questions of callers, passed on to the owner.
+
+
+@take.register
+def answer_state(message: peering.AskState, daemon, address):
+    """A process asks for a job's state."""
+    core = daemon.get_core()
+    if core is not None:
+        state = core.read_state(message.job_id)
+        text = state.value if state is not None else ""
+        daemon.bus.send(address, "", peering.StateIs(message.ask_id, text))
+
+
+@take.register
+def answer_waiting(message: peering.AskWaiting, daemon, address):
+    """A process asks for a count."""
+    core = daemon.get_core()
+    if core is not None:
+        count = core.count_waiting().get(message.queue, 0)
+        daemon.bus.send(address, "", peering.WaitingIs(message.ask_id, count))
+
+
+@take.register(peering.StateIs)
+@take.register(peering.WaitingIs)
+def take_answer(message, daemon, address):
+    """The owner answers."""
+    daemon.asker.take_answer(message)
+
+
+# Advice.
+
+
+@take.register
+def take_advise(message: peering.Advise, daemon, address):
+    """The owner wants advice."""
+    tasks.spawn(advise(message, daemon, address), "advise")
+
+
+async def advise(message, daemon, address):
+    """Call for advice and send the answer to the owner.
+
+    Args:
+      message: A peering.Advise.
+      daemon: A daemon.SchedulerDaemon.
+      address: A str, the owner's.
+    """
+    request = make_request(message)
+    called = await daemon.ports.advice.advise(request, message.timeout_ms / 1000)
+    answer = messages.AdviceAnswer((), 0)
+    if isinstance(called, result.Failure):
+        logs.log("advice-failed", job=message.job_id, reason=called.failure())
+    else:
+        answer = called.unwrap()
+    advised = peering.Advised(
+        message.job_id,
+        message.time,
+        message.step,
+        message.worker_ids,
+        isinstance(called, result.Success),
+        tuple((ticket.worker_id, ticket.text) for ticket in answer.good),
+        answer.valid_ms,
+    )
+    daemon.bus.send(address, "", advised)
+
+
+@take.register
+def take_advised(message: peering.Advised, daemon, address):
+    """Advice has come, or the call failed."""
+    core = daemon.get_core()
+    if core is None:
+        return
+    answer = None
+    if message.is_answered:
+        good = tuple(messages.Ticket(*pair) for pair in message.tickets)
+        answer = messages.AdviceAnswer(good, message.valid_ms)
+    core.take_advice(make_request(message), answer, 0.0, clock.read_monotonic())
+    daemon.session.pump()
+
+
+def make_request(message):
+    """Make the request for advice that a message is about.
+
+    Args:
+      message: A peering.Advise or Advised.
+    Returns:
+      A messages.AdviceRequest.
+    """
+    step = messages.StepKey(message.job_id, message.time, message.step)
+    return messages.AdviceRequest(step, message.worker_ids)
