Split the stand-in platform into its store and its workers

Two functions of more than a hundred lines held the routes of the store and of a worker. They are now classes in modules of their own with a method for each route.

--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,166 @@
+"""The store of the stand-in platform, and the ways to set what goes wrong."""
+
+import time
+
+import klein
+import msgspec
+from twisted.internet import defer
+
+from standins import serve
+from thornport.platform import workers
+
+
+class Faults(msgspec.Struct):
+    """What goes wrong from now on."""
+
+    away: bool = False
+    lose_writes: int = 0
+    forgets: bool = False
+
+
+class StoreApp:
+    """The store's interface."""
+
+    app = klein.Klein()
+
+    def __init__(self, platform):
+        """Take the platform.
+
+        Args:
+          platform: A platform.Platform.
+        """
+        self._platform = platform
+        self._store = platform.store
+
+    async def _hold(self):
+        """Say nothing for ever while the store is away."""
+        if self._platform.faults.away:
+            await defer.Deferred()
+
+    @app.route("/-/kv-key", methods=["GET"])
+    async def read_key(self, request):
+        """Tell a key."""
+        await self._hold()
+        item = self._store.by_key.get(read_argument(request, "key"))
+        if item is None:
+            return serve.reply(request, 404, {})
+        return serve.reply(
+            request, 200, msgspec.to_builtins(item) | {"at": self._store.revision}
+        )
+
+    @app.route("/-/kv-range", methods=["GET"])
+    async def read_page(self, request):
+        """Tell a page of keys."""
+        await self._hold()
+        items, more = self._store.read_page(
+            read_argument(request, "path_prefix"), read_argument(request, "after")
+        )
+        body = {"items": items, "more": more, "at": self._store.revision}
+        return serve.reply(request, 200, body)
+
+    @app.route("/-/kv-watch", methods=["GET"])
+    async def watch(self, request):
+        """Tell changes once there are any, or after the time."""
+        await self._hold()
+        prefix = read_argument(request, "path_prefix")
+        after = int(read_argument(request, "after"))
+        wait_ms = int(read_argument(request, "wait_ms"))
+        events = await self._platform.wait_for(
+            lambda: self._store.list_events(prefix, after), wait_ms
+        )
+        await self._hold()
+        if events is None:
+            return serve.reply(request, 410, {})
+        return serve.reply(request, 200, {"events": events, "at": self._store.revision})
+
+    @app.route("/-/kv-txn", methods=["POST"])
+    async def commit(self, request):
+        """Apply a transaction."""
+        await self._hold()
+        body = msgspec.json.decode(request.content.read())
+        conditions = [(row["key"], row["rev"]) for row in body["expected_rev"]]
+        puts = [(row["key"], row["value"], row.get("lease", 0)) for row in body["put"]]
+        revision = self._store.commit(conditions, puts, body["remove"])
+        self._platform.wake()
+        if self._platform.faults.lose_writes:
+            self._platform.faults.lose_writes -= 1
+            await defer.Deferred()
+        if revision is None:
+            items = [
+                self._store.by_key[k] for k, _ in conditions if k in self._store.by_key
+            ]
+            return serve.reply(request, 412, {"items": items})
+        return serve.reply(request, 200, {"rev": revision})
+
+    @app.route("/-/kv-lease", methods=["POST"])
+    async def grant(self, request):
+        """Grant a lease."""
+        await self._hold()
+        ttl_ms = msgspec.json.decode(request.content.read())["ttl_ms"]
+        lease = self._store.grant_lease(ttl_ms, time.monotonic())
+        return serve.reply(request, 200, {"lease": lease, "ttl_ms": ttl_ms})
+
+    @app.route("/-/kv-keep/<int:lease>", methods=["POST"])
+    async def keep(self, request, lease):
+        """Renew a lease."""
+        await self._hold()
+        ttl_ms = self._store.renew_lease(lease, time.monotonic())
+        if ttl_ms is None:
+            return serve.reply(request, 404, {})
+        return serve.reply(request, 200, {"ttl_ms": ttl_ms})
+
+    @app.route("/-/kv-lease-end/<int:lease>", methods=["DELETE"])
+    async def end(self, request, lease):
+        """End a lease."""
+        await self._hold()
+        self._store.end_lease(lease)
+        self._platform.wake()
+        return serve.reply(request, 200, {})
+
+    @app.route("/operator/<path:key>", methods=["PUT"])
+    def put(self, request, key):
+        """Write a key as the operator does."""
+        self._store.commit([], [(key, request.content.read().decode(), 0)], [])
+        self._platform.wake()
+        return b"{}"
+
+    @app.route("/faults", methods=["POST"])
+    def set_faults(self, request):
+        """Say what goes wrong from now on."""
+        self._platform.faults = msgspec.json.decode(request.content.read(), type=Faults)
+        if self._platform.faults.forgets:
+            self._store.forget_history()
+        return b"{}"
+
+    @app.route("/crash", methods=["POST"])
+    def crash(self, request):
+        """End a worker without a word; another life takes its place."""
+        worker_id = min(self._platform.workers_by_id)
+        self._platform.crashed.append(self._platform.workers_by_id.pop(worker_id))
+        self._store.commit([], [], [workers.ENTRY_PREFIX + worker_id])
+        self._platform.add_worker()
+        self._platform.wake()
+        return b"{}"
+
+    @app.route("/seen", methods=["GET"])
+    def seen(self, request):
+        """Tell what the workers saw."""
+        all_workers = [*self._platform.workers_by_id.values(), *self._platform.crashed]
+        body = {
+            "starts": [
+                [workers.format_task(key), run, worker.worker_id]
+                for worker in all_workers
+                for key, run, _ in worker.started
+            ],
+            "over_room": sum(worker.over_room for worker in all_workers),
+            "twice": self._platform.twice,
+            "unknown": self._platform.unknown,
+            "after_done": self._platform.after_done,
+        }
+        return serve.reply(request, 200, body)
+
+
+def read_argument(request, name, default=""):
+    """Read an argument of the query."""
+    values = request.args.get(name.encode())
+    return values[0].decode() if values else default
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,143 @@
+"""A worker of the stand-in platform, as it is called over HTTP."""
+
+import time
+
+import klein
+import msgspec
+from twisted.internet import defer
+
+from standins import serve
+from thornport.cell import messages
+from thornport.platform import workers
+
+
+class WorkerApp:
+    """The interface of one life of a worker."""
+
+    app = klein.Klein()
+
+    def __init__(self, platform, worker):
+        """Take the worker.
+
+        Args:
+          platform: A platform.Platform; notes what must not happen.
+          worker: A leased_worker.LeasedWorker.
+        """
+        self._platform = platform
+        self._worker = worker
+
+    def _is_other(self, request):
+        """Whether the caller means another life."""
+        expected = request.getHeader(workers.EXPECT_HEADER)
+        return expected is not None and expected != self._worker.worker_id
+
+    async def _keep_silent_if_crashed(self):
+        """Say nothing for ever once this life has crashed."""
+        if self._worker.worker_id not in self._platform.workers_by_id:
+            await defer.Deferred()
+
+    def _answer(self, request, outcome):
+        """Answer with an outcome."""
+        if isinstance(outcome, messages.Rejected):
+            body = {"clock_ms": self._worker.read_clock_ms(time.monotonic())}
+            return serve.reply(request, 409, body | {"reason": outcome.reason.value})
+        return serve.reply(request, 200, {"clock_ms": outcome.clock_ms})
+
+    @app.route("/-/run-start", methods=["POST"])
+    async def start(self, request):
+        """Start a run, and note what must not happen."""
+        if self._is_other(request):
+            return serve.reply(request, 421, {})
+        await self._keep_silent_if_crashed()
+        now = time.monotonic()
+        wire = msgspec.json.decode(request.content.read(), type=workers.WireStart)
+        key = workers.parse_task(wire.task)
+        step = self._platform.find_step(key)
+        if step is None:
+            self._platform.unknown.append(wire.task)
+            return serve.reply(request, 400, {})
+        for other in self._platform.workers_by_id.values():
+            other.advance(now)
+        elsewhere = [
+            other.worker_id
+            for other in self._platform.workers_by_id.values()
+            if other is not self._worker and key in other.active_by_key
+        ]
+        order = messages.StartOrder(
+            self._worker.worker_id,
+            "",
+            key,
+            wire.run,
+            wire.spec,
+            wire.deadline_ms,
+            wire.fencing_token,
+        )
+        run_ms = int(step.estimate_ms * self._platform.options.runtime_share)
+        count = len(self._worker.started)
+        outcome = self._worker.start(order, step.demand, run_ms, False, now)
+        if len(self._worker.started) > count:
+            if elsewhere:
+                self._platform.twice.append(wire.task)
+            every_life = [
+                *self._platform.workers_by_id.values(),
+                *self._platform.crashed,
+            ]
+            if any(key in life.noted_done for life in every_life):
+                self._platform.after_done.append(wire.task)
+        return self._answer(request, outcome)
+
+    @app.route("/-/run-stop", methods=["POST"])
+    async def stop(self, request):
+        """Stop a run."""
+        if self._is_other(request):
+            return serve.reply(request, 421, {})
+        await self._keep_silent_if_crashed()
+        wire = msgspec.json.decode(request.content.read(), type=workers.WireStop)
+        key = workers.parse_task(wire.task)
+        order = messages.StopOrder(
+            self._worker.worker_id, "", key, wire.run, wire.fencing_token
+        )
+        outcome = self._worker.stop(order, time.monotonic())
+        self._platform.wake()
+        return self._answer(request, outcome)
+
+    @app.route("/-/hold", methods=["POST"])
+    async def hold(self, request):
+        """Renew leases; tell what runs, and what ended once any has."""
+        if self._is_other(request):
+            return serve.reply(request, 421, {})
+        await self._keep_silent_if_crashed()
+        wire = msgspec.json.decode(request.content.read(), type=workers.WireHold)
+        look = messages.HoldRequest(
+            self._worker.worker_id,
+            "",
+            wire.fencing_token,
+            wire.deadline_ms,
+            wire.last_seen,
+            wire.wait_ms,
+        )
+        outcome = self._worker.hold(look, time.monotonic())
+        if isinstance(outcome, messages.Rejected):
+            return self._answer(request, outcome)
+        await self._platform.wait_for(lambda: self._worker.ended, wire.wait_ms)
+        outcome = self._worker.hold(look, time.monotonic())
+        if isinstance(outcome, messages.Rejected):
+            return self._answer(request, outcome)
+        body = {
+            "clock_ms": outcome.clock_ms,
+            "running": [
+                [workers.format_task(row.key), row.run, row.checkpoint, row.percent]
+                for row in outcome.running
+            ],
+            "ended": [
+                [
+                    row.number,
+                    workers.format_task(row.key),
+                    row.run,
+                    row.kind.value,
+                    row.checkpoint,
+                ]
+                for row in outcome.ended
+            ],
+        }
+        return serve.reply(request, 200, body)
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -36,6 +36,21 @@
     reactor.run()
 
 
+def reply(request, status, body):
+    """Answer with JSON.
+
+    Args:
+      request: A twisted request.
+      status: An int.
+      body: What msgspec can encode.
+    Returns:
+      Bytes.
+    """
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    return msgspec.json.encode(body)
+
+
 def read_options(option_type):
     """Read `key=value` arguments of a stand-in's command line.
 
