Match questions with answers in one place, and drop what nothing uses

Asking the owner and relaying to the store each kept open questions with the same code, and a worker's answers to looks and to orders were decoded twice the same way; questions.Questions and one call now serve both.

--- a/thornport/cell/asking.py
+++ b/thornport/cell/asking.py
@@ -1,16 +1,12 @@
 """Asking the owner of the cell over the bus."""
 
-import itertools
-
-from twisted.internet import defer
-
-from thornport.cell import peering
+from thornport.cell import peering, questions
 
 ANSWER_S = 0.25  # an owner that is well answers in a few milliseconds
 
 
 class Asker:
-    """Sends questions to the owner and matches the answers."""
+    """Sends the questions of callers to the owner."""
 
     def __init__(self, reactor, bus):
         """Take the bus.
@@ -19,10 +15,7 @@
           reactor: Twisted's reactor.
           bus: A bus.Bus.
         """
-        self._reactor = reactor
-        self._bus = bus
-        self._ids = itertools.count(1)
-        self._waiting_by_id = {}
+        self._questions = questions.Questions(reactor, bus, ANSWER_S)
 
     async def ask_state(self, address, job_id):
         """Ask for the state of a job.
@@ -33,8 +26,11 @@
         Returns:
           A str, empty if the owner does not know it or does not answer.
         """
-        ask_id = next(self._ids)
-        answer = await self._ask(address, peering.AskState(ask_id, job_id))
+
+        def make_question(ask_id):
+            return peering.AskState(ask_id, job_id)
+
+        answer = await self._ask(address, make_question)
         return answer.state if answer is not None else ""
 
     async def ask_waiting(self, address, queue_name):
@@ -46,22 +42,17 @@
         Returns:
           An int, or None if the owner does not answer.
         """
-        ask_id = next(self._ids)
-        answer = await self._ask(address, peering.AskWaiting(ask_id, queue_name))
+
+        def make_question(ask_id):
+            return peering.AskWaiting(ask_id, queue_name)
+
+        answer = await self._ask(address, make_question)
         return None if answer is None else answer.count
 
-    async def _ask(self, address, question):
+    async def _ask(self, address, make_question):
         if not address:
             return None
-        waiting = self._waiting_by_id[question.ask_id] = defer.Deferred()
-        self._bus.send(address, "", question)
-        timer = self._reactor.callLater(ANSWER_S, waiting.callback, None)
-        try:
-            return await waiting
-        finally:
-            del self._waiting_by_id[question.ask_id]
-            if timer.active():
-                timer.cancel()
+        return await self._questions.ask(address, make_question)
 
     def take_answer(self, message):
         """Take an answer; one that came too late is dropped.
@@ -69,6 +60,4 @@
         Args:
           message: A peering.StateIs or WaitingIs.
         """
-        waiting = self._waiting_by_id.get(message.ask_id)
-        if waiting is not None and not waiting.called:
-            waiting.callback(message)
+        self._questions.take_answer(message)
--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -9,6 +9,7 @@
 from thornport.jobs import record
 
 BATCH_JOBS = 28  # of a transaction's 32 entries, two are conditions, one the head
+FORGOTTEN_KEYS = 3  # of a job that is forgotten: its own, its cancel's, its progress'
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -50,7 +51,7 @@
         seen = {}
         if not self.dirty:
             seen = {w.worker_id: w.seen_number for w in self.workers_by_id.values()}
-        forgotten = list(self.forgotten)[: (BATCH_JOBS - len(jobs)) // 3]
+        forgotten = list(self.forgotten)[: (BATCH_JOBS - len(jobs)) // FORGOTTEN_KEYS]
         for job_id in forgotten:
             del self.forgotten[job_id]
         return Batch(
--- a/thornport/cell/ending.py
+++ b/thornport/cell/ending.py
@@ -48,7 +48,7 @@
         elif end.kind is messages.EndKind.FAILED:
             worker.failures += 1
             if worker.failures >= SUSPECT_FAILURES:
-                worker.avoid_until = max(worker.avoid_until, now + SUSPECT_S)
+                worker.avoid(now + SUSPECT_S)
 
     def _take_done(self, step, run):
         if step.spec.gang:
@@ -109,9 +109,7 @@
     # Ends of jobs.
 
     def _advance(self, job, step, now):
-        time = step.key.time
-        count = len(job.record.job.steps)
-        keys = [messages.StepKey(job.job_id, time, n) for n in range(count)]
+        keys = job.list_step_keys(step.key.time)
         if not all(job.steps_by_key[key].is_done for key in keys):
             return
         if not job.record.job.repeats:
@@ -122,10 +120,8 @@
             self._end_job(job, record.JobState.SUCCEEDED, now)
 
     def _count_times(self, job):
-        count = len(job.record.job.steps)
         while True:
-            time = job.times_done
-            keys = [messages.StepKey(job.job_id, time, n) for n in range(count)]
+            keys = job.list_step_keys(job.times_done)
             steps = [job.steps_by_key.get(key) for key in keys]
             if not all(s is not None and s.is_done for s in steps):
                 return
@@ -183,4 +179,4 @@
         elif answer.reason is messages.Rejection.REPLACED:
             self.end_worker(worker, now)
         else:
-            worker.avoid_until = max(worker.avoid_until, now + AVOID_S)
+            worker.avoid(now + AVOID_S)
--- a/thornport/cell/holds.py
+++ b/thornport/cell/holds.py
@@ -78,7 +78,7 @@
             return
         if not isinstance(answer, messages.HoldAnswer):
             # Orders would fail as this look did; the next look clears it.
-            worker.avoid_until = max(worker.avoid_until, now + ending.AVOID_S)
+            worker.avoid(now + ending.AVOID_S)
             if has_left(worker, answer, now):
                 self.end_worker(worker, now)
             return
@@ -97,7 +97,7 @@
         for run in list(worker.runs_by_key.values()):
             row = rows_by_key.pop((run.key, run.run), None)
             if row is None:
-                self._take_absent(worker, run, sent_at, now)
+                self._take_absent(run, sent_at, now)
             else:
                 self._take_present(run, row, now)
         for row in rows_by_key.values():
@@ -122,7 +122,7 @@
             return
         worker.stalls += 1
         avoid_s = min(MAX_STALL_AVOID_S, STALLED_S * 2**worker.stalls)
-        worker.avoid_until = max(worker.avoid_until, now + avoid_s)
+        worker.avoid(now + avoid_s)
         for run in running:
             # A gang would lose the work of all its members.
             if not run.step.gang:
@@ -141,7 +141,7 @@
         if step is not None and row.checkpoint:
             step.checkpoints_by_index[step.index_for(run.key.index)] = row.checkpoint
 
-    def _take_absent(self, worker, run, sent_at, now):
+    def _take_absent(self, run, sent_at, now):
         """A live run that the worker does not list, nor its end."""
         if run.state is model.RunState.UNHEARD or (
             run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -134,9 +134,9 @@
         for step_kept in kept.steps:
             _, runs = progress.restore_step(job, step_kept)
             for run in runs:
-                self._attach_run(run, now)
+                self._attach_run(run)
 
-    def _attach_run(self, run, now):
+    def _attach_run(self, run):
         worker = self.workers_by_id.get(run.worker_id)
         if worker is None:
             entry = messages.WorkerEntry(
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -123,6 +123,10 @@
         sample = math.log(took_s * 1000 / estimate_ms)
         self.pace_log += (sample - self.pace_log) / self.pace_count
 
+    def avoid(self, until):
+        """Give it no starts before a time, a float; a later one holds."""
+        self.avoid_until = max(self.avoid_until, until)
+
     def grade_pace(self):
         """Grade the worker's pace, an int: lower is faster; 0 if not known."""
         if self.pace_count < PACE_KNOWN_AFTER:
@@ -243,6 +247,11 @@
         """A str."""
         return self.record.job_id
 
+    def list_step_keys(self, time):
+        """List the messages.StepKey of all its steps at one of its times."""
+        count = len(self.record.job.steps)
+        return [messages.StepKey(self.job_id, time, n) for n in range(count)]
+
     def is_over(self):
         """Whether its end is decided."""
         return self.state in record.FINAL_STATES
--- a/thornport/cell/outcomes.py
+++ b/thornport/cell/outcomes.py
@@ -43,10 +43,10 @@
             if run.state is model.RunState.ORDERED:
                 run.state = model.RunState.RUNNING
         elif isinstance(outcome, messages.Unanswered):
-            worker.avoid_until = max(worker.avoid_until, now + ending.AVOID_S)
+            worker.avoid(now + ending.AVOID_S)
             self._stop_run(run, now)
         elif isinstance(outcome, messages.NotReached):
-            worker.avoid_until = max(worker.avoid_until, now + ending.AVOID_S)
+            worker.avoid(now + ending.AVOID_S)
             self._release_run(run, now)
         else:
             self._take_rejected_start(worker, run, outcome, now)
--- /dev/null
+++ b/thornport/cell/questions.py
@@ -0,0 +1,56 @@
+"""Questions to another process over the bus, each matched with its answer.
+
+Messages may be lost, so a question that is not answered in time is given up.
+"""
+
+import itertools
+
+from twisted.internet import defer
+
+
+class Questions:
+    """The questions of one kind that are open."""
+
+    def __init__(self, reactor, bus, patience_s):
+        """Take the bus.
+
+        Args:
+          reactor: Twisted's reactor.
+          bus: A bus.Bus.
+          patience_s: A float, seconds to wait for an answer.
+        """
+        self._reactor = reactor
+        self._bus = bus
+        self._patience_s = patience_s
+        self._ids = itertools.count(1)
+        self._waiting_by_id = {}
+
+    async def ask(self, address, make_question):
+        """Ask and wait.
+
+        Args:
+          address: A str, of the process that is asked.
+          make_question: A callable from an id to a message that carries it.
+        Returns:
+          The answer, a message; None if it did not come in time.
+        """
+        ask_id = next(self._ids)
+        waiting = self._waiting_by_id[ask_id] = defer.Deferred()
+        self._bus.send(address, "", make_question(ask_id))
+        timer = self._reactor.callLater(self._patience_s, waiting.callback, None)
+        try:
+            return await waiting
+        finally:
+            del self._waiting_by_id[ask_id]
+            if timer.active():
+                timer.cancel()
+
+    def take_answer(self, message):
+        """Take an answer; one that came too late is dropped.
+
+        Args:
+          message: A message with the `ask_id` of its question.
+        """
+        waiting = self._waiting_by_id.get(message.ask_id)
+        if waiting is not None and not waiting.called:
+            waiting.callback(message)
--- a/thornport/cell/relaying.py
+++ b/thornport/cell/relaying.py
@@ -5,13 +5,12 @@
 arrive. The owner tells each process which peers the store answers.
 """
 
-import itertools
 import random
 
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import peering
+from thornport.cell import peering, questions
 from thornport.kernel import tasks
 from thornport.store import port, transactions
 
@@ -33,9 +32,8 @@
         self._reactor = reactor
         self._store = store
         self._bus = bus
-        self._ids = itertools.count(1)
+        self._questions = questions.Questions(reactor, bus, PEER_S)
         self._random = random.Random()
-        self._waiting_by_id = {}
         self.peer_addresses = ()
 
     def is_away(self):
@@ -97,16 +95,7 @@
 
     async def _ask_peer(self, make_question):
         address = self._random.choice(self.peer_addresses)
-        ask_id = next(self._ids)
-        waiting = self._waiting_by_id[ask_id] = defer.Deferred()
-        self._bus.send(address, "", make_question(ask_id))
-        timer = self._reactor.callLater(PEER_S, waiting.callback, None)
-        try:
-            answer = await waiting
-        finally:
-            del self._waiting_by_id[ask_id]
-            if timer.active():
-                timer.cancel()
+        answer = await self._questions.ask(address, make_question)
         if answer is None:
             # The owner tells again which peers the store answers.
             self.peer_addresses = tuple(
@@ -121,9 +110,7 @@
         Args:
           message: A peering.RelayedItem, RelayedRevision or RelayedFailure.
         """
-        waiting = self._waiting_by_id.get(message.ask_id)
-        if waiting is not None and not waiting.called:
-            waiting.callback(message)
+        self._questions.take_answer(message)
 
     async def serve(self, address, message):
         """Make a call for a peer and send the answer.
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -47,15 +47,15 @@
 
     def _place_step(self, job, step, queue, allowed, now):
         if queue.advice is None:
-            self._start_step(job, step, allowed, now)
+            self._start_step(job, step, allowed)
             return
         ticketed = [w for w in allowed if placing.has_ticket(step, w, now)]
         if ticketed:
-            self._start_step(job, step, ticketed, now)
+            self._start_step(job, step, ticketed)
         if step.waiting and not step.is_advising:
             self._ask_advice(step, queue, allowed, now)
 
-    def _start_step(self, job, step, workers, now):
+    def _start_step(self, job, step, workers):
         wants_fast = self._queue_of(job).priority == 0
         assigned = placing.assign_step(step, workers, wants_fast)
         if not assigned:
--- a/thornport/cell/ticketing.py
+++ b/thornport/cell/ticketing.py
@@ -9,6 +9,7 @@
 from thornport.cell import cellstate, messages, placing
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
+ASKED_WORKERS = 100  # named in one call; each makes the call longer
 
 
 class CallAdvice(msgspec.Struct, frozen=True):
@@ -48,7 +49,7 @@
         ]
         if not wanted or not placing.has_room(step, hopeful):
             return
-        wanted = wanted[:100]
+        wanted = wanted[:ASKED_WORKERS]
         cost_s = (queue.advice.base_ms + queue.advice.worker_ms * len(wanted)) / 1000
         chosen = self.callers.choose(cost_s, now)
         if chosen is None:
--- a/thornport/jobs/queue.py
+++ b/thornport/jobs/queue.py
@@ -24,12 +24,11 @@
       name: A str.
       host, path_prefix: Where callers reach it.
       service: A str, the pool of workers that runs its tasks.
-      priority: An int; 0 goes first and may preempt others.
+      priority: An int; 0 goes first, and is urgent.
       max_attempts: An int, failed runs of a task until its job has failed.
       stretch, target_ms: A job is in time within its longest chain of work
         times the stretch, and the target more.
       advice: Advice, or None when any worker may run its tasks.
-      is_queue: Whether it takes jobs at all.
     """
 
     name: str
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -179,15 +179,7 @@
             request.token, request.last_seen, request.deadline_ms, request.wait_ms
         )
         timeout_s = request.wait_ms / 1000 + HOLD_SLACK_S
-        answer = await self._call(request, "/-/hold", body, timeout_s)
-        if not isinstance(answer, httpcalls.Answer):
-            return answer
-        if answer.status != 200:
-            return decode_rejection(answer)
-        try:
-            return decode_hold(answer.body)
-        except (msgspec.MsgspecError, ValueError, IndexError) as error:
-            return messages.Unanswered(f"bad answer: {error}")
+        return await self._ask(request, "/-/hold", body, timeout_s, decode_hold)
 
     async def start(self, order):
         """Start a run.
@@ -206,7 +198,8 @@
             order.checkpoint,
             order.ticket,
         )
-        return await self._order(order, "/-/run-start", body)
+        timeout_s = self._order_timeout_s
+        return await self._ask(order, "/-/run-start", body, timeout_s, decode_done)
 
     async def stop(self, order):
         """Stop a run.
@@ -217,21 +210,22 @@
           A Done, Rejected, NotReached or Unanswered.
         """
         body = WireStop(format_task(order.key), order.run, order.token)
-        return await self._order(order, "/-/run-stop", body)
+        timeout_s = self._order_timeout_s
+        return await self._ask(order, "/-/run-stop", body, timeout_s, decode_done)
 
     def forget(self, address):
         """Close the idle connections to a worker that is gone."""
         self._calls.forget(address)
 
-    async def _order(self, order, path, body):
-        answer = await self._call(order, path, body, self._order_timeout_s)
+    async def _ask(self, request, path, body, timeout_s, decode):
+        answer = await self._call(request, path, body, timeout_s)
         if not isinstance(answer, httpcalls.Answer):
             return answer
         if answer.status != 200:
             return decode_rejection(answer)
         try:
-            return messages.Done(OUTCOME_DECODER.decode(answer.body).clock_ms)
-        except msgspec.MsgspecError as error:
+            return decode(answer.body)
+        except (msgspec.MsgspecError, ValueError, IndexError) as error:
             return messages.Unanswered(f"bad answer: {error}")
 
     async def _call(self, request, path, body, timeout_s):
@@ -248,6 +242,19 @@
         return messages.Unanswered(error.reason)
 
 
+def decode_done(body):
+    """Decode the answer to an order that was taken.
+
+    Args:
+      body: Bytes.
+    Returns:
+      A messages.Done.
+    Raises:
+      msgspec.MsgspecError: The bytes are no such answer.
+    """
+    return messages.Done(OUTCOME_DECODER.decode(body).clock_ms)
+
+
 def decode_rejection(answer):
     """Decode an answer that is no success.
 
