Name the owner's collections by their keys, and tasks in one place

Three collections of the owner's state did not say what they are keyed by, and the name of a task within its job was put together in three places; the collections now say it and messages.TaskKey names itself.

--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -45,10 +45,12 @@
         self.callers = advising.Callers()
         self._queues_by_name = {}
         self._next_order = 0
+        # Runs whose starts wait until their records are kept.
         self._recording = []
-        self._open_advice = {}
-        self._incoming = {}
-        self._unended = {}
+        self._open_advice_by_step = {}
+        # Jobs that are being kept, and jobs whose end is not decided.
+        self._incoming_by_id = {}
+        self._unended_by_id = {}
         self.needs_round = False
 
     def _queue_of(self, job):
@@ -57,10 +59,12 @@
         return queue if isinstance(queue, queues.Queue) else job.record.queue
 
     def _find_step(self, key):
-        job = self.jobs_by_id.get(key.job_id) or self._incoming.get(key.job_id)
+        """The model.StepState of a StepKey or TaskKey, or None."""
+        job = self.jobs_by_id.get(key.job_id) or self._incoming_by_id.get(key.job_id)
         if job is None:
             return None
         return job.steps_by_key.get(messages.StepKey(key.job_id, key.time, key.step))
 
     def _mark(self, job):
+        """Have the record of a job written anew."""
         self.dirty[job.job_id] = None
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -32,14 +32,14 @@
         """
         for worker in list(self.workers_by_id.values()):
             self._tick_worker(worker, now)
-        for call in list(self._open_advice.values()):
+        for call in list(self._open_advice_by_step.values()):
             if now > call.deadline:
                 self.callers.distrust(call.name, now)
                 self.take_advice(call.request, None, 0.0, now)
-        for job in list(self._incoming.values()):
+        for job in list(self._incoming_by_id.values()):
             if now - job.arrived_at > INCOMING_S:
-                del self._incoming[job.job_id]
-        for job in list(self._unended.values()):
+                del self._incoming_by_id[job.job_id]
+        for job in list(self._unended_by_id.values()):
             if job.record.job.repeats:
                 self._begin_due_times(job, wall_ms)
         self._forget_old(now)
@@ -89,7 +89,7 @@
     def count_waiting(self):
         """Count the jobs of which no task has begun, by queue name."""
         counts = {}
-        for job in self._unended.values():
+        for job in self._unended_by_id.values():
             if not job.has_begun and not job.record.job.repeats:
                 name = job.record.queue.name
                 counts[name] = counts.get(name, 0) + 1
--- a/thornport/cell/ending.py
+++ b/thornport/cell/ending.py
@@ -133,7 +133,7 @@
 
     def _end_job(self, job, state, now):
         job.state = state
-        self._unended.pop(job.job_id, None)
+        self._unended_by_id.pop(job.job_id, None)
         for step in job.steps_by_key.values():
             step.waiting.clear()
             if state is record.JobState.SUCCEEDED:
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -72,11 +72,11 @@
         """
         if kept.job_id in self.jobs_by_id:
             return
-        job = self._incoming.pop(kept.job_id, None)
+        job = self._incoming_by_id.pop(kept.job_id, None)
         if job is None or job.record != kept:
             job = self._make_job(kept, now)
         self.jobs_by_id[kept.job_id] = job
-        self._unended[kept.job_id] = job
+        self._unended_by_id[kept.job_id] = job
         self.needs_round = True
 
     def _make_job(self, kept, now):
@@ -88,7 +88,7 @@
 
     def accept_incoming(self, job_id, now):
         """Take that a job that was incoming is accepted."""
-        job = self._incoming.get(job_id)
+        job = self._incoming_by_id.get(job_id)
         if job is not None:
             self.take_job(job.record, now)
 
@@ -101,9 +101,9 @@
           kept: A record.JobRecord.
           now: A float.
         """
-        if kept.job_id in self.jobs_by_id or kept.job_id in self._incoming:
+        if kept.job_id in self.jobs_by_id or kept.job_id in self._incoming_by_id:
             return
-        job = self._incoming[kept.job_id] = self._make_job(kept, now)
+        job = self._incoming_by_id[kept.job_id] = self._make_job(kept, now)
         for step in list(job.steps_by_key.values()):
             if not step.spec.after:
                 queue = self._queue_of(job)
@@ -130,7 +130,7 @@
         if job.is_over():
             job.ended_at = now
             job.steps_by_key.clear()
-            self._unended.pop(job_id, None)
+            self._unended_by_id.pop(job_id, None)
         for step_kept in kept.steps:
             _, runs = progress.restore_step(job, step_kept)
             for run in runs:
--- a/thornport/cell/looks.py
+++ b/thornport/cell/looks.py
@@ -130,7 +130,7 @@
     logs.log(
         "run-ended",
         job=key.job_id,
-        task=f"{key.time}.{key.step}.{key.index}",
+        task=key.name_in_job(),
         run=end.run,
         worker=worker_id,
         number=end.number,
--- a/thornport/cell/messages.py
+++ b/thornport/cell/messages.py
@@ -27,6 +27,10 @@
     step: int
     index: int
 
+    def name_in_job(self):
+        """Name it within its job: a str, `TIME.STEP.INDEX`."""
+        return f"{self.time}.{self.step}.{self.index}"
+
 
 class WorkerState(enum.Enum):
     """What a worker says of itself."""
--- a/thornport/cell/orders.py
+++ b/thornport/cell/orders.py
@@ -74,7 +74,7 @@
     logs.log(
         event,
         job=key.job_id,
-        task=f"{key.time}.{key.step}.{key.index}",
+        task=key.name_in_job(),
         run=order.run,
         worker=order.worker_id,
         token=order.token,
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -30,7 +30,7 @@
 
     def _list_ready(self):
         ready = []
-        for job in self._unended.values():
+        for job in self._unended_by_id.values():
             for step in job.steps_by_key.values():
                 if step.waiting and self._is_due(job, step):
                     ready.append((job, step))
--- a/thornport/cell/ticketing.py
+++ b/thornport/cell/ticketing.py
@@ -58,7 +58,7 @@
         step.is_advising = True
         request = messages.AdviceRequest(step.key, tuple(w.worker_id for w in wanted))
         call = CallAdvice(caller.name, caller.address, request, deadline)
-        self._open_advice[step.key] = call
+        self._open_advice_by_step[step.key] = call
         self.orders.append(call)
 
     def take_advice(self, request, answer, age_s, now):
@@ -70,10 +70,10 @@
           age_s: A float, how long ago the answer came to the caller.
           now: A float.
         """
-        open_call = self._open_advice.get(request.step)
+        open_call = self._open_advice_by_step.get(request.step)
         if open_call is None or open_call.request != request:
             return
-        del self._open_advice[request.step]
+        del self._open_advice_by_step[request.step]
         step = self._find_step(request.step)
         if step is None:
             return
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -87,7 +87,7 @@
 
 def format_task(key):
     """Format a TaskKey as the platform names tasks."""
-    return f"{key.job_id}.{key.time}.{key.step}.{key.index}"
+    return f"{key.job_id}.{key.name_in_job()}"
 
 
 def parse_task(name):
