--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     threads = [
         callers.Caller(cell, book, seed * CALLERS + number) for number in range(CALLERS)
     ]
+    is_kept = False
     try:
         cell.find_owner()
         for thread in threads:
@@ -40,12 +41,13 @@
         broken = checks.check_jobs(cell, book)
         broken += checks.check_workers(cell.read_seen(), book)
         broken += checks.check_configs(cell)
+        is_kept = not broken
     finally:
-        if "broken" not in locals() or broken:
-            print(f"logs kept in {cell.folder}", file=sys.stderr)
-            cell.end_processes()
-        else:
+        cell.end_processes()
+        if is_kept:
             cell.close()
+        else:
+            print(f"logs kept in {cell.folder}", file=sys.stderr)
     told = (
         f"accepted={len(book.accepted)} refused={len(book.refused)} "
         f"unknown={len(book.unknown)} cancelled={len(book.cancelled)}"
--- a/thornport/cell/ledger_test.py
+++ b/thornport/cell/ledger_test.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, task
 
 from standins import transaction_store
-from thornport.cell import core, ledger, ownership
+from thornport.cell import batches, ledger, ownership
 from thornport.jobs import record
 from thornport.kernel import metrics, tasks
 from thornport.store import port, transactions
@@ -83,7 +83,8 @@
     def write(self, *job_ids):
         """Write batches of one job each, and let time pass."""
         self.batches = [
-            core.Batch({job_id: job_id.encode()}, [], [], {}, []) for job_id in job_ids
+            batches.Batch({job_id: job_id.encode()}, [], [], {}, [])
+            for job_id in job_ids
         ]
         tasks.spawn(self.run_ledger(), "ledger")
         for _ in range(400):
--- a/thornport/cell/orders.py
+++ b/thornport/cell/orders.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from thornport.cell import core, messages, peering
+from thornport.cell import messages, peering, ticketing
 from thornport.kernel import clock, logs, tasks
 
 
@@ -11,7 +11,7 @@
     """Carry out an order.
 
     Args:
-      order: A message of core or messages.
+      order: A message of messages, or a ticketing.CallAdvice.
       session: An owner.OwnerSession.
     """
     raise TypeError(f"no way to carry out {order!r}")
@@ -21,7 +21,7 @@
 def start_run(order: messages.StartOrder, session):
     """Tell a worker to start a run."""
     if session.core.is_urgent_at(order.worker_id):
-        session.end_pause(order.worker_id)
+        session.looks.end_pause(order.worker_id)
     tasks.spawn(_start_run(order, session), "start-run")
 
 
@@ -49,12 +49,12 @@
         session.core.take_stop_outcome(order, outcome, clock.read_monotonic())
         if isinstance(outcome, messages.Done):
             # Whether the run is gone only a look that is sent from now on tells.
-            session.look_again(order.worker_id)
+            session.looks.look_again(order.worker_id)
         session.pump()
 
 
 @carry_out.register
-def call_advice(order: core.CallAdvice, session):
+def call_advice(order: ticketing.CallAdvice, session):
     """Have one of our processes call for advice."""
     step = order.request.step
     left_ms = clock.compute_remaining_ms(order.deadline, clock.read_monotonic())
@@ -74,7 +74,7 @@
     logs.log(
         event,
         job=key.job_id,
-        task=f"{key.time}.{key.step}.{key.index}",
+        task=key.name_in_job(),
         run=order.run,
         worker=order.worker_id,
         token=order.token,
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -158,6 +158,7 @@
         self._name = name
         self._address = address
         self._incarnation = ids.make_incarnation()
+        self.owner = None
         self.lease_id = 0
         self.token = 0
 
@@ -167,7 +168,8 @@
         Args:
           revision: An int, of the key to be replaced; ABSENT_REVISION if free.
         Returns:
-          A bool, whether the key is ours; `token` and `lease_id` are set then.
+          A bool, whether the key is ours; `owner`, `token` and `lease_id` are
+          set then.
         """
         granted = await self._store.grant_lease(LEASE_TTL_MS)
         if isinstance(granted, result.Failure):
@@ -182,7 +184,7 @@
             )
         )
         if isinstance(written, result.Success):
-            self._take(lease_id, written.unwrap())
+            self._take(owner, written.unwrap())
             return True
         if port.is_failure(written, port.Unavailable):
             return False
@@ -196,13 +198,14 @@
         owner = decode_owner(read.unwrap().value)
         if owner is None or owner.incarnation != self._incarnation:
             return False
-        self._take(owner.lease_id, read.unwrap().revision)
+        self._take(owner, read.unwrap().revision)
         return True
 
-    def _take(self, lease_id, token):
-        self.lease_id = lease_id
+    def _take(self, owner, token):
+        self.owner = owner
+        self.lease_id = owner.lease_id
         self.token = token
-        logs.log("owner-key-claimed", token=token, lease=lease_id)
+        logs.log("owner-key-claimed", token=token, lease=owner.lease_id)
 
     async def renew(self, is_current):
         """Renew the lease until it is gone.
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -61,12 +61,10 @@
     Attributes:
       status_s: How long callers ask for a job after its end.
       grace_s: From the order to stop until the process is killed.
-      gang_ms: How long a gang's member waits for the others.
     """
 
     status_s: Seconds = 120.0
     grace_s: Seconds = 6.0
-    gang_ms: int = 3000
 
 
 class SchedulerSettings(msgspec.Struct, frozen=True):
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -164,7 +164,8 @@
           address: A str, `IP:PORT`.
           method, path: A str each; the path with its query.
           body: Bytes, JSON; empty for none.
-          timeout_s: A float, seconds for the whole call.
+          timeout_s: A float, seconds for the answer once connected; to connect
+            may take as long again, CONNECT_TIMEOUT_S at most.
           headers: An iterable of pairs of str.
         Returns:
           A Result of Answer, NotSent or NoAnswer.
