Keep no steps of jobs that are over; give pages time on small links

Ruled out: a dead store (other VMs were answered), the ledger, room.

Change: once a job is over, its key keeps its ID alone; a page has 6 s, and a page that takes long is not held against the store.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,7 @@
         self.faults = platform_store.Faults()
         self.changed = []
         self.held = []
+        self.jobs_by_id = {}
         self.workers_by_id = {}
         self.twice = []
         self.unknown = []
@@ -107,7 +108,10 @@
         if item is None:
             return None
         kept = record.decode_job(base64.b64decode(item.value))
-        return kept.job.steps[key.step]
+        if kept.job.steps:
+            # Of a job that is over, the store keeps no steps.
+            self.jobs_by_id[kept.job_id] = kept
+        return self.jobs_by_id[key.job_id].job.steps[key.step]
 
     def add_worker(self):
         """Start a life of a worker and list it in the store."""
--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -8,7 +8,9 @@
 from thornport.cell import ending, leases, messages, model, progress
 from thornport.jobs import record
 
-BATCH_JOBS = 28  # of a transaction's 32 entries, two are conditions, one the head
+# Of a transaction's 32 entries, two are conditions and one the head; a job that is
+# over takes two.
+BATCH_JOBS = 14
 FORGOTTEN_KEYS = 3  # of a job that is forgotten: its own, its cancel's, its progress'
 
 
@@ -21,6 +23,7 @@
       states: Pairs of job id and record.JobState.
       seen_by_worker: The ends that it has, by worker id; empty if it has not all.
       forgotten: Ids of jobs whose records are removed.
+      closed_by_job: What stands for jobs that are over, bytes by job id.
     """
 
     progress_by_job: dict[str, bytes]
@@ -28,6 +31,7 @@
     states: list[tuple[str, record.JobState]]
     seen_by_worker: dict[str, int]
     forgotten: list[str]
+    closed_by_job: dict[str, bytes] = {}
 
 
 class Batches(ending.Ending):
@@ -63,6 +67,11 @@
             [(job.job_id, job.state) for job in jobs],
             seen,
             forgotten,
+            {
+                job.job_id: record.encode_record(record.close_job(job.record))
+                for job in jobs
+                if progress.is_closed(job)
+            },
         )
 
     def take_kept(self, batch, sent_at, now):
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -47,6 +47,7 @@
         self.now = 100.0
         self.faults = faults
         self.jobs_by_id = {}
+        self.submitted_by_id = {}
         self.progress_by_id = {}
         self.cancelled = set()
         self.token = 0
@@ -92,7 +93,7 @@
 
     def submit(self, kept):
         """Keep a job and tell the owner."""
-        self.jobs_by_id[kept.job_id] = kept
+        self.jobs_by_id[kept.job_id] = self.submitted_by_id[kept.job_id] = kept
         self.owner.take_job(kept, self.now)
 
     def cancel(self, job_id):
@@ -135,6 +136,8 @@
         self.owner.take_kept(None, self.now, self.now)
         while (batch := self.owner.make_batch()) is not None:
             self.progress_by_id.update(batch.progress_by_job)
+            for job_id, value in batch.closed_by_job.items():
+                self.jobs_by_id[job_id] = record.decode_job(value)
             self.owner.take_kept(batch, self.now, self.now)
 
     def _carry_out(self):
@@ -163,7 +166,7 @@
     def _do(self, worker, order):
         if isinstance(order, messages.StopOrder):
             return worker.stop(order, self.now)
-        step = self.jobs_by_id[order.key.job_id].job.steps[order.key.step]
+        step = self.submitted_by_id[order.key.job_id].job.steps[order.key.step]
         fails = self.faults.draw(self.faults.failing)
         count = len(worker.started)
         outcome = worker.start(order, step.demand, step.estimate_ms, fails, self.now)
@@ -348,6 +351,19 @@
             self.world.run(0.2)
         self.assertLess(len(hung.started), 2 + 10)
 
+    def test_successor_reads_little_of_jobs_that_are_over(self):
+        self.world.submit(make_job("m", make_step(2, 4, 200, gang=True)))
+        self.world.submit(make_job("n", make_step(2, 4, 60_000)))
+        self.world.run(1)
+        self.world.cancel("n")
+        self.world.run(1)
+        for job_id in ("m", "n"):
+            self.assertEqual(self.world.jobs_by_id[job_id].job.steps, ())
+        self.world.take_over()
+        self.world.run(1)
+        states = self.world.read_states()
+        self.assertEqual(states, {"m": "succeeded", "n": "cancelled"})
+
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
         self.world.run(0.2)
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -208,6 +208,8 @@
         if batch is not None:
             for job_id, value in batch.progress_by_job.items():
                 puts.append(transactions.Put(record.PROGRESS_PREFIX + job_id, value))
+            for job_id, value in batch.closed_by_job.items():
+                puts.append(transactions.Put(record.JOB_PREFIX + job_id, value))
             for job_id in batch.forgotten:
                 removes += [
                     prefix + job_id
--- a/thornport/cell/progress.py
+++ b/thornport/cell/progress.py
@@ -12,6 +12,8 @@
     Returns:
       A record.Progress.
     """
+    if job.state is record.JobState.SUCCEEDED:
+        return record.Progress(job.state, (), job.times_done)
     if job.is_over():
         live = tuple(
             make_step(step) for step in job.steps_by_key.values() if step.live_by_index
@@ -23,6 +25,20 @@
     )
 
 
+def is_closed(job):
+    """Tell whether nothing of a job is needed but its state.
+
+    Args:
+      job: A model.JobEntry.
+    Returns:
+      A bool; false while runs of a job that was ended are to be stopped.
+    """
+    if job.state is record.JobState.SUCCEEDED:
+        return True
+    live = (step.live_by_index for step in job.steps_by_key.values())
+    return job.is_over() and not any(live)
+
+
 def has_begun(step):
     """Tell whether there is anything to keep of a step."""
     return bool(step.is_done or step.last_run)
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -38,6 +38,20 @@
     accepted_at_ms: int
 
 
+def close_job(kept):
+    """Make what stands for a job that is over.
+
+    Its ID stays known, and a successor need not read what it was.
+
+    Args:
+      kept: A JobRecord.
+    Returns:
+      A JobRecord without steps.
+    """
+    named = queue.Queue(kept.queue.name, "", "", "")
+    return JobRecord(kept.job_id, named, spec.Job("", ()), kept.accepted_at_ms)
+
+
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that may be live: written before the worker is told to start it."""
 
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -10,6 +10,8 @@
 from thornport.store import port, transactions
 
 WATCH_SLACK_S = 0.6  # beyond the wait, for the way there and back
+# A page has 1 MB at most, which takes 2 s on the smallest VMs' links (5 Mbit/s).
+PAGE_TIMEOUT_S = 6.0
 MAX_WATCH_MS = 30_000  # the platform's limit on a waiting watch
 
 
@@ -106,7 +108,7 @@
         if after_key:
             query["after"] = after_key
         path = "/-/kv-range?" + urllib.parse.urlencode(query)
-        answer = await self._call("GET", path)
+        answer = await self._call("GET", path, timeout_s=PAGE_TIMEOUT_S)
         return decode_body(answer, WirePage).map(decode_page)
 
     async def watch(self, prefix, after_revision, wait_ms):
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -67,8 +67,9 @@
         return await self._check(self._store.read_key(key))
 
     async def read_page(self, prefix, after_key=""):
-        """As the client's."""
-        return await self._check(self._store.read_page(prefix, after_key))
+        """As the client's; a large page may take long."""
+        began_at = clock.read_monotonic()
+        return self._note(began_at, await self._store.read_page(prefix, after_key))
 
     async def watch(self, prefix, after_revision, wait_ms):
         """As the client's; one that is cut while it waits is not held against it."""
