Decide in the intake how long a job waits for the store; test its outcomes

Cause: the adapter, which decides nothing, held the limits of a refusal.

Change: limits and margin moved to jobs/intake.py; the adapter passes the caller's deadline. Tests of the outcomes in simulated time.

--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -20,6 +20,10 @@
 # A write without an answer is carried out seconds later at most; callers send
 # the same ID again for some seconds.
 UNRESOLVED_S = 30.0
+ANSWER_MARGIN_S = 0.15  # an answer is on its way before the caller gives up
+# A refusal that comes later than a quarter of the job's objective is priced.
+REFUSE_SHARE = 0.25
+MAX_REFUSE_S = 0.35  # a caller tries four times within its deadline
 RESOLVE_S = 0.9  # for an open write to be resolved; a third of callers' deadline
 
 
@@ -106,15 +110,17 @@
             del by_id[known_id]
         by_id[job_id] = now + UNRESOLVED_S
 
-    def submit(self, kept, refuse_at, give_up_at):
+    def submit(self, kept, deadline):
         """Keep a job.
 
         Args:
           kept: A record.JobRecord.
-          refuse_at, give_up_at: A float each.
+          deadline: A float, when its caller gives up.
         Returns:
           A Deferred of Accepted, Refused or Unknown.
         """
+        refuse_at = clock.read_monotonic() + compute_refuse_s(kept)
+        give_up_at = deadline - ANSWER_MARGIN_S
         pending = Pending(kept, refuse_at, give_up_at, defer.Deferred())
         if kept.job_id in self._unresolved_until_by_id:
             pending.may_be_kept = True
@@ -193,12 +199,12 @@
             self._tell.tell_kept(kept.job_id)
         pending.outcome.callback(outcome)
 
-    async def cancel(self, job_id, give_up_at):
+    async def cancel(self, job_id, deadline):
         """Keep a cancel.
 
         Args:
           job_id: A str.
-          give_up_at: A float.
+          deadline: A float, when its caller gives up.
         Returns:
           Accepted, NoSuchJob, Refused or Unknown.
         """
@@ -211,7 +217,7 @@
                 logs.log("job-cancelled", job=job_id, outcome=type(outcome).__name__)
                 return outcome
             may_be_kept = may_be_kept or isinstance(outcome, port.Ambiguous)
-            if clock.read_monotonic() >= give_up_at:
+            if clock.read_monotonic() >= deadline - ANSWER_MARGIN_S:
                 kind = Unknown if may_be_kept else Refused
                 logs.log("job-cancelled", job=job_id, outcome=kind.__name__)
                 return kind(outcome.reason)
@@ -236,6 +242,19 @@
         return Accepted() if isinstance(error, transactions.Refused) else error
 
 
+def compute_refuse_s(kept):
+    """How long a job may wait for the store until it is refused.
+
+    Args:
+      kept: A record.JobRecord.
+    Returns:
+      A float, seconds.
+    """
+    longest_ms = max(step.estimate_ms for step in kept.job.steps)
+    objective_ms = kept.queue.target_ms + kept.queue.stretch * longest_ms
+    return min(MAX_REFUSE_S, REFUSE_SHARE * objective_ms / 1000)
+
+
 def make_transaction(batch):
     """Make the transaction of some submissions.
 
--- /dev/null
+++ b/thornport/jobs/intake_test.py
@@ -0,0 +1,119 @@
+"""What callers are told of jobs whose write fails, stays open, or is known."""
+
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import task
+
+from thornport.jobs import intake, queue, record, spec
+from thornport.kernel import clock, metrics
+from thornport.store import port, transactions
+
+QUEUE = queue.Queue("press", "h", "/p/", "press-desk", target_ms=1000)
+DEADLINE_S = 3.0
+STEP_S = 0.01
+
+
+class FakeStore:
+    """Answers each write as told; away when told."""
+
+    def __init__(self):
+        self.outcomes = []
+        self.commits = 0
+        self.away = False
+
+    def is_away(self):
+        """Whether no process reaches the store."""
+        return self.away
+
+    async def commit(self, transaction):
+        """Apply a transaction, or fail as told; the last outcome stays."""
+        self.commits += 1
+        return self.outcomes[0] if len(self.outcomes) == 1 else self.outcomes.pop(0)
+
+
+class IntakeCase(unittest.TestCase):
+    """An intake in simulated time."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.store = FakeStore()
+        self.telling = mock.Mock(spec=intake.Telling)
+        self.intake = intake.Intake(
+            self.clock, self.store, metrics.Metrics(), self.telling
+        )
+
+    def submit(self, job_id="a"):
+        """Hand in a job and let time pass to its deadline.
+
+        Returns:
+          A pair of the outcome and the seconds that it took.
+        """
+        job = spec.Job("text", (spec.Step(1, spec.Demand(1, 1, 0), 200),))
+        kept = record.JobRecord(job_id, QUEUE, job, 0)
+        began_at = self.clock.seconds()
+        told = []
+        waiting = self.intake.submit(kept, began_at + DEADLINE_S)
+        waiting.addCallback(told.append)
+        while not told and self.clock.seconds() < began_at + DEADLINE_S:
+            self.clock.advance(STEP_S)
+        return told[0], self.clock.seconds() - began_at
+
+
+class Outcomes(IntakeCase):
+    """The three outcomes, and how long they take."""
+
+    def test_kept_job_is_accepted_and_told_of(self):
+        self.store.outcomes = [result.Success(7)]
+        self.assertIsInstance(self.submit()[0], intake.Accepted)
+        self.telling.tell_kept.assert_called_once_with("a")
+
+    def test_job_that_is_there_is_accepted_again(self):
+        item = transactions.Item(record.JOB_PREFIX + "a", b"", 3)
+        known = transactions.Refused("a condition failed", {item.key: item})
+        self.store.outcomes = [result.Failure(known)]
+        self.assertIsInstance(self.submit()[0], intake.Accepted)
+
+    def test_store_that_did_nothing_gives_a_refusal_soon(self):
+        self.store.outcomes = [result.Failure(port.Unavailable("status 503"))]
+        outcome, took_s = self.submit()
+        self.assertIsInstance(outcome, intake.Refused)
+        self.assertLess(took_s, intake.MAX_REFUSE_S + 0.2)
+
+    def test_store_that_is_away_gives_a_refusal_at_once_and_no_write(self):
+        self.store.away = True
+        outcome, took_s = self.submit()
+        self.assertIsInstance(outcome, intake.Refused)
+        self.assertEqual((took_s, self.store.commits), (0.0, 0))
+
+    def test_open_write_is_never_refused(self):
+        lost = result.Failure(port.Ambiguous("no answer"))
+        nothing_done = result.Failure(port.Unavailable("status 503"))
+        self.store.outcomes = [lost, nothing_done]
+        self.assertIsInstance(self.submit()[0], intake.Unknown)
+        # The same ID again, also while the store is away.
+        self.store.away = True
+        self.assertIsInstance(self.submit()[0], intake.Unknown)
+        self.telling.tell_unresolved.assert_called_with("a")
+
+    def test_open_write_of_a_peer_is_not_refused_here(self):
+        self.store.away = True
+        self.store.outcomes = [result.Failure(port.Unavailable("away"))]
+        self.intake.note_unresolved("b")
+        self.assertIsInstance(self.submit("b")[0], intake.Unknown)
+        self.assertIsInstance(self.submit("c")[0], intake.Refused)
+
+    def test_lost_answer_is_resolved_by_sending_again(self):
+        item = transactions.Item(record.JOB_PREFIX + "a", b"", 3)
+        known = transactions.Refused("a condition failed", {item.key: item})
+        lost = result.Failure(port.Ambiguous("no answer"))
+        self.store.outcomes = [lost, result.Failure(known)]
+        self.assertIsInstance(self.submit()[0], intake.Accepted)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -13,10 +13,6 @@
 DEADLINE_HEADER = "Thornport-Deadline-Ms"
 ID_DIGITS = 16  # hex digits of a job's ID, chosen by the caller
 DEFAULT_DEADLINE_MS = 3000  # the callers' usual deadline on these deployments
-ANSWER_MARGIN_S = 0.15  # an answer is on its way before the caller gives up
-# A refusal that comes later than a quarter of the objective is priced.
-REFUSE_SHARE = 0.25
-MAX_REFUSE_S = 0.35  # a caller tries four times within its deadline
 
 
 class WireState(msgspec.Struct, frozen=True):
@@ -104,9 +100,7 @@
         return answer(request, 400, WireError(str(error)))
     now = clock.read_monotonic()
     kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
-    outcome = await daemon.intake.submit(
-        kept, now + compute_refuse_s(queue, job), read_deadline(request, now)
-    )
+    outcome = await daemon.intake.submit(kept, read_deadline(request, now))
     if isinstance(outcome, intake.Accepted):
         return answer(request, 200, WireState(record.JobState.QUEUED.value))
     if isinstance(outcome, intake.Refused):
@@ -151,20 +145,6 @@
     return len(text) == ID_DIGITS and all(c in "0123456789abcdef" for c in text)
 
 
-def compute_refuse_s(queue, job):
-    """How long a job may wait for the store until it is refused, seconds.
-
-    Args:
-      queue: A queue.Queue.
-      job: A spec.Job.
-    Returns:
-      A float.
-    """
-    longest_ms = max(step.estimate_ms for step in job.steps)
-    objective_ms = queue.target_ms + queue.stretch * longest_ms
-    return min(MAX_REFUSE_S, REFUSE_SHARE * objective_ms / 1000)
-
-
 def read_deadline(request, now):
     """Read when the caller gives up.
 
@@ -172,11 +152,11 @@
       request: A twisted request.
       now: A float.
     Returns:
-      A float, a little before that.
+      A float.
     """
     text = request.getHeader(DEADLINE_HEADER) or ""
     wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
-    return now + max(0.05, wait_ms / 1000 - ANSWER_MARGIN_S)
+    return now + wait_ms / 1000
 
 
 def answer(request, status, body):
