End the life of a worker that wrote its entry first, not the one read last

Cause: read for hazards, taking a new worker's entry ended every other life at its address. The entry of a life that crashed stays in the store for three heartbeats, so when all entries are read anew (the store forgot its history) within that time, the old entry came after the new one and ended the life that runs: its tasks were started a second time.

Ruled out: the order of a watch, which is by revision.

Change: an entry carries its revision; of two lives at an address the one that wrote earlier is over, whichever is read first.

--- a/bench/cell.py
+++ b/bench/cell.py
@@ -53,7 +53,7 @@
                 messages.WorkerState.READY,
                 ROOM,
             )
-            self.core.take_worker(entry, self.now)
+            self.core.take_worker(entry, number, self.now)
             self.look(f"w{number}")
 
     def look(self, worker_id):
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -8,6 +8,7 @@
 import random
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -51,6 +52,7 @@
         self.progress_by_id = {}
         self.cancelled = set()
         self.token = 0
+        self.revision = 0
         self.late_calls = []
         self.workers_by_id = {
             f"w{n}": leased_worker.LeasedWorker(f"w{n}", ROOM, clock_rate)
@@ -89,7 +91,8 @@
             state,
             ROOM,
         )
-        self.owner.take_worker(entry, self.now)
+        self.revision += 1
+        self.owner.take_worker(entry, self.revision, self.now)
 
     def submit(self, kept):
         """Keep a job and tell the owner."""
@@ -314,6 +317,19 @@
         live = [w.active_by_key for w in self.world.workers_by_id.values()]
         self.assertTrue(any(live))
 
+    def test_entry_of_an_ended_life_does_not_end_the_one_that_replaced_it(self):
+        self.world.submit(make_job("k", make_step(1, 60, 60_000)))
+        self.world.run(1)
+        place = next(w for w in self.world.workers_by_id.values() if w.active_by_key)
+        known = self.world.owner.workers_by_id[place.worker_id]
+        # All entries are read anew; the ended life's is there until it lapses.
+        earlier = msgspec.structs.replace(known.entry, worker_id="zz")
+        self.world.owner.take_worker(earlier, known.revision - 1, self.world.now)
+        self.world.run(1)
+        self.assertIn(place.worker_id, self.world.owner.workers_by_id)
+        self.assertNotIn("zz", self.world.owner.workers_by_id)
+        self.assertEqual(len(place.started), 1)
+
     def test_work_that_fills_is_kept_from_work_that_serves(self):
         fills = make_step(6, 2, 60_000, lasting=True, fills=True)
         serves = make_step(2, 2, 60_000, lasting=True, tail_target_ms=40)
--- a/thornport/cell/following.py
+++ b/thornport/cell/following.py
@@ -92,14 +92,15 @@
         listed = set()
         for item in items:
             listed.add(item.key.removeprefix(self._ports.worker_prefix))
-            self._take_worker(item.key, item.value)
+            self._take_worker(item)
         self._core.keep_listed(listed)
         self._session.pump()
 
-    def _take_worker(self, key, value):
-        worker_id = key.removeprefix(self._ports.worker_prefix)
+    def _take_worker(self, item):
+        """Take an entry; an item that was read, or a change that has a value."""
+        worker_id = item.key.removeprefix(self._ports.worker_prefix)
         try:
-            entry = self._ports.decode_worker(worker_id, value)
+            entry = self._ports.decode_worker(worker_id, item.value)
         except self._ports.decode_errors as error:
             logs.log("worker-entry-undecodable", worker=worker_id, reason=str(error))
             return
@@ -111,7 +112,7 @@
                 state=entry.state.value,
                 labels=",".join(sorted(entry.labels)),
             )
-        self._core.take_worker(entry, clock.read_monotonic())
+        self._core.take_worker(entry, item.revision, clock.read_monotonic())
 
     def _take_worker_change(self, change):
         if change.value is None:
@@ -119,7 +120,7 @@
             logs.log("worker-unlisted", worker=worker_id, revision=change.revision)
             self._core.drop_worker(worker_id)
         else:
-            self._take_worker(change.key, change.value)
+            self._take_worker(change)
         self._session.pump()
 
     # Jobs.
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -27,28 +27,42 @@
         self._queues_by_name = {queue.name: queue for queue in config.queues}
         self.needs_round = True
 
-    def take_worker(self, entry, now):
+    def take_worker(self, entry, revision, now):
         """Take a worker's entry, new or changed.
 
         Args:
           entry: A messages.WorkerEntry.
+          revision: An int, the store's revision of the entry.
           now: A float.
         """
+        if self._is_replaced(entry, revision, now):
+            return
         worker = self.workers_by_id.get(entry.worker_id)
         if worker is None:
             worker = model.Worker(entry, self._earlier_over_at)
             self.workers_by_id[entry.worker_id] = worker
-            self._end_replaced(entry, now)
         worker.entry = entry
+        worker.revision = revision
         worker.is_listed = True
         self.needs_round = True
 
-    def _end_replaced(self, entry, now):
-        """A new life at an address ends the earlier one there."""
+    def _is_replaced(self, entry, revision, now):
+        """Tell which life at an address is over: the one that wrote earlier.
+
+        The entry of a life that has ended stays in the store until it lapses, so
+        reading all entries may show it after the one that took its place.
+        """
         for worker in list(self.workers_by_id.values()):
             is_other = worker.worker_id != entry.worker_id
-            if is_other and worker.entry.address == entry.address:
-                self.end_worker(worker, now)
+            if not is_other or worker.entry.address != entry.address:
+                continue
+            if worker.revision > revision:
+                ended = self.workers_by_id.get(entry.worker_id)
+                if ended is not None:
+                    self.end_worker(ended, now)
+                return True
+            self.end_worker(worker, now)
+        return False
 
     def drop_worker(self, worker_id):
         """Take that the store no longer lists a worker; it may still run."""
