Hold nothing but the state of jobs that are over

Its steps keep tickets and ids of up to 100 workers each, and were held for two minutes after a job's end.

Ruled out: pages of the store (read once, at the takeover); messages of peers.

Change: a step that is done drops its tickets and ids; a job whose end is kept drops its steps and its text, as its record in the store does.

--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -92,6 +92,8 @@
             job.shown_state = state
             if state in record.FINAL_STATES and job.ended_at is None:
                 job.ended_at = now
+            if job_id not in self.dirty and progress.is_closed(job):
+                job.close()
         for worker_id, number in batch.seen_by_worker.items():
             worker = self.workers_by_id.get(worker_id)
             if worker is not None:
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -380,6 +380,24 @@
         states = self.world.read_states()
         self.assertEqual(states, {"m": "succeeded", "n": "cancelled"})
 
+    def test_nothing_but_the_state_is_held_of_jobs_that_are_over(self):
+        self.world.submit(make_job("l", make_step(3, 4, 200)))
+        self.world.submit(make_job("m", make_step(4, 4, 200, gang=True)))
+        self.world.submit(make_job("n", make_step(1, 4, 60_000)))
+        self.world.run(0.5)
+        self.world.cancel("n")
+        self.world.run(2)
+        self.assertEqual(
+            self.world.read_states(),
+            {"l": "succeeded", "m": "succeeded", "n": "cancelled"},
+        )
+        for job in self.world.owner.jobs_by_id.values():
+            self.assertFalse(job.steps_by_key)
+            self.assertFalse(job.record.job.steps)
+        for worker in self.world.owner.workers_by_id.values():
+            self.assertFalse(worker.runs_by_key)
+            self.assertEqual(worker.used, spec.Demand())
+
     def test_anti_affinity_bounds_tasks_on_a_worker(self):
         self.world.submit(make_job("e", make_step(6, 1, 500, max_per_worker=1)))
         self.world.run(0.2)
--- a/thornport/cell/ending.py
+++ b/thornport/cell/ending.py
@@ -57,6 +57,8 @@
         else:
             step.done.add(run.key.index)
         step.is_done = len(step.done) == step.spec.count
+        if step.is_done:
+            step.forget_advice()
 
     def _take_failed(self, step, run):
         index = step.index_for(run.key.index)
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -212,6 +212,12 @@
     is_advising: bool = False
     retry_advice_at: float = 0.0
 
+    def forget_advice(self):
+        """Drop the tickets and ids of workers; nothing of it starts any more."""
+        self.tickets_by_worker.clear()
+        self.asked_ids.clear()
+        self.good_ids.clear()
+
     def index_for(self, index):
         """The index that failures and checkpoints of a task are kept under."""
         return GANG_INDEX if self.spec.gang else index
@@ -254,6 +260,14 @@
         count = len(self.record.job.steps)
         return [messages.StepKey(self.job_id, time, n) for n in range(count)]
 
+    def close(self):
+        """Hold its state alone: its steps, with their tickets, are many bytes.
+
+        Runs that are to end yet keep their room by their workers.
+        """
+        self.steps_by_key.clear()
+        self.record = record.close_job(self.record)
+
     def is_over(self):
         """Whether its end is decided."""
         return self.state in record.FINAL_STATES
