--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -79,10 +79,14 @@
         self._is_stopped = True
         self.wake()
 
-    def wake(self):
-        """There is something to keep."""
+    def wake(self, is_due=False):
+        """End a sleep: there is something to keep.
+
+        Args:
+          is_due: A bool, whether it is time to confirm instead.
+        """
         if self._wake is not None and not self._wake.called:
-            self._wake.callback(None)
+            self._wake.callback(is_due)
 
     async def read_head(self):
         """Read the head; a bool, whether the store answered."""
@@ -127,12 +131,9 @@
     async def _sleep(self):
         """Wait for something to keep; true when it is time to confirm."""
         self._wake = defer.Deferred()
-        timer = self._reactor.callLater(CONFIRM_PERIOD_S, self.wake)
-        await self._wake
-        is_due = not timer.active()
-        if timer.active():
-            timer.cancel()
-        return is_due
+        return await tasks.wait_timed(
+            self._reactor, self._wake, CONFIRM_PERIOD_S, lambda: self.wake(is_due=True)
+        )
 
     async def _commit(self, batch):
         """Commit until the outcome is known.
--- a/thornport/cell/looks.py
+++ b/thornport/cell/looks.py
@@ -114,10 +114,9 @@
         if self._core.is_urgent_at(worker_id):
             return
         resting = self._resting_by_worker[worker_id] = defer.Deferred()
-        timer = self._reactor.callLater(PATIENT_GAP_S, self.end_pause, worker_id)
-        await resting
-        if timer.active():
-            timer.cancel()
+        await tasks.wait_timed(
+            self._reactor, resting, PATIENT_GAP_S, lambda: self.end_pause(worker_id)
+        )
 
     def end_pause(self, worker_id):
         """Look at a worker again: something urgent starts there, or it is time."""
--- a/thornport/cell/questions.py
+++ b/thornport/cell/questions.py
@@ -7,6 +7,8 @@
 
 from twisted.internet import defer
 
+from thornport.kernel import tasks
+
 
 class Questions:
     """The questions of one kind that are open."""
@@ -37,13 +39,15 @@
         ask_id = next(self._ids)
         waiting = self._waiting_by_id[ask_id] = defer.Deferred()
         self._bus.send(address, "", make_question(ask_id))
-        timer = self._reactor.callLater(self._patience_s, waiting.callback, None)
         try:
-            return await waiting
+            return await tasks.wait_timed(
+                self._reactor,
+                waiting,
+                self._patience_s,
+                lambda: waiting.callback(None),
+            )
         finally:
             del self._waiting_by_id[ask_id]
-            if timer.active():
-                timer.cancel()
 
     def take_answer(self, message):
         """Take an answer; one that came too late is dropped.
--- a/thornport/cell/relaying.py
+++ b/thornport/cell/relaying.py
@@ -77,12 +77,9 @@
             return outcome
 
         direct = tasks.spawn(call(), "store-call").addCallback(note)
-        timer = self._reactor.callLater(
-            HEDGE_S, lambda: first.called or first.callback(None)
+        outcome = await tasks.wait_timed(
+            self._reactor, first, HEDGE_S, lambda: first.callback(None)
         )
-        outcome = await first
-        if timer.active():
-            timer.cancel()
         if is_known(outcome) or not self.peer_addresses:
             return outcome if outcome is not None else await direct_outcome(direct)
         relayed = await self._ask_peer(make_question)
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -14,6 +14,8 @@
 from twisted.internet import defer, protocol
 from twisted.internet.error import ConnectionAborted, ConnectionRefusedError
 
+from thornport.kernel import tasks
+
 CONNECT_TIMEOUT_S = 1.0  # links have delays of milliseconds; a silent peer is cut
 
 
@@ -179,14 +181,12 @@
             connection = opened.unwrap()
         data = format_request(address, method, path, body, headers)
         waiting = connection.send(data)
-        timer = self._reactor.callLater(timeout_s, waiting.cancel)
         try:
-            return await waiting
+            return await tasks.wait_timed(
+                self._reactor, waiting, timeout_s, waiting.cancel
+            )
         except defer.CancelledError:
             return result.Failure(NoAnswer(f"no answer in {timeout_s} s"))
-        finally:
-            if timer.active():
-                timer.cancel()
 
     async def _open(self, address, pool, timeout_s):
         host, port = address.rsplit(":", 1)
--- a/thornport/kernel/tasks.py
+++ b/thornport/kernel/tasks.py
@@ -55,6 +55,25 @@
     return loop
 
 
+async def wait_timed(reactor, waiting, seconds, end_wait):
+    """Wait for a Deferred, with a timer that ends the wait.
+
+    Args:
+      reactor: Twisted's reactor.
+      waiting: A Deferred.
+      seconds: A float, until the timer fires.
+      end_wait: A callable of no arguments that fires or cancels the Deferred.
+    Returns:
+      What the Deferred gives.
+    """
+    timer = reactor.callLater(seconds, end_wait)
+    try:
+        return await waiting
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
 def sleep(reactor, seconds):
     """Wait.
 
