Get back a key that ran out; let large VMs own; read one key of jobs that are over

The owner, alive, noticed at 34.62 that its key was gone and forgot all. A VM of half a core on 10 Mbit/s claimed at 34.91, read 2,589 jobs in 3.1 s and began to start at 39.5; jobs accepted from 34.6 on were taken at 41 to 42: 181 of the 211 urgent jobs not served had been accepted.

Ruled out: room, advice, workers (they answered throughout).

Change: the ledger gets a key that ran out back while its head is unchanged, and the core goes on under the higher token; claims wait for an owner that was heard a moment ago, and less the larger the VM is against the largest known; word of jobs is taken while the records are read; a job that is over is one key; rounds of placement take a third of the processor at most; an unknown outcome says when to ask again, too.

--- a/thornport/cell/advising.py
+++ b/thornport/cell/advising.py
@@ -19,6 +19,7 @@
       address: A str, where it takes messages.
       heard_at: A float, when it last greeted.
       has_store: Whether the store answers it.
+      cores: A float, how much processor its VM has.
       busy_until: A float, when it has made all calls given to it.
     """
 
@@ -26,6 +27,7 @@
     address: str
     heard_at: float
     has_store: bool = True
+    cores: float = 1.0
     busy_until: float = 0.0
 
 
@@ -35,12 +37,13 @@
     def __init__(self):
         self._by_name = {}
 
-    def greet(self, name, address, has_store, now):
+    def greet(self, name, address, has_store, cores, now):
         """Take a greeting.
 
         Args:
           name, address: A str each.
           has_store: A bool, whether the store answers the process.
+          cores: A float, how much processor its VM has.
           now: A float.
         """
         caller = self._by_name.get(name)
@@ -48,6 +51,14 @@
             caller = self._by_name[name] = Caller(name, address, now)
         caller.heard_at = now
         caller.has_store = has_store
+        caller.cores = cores
+
+    def find_largest_cores(self, now):
+        """The most processor that a VM of a process that is well has, a float."""
+        return max((caller.cores for caller in self._list_alive(now)), default=0.0)
+
+    def _list_alive(self, now):
+        return [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
 
     def list_addresses(self, has_store, now):
         """The addresses of processes that are well.
@@ -60,8 +71,8 @@
         """
         return [
             caller.address
-            for caller in self._by_name.values()
-            if caller.has_store is has_store and now - caller.heard_at < SILENCE_S
+            for caller in self._list_alive(now)
+            if caller.has_store is has_store
         ]
 
     def choose(self, cost_s, now):
@@ -74,8 +85,7 @@
           A pair of the Caller and the deadline of the call, or None when
           there is no process.
         """
-        alive = [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
-        alive.sort(key=lambda caller: caller.name)
+        alive = sorted(self._list_alive(now), key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
         group = alive[:half] if cost_s >= LONG_CALL_S else alive[half:] or alive
         caller = min(group, key=lambda caller: caller.busy_until, default=None)
--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -9,7 +9,7 @@
 from thornport.jobs import record
 
 # Of a transaction's 32 entries, two are conditions and one the head; a job that is
-# over takes two.
+# over takes two: its own key is written, its progress removed.
 BATCH_JOBS = 14
 FORGOTTEN_KEYS = 3  # of a job that is forgotten: its own, its cancel's, its progress'
 
@@ -23,7 +23,8 @@
       states: Pairs of job id and record.JobState.
       seen_by_worker: The ends that it has, by worker id; empty if it has not all.
       forgotten: Ids of jobs whose records are removed.
-      closed_by_job: What stands for jobs that are over, bytes by job id.
+      closed_by_job: What stands for jobs that are over, bytes by job id; their
+        progress is removed.
     """
 
     progress_by_job: dict[str, bytes]
@@ -58,19 +59,22 @@
         forgotten = list(self.forgotten)[: (BATCH_JOBS - len(jobs)) // FORGOTTEN_KEYS]
         for job_id in forgotten:
             del self.forgotten[job_id]
+        closed = [job for job in jobs if progress.is_closed(job)]
+        open_ = [job for job in jobs if not progress.is_closed(job)]
         return Batch(
             {
                 job.job_id: record.encode_record(progress.make_progress(job))
-                for job in jobs
+                for job in open_
             },
             runs,
             [(job.job_id, job.state) for job in jobs],
             seen,
             forgotten,
             {
-                job.job_id: record.encode_record(record.close_job(job.record))
-                for job in jobs
-                if progress.is_closed(job)
+                job.job_id: record.encode_record(
+                    record.close_job(job.record, job.state)
+                )
+                for job in closed
             },
         )
 
--- /dev/null
+++ b/thornport/cell/candidacy.py
@@ -0,0 +1,69 @@
+"""How long a process waits before it claims its cell.
+
+The owner of a large cell needs the processor of a large VM, so smaller ones wait
+a little. An owner that was heard a moment ago is alive and gets a key back that
+ran out, without anything to be read anew, so it is given the first try.
+"""
+
+import xxhash
+
+CLAIM_SPREAD_S = 0.02  # so that not all processes claim in the same instant
+# How much later the smallest VMs claim: processes learn that the key is free within
+# a try of their watch, 0.2 s, so that a larger one is first in most cases.
+SMALL_WAIT_S = 0.3
+# At which a VM waits for nobody while no owner has told of others (a whole cell
+# that starts): what the owner of 176 workers needs, docs/CAPACITY.md.
+LARGE_CORES = 1.0
+# Owners tell peers twice a second. The key of one that was killed goes 0.75 s after
+# it was heard last, or later.
+OWNER_ALIVE_S = 0.7
+REGAIN_WAIT_S = 0.15  # several tries of an owner that the store answers
+
+
+class Candidacy:
+    """What a process knows for its next claim."""
+
+    __slots__ = ("_cores", "_heard_at", "_largest_cores", "_share")
+
+    def __init__(self, name, cores):
+        """Begin.
+
+        Args:
+          name: A str, of the process; it spreads the claims.
+          cores: A float, how much processor the VM has.
+        """
+        self._cores = cores
+        self._largest_cores = LARGE_CORES
+        self._share = xxhash.xxh3_64_intdigest(name.encode()) % 1000 / 1000
+        self._heard_at = None
+
+    def hear_owner(self, largest_cores, now):
+        """Take that the owner lives, and how large the largest VM is.
+
+        Args:
+          largest_cores: A float; 0 if the owner knows of none.
+          now: A float.
+        """
+        self._heard_at = now
+        if largest_cores:
+            self._largest_cores = largest_cores
+
+    def owner_leaves(self):
+        """Take that the owner hands the cell over."""
+        self._heard_at = None
+
+    def compute_wait_s(self, now, is_offered):
+        """Say how long to wait before a claim.
+
+        Args:
+          now: A float.
+          is_offered: A bool, whether the owner asked to be replaced.
+        Returns:
+          A float, seconds.
+        """
+        lack = max(0.0, 1.0 - self._cores / self._largest_cores)
+        wait_s = self._share * CLAIM_SPREAD_S + lack * SMALL_WAIT_S
+        is_alive = self._heard_at is not None and now - self._heard_at < OWNER_ALIVE_S
+        if is_alive and not is_offered:
+            wait_s += REGAIN_WAIT_S
+        return wait_s
--- /dev/null
+++ b/thornport/cell/candidacy_test.py
@@ -0,0 +1,41 @@
+"""Who claims a cell first."""
+
+import unittest
+
+from thornport.cell import candidacy
+
+
+class ComputeWait(unittest.TestCase):
+    """The wait before a claim."""
+
+    def setUp(self):
+        self.small = candidacy.Candidacy("small", 0.5)
+        self.large = candidacy.Candidacy("large", 2.0)
+        for process in (self.small, self.large):
+            process.hear_owner(2.0, 10.0)
+
+    def test_large_vm_is_first_by_more_than_a_try_of_the_watch(self):
+        small_s = self.small.compute_wait_s(20.0, is_offered=False)
+        large_s = self.large.compute_wait_s(20.0, is_offered=False)
+        self.assertGreater(small_s - large_s, 0.2)
+
+    def test_vms_of_one_size_do_not_wait_for_a_larger_one(self):
+        small = candidacy.Candidacy("small", 0.5)
+        small.hear_owner(0.5, 10.0)
+        wait_s = small.compute_wait_s(20.0, is_offered=False)
+        self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
+
+    def test_owner_that_lives_may_get_its_key_back_first(self):
+        wait_s = self.large.compute_wait_s(10.2, is_offered=False)
+        self.assertGreaterEqual(wait_s, candidacy.REGAIN_WAIT_S)
+
+    def test_offered_or_left_cell_is_claimed_at_once(self):
+        wait_s = self.large.compute_wait_s(10.2, is_offered=True)
+        self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
+        self.large.owner_leaves()
+        wait_s = self.large.compute_wait_s(10.2, is_offered=False)
+        self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -10,7 +10,7 @@
     """All that an owner knows.
 
     Attributes:
-      token: An int, the fencing token of this ownership.
+      token: An int, the fencing token; it rises when a key that ran out is got back.
       confirmed_at: A float, when the last transaction that succeeded was sent.
       is_fenced: Whether a worker has seen a higher token: a successor decides.
       orders: Messages to carry out, emptied by `core.CellCore.take_orders`.
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -141,6 +141,7 @@
             self.progress_by_id.update(batch.progress_by_job)
             for job_id, value in batch.closed_by_job.items():
                 self.jobs_by_id[job_id] = record.decode_job(value)
+                self.progress_by_id.pop(job_id, None)
             self.owner.take_kept(batch, self.now, self.now)
 
     def _carry_out(self):
@@ -330,6 +331,25 @@
         self.assertNotIn("zz", self.world.owner.workers_by_id)
         self.assertEqual(len(place.started), 1)
 
+    def test_order_under_an_earlier_token_of_ours_is_given_again(self):
+        self.world.run(0.1)
+        owner = self.world.owner
+        owner.take_job(make_job("o", make_step(1, 4, 200)), self.world.now)
+        owner.place(self.world.now)
+        owner.take_kept(owner.make_batch(), self.world.now, self.world.now)
+        (order,) = owner.take_orders()
+        # The key ran out and was got back before the worker answered.
+        owner.token += 1
+        fenced = messages.Rejected(messages.Rejection.FENCED)
+        owner.take_start_outcome(order, fenced, self.world.now)
+        self.assertFalse(owner.is_fenced)
+        owner.place(self.world.now + 1)
+        owner.take_kept(owner.make_batch(), self.world.now, self.world.now)
+        (again,) = owner.take_orders()
+        self.assertEqual((again.token, again.run), (owner.token, order.run + 1))
+        owner.take_start_outcome(again, fenced, self.world.now)
+        self.assertTrue(owner.is_fenced)
+
     def test_work_that_fills_is_kept_from_work_that_serves(self):
         fills = make_step(6, 2, 60_000, lasting=True, fills=True)
         serves = make_step(2, 2, 60_000, lasting=True, tail_target_ms=40)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -2,12 +2,19 @@
 
 import random
 
-import xxhash
 from returns import result
 
-from thornport.cell import asking, owner, ownership, peering, receiving, relaying
+from thornport.cell import (
+    asking,
+    candidacy,
+    owner,
+    ownership,
+    peering,
+    receiving,
+    relaying,
+)
 from thornport.jobs import intake, queue, reading, record
-from thornport.kernel import logs, tasks
+from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
 
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
@@ -26,6 +33,7 @@
       ports, bus: As they were given.
       relayed: The relaying.RelayedStore.
       asker: The asking.Asker of the owner.
+      candidacy: The candidacy.Candidacy of this process for the cell.
       peer_addresses: The set of addresses of all other processes, as last told.
     """
 
@@ -50,6 +58,9 @@
         self.intake = intake.Intake(reactor, self.relayed, metrics, self)
         self.peer_addresses = set()
         self.asker = asking.Asker(reactor, bus)
+        cores = settings.process.cpu_share * settings.process.cores
+        self._cores = cores
+        self.candidacy = candidacy.Candidacy(settings.process.name, cores)
         self._standing = ownership.Standing(self)
         self._claimer = None
         self.session = None
@@ -100,6 +111,8 @@
         held = self.session is not None
         self._standing.leave()
         if held:
+            for address in self.peer_addresses:
+                self.bus.send(address, "", peering.Leaving())
             tasks.spawn(self._claimer.release(), "release")
         left_s = self._settings.bounds.grace_s - LAST_CALLS_S
         return tasks.sleep(self._reactor, max(0.0, left_s))
@@ -136,9 +149,9 @@
             logs.log("owner-changed", owner=self._owner.name if self._owner else "")
         if self._owner is None:
             self._standing.key_is_free()
-        elif self.session is not None and self._claimer.lease_id not in (
-            0,
-            self._owner.lease_id,
+        elif (
+            self.session is not None
+            and self._owner.incarnation != self._claimer.incarnation
         ):
             self._standing.key_is_lost()
         self._greet()
@@ -152,7 +165,9 @@
     async def _claim(self):
         while self.config is None:
             await tasks.sleep(self._reactor, ownership.RETRY_S)
-        await tasks.sleep(self._reactor, spread_claim(self._settings.process))
+        is_offered = self._offered_token != transactions.ABSENT_REVISION
+        wait_s = self.candidacy.compute_wait_s(clock.read_monotonic(), is_offered)
+        await tasks.sleep(self._reactor, wait_s)
         offered, self._offered_token = self._offered_token, 0
         if self._owner is not None and not offered:
             self._standing.claim_failed()
@@ -169,22 +184,22 @@
 
     def rebuild(self):
         """Read what an earlier owner kept."""
-        token = self._claimer.token
         session = self.session = owner.OwnerSession(
             self._reactor,
             self.ports,
             self.bus,
             self.metrics,
             self._settings,
-            token,
+            self._claimer,
             self._standing.key_is_lost,
         )
-        tasks.spawn(self._keep_lease(session), "keep-lease")
+        renewing = self._claimer.renew(lambda: session.is_active, session.confirm)
+        tasks.spawn(renewing, "keep-lease")
         tasks.spawn(self._rebuild(session), "rebuild")
 
-    async def _keep_lease(self, session):
-        if await self._claimer.renew(lambda: session.is_active):
-            session.lose("the lease is gone")
+    def confirm(self):
+        """The key is gone while this process decides."""
+        self.session.confirm()
 
     async def _rebuild(self, session):
         if await session.rebuild(self.config) and session is self.session:
@@ -215,7 +230,7 @@
     def _greet(self):
         if self._owner is not None and not self.is_stopping:
             name = self._settings.process.name
-            hello = peering.Hello(name, self.has_store())
+            hello = peering.Hello(name, self.has_store(), self._cores)
             self.bus.send(self._owner.address, "", hello)
 
     def _take_message(self, sender, address, message):
@@ -311,20 +326,6 @@
             self.bus.send(self._owner.address, "", message)
 
 
-def spread_claim(process):
-    """Choose how long a process waits before it claims.
-
-    Args:
-      process: A settings.Process.
-    Returns:
-      A float, seconds: less for a VM with more processor.
-    """
-    share = xxhash.xxh3_64_intdigest(process.name.encode()) % 1000 / 1000
-    cores = process.cpu_share * process.cores
-    lack = max(0.0, 1.0 - cores / ownership.LARGE_CORES)
-    return share * ownership.CLAIM_SPREAD_S + lack * ownership.SMALL_WAIT_S
-
-
 def describe(settings):
     """The settings that a start logs, as a dict for the log alone."""
     return {
--- a/thornport/cell/ending.py
+++ b/thornport/cell/ending.py
@@ -175,9 +175,18 @@
         for run in list(worker.runs_by_key.values()):
             self._release_run(run, now)
 
-    def _take_rejection(self, worker, answer, now):
+    def _take_rejection(self, worker, order, answer, now):
+        """Take that a worker did not do as told.
+
+        Args:
+          worker: A model.Worker.
+          order: The order or messages.HoldRequest.
+          answer: A messages.Rejected.
+          now: A float.
+        """
         if answer.reason is messages.Rejection.FENCED:
-            self.is_fenced = True
+            # The worker may have seen our own later token.
+            self.is_fenced = self.is_fenced or order.token == self.token
         elif answer.reason is messages.Rejection.REPLACED:
             self.end_worker(worker, now)
         else:
--- a/thornport/cell/holds.py
+++ b/thornport/cell/holds.py
@@ -74,7 +74,7 @@
         if worker is None:
             return
         if isinstance(answer, messages.Rejected):
-            self._take_rejection(worker, answer, now)
+            self._take_rejection(worker, request, answer, now)
             return
         if not isinstance(answer, messages.HoldAnswer):
             # Orders would fail as this look did; the next look clears it.
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -86,6 +86,9 @@
         """
         if kept.job_id in self.jobs_by_id:
             return
+        if kept.end_state is not None:
+            self._take_closed(kept, now)
+            return
         job = self._incoming_by_id.pop(kept.job_id, None)
         if job is None or job.record != kept:
             job = self._make_job(kept, now)
@@ -93,6 +96,14 @@
         self._unended_by_id[kept.job_id] = job
         self.needs_round = True
 
+    def _take_closed(self, kept, now):
+        """Take a job that was over before this owner."""
+        job = model.JobEntry(kept, self._next_order, now, kept.end_state)
+        job.shown_state = kept.end_state
+        job.ended_at = now
+        job.has_begun = True
+        self.jobs_by_id[kept.job_id] = job
+
     def _make_job(self, kept, now):
         self._next_order += 1
         job = model.JobEntry(kept, self._next_order, now)
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -3,6 +3,10 @@
 Each transaction names the owner's key and a head key that each changes, so
 that one whose answer was lost can be sent again and is applied once, and a
 late one is never applied over a newer one.
+
+The lease of the owner's key may run out while the store is away, or be taken.
+While nobody else has written the head since, what the owner knows is still all
+there is, so it gets the key back and goes on under a higher token.
 """
 
 import msgspec
@@ -52,7 +56,7 @@
       earlier: A tuple of str, as in Head; whoever ceases is taken out.
     """
 
-    def __init__(self, reactor, store, token, address, metrics):
+    def __init__(self, reactor, store, token, address, metrics, regain):
         """Begin.
 
         Args:
@@ -61,7 +65,11 @@
           token: An int, the revision of the owner's key.
           address: A str, where this process takes messages.
           metrics: A metrics.Metrics.
+          regain: A coroutine function that tries to get a key back that is gone.
+            It takes the revision that the head must have, an int, and gives the
+            new token, an int, or None when the cell is another's.
         """
+        self._regain = regain
         self._address = address
         self.earlier = ()
         self._reactor = reactor
@@ -145,10 +153,33 @@
           A float, when the transaction that was applied was sent; None when
           the key is not ours any more.
         """
-        self._sequence += 1
-        head = msgspec.json.encode(
-            Head(self._token, self._sequence, self._address, self.earlier)
-        )
+        while not self._is_stopped:
+            self._sequence += 1
+            head = msgspec.json.encode(
+                Head(self._token, self._sequence, self._address, self.earlier)
+            )
+            sent_at, error = await self._send(batch, head)
+            if error is None or self._was_applied(error, head):
+                return sent_at
+            if ownership.OWNER_KEY in error.by_key:
+                logs.log("ledger-refused", token=self._token, reason="not the owner")
+                return None
+            token = await self._regain(self._head_revision)
+            if token is None:
+                return None
+            self._token = token
+        return None
+
+    async def _send(self, batch, head):
+        """Send a transaction until its outcome is known.
+
+        Args:
+          batch: A batches.Batch or None.
+          head: Bytes, the value of the head key.
+        Returns:
+          A pair: a float, when it was first sent, or None if the ledger was
+          stopped; and the transactions.Refused, or None if it was applied.
+        """
         transaction = self._make_transaction(batch, head)
         began_at = clock.read_monotonic()
         outcomes = defer.DeferredQueue()
@@ -166,13 +197,13 @@
             if isinstance(written, result.Success):
                 self._head_revision = written.unwrap()
                 self._note_latency(clock.read_monotonic() - began_at)
-                return began_at
+                return began_at, None
             error = written.failure()
             if isinstance(error, transactions.Refused):
-                return began_at if self._was_applied(error, head) else None
+                return began_at, error
             self._metrics.count("ledger.retries")
             await tasks.sleep(self._reactor, RETRY_S)
-        return None
+        return None, None
 
     async def _next_outcome(self, outcomes):
         """Wait for an outcome; None when it is time to send again."""
@@ -188,13 +219,9 @@
         self._metrics.observe("ledger.commit_ms", took_s * 1000)
 
     def _was_applied(self, error, head):
-        owner = error.by_key.get(ownership.OWNER_KEY)
-        if owner is None or owner.revision != self._token:
-            logs.log("ledger-refused", token=self._token, reason="not the owner")
-            return False
+        """Tell whether a copy of a refused transaction was applied before."""
         item = error.by_key.get(HEAD_KEY)
         if item is None or item.value != head:
-            logs.log("ledger-refused", token=self._token, reason="unknown head")
             return False
         self._head_revision = item.revision
         return True
@@ -211,6 +238,7 @@
                 puts.append(transactions.Put(record.PROGRESS_PREFIX + job_id, value))
             for job_id, value in batch.closed_by_job.items():
                 puts.append(transactions.Put(record.JOB_PREFIX + job_id, value))
+                removes.append(record.PROGRESS_PREFIX + job_id)
             for job_id in batch.forgotten:
                 removes += [
                     prefix + job_id
--- a/thornport/cell/ledger_test.py
+++ b/thornport/cell/ledger_test.py
@@ -76,19 +76,45 @@
         self.batches = []
         self.kept = []
         self.ended = []
-        self.ledger = ledger.Ledger(
-            self.clock, self.store, self.store.token, "10.0.0.1:1", metrics.Metrics()
+        self.regained_heads = []
+        self.is_running = False
+        self.ledger = self.make_ledger(self.store.token, "10.0.0.1:1")
+
+    def make_ledger(self, token, address):
+        """Make the ledger of an owner."""
+        return ledger.Ledger(
+            self.clock, self.store, token, address, metrics.Metrics(), self.regain
         )
 
+    async def regain(self, head_revision):
+        """Get the key back if nobody else has written the head."""
+        self.regained_heads.append(head_revision)
+        return self.store.kept.commit(
+            [(ownership.OWNER_KEY, 0), (ledger.HEAD_KEY, head_revision)],
+            [(ownership.OWNER_KEY, TOKEN_VALUE, 0)],
+            [],
+        )
+
+    def lose_key(self):
+        """Take the owner's key away."""
+        self.store.kept.commit([], [], [ownership.OWNER_KEY])
+
     def write(self, *job_ids):
         """Write batches of one job each, and let time pass."""
-        self.batches = [
+        self.begin(*job_ids)
+        for _ in range(400):
+            self.clock.advance(0.01)
+
+    def begin(self, *job_ids):
+        """Begin to write batches of one job each."""
+        self.batches += [
             batches.Batch({job_id: job_id.encode()}, [], [], {}, [])
             for job_id in job_ids
         ]
-        tasks.spawn(self.run_ledger(), "ledger")
-        for _ in range(400):
-            self.clock.advance(0.01)
+        if not self.is_running:
+            self.is_running = True
+            tasks.spawn(self.run_ledger(), "ledger")
+        self.ledger.wake()
 
     async def run_ledger(self):
         """Write until there is nothing left or the key is lost."""
@@ -141,13 +167,34 @@
         self.assertEqual(self.list_kept(), [])
         self.assertEqual(self.ended, [True])
 
+    def test_key_that_ran_out_is_got_back_and_nothing_is_lost(self):
+        self.write("a")
+        self.lose_key()
+        self.write("b")
+        self.assertEqual(self.list_kept(), ["a", "b"])
+        self.assertEqual(len(self.regained_heads), 1)
+
+    def test_record_kept_before_the_key_ran_out_is_not_written_again(self):
+        self.store.lost_answers = 1
+        self.begin("a")
+        self.lose_key()
+        self.write("b")
+        self.assertEqual(self.list_kept(), ["a", "b"])
+        self.assertEqual(self.read_value("a"), b"a")
+
+    def test_key_is_not_got_back_once_another_has_written(self):
+        self.write("a")
+        self.store.kept.commit([], [(ledger.HEAD_KEY, b"another's", 0)], [])
+        self.lose_key()
+        self.write("b")
+        self.assertEqual(self.list_kept(), ["a"])
+        self.assertIn(True, self.ended)
+
     def test_successor_learns_whom_to_ask(self):
         self.write("a")
         key = ownership.OWNER_KEY
         token = self.store.kept.commit([], [(key, "successor", 0)], [])
-        successor = ledger.Ledger(
-            self.clock, self.store, token, "10.0.0.2:1", metrics.Metrics()
-        )
+        successor = self.make_ledger(token, "10.0.0.2:1")
         tasks.spawn(successor.read_head(), "read-head")
         self.assertEqual(successor.earlier, ("10.0.0.1:1",))
 
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -266,7 +266,7 @@
         Runs that are to end yet keep their room by their workers.
         """
         self.steps_by_key.clear()
-        self.record = record.close_job(self.record)
+        self.record = record.close_job(self.record, self.state)
 
     def is_over(self):
         """Whether its end is decided."""
--- a/thornport/cell/outcomes.py
+++ b/thornport/cell/outcomes.py
@@ -23,7 +23,7 @@
             return
         run = worker.runs_by_key.get(order.key)
         if isinstance(outcome, messages.Rejected):
-            self._take_rejection(worker, outcome, now)
+            self._take_rejection(worker, order, outcome, now)
         elif isinstance(outcome, messages.Done) and run and run.run == order.run:
             run.stop_confirmed_at = now
 
@@ -49,14 +49,14 @@
             worker.avoid(now + ending.AVOID_S)
             self._release_run(run, now)
         else:
-            self._take_rejected_start(worker, run, outcome, now)
+            self._take_rejected_start(worker, run, order, outcome, now)
 
-    def _take_rejected_start(self, worker, run, outcome, now):
+    def _take_rejected_start(self, worker, run, order, outcome, now):
         if outcome.reason is messages.Rejection.TICKET:
             step = self._find_step(run.key)
             if step is not None:
                 step.tickets_by_worker.pop(worker.worker_id, None)
         else:
-            self._take_rejection(worker, outcome, now)
+            self._take_rejection(worker, order, outcome, now)
         if not self.is_fenced:
             self._release_run(run, now)
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -4,8 +4,13 @@
 
 from thornport.cell import core, following, leases, ledger, looks, orders, peering
 from thornport.kernel import clock, logs, tasks
+from thornport.store import transactions
 
 ROUND_GAP_S = 0.002  # from a change to a round of placement, to gather changes
+# Rounds take a third of the processor at most: answers of workers, which a successor
+# has many of at first, and callers need the rest.
+ROUND_REST = 2.0
+MAX_ROUND_GAP_S = 0.1
 TICK_S = 0.1  # between searches for what is due
 RETRY_S = 0.1  # after a read that the store did not answer
 # An earlier owner renews this long without the store; then its leases lapse.
@@ -23,7 +28,7 @@
       is_deciding: Whether the records have been read.
     """
 
-    def __init__(self, reactor, ports, bus, metrics, settings, token, on_lost):
+    def __init__(self, reactor, ports, bus, metrics, settings, claimer, on_lost):
         """Begin; nothing is read yet.
 
         Args:
@@ -32,7 +37,7 @@
           bus: A bus.Bus.
           metrics: A metrics.Metrics.
           settings: A settings.SchedulerSettings.
-          token: An int, the fencing token.
+          claimer: The ownership.Claimer that holds the key.
           on_lost: A callable, called once when the ownership is lost.
         """
         self._reactor = reactor
@@ -40,15 +45,19 @@
         self.bus = bus
         self.metrics = metrics
         self._on_lost = on_lost
-        self._ledger = ledger.Ledger(reactor, ports.store, token, bus.address, metrics)
+        self._claimer = claimer
+        self._ledger = ledger.Ledger(
+            reactor, ports.store, claimer.token, bus.address, metrics, self._regain
+        )
         now = clock.read_monotonic()
         self.core = core.CellCore(
-            token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
+            claimer.token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
         self._following = following.Following(reactor, self)
         self.looks = looks.Looks(reactor, self)
         self._ticker = None
         self._round = None
+        self._round_gap_s = ROUND_GAP_S
         self.is_active = True
         self.is_deciding = False
 
@@ -162,6 +171,22 @@
             logs.log("earlier-owners-ceased", token=self.core.token)
             self.core.end_earlier(clock.read_monotonic())
 
+    def confirm(self):
+        """The key seems to be gone: find out, and get it back if it is free."""
+        if self.is_deciding:
+            self._ledger.wake(is_due=True)
+        else:
+            self.lose("the key is gone")
+
+    async def _regain(self, head_revision):
+        """Get the key back; the new token, or None when the cell is another's."""
+        condition = transactions.Condition(ledger.HEAD_KEY, head_revision)
+        token = await self._claimer.regain(condition, lambda: self.is_active)
+        if token is not None and self.is_active:
+            logs.log("owner-key-regained", token=token, before=self.core.token)
+            self.core.token = token
+        return token
+
     async def _write(self):
         await self._ledger.write(self.core.make_batch, self._take_kept)
         self.lose("a transaction was refused")
@@ -187,14 +212,15 @@
         if self.core.dirty or self.core.forgotten:
             self._ledger.wake()
         if self.core.needs_round and self._round is None:
-            self._round = self._reactor.callLater(ROUND_GAP_S, self._place)
+            self._round = self._reactor.callLater(self._round_gap_s, self._place)
 
     def _place(self):
         self._round = None
         if self.is_deciding:
             began = clock.read_monotonic()
             self.core.place(began)
-            self.metrics.observe(
-                "placement.round_ms", (clock.read_monotonic() - began) * 1000
-            )
+            took_s = clock.read_monotonic() - began
+            self.metrics.observe("placement.round_ms", took_s * 1000)
+            rest_s = min(MAX_ROUND_GAP_S, ROUND_REST * took_s)
+            self._round_gap_s = max(ROUND_GAP_S, rest_s)
             self.pump()
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -16,10 +16,6 @@
 # that urgent jobs still are in time after a takeover.
 LEASE_TTL_MS = 1000
 RENEW_PERIOD_S = 0.25  # three tries in a lease
-CLAIM_SPREAD_S = 0.02  # so that not all processes claim in the same instant
-# The owner of a large cell needs the processor of a large VM, so small ones wait.
-SMALL_WAIT_S = 0.12
-LARGE_CORES = 2.0  # at which a VM waits for nobody
 RETRY_S = 0.2  # after a call that the store did not answer
 
 
@@ -36,7 +32,8 @@
     """The states of a process towards its cell.
 
     A process follows until the key is free, claims it, rebuilds what the
-    earlier owner knew, decides, and follows again when it loses the key.
+    earlier owner knew, decides, and follows again when it loses the key to
+    another. A key that merely ran out it gets back, and decides on.
     """
 
     machine = automat.MethodicalMachine()
@@ -45,8 +42,8 @@
         """Take what is to be done.
 
         Args:
-          actions: An object with `claim()`, `rebuild()`, `decide()` and
-            `forget()`.
+          actions: An object with `claim()`, `rebuild()`, `decide()`,
+            `confirm()` and `forget()`.
         """
         self._actions = actions
 
@@ -114,6 +111,10 @@
     def _forget(self):
         self._actions.forget()
 
+    @machine.output()
+    def _confirm(self):
+        self._actions.confirm()
+
     following.upon(key_is_free, enter=claiming, outputs=[_claim])
     following.upon(key_is_offered, enter=claiming, outputs=[_claim])
     following.upon(key_is_lost, enter=following, outputs=[])
@@ -132,7 +133,7 @@
     rebuilding.upon(key_is_free, enter=following, outputs=[_forget])
     rebuilding.upon(leave, enter=leaving, outputs=[_forget])
     deciding.upon(key_is_lost, enter=following, outputs=[_forget])
-    deciding.upon(key_is_free, enter=following, outputs=[_forget])
+    deciding.upon(key_is_free, enter=deciding, outputs=[_confirm])
     deciding.upon(leave, enter=leaving, outputs=[_forget])
     leaving.upon(key_is_free, enter=leaving, outputs=[])
     leaving.upon(key_is_lost, enter=leaving, outputs=[])
@@ -157,7 +158,7 @@
         self._store = store
         self._name = name
         self._address = address
-        self._incarnation = ids.make_incarnation()
+        self.incarnation = ids.make_incarnation()
         self.owner = None
         self.lease_id = 0
         self.token = 0
@@ -171,34 +172,72 @@
           A bool, whether the key is ours; `owner`, `token` and `lease_id` are
           set then.
         """
+        written = await self._write([transactions.Condition(OWNER_KEY, revision)])
+        if isinstance(written, result.Success):
+            return True
+        if port.is_failure(written, port.Unavailable):
+            return False
+        # Refused or unknown: the key may be ours by this or an earlier claim.
+        return await self._find_own()
+
+    async def _write(self, conditions):
+        """Write the key under a new lease; a Result, and it is taken if it is ours.
+
+        Args:
+          conditions: A list of transactions.Condition.
+        """
         granted = await self._store.grant_lease(LEASE_TTL_MS)
         if isinstance(granted, result.Failure):
-            return False
+            # No key was written, whatever became of the lease.
+            reason = granted.failure().reason
+            return result.Failure(port.Unavailable(reason))
         lease_id = granted.unwrap().lease_id
-        owner = Owner(self._name, self._address, self._incarnation, lease_id)
+        owner = Owner(self._name, self._address, self.incarnation, lease_id)
         value = msgspec.json.encode(owner)
         written = await self._store.commit(
             transactions.Transaction(
-                [transactions.Condition(OWNER_KEY, revision)],
-                [transactions.Put(OWNER_KEY, value, lease_id)],
+                conditions, [transactions.Put(OWNER_KEY, value, lease_id)]
             )
         )
         if isinstance(written, result.Success):
             self._take(owner, written.unwrap())
-            return True
-        if port.is_failure(written, port.Unavailable):
-            return False
-        # Refused or unknown: the key may be ours by this or an earlier claim.
-        return await self._find_own()
+        return written
+
+    async def regain(self, head_condition, is_current):
+        """Get the key back after its lease ran out.
+
+        Args:
+          head_condition: A transactions.Condition that holds while nobody else
+            has decided.
+          is_current: A callable telling whether it is still wanted.
+        Returns:
+          An int, the new token; None when the cell is another's.
+        """
+        free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
+        while is_current():
+            written = await self._write([free, head_condition])
+            if isinstance(written, result.Success):
+                return self.token
+            if port.is_failure(written, transactions.Refused):
+                # It may be ours by an attempt whose answer was lost.
+                item = written.failure().by_key.get(OWNER_KEY)
+                is_ours = item is not None and self._take_own(item)
+                return self.token if is_ours else None
+            await tasks.sleep(self._reactor, RETRY_S)
+        return None
 
     async def _find_own(self):
         read = await self._store.read_key(OWNER_KEY)
         if isinstance(read, result.Failure):
             return False
-        owner = decode_owner(read.unwrap().value)
-        if owner is None or owner.incarnation != self._incarnation:
+        return self._take_own(read.unwrap())
+
+    def _take_own(self, item):
+        """Take the key as ours if this process wrote it; a bool."""
+        owner = decode_owner(item.value)
+        if owner is None or owner.incarnation != self.incarnation:
             return False
-        self._take(owner, read.unwrap().revision)
+        self._take(owner, item.revision)
         return True
 
     def _take(self, owner, token):
@@ -207,20 +246,20 @@
         self.token = token
         logs.log("owner-key-claimed", token=token, lease=owner.lease_id)
 
-    async def renew(self, is_current):
-        """Renew the lease until it is gone.
+    async def renew(self, is_current, take_gone):
+        """Renew the lease while it is wanted.
 
         Args:
           is_current: A callable telling whether it is still wanted.
-        Returns:
-          A bool, whether the lease went although it was wanted.
+          take_gone: A callable, called when the lease is over.
         """
         while is_current():
-            renewed = await self._store.renew_lease(self.lease_id)
-            if port.is_failure(renewed, transactions.LeaseGone):
-                return is_current()
+            lease_id = self.lease_id
+            renewed = await self._store.renew_lease(lease_id)
+            is_gone = port.is_failure(renewed, transactions.LeaseGone)
+            if is_gone and lease_id == self.lease_id and is_current():
+                take_gone()
             await tasks.sleep(self._reactor, RENEW_PERIOD_S)
-        return False
 
     async def release(self):
         """End the lease, so that a successor need not wait for it."""
--- a/thornport/cell/peering.py
+++ b/thornport/cell/peering.py
@@ -9,10 +9,12 @@
 
     Attributes:
       has_store: Whether the store answers it.
+      cores: How much processor its VM has.
     """
 
     name: str
     has_store: bool = True
+    cores: float = 1.0
 
 
 class Peers(codec.Message, frozen=True):
@@ -21,10 +23,16 @@
     Attributes:
       with_store: Those that the store answers.
       others: Those that it does not answer.
+      largest_cores: The most processor that a VM among them has.
     """
 
     with_store: tuple[str, ...]
     others: tuple[str, ...] = ()
+    largest_cores: float = 0.0
+
+
+class Leaving(codec.Message, frozen=True):
+    """From an owner that stops: it will not get its key back."""
 
 
 class Incoming(codec.Message, frozen=True):
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -1,7 +1,8 @@
 """Messages from the other processes of a cell: what each makes this one do.
 
 Many are meant for the owner; a process that does not decide drops those, and the
-sender asks or tells again, or finds what it wants in the store.
+sender asks or tells again, or finds what it wants in the store. One that is
+becoming the owner takes word of jobs already.
 """
 
 import functools
@@ -34,10 +35,11 @@
     if core is None:
         return
     now = clock.read_monotonic()
-    core.callers.greet(message.name, address, message.has_store, now)
+    core.callers.greet(message.name, address, message.has_store, message.cores, now)
     peers = peering.Peers(
         tuple(core.callers.list_addresses(True, now)),
         tuple(core.callers.list_addresses(False, now)),
+        core.callers.find_largest_cores(now),
     )
     daemon.bus.send(address, "", peers)
 
@@ -45,6 +47,7 @@
 @take.register
 def take_peers(message: peering.Peers, daemon, address):
     """The owner tells which peers the store answers."""
+    daemon.candidacy.hear_owner(message.largest_cores, clock.read_monotonic())
     own = {daemon.bus.address}
     daemon.relayed.peer_addresses = tuple(set(message.with_store) - own)
     daemon.peer_addresses = (set(message.with_store) | set(message.others)) - own
@@ -62,20 +65,26 @@
 @take.register
 def take_incoming(message: peering.Incoming, daemon, address):
     """A job is being kept by a peer."""
-    if daemon.get_core() is not None:
+    if daemon.session is not None:
         daemon.session.take_incoming(message.record)
 
 
 @take.register
 def take_kept(message: peering.Kept, daemon, address):
     """A job, or its cancel, is kept."""
-    if daemon.get_core() is not None:
+    if daemon.session is not None:
         daemon.session.take_kept_by_peer(message.job_id, message.is_cancel)
 
 
 # From one owner to the next.
 
 
+@take.register
+def take_leaving(message: peering.Leaving, daemon, address):
+    """The owner stops and hands the cell over."""
+    daemon.candidacy.owner_leaves()
+
+
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
     """An owner that the store does not answer offers the cell."""
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -39,9 +39,10 @@
 
 
 class Unknown(msgspec.Struct, frozen=True):
-    """It may be kept: the store's answer was lost."""
+    """It may be kept: the store's answer was lost; ask again in `retry_s`."""
 
     reason: str
+    retry_s: int = 1
 
 
 class NoSuchJob(msgspec.Struct, frozen=True):
--- a/thornport/jobs/reading.py
+++ b/thornport/jobs/reading.py
@@ -26,7 +26,8 @@
         return read
     if read.unwrap().revision == transactions.ABSENT_REVISION:
         return result.Success(None)
-    return result.Success(record.JobState.QUEUED)
+    kept = record.decode_job(read.unwrap().value)
+    return result.Success(kept.end_state or record.JobState.QUEUED)
 
 
 async def count_waiting(store, queue_name):
@@ -52,6 +53,10 @@
         except record.RecordError as error:
             logs.log("job-undecodable", key=item.key, reason=str(error))
             continue
-        is_waiting = kept.job_id not in begun_ids and not kept.job.repeats
+        is_waiting = (
+            kept.job_id not in begun_ids
+            and not kept.job.repeats
+            and kept.end_state is None
+        )
         count += is_waiting and kept.queue.name == queue_name
     return result.Success(count)
--- /dev/null
+++ b/thornport/jobs/reading_test.py
@@ -0,0 +1,73 @@
+"""States and counts as the store has them, when no owner can be asked."""
+
+import unittest
+
+from returns import result
+
+from thornport.jobs import queue, reading, record, spec
+from thornport.kernel import tasks
+from thornport.store import transactions
+
+QUEUE = queue.Queue("press", "h", "/p/", "press-desk")
+
+
+class FakeStore:
+    """A store of values by key."""
+
+    def __init__(self):
+        self.by_key = {}
+
+    def put(self, key, value):
+        """Keep a record under a key."""
+        self.by_key[key] = transactions.Item(key, record.encode_record(value), 1)
+
+    async def read_key(self, key):
+        """Read a key."""
+        absent = transactions.Item(key, b"", transactions.ABSENT_REVISION)
+        return result.Success(self.by_key.get(key, absent))
+
+    async def read_page(self, prefix, after_key=""):
+        """Read all keys with a prefix."""
+        items = [item for key, item in self.by_key.items() if key.startswith(prefix)]
+        return result.Success(transactions.Page(items, False, 1))
+
+
+class Reading(unittest.TestCase):
+    """Jobs that wait, run and are over."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        step = spec.Step(1, spec.Demand(1000, 10, 0))
+        for job_id in ("waits", "runs", "over"):
+            kept = record.JobRecord(job_id, QUEUE, spec.Job("text", (step,)), 0)
+            if job_id == "over":
+                kept = record.close_job(kept, record.JobState.FAILED)
+            self.store.put(record.JOB_PREFIX + job_id, kept)
+        running = record.Progress(record.JobState.RUNNING)
+        self.store.put(record.PROGRESS_PREFIX + "runs", running)
+
+    def read(self, coroutine):
+        """Run a coroutine to its end; what it succeeded with."""
+        given = []
+        tasks.spawn(coroutine, "read").addCallback(given.append)
+        return given[0].unwrap()
+
+    def test_state_of_each(self):
+        states = {
+            job_id: self.read(reading.read_state(self.store, job_id))
+            for job_id in ("waits", "runs", "over", "unknown")
+        }
+        expected = {
+            "waits": record.JobState.QUEUED,
+            "runs": record.JobState.RUNNING,
+            "over": record.JobState.FAILED,
+            "unknown": None,
+        }
+        self.assertEqual(states, expected)
+
+    def test_only_jobs_that_wait_are_counted(self):
+        self.assertEqual(self.read(reading.count_waiting(self.store, "press")), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -1,7 +1,8 @@
 """What is kept of jobs in the store: keys and values.
 
 A job is written once by whoever takes it, a cancel once by whoever takes
-that, and the progress of a job again and again by the owner of its cell.
+that, and the progress of a job again and again by the owner of its cell. When
+the job is over, its key says how it ended and its progress goes.
 """
 
 import enum
@@ -30,26 +31,33 @@
 
 
 class JobRecord(msgspec.Struct, frozen=True):
-    """A job as it was accepted, with its queue as it was then."""
+    """A job as it was accepted, with its queue as it was then.
+
+    Attributes:
+      accepted_at_ms: An int, milliseconds since 1970.
+      end_state: The JobState of a job that is over; its progress is not kept then.
+    """
 
     job_id: str
     queue: queue.Queue
     job: spec.Job
     accepted_at_ms: int
+    end_state: JobState | None = None
 
 
-def close_job(kept):
+def close_job(kept, state):
     """Make what stands for a job that is over.
 
     Its ID stays known, and a successor need not read what it was.
 
     Args:
       kept: A JobRecord.
+      state: A JobState, its end.
     Returns:
       A JobRecord without steps.
     """
     named = queue.Queue(kept.queue.name, "", "", "")
-    return JobRecord(kept.job_id, named, spec.Job("", ()), kept.accepted_at_ms)
+    return JobRecord(kept.job_id, named, spec.Job("", ()), kept.accepted_at_ms, state)
 
 
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -103,9 +103,7 @@
     outcome = await daemon.intake.submit(kept, read_deadline(request, now))
     if isinstance(outcome, intake.Accepted):
         return answer(request, 200, WireState(record.JobState.QUEUED.value))
-    if isinstance(outcome, intake.Refused):
-        return refuse(request, 503, outcome.reason, outcome.retry_s)
-    return answer(request, 504, WireError(outcome.reason))
+    return answer_not_kept(request, outcome)
 
 
 async def read_state(daemon, request, job_id):
@@ -127,9 +125,7 @@
         return answer(request, 200, WireState(record.JobState.CANCELLED.value))
     if isinstance(outcome, intake.NoSuchJob):
         return answer(request, 410, WireError("no such job"))
-    if isinstance(outcome, intake.Refused):
-        return refuse(request, 503, outcome.reason, outcome.retry_s)
-    return answer(request, 504, WireError(outcome.reason))
+    return answer_not_kept(request, outcome)
 
 
 async def count_waiting(daemon, request, queue):
@@ -174,7 +170,20 @@
     return msgspec.json.encode(body)
 
 
+def answer_not_kept(request, outcome):
+    """Answer a call that was not kept, or of which that is not known.
+
+    Args:
+      request: A twisted request.
+      outcome: An intake.Refused or Unknown.
+    Returns:
+      Bytes, the body.
+    """
+    status = 503 if isinstance(outcome, intake.Refused) else 504
+    return refuse(request, status, outcome.reason, outcome.retry_s)
+
+
 def refuse(request, status, reason, retry_s=1):
-    """Answer that nothing was done, and when to come back."""
+    """Answer that nothing is known to be done, and when to come back."""
     request.setHeader("Retry-After", str(retry_s))
     return answer(request, status, WireError(reason))
