Report on logs: the time of jobs by stage, burn, and all lines of one job

The end of a job left no line at all.

Reading back what was logged, under hypothesis, showed that a value with an unusual line end broke its line apart: such values are quoted and escaped now.

--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -3,6 +3,7 @@
 import time
 
 from thornport.cell import core, following, leases, ledger, looks, orders, peering
+from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions
 
@@ -193,6 +194,9 @@
 
     def _take_kept(self, batch, sent_at):
         self.core.take_kept(batch, sent_at, clock.read_monotonic())
+        for job_id, state in batch.states if batch is not None else ():
+            if state in record.FINAL_STATES:
+                logs.log("job-ended", job=job_id, state=state.value)
         self.pump()
 
     def _tick(self):
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -9,7 +9,9 @@
 
 from thornport.commands import daemons, offline
 from thornport.kernel import problem
-from thornport.load import arrivals, driver, report
+from thornport.load import arrivals, driver
+from thornport.load import report as load_report
+from thornport.report import burn, logfiles, stages
 
 app = typer.Typer(no_args_is_help=True, help="A cluster scheduler for unlike work.")
 settings_app = typer.Typer(no_args_is_help=True, help="Edit the tree of settings.")
@@ -60,7 +62,7 @@
     mix = arrivals.Mix(rate, count, weights, not_repeatable, deadline_ms, body_bytes)
     where = driver.Where(list(entry), service, workspace, list(backend))
     made = offline.run_load(where, mix, seed, callers)
-    typer.echo(msgspec.json.encode(made) if json else report.format_report(made))
+    typer.echo(msgspec.json.encode(made) if json else load_report.format_report(made))
     if made.doubled or made.untrue:
         raise typer.Exit(EXIT_REFUSED)
 
@@ -96,6 +98,36 @@
     raise typer.Exit(EXIT_REFUSED if error.known else EXIT_UNKNOWN)
 
 
+@app.command()
+def report(
+    files: Files,
+    job: Annotated[str, typer.Option(help="Print all lines of one job.")] = "",
+    level: Annotated[float, typer.Option(min=0, max=0.9999, help="In time.")] = 0.99,
+    window_s: Annotated[float, typer.Option(min=0.1, help="Of the burn.")] = 60.0,
+    json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+):
+    """Report on the logs of processes: time by stage, and burn, of each queue."""
+    made = logfiles.read_files(files, warn)
+    if job:
+        typer.echo(logfiles.explain_job(made, job))
+        return
+    rows = stages.compute_queues(made.jobs)
+    windows = burn.compute_windows(made.jobs, level, window_s)
+    if json:
+        typer.echo(msgspec.json.encode(logfiles.Report(rows, windows, made.left_out)))
+        return
+    typer.echo(stages.format_queues(rows))
+    typer.echo(f"\nburn of a level of {level:g}, windows of {window_s:g} s")
+    typer.echo(burn.format_windows(windows))
+    if made.left_out:
+        typer.echo(f"{made.left_out} lines were left out by the processes")
+
+
+def warn(text):
+    """Print a warning."""
+    typer.echo(text, err=True)
+
+
 def load_or_exit(files):
     """Load declarations, or print every fault and exit.
 
--- a/thornport/jobs/spec.py
+++ b/thornport/jobs/spec.py
@@ -104,6 +104,21 @@
     interval_ms: int = 0
 
 
+def compute_chain_ms(job):
+    """Compute the longest chain of steps that wait for one another.
+
+    Args:
+      job: A Job.
+    Returns:
+      An int, milliseconds by the job's own estimates.
+    """
+    chain_ms_by_step = []
+    for step in job.steps:
+        before_ms = max((chain_ms_by_step[n] for n in step.after), default=0)
+        chain_ms_by_step.append(before_ms + step.estimate_ms)
+    return max(chain_ms_by_step, default=0)
+
+
 class SpecError(Exception):
     """A job can't be taken as it is written; the text names the place."""
 
--- a/thornport/kernel/logs.py
+++ b/thornport/kernel/logs.py
@@ -16,7 +16,7 @@
 # over several owners, a burst some times as many.
 LINES_A_SECOND = 400
 MAX_PENDING_BYTES = 262_144  # a second or two of lines under load
-CHARS_TO_QUOTE = frozenset(' "=\n\r\t')
+CHARS_TO_QUOTE = frozenset(' "=')
 
 
 class LineDestination:
@@ -140,9 +140,10 @@
       A str with no line end in it.
     """
     text = str(value)
-    if not text or CHARS_TO_QUOTE.intersection(text):
-        return json.dumps(text, ensure_ascii=False)
-    return text
+    if text and text.isprintable() and not CHARS_TO_QUOTE.intersection(text):
+        return text
+    # Some readers end a line at other signs than the line feed.
+    return json.dumps(text, ensure_ascii=not text.isprintable())
 
 
 def start_logging(stream=None, **constants):
--- /dev/null
+++ b/thornport/report/burn.py
@@ -0,0 +1,66 @@
+"""Burn of service levels: how fast a queue uses up what may go wrong.
+
+A level of 0.99 lets one job in a hundred be late or lost. A burn of 1 uses just
+that; a burn of 10 in some window uses ten times as much.
+"""
+
+import msgspec
+
+
+class Window(msgspec.Struct, frozen=True):
+    """A queue in one window of time.
+
+    Attributes:
+      begins_at: A float, seconds since 1970.
+      owed: Jobs that were first handed in within it and not cancelled.
+      bad: Those of them that did not succeed in time.
+      burn: A float, the share of bad ones over the share that the level allows.
+    """
+
+    queue: str
+    begins_at: float
+    owed: int
+    bad: int
+    burn: float
+
+
+def compute_windows(jobs, level, window_s):
+    """Compute the windows of all queues.
+
+    Args:
+      jobs: An iterable of timelines.Timeline.
+      level: A float below 1, the share of jobs to be in time.
+      window_s: A float, seconds.
+    Returns:
+      A list of Window, by queue and time.
+    """
+    owed = {}
+    bad = {}
+    for job in jobs:
+        if job.submitted_at is None or not job.is_owed():
+            continue
+        key = (job.queue, job.submitted_at // window_s * window_s)
+        owed[key] = owed.get(key, 0) + 1
+        bad[key] = bad.get(key, 0) + (not job.is_in_time())
+    windows = []
+    for (queue, begins_at), count in sorted(owed.items()):
+        wrong = bad[queue, begins_at]
+        burn = wrong / count / (1 - level)
+        windows.append(Window(queue, begins_at, count, wrong, burn))
+    return windows
+
+
+def format_windows(windows):
+    """Format windows for people.
+
+    Args:
+      windows: A list of Window.
+    Returns:
+      A str, a line each, the time as seconds after the first.
+    """
+    first = min((window.begins_at for window in windows), default=0.0)
+    return "\n".join(
+        f"{window.queue:<16} {window.begins_at - first:>8.0f} s  owed {window.owed:>5}"
+        f"  bad {window.bad:>5}  burn {window.burn:>7.1f}"
+        for window in windows
+    )
--- /dev/null
+++ b/thornport/report/stages.py
@@ -0,0 +1,163 @@
+"""Where the time of jobs goes, by queue: a table of stages."""
+
+import msgspec
+from hdrh import histogram
+
+LONGEST_MS = 3_600_000  # of a stage; far above the longest job of the users
+DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """A part of a job's time, from one field of its timeline to another."""
+
+    name: str
+    begins: str
+    ends: str
+
+
+STAGES = (
+    Stage("kept", "submitted_at", "kept_at"),
+    Stage("known to the owner", "kept_at", "taken_at"),
+    Stage("advice and room", "taken_at", "started_at"),
+    Stage("runs", "started_at", "ended_at"),
+    Stage("end kept", "ended_at", "shown_at"),
+    Stage("all", "submitted_at", "shown_at"),
+)
+
+
+class StageRow(msgspec.Struct, frozen=True):
+    """How long a stage took.
+
+    Attributes:
+      count: An int, jobs that went through it.
+      ms_by_percentile: Floats by percentile, a float.
+    """
+
+    name: str
+    count: int
+    ms_by_percentile: dict[float, float]
+
+
+class QueueRow(msgspec.Struct, frozen=True):
+    """A queue: what became of its jobs, and its stages.
+
+    Attributes:
+      count_by_state: Jobs by the state shown; an empty state has no end logged.
+      tries_refused, tries_unknown: Tries of callers.
+      starts, unanswered: Orders to start.
+      ends_by_kind: Ends of runs.
+      stages: StageRows.
+    """
+
+    queue: str
+    count_by_state: dict[str, int]
+    tries_refused: int
+    tries_unknown: int
+    starts: int
+    unanswered: int
+    ends_by_kind: dict[str, int]
+    stages: list[StageRow]
+
+
+def compute_queues(jobs):
+    """Compute the rows of all queues.
+
+    Args:
+      jobs: An iterable of timelines.Timeline.
+    Returns:
+      A list of QueueRow, by name.
+    """
+    by_queue = {}
+    for job in jobs:
+        by_queue.setdefault(job.queue, []).append(job)
+    return [compute_queue(name, by_queue[name]) for name in sorted(by_queue)]
+
+
+def compute_queue(name, jobs):
+    """Compute the row of a queue.
+
+    Args:
+      name: A str.
+      jobs: A list of timelines.Timeline.
+    Returns:
+      A QueueRow.
+    """
+    return QueueRow(
+        name,
+        count_by([job.state for job in jobs]),
+        sum(job.refusals for job in jobs),
+        sum(job.unknowns for job in jobs),
+        sum(job.starts for job in jobs),
+        sum(job.unanswered for job in jobs),
+        sum_counts([job.ends_by_kind for job in jobs]),
+        [compute_stage(stage, jobs) for stage in STAGES],
+    )
+
+
+def compute_stage(stage, jobs):
+    """Compute a stage over the jobs that went through it.
+
+    Args:
+      stage: A Stage.
+      jobs: A list of timelines.Timeline.
+    Returns:
+      A StageRow.
+    """
+    taken = histogram.HdrHistogram(1, LONGEST_MS * 1000, DIGITS)
+    for job in jobs:
+        begins, ends = getattr(job, stage.begins), getattr(job, stage.ends)
+        if begins is not None and ends is not None:
+            # Clocks of two processes may differ by more than a short stage.
+            taken.record_value(max(1, int((ends - begins) * 1_000_000)))
+    ms_by_percentile = {
+        percentile: taken.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    }
+    return StageRow(stage.name, taken.get_total_count(), ms_by_percentile)
+
+
+def count_by(values):
+    """Count equal values, in order of value."""
+    return {value: values.count(value) for value in sorted(set(values))}
+
+
+def sum_counts(all_counts):
+    """Sum counts by name."""
+    total = {}
+    for counts in all_counts:
+        for name, count in counts.items():
+            total[name] = total.get(name, 0) + count
+    return dict(sorted(total.items()))
+
+
+def format_queues(rows):
+    """Format rows for people.
+
+    Args:
+      rows: A list of QueueRow.
+    Returns:
+      A str of lines.
+    """
+    lines = []
+    for row in rows:
+        lines.append(f"queue {row.queue or '(not logged)'}")
+        lines.append(f"  jobs: {format_counts(row.count_by_state)}")
+        lines.append(
+            f"  tries refused {row.tries_refused}, unknown {row.tries_unknown}; "
+            f"orders to start {row.starts}, unanswered {row.unanswered}"
+        )
+        lines.append(f"  ends of runs: {format_counts(row.ends_by_kind)}")
+        for stage in row.stages:
+            percentiles = "  ".join(
+                f"p{percentile:g} {ms:.0f} ms"
+                for percentile, ms in stage.ms_by_percentile.items()
+            )
+            lines.append(f"  {stage.name:<20} {stage.count:>6}  {percentiles}")
+    return "\n".join(lines)
+
+
+def format_counts(count_by_name):
+    """Format counts by name."""
+    pairs = (f"{name or 'no end'} {count}" for name, count in count_by_name.items())
+    return ", ".join(pairs) or "none"
