Hand a cell from a small VM to a much larger one

Change: an owner that knows a process with 1.5 times its processor, which the store answers, offers it the cell every 3 s.

--- a/thornport/cell/candidacy.py
+++ b/thornport/cell/candidacy.py
@@ -1,8 +1,9 @@
-"""How long a process waits before it claims its cell.
+"""Which process claims a cell, and how long it waits before it does.
 
 The owner of a large cell needs the processor of a large VM, so smaller ones wait
-a little. An owner that was heard a moment ago is alive and gets a key back that
-ran out, without anything to be read anew, so it is given the first try.
+a little, and hand the cell over if they got it all the same. An owner that was
+heard a moment ago is alive and gets a key back that ran out, without anything to
+be read anew, so it is given the first try.
 """
 
 import xxhash
@@ -18,6 +19,11 @@
 # it was heard last, or later.
 OWNER_ALIVE_S = 0.7
 REGAIN_WAIT_S = 0.15  # several tries of an owner that the store answers
+# An owner hands the cell to a VM with this many times its processor: a takeover costs
+# some tenths of a second, which a slightly larger VM does not make good.
+LARGER_TIMES = 1.5
+# Not at once, so that an owner's callers have greeted it, and not again and again.
+HAND_OVER_PERIOD_S = 3.0
 
 
 class Candidacy:
--- a/thornport/cell/candidacy_test.py
+++ b/thornport/cell/candidacy_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import candidacy
+from thornport.cell import advising, candidacy
 
 
 class ComputeWait(unittest.TestCase):
@@ -37,5 +37,32 @@
         self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
 
 
+class FindLarger(unittest.TestCase):
+    """Whom an owner on a small VM hands its cell to."""
+
+    def setUp(self):
+        self.callers = advising.Callers()
+        self.callers.greet("small", "10.0.0.1:1", True, 0.5, 10.0)
+        self.callers.greet("large", "10.0.0.2:1", True, 2.0, 10.0)
+
+    def find(self, now=10.1):
+        """Find one that is larger than a small VM."""
+        return self.callers.find_larger(0.5 * candidacy.LARGER_TIMES, now)
+
+    def test_larger_vm_is_found(self):
+        self.assertEqual(self.find().address, "10.0.0.2:1")
+
+    def test_vm_that_the_store_does_not_answer_is_passed_over(self):
+        self.callers.greet("large", "10.0.0.2:1", False, 2.0, 10.0)
+        self.assertIsNone(self.find())
+
+    def test_vm_that_was_not_heard_for_long_is_passed_over(self):
+        self.assertIsNone(self.find(now=20.0))
+
+    def test_slightly_larger_vm_is_not_worth_a_takeover(self):
+        self.callers.greet("large", "10.0.0.2:1", True, 0.6, 10.0)
+        self.assertIsNone(self.find())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -82,6 +82,9 @@
         self._follow(ownership.OWNER_KEY, self._take_owner)
         tasks.call_periodically(self._reactor, HELLO_PERIOD_S, self._greet, "greet")
         tasks.call_periodically(self._reactor, OFFER_PERIOD_S, self._offer, "offer")
+        tasks.call_periodically(
+            self._reactor, candidacy.HAND_OVER_PERIOD_S, self._hand_over, "hand-over"
+        )
         logs.log("started", peer=self.bus.address, **describe(self._settings))
 
     def _follow(self, key, take_value):
@@ -253,9 +256,22 @@
             return
         addresses = self.relayed.peer_addresses
         if addresses:
-            address = random.choice(addresses)
-            logs.log("cell-offered", token=session.core.token, to=address)
-            self.bus.send(address, "", peering.Offer(session.core.token))
+            self._offer_to(random.choice(addresses), "the store is away")
+
+    def _hand_over(self):
+        """Offer the cell to a process on a much larger VM."""
+        core = self.get_core()
+        if core is None or not self.has_store():
+            return
+        wanted = self._cores * candidacy.LARGER_TIMES
+        larger = core.callers.find_larger(wanted, clock.read_monotonic())
+        if larger is not None:
+            self._offer_to(larger.address, f"it has {larger.cores:g} cores")
+
+    def _offer_to(self, address, reason):
+        token = self.session.core.token
+        logs.log("cell-offered", token=token, to=address, reason=reason)
+        self.bus.send(address, "", peering.Offer(token))
 
     def get_core(self):
         """The core of the cell if this process decides, else None."""
