Keep records in further lanes while the store is slow

The owner kept one transaction of 14 jobs after the other, 92 records a second, as many as came; what waited was not through before 15 s.

Ruled out: advice and workers (not slowed); the way of a job through keep, record and end, 0.6 s at that latency, which does not explain 1.2 s.

Change: six lanes with a head key each; a lane joins when the one before it has waited 20 ms, so a fast store sees the first alone. A job is in one batch at a time. An end is let go of when its job's record is kept, not when all are. The key is got back once every open transaction is settled.

The order of one job's records is asserted in a new test of the core.

--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -3,6 +3,8 @@
 So a successor knows each worker that may run a task.
 """
 
+import itertools
+
 import msgspec
 
 from thornport.cell import ending, leases, messages, model, progress
@@ -21,7 +23,6 @@
       progress_by_job: Bytes by job id.
       runs: The Runs whose starts may go out once this is kept.
       states: Pairs of job id and record.JobState.
-      seen_by_worker: The ends that it has, by worker id; empty if it has not all.
       forgotten: Ids of jobs whose records are removed.
       closed_by_job: What stands for jobs that are over, bytes by job id; their
         progress is removed.
@@ -30,7 +31,6 @@
     progress_by_job: dict[str, bytes]
     runs: list[model.Run]
     states: list[tuple[str, record.JobState]]
-    seen_by_worker: dict[str, int]
     forgotten: list[str]
     closed_by_job: dict[str, bytes] = {}
 
@@ -44,18 +44,17 @@
         Returns:
           A Batch, or None when there is nothing to keep.
         """
-        if not self.dirty and not self.forgotten:
+        free = (job_id for job_id in self.dirty if job_id not in self._in_flight)
+        job_ids = list(itertools.islice(free, BATCH_JOBS))
+        if not job_ids and not self.forgotten:
             return None
-        job_ids = list(self.dirty)[:BATCH_JOBS]
         for job_id in job_ids:
             del self.dirty[job_id]
         jobs = [self.jobs_by_id[j] for j in job_ids if j in self.jobs_by_id]
         chosen = set(job_ids)
+        self._in_flight |= {job.job_id for job in jobs}
         runs = [run for run in self._recording if run.key.job_id in chosen]
         self._recording = [r for r in self._recording if r.key.job_id not in chosen]
-        seen = {}
-        if not self.dirty:
-            seen = {w.worker_id: w.seen_number for w in self.workers_by_id.values()}
         forgotten = list(self.forgotten)[: (BATCH_JOBS - len(jobs)) // FORGOTTEN_KEYS]
         for job_id in forgotten:
             del self.forgotten[job_id]
@@ -68,7 +67,6 @@
             },
             runs,
             [(job.job_id, job.state) for job in jobs],
-            seen,
             forgotten,
             {
                 job.job_id: record.encode_record(
@@ -86,10 +84,24 @@
           sent_at: A float, when the transaction was sent.
           now: A float.
         """
-        self.confirmed_at = sent_at
-        if batch is None:
-            return
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        if batch is not None:
+            self._take_kept_jobs(batch, now)
+        for worker in self.workers_by_id.values():
+            self._ack_ends(worker)
+
+    def _ack_ends(self, worker):
+        """Let a worker forget the ends that are in the store."""
+        while worker.unkept_ends:
+            number, job_id = worker.unkept_ends[0]
+            if job_id in self.dirty or job_id in self._in_flight:
+                return
+            worker.acked_number = number
+            worker.unkept_ends.popleft()
+
+    def _take_kept_jobs(self, batch, now):
         for job_id, state in batch.states:
+            self._in_flight.discard(job_id)
             job = self.jobs_by_id.get(job_id)
             if job is None:
                 continue
@@ -98,10 +110,6 @@
                 job.ended_at = now
             if job_id not in self.dirty and progress.is_closed(job):
                 job.close()
-        for worker_id, number in batch.seen_by_worker.items():
-            worker = self.workers_by_id.get(worker_id)
-            if worker is not None:
-                worker.acked_number = max(worker.acked_number, number)
         for run in batch.runs:
             if run.state is model.RunState.RECORDING:
                 self._send_start(run, now)
--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -38,6 +38,8 @@
         self.is_fenced = False
         self.orders = []
         self.dirty = {}
+        # Jobs whose records are being kept: each is in one batch at a time.
+        self._in_flight = set()
         self.forgotten = {}
         self.jobs_by_id = {}
         self.workers_by_id = {}
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -418,6 +418,28 @@
         self.assertEqual(owner.read_state("q"), record.JobState.QUEUED)
         self.assertEqual(owner.count_waiting("press"), 1)
 
+    def test_job_is_in_one_batch_at_a_time_and_its_ends_wait_for_the_last(self):
+        self.world.run(0.1)
+        owner = self.world.owner
+        self.world.submit(make_job("r", make_step(1, 4, 200)))
+        owner.place(self.world.now)
+        first = owner.make_batch()
+        self.assertIn("r", first.progress_by_job)
+        owner.take_cancel("r", self.world.now)
+        self.assertIsNone(owner.make_batch())
+        worker = next(iter(owner.workers_by_id.values()))
+        key = messages.TaskKey("r", 0, 0, 0)
+        end = messages.EndRow(1, key, 1, messages.EndKind.STOPPED, "")
+        request = owner.make_hold(worker.worker_id, self.world.now)
+        answer = messages.HoldAnswer(worker.clock_ms, [], [end])
+        owner.take_hold(request, self.world.now, answer, self.world.now)
+        owner.take_kept(first, self.world.now, self.world.now)
+        self.assertEqual(worker.acked_number, 0)
+        second = owner.make_batch()
+        self.assertIn("r", second.closed_by_job)
+        owner.take_kept(second, self.world.now, self.world.now)
+        self.assertEqual(worker.acked_number, 1)
+
     def test_nothing_but_the_state_is_held_of_jobs_that_are_over(self):
         self.world.submit(make_job("l", make_step(3, 4, 200)))
         self.world.submit(make_job("m", make_step(4, 4, 200, gang=True)))
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -1,11 +1,15 @@
-"""Keeping the owner's records, one transaction after the other.
+"""Keeping the owner's records: in lanes, each one transaction after the other.
 
-Each transaction names the owner's key and a head key that each changes, so
-that one whose answer was lost can be sent again and is applied once, and a
-late one is never applied over a newer one.
+Each transaction names the owner's key and the head key of its lane, which it
+changes, so that one whose answer was lost can be sent again and is applied once,
+and a late one is never applied over a newer one.
+
+The first lane does it all while the store answers in milliseconds. A slow store
+answers some times a second, and a transaction holds few jobs, so further lanes join
+while the ones before them wait. A job is in one lane at a time.
 
 The lease of the owner's key may run out while the store is away, or be taken.
-While nobody else has written the head since, what the owner knows is still all
+While nobody else has written a head since, what the owner knows is still all
 there is, so it gets the key back and goes on under a higher token.
 """
 
@@ -16,9 +20,15 @@
 from thornport.cell import ownership
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
-from thornport.store import transactions
+from thornport.store import transactions, watching
 
 HEAD_KEY = "thornport/cell/head"
+# A store that answers 60 times slower (0.24 s) takes 4 transactions of 14 jobs a
+# second and lane; four times the small cells' load is 250 records a second.
+LANES = 6
+# A lane joins when the one before it has waited this long: several times the store's
+# usual answer, for each transaction is a call.
+OVERLAP_S = 0.02
 # Between transactions, so that records share one: calls are priced, but urgent
 # jobs are in time by tens of milliseconds.
 GAP_S = 0.004
@@ -34,11 +44,11 @@
 
 
 class Head(msgspec.Struct, frozen=True):
-    """The value of the head key: who wrote last, and who may still give orders.
+    """The value of a head key: who wrote last, and who may still give orders.
 
     Attributes:
       token: An int, the revision of the owner's key.
-      sequence: An int that rises with each transaction of this owner.
+      sequence: An int that rises with each transaction of this owner in the lane.
       address: A str, where the owner takes messages.
       earlier: Addresses of earlier owners that have not said that they ceased.
     """
@@ -49,6 +59,42 @@
     earlier: tuple[str, ...] = ()
 
 
+class Lane(msgspec.Struct, eq=False):
+    """One of the lanes.
+
+    Attributes:
+      number: An int, from 0.
+      revision: An int, of its head key.
+      sequence: An int, of its last transaction.
+      busy_since: A float, since when a transaction is open; None when none is.
+      wants_key: Whether its transaction waits for the owner's key.
+      sleeping: A Deferred of a bool, whether it is time to confirm; None when it
+        does not sleep.
+    """
+
+    number: int
+    revision: int = transactions.ABSENT_REVISION
+    sequence: int = 0
+    busy_since: float | None = None
+    wants_key: bool = False
+    sleeping: defer.Deferred | None = None
+
+    @property
+    def head_key(self):
+        """The key of its head, a str."""
+        return f"{HEAD_KEY}/{self.number}" if self.number else HEAD_KEY
+
+    def wake(self, is_due=False):
+        """End a sleep.
+
+        Args:
+          is_due: A bool, whether it is time to confirm.
+        """
+        sleeping, self.sleeping = self.sleeping, None
+        if sleeping is not None:
+            sleeping.callback(is_due)
+
+
 class Ledger:
     """Writes the batches of one ownership.
 
@@ -66,8 +112,9 @@
           address: A str, where this process takes messages.
           metrics: A metrics.Metrics.
           regain: A coroutine function that tries to get a key back that is gone.
-            It takes the revision that the head must have, an int, and gives the
-            new token, an int, or None when the cell is another's.
+            It takes the transactions.Conditions that hold while nobody else has
+            decided, and gives the new token, an int, or None when the cell is
+            another's.
         """
         self._regain = regain
         self._address = address
@@ -76,46 +123,53 @@
         self._store = store
         self._token = token
         self._metrics = metrics
-        self._head_revision = None
-        self._sequence = 0
+        self._lanes = [Lane(number) for number in range(LANES)]
         self._typical_s = USUAL_S
-        self._wake = None
+        self._regaining = []
+        self._is_regaining = False
         self._is_stopped = False
 
     def stop(self):
         """Write no further batch."""
         self._is_stopped = True
-        self.wake()
+        for lane in self._lanes:
+            lane.wake()
+        self._end_regaining(None)
 
     def wake(self, is_due=False):
-        """End a sleep: there is something to keep.
+        """There is something to keep.
 
         Args:
           is_due: A bool, whether it is time to confirm instead.
         """
-        if self._wake is not None and not self._wake.called:
-            self._wake.callback(is_due)
+        for lane in self._lanes:
+            if self._may_start(lane):
+                lane.wake(is_due)
 
-    async def read_head(self):
-        """Read the head; a bool, whether the store answered."""
-        read = await self._store.read_key(HEAD_KEY)
+    async def read_heads(self):
+        """Read the heads; a bool, whether the store answered."""
+        read = await watching.read_prefix(self._store, HEAD_KEY)
         if isinstance(read, result.Failure):
             return False
-        self._head_revision = read.unwrap().revision
-        last = decode_head(read.unwrap().value)
+        item_by_key = {item.key: item for item in read.unwrap()[0]}
+        for lane in self._lanes:
+            item = item_by_key.get(lane.head_key)
+            lane.revision = item.revision if item else transactions.ABSENT_REVISION
+        first = item_by_key.get(HEAD_KEY)
+        last = decode_head(first.value) if first is not None else None
         if last is not None:
             self.earlier = tuple(dict.fromkeys((*last.earlier, last.address)))
         return True
 
     async def register(self):
-        """Write the head before any order goes out.
+        """Write the first head before any order goes out.
 
         A successor then knows whom to ask whether orders may still come.
 
         Returns:
           A bool, whether the key is ours.
         """
-        return await self._commit(None) is not None
+        return await self._commit(self._lanes[0], None) is not None
 
     async def write(self, make_batch, take_kept):
         """Write batches until stopped or until the key is not ours.
@@ -124,63 +178,141 @@
           make_batch: A callable giving the next batches.Batch or None.
           take_kept: A callable of a batch, or None, and the time it was sent.
         """
+        writers = [
+            tasks.spawn(self._write(lane, make_batch, take_kept), "write-lane")
+            for lane in self._lanes
+        ]
+        await defer.DeferredList(writers)
+
+    async def _write(self, lane, make_batch, take_kept):
+        """Write the batches of one lane; when it ends, all do."""
         while not self._is_stopped:
-            batch = make_batch()
-            if batch is None and not await self._sleep():
+            batch = make_batch() if self._may_start(lane) else None
+            if batch is None and not await self._sleep(lane):
                 continue
             if self._is_stopped:
                 return
-            sent_at = await self._commit(batch)
-            if sent_at is None or self._is_stopped:
+            sent_at = await self._commit(lane, batch)
+            if sent_at is None:
+                self.stop()
+            if self._is_stopped:
                 return
             take_kept(batch, sent_at)
             await tasks.sleep(self._reactor, GAP_S)
 
-    async def _sleep(self):
+    def _may_start(self, lane):
+        """Whether a lane may begin: the one before it has waited for long."""
+        if not lane.number:
+            return True
+        busy_since = self._lanes[lane.number - 1].busy_since
+        if busy_since is None:
+            return False
+        return clock.read_monotonic() - busy_since >= OVERLAP_S
+
+    async def _sleep(self, lane):
         """Wait for something to keep; true when it is time to confirm."""
-        self._wake = defer.Deferred()
+        sleeping = lane.sleeping = defer.Deferred()
+        if lane.number:
+            return await sleeping
         return await tasks.wait_timed(
-            self._reactor, self._wake, CONFIRM_PERIOD_S, lambda: self.wake(is_due=True)
+            self._reactor, sleeping, CONFIRM_PERIOD_S, lambda: lane.wake(is_due=True)
         )
 
-    async def _commit(self, batch):
+    async def _commit(self, lane, batch):
         """Commit until the outcome is known.
 
-        A transaction without an answer is sent again while the first is open:
-        its head lets it be applied only once.
-
         Returns:
           A float, when the transaction that was applied was sent; None when
           the key is not ours any more.
         """
+        lane.busy_since = clock.read_monotonic()
+        joining = None
+        if lane.number + 1 < LANES:
+            following = self._lanes[lane.number + 1]
+            joining = self._reactor.callLater(OVERLAP_S, following.wake)
+        try:
+            return await self._commit_busy(lane, batch)
+        finally:
+            lane.busy_since = None
+            self._begin_regaining()
+            if joining is not None and joining.active():
+                joining.cancel()
+
+    async def _commit_busy(self, lane, batch):
         while not self._is_stopped:
-            self._sequence += 1
+            lane.sequence += 1
+            earlier = () if lane.number else self.earlier
             head = msgspec.json.encode(
-                Head(self._token, self._sequence, self._address, self.earlier)
+                Head(self._token, lane.sequence, self._address, earlier)
             )
-            sent_at, error = await self._send(batch, head)
-            if error is None or self._was_applied(error, head):
+            sent_at, error = await self._send(lane, batch, head)
+            if error is None or self._was_applied(lane, error, head):
                 return sent_at
             if ownership.OWNER_KEY in error.by_key:
                 logs.log("ledger-refused", token=self._token, reason="not the owner")
                 return None
-            token = await self._regain(self._head_revision)
-            if token is None:
+            if not await self._wait_for_key(lane):
                 return None
-            self._token = token
         return None
 
-    async def _send(self, batch, head):
+    async def _wait_for_key(self, lane):
+        """Get the key back, once no lane has a transaction that may be applied.
+
+        Returns:
+          A bool, whether it is ours again.
+        """
+        lane.wants_key = True
+        waiting = defer.Deferred()
+        self._regaining.append(waiting)
+        self._begin_regaining()
+        return await waiting
+
+    def _begin_regaining(self):
+        """Try to get the key back if each open transaction waits for it."""
+        settled = all(lane.wants_key or lane.busy_since is None for lane in self._lanes)
+        if self._regaining and settled and not self._is_regaining:
+            self._is_regaining = True
+            tasks.spawn(self._get_key_back(), "regain")
+
+    async def _get_key_back(self):
+        conditions = [
+            transactions.Condition(lane.head_key, lane.revision) for lane in self._lanes
+        ]
+        try:
+            token = await self._regain(conditions)
+        finally:
+            self._is_regaining = False
+        self._end_regaining(token)
+
+    def _end_regaining(self, token):
+        """Let the lanes that wait for the key go on.
+
+        Args:
+          token: An int, the new token; None when the cell is another's.
+        """
+        if token is not None:
+            self._token = token
+        for lane in self._lanes:
+            lane.wants_key = False
+        regaining, self._regaining = self._regaining, []
+        for waiting in regaining:
+            waiting.callback(token is not None)
+
+    async def _send(self, lane, batch, head):
         """Send a transaction until its outcome is known.
 
+        One without an answer is sent again while the first is open: its head lets
+        it be applied only once.
+
         Args:
+          lane: A Lane.
           batch: A batches.Batch or None.
           head: Bytes, the value of the head key.
         Returns:
           A pair: a float, when it was first sent, or None if the ledger was
           stopped; and the transactions.Refused, or None if it was applied.
         """
-        transaction = self._make_transaction(batch, head)
+        transaction = self._make_transaction(lane, batch, head)
         began_at = clock.read_monotonic()
         outcomes = defer.DeferredQueue()
         open_count = 0
@@ -195,7 +327,7 @@
                 continue
             open_count -= 1
             if isinstance(written, result.Success):
-                self._head_revision = written.unwrap()
+                lane.revision = written.unwrap()
                 self._note_latency(clock.read_monotonic() - began_at)
                 return began_at, None
             error = written.failure()
@@ -218,20 +350,20 @@
         self._typical_s += LATENCY_WEIGHT * (took_s - self._typical_s)
         self._metrics.observe("ledger.commit_ms", took_s * 1000)
 
-    def _was_applied(self, error, head):
+    def _was_applied(self, lane, error, head):
         """Tell whether a copy of a refused transaction was applied before."""
-        item = error.by_key.get(HEAD_KEY)
+        item = error.by_key.get(lane.head_key)
         if item is None or item.value != head:
             return False
-        self._head_revision = item.revision
+        lane.revision = item.revision
         return True
 
-    def _make_transaction(self, batch, head):
+    def _make_transaction(self, lane, batch, head):
         conditions = [
             transactions.Condition(ownership.OWNER_KEY, self._token),
-            transactions.Condition(HEAD_KEY, self._head_revision),
+            transactions.Condition(lane.head_key, lane.revision),
         ]
-        puts = [transactions.Put(HEAD_KEY, head)]
+        puts = [transactions.Put(lane.head_key, head)]
         removes = []
         if batch is not None:
             for job_id, value in batch.progress_by_job.items():
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -4,6 +4,7 @@
 the moment it is decided on until it is surely over.
 """
 
+import collections
 import enum
 import math
 
@@ -83,6 +84,7 @@
       unheard_until: A float; if never heard by this owner, all that an
         earlier owner started is over then.
       seen_number, acked_number: Ends taken in; ends kept in the store.
+      unkept_ends: Pairs of number and job id, of ends that are not kept yet, in order.
       failures: An int, failed runs since one was done.
       stalls: An int, how often all its tasks stood still since any went on.
       avoid_until: A float; it gets no starts before.
@@ -104,6 +106,9 @@
     granted_ms: int = 0
     seen_number: int = 0
     acked_number: int = 0
+    unkept_ends: collections.deque[tuple[int, str]] = msgspec.field(
+        default_factory=collections.deque
+    )
     failures: int = 0
     stalls: int = 0
     avoid_until: float = 0.0
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -5,7 +5,6 @@
 from thornport.cell import core, following, leases, ledger, looks, orders, peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
-from thornport.store import transactions
 
 ROUND_GAP_S = 0.002  # from a change to a round of placement, to gather changes
 # Rounds take a third of the processor at most: answers of workers, which a successor
@@ -93,7 +92,7 @@
         began = clock.read_monotonic()
         self.core.take_config(config)
         self.core.start_reading()
-        while self.is_active and not await self._ledger.read_head():
+        while self.is_active and not await self._ledger.read_heads():
             await tasks.sleep(self._reactor, RETRY_S)
         await self._following.read()
         if not self.is_active or not await self._ledger.register():
@@ -181,10 +180,9 @@
         else:
             self.lose("the key is gone")
 
-    async def _regain(self, head_revision):
+    async def _regain(self, conditions):
         """Get the key back; the new token, or None when the cell is another's."""
-        condition = transactions.Condition(ledger.HEAD_KEY, head_revision)
-        token = await self._claimer.regain(condition, lambda: self.is_active)
+        token = await self._claimer.regain(conditions, lambda: self.is_active)
         if token is not None and self.is_active:
             logs.log("owner-key-regained", token=token, before=self.core.token)
             self.core.token = token
--- a/thornport/cell/ownership.py
+++ b/thornport/cell/ownership.py
@@ -203,19 +203,19 @@
             self._take(owner, written.unwrap())
         return written
 
-    async def regain(self, head_condition, is_current):
+    async def regain(self, conditions, is_current):
         """Get the key back after its lease ran out.
 
         Args:
-          head_condition: A transactions.Condition that holds while nobody else
-            has decided.
+          conditions: The transactions.Conditions that hold while nobody else has
+            decided.
           is_current: A callable telling whether it is still wanted.
         Returns:
           An int, the new token; None when the cell is another's.
         """
         free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
         while is_current():
-            written = await self._write([free, head_condition])
+            written = await self._write([free, *conditions])
             if isinstance(written, result.Success):
                 return self.token
             if port.is_failure(written, transactions.Refused):
