Move tasks off workers that leave before they can end

Change: a run that by its progress (by its estimate, before there is any) can't end within the time that its worker says is left, and 1 s more, is stopped at once; lasting tasks serve on. The time that is left was decoded and used by nothing.

--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -5,7 +5,16 @@
 names it is kept, so a successor knows each worker that may run a task.
 """
 
-from thornport.cell import batches, holds, learning, messages, model, outcomes, rounds
+from thornport.cell import (
+    batches,
+    holds,
+    learning,
+    leaving,
+    messages,
+    model,
+    outcomes,
+    rounds,
+)
 
 ROUND_STEPS = rounds.ROUND_STEPS
 INCOMING_S = 5.0  # a job that is not accepted by then was refused
@@ -15,6 +24,7 @@
 class CellCore(
     learning.Learning,
     holds.Holds,
+    leaving.Leaving,
     outcomes.Outcomes,
     rounds.Rounds,
     batches.Batches,
@@ -46,6 +56,7 @@
         self.needs_round = True
 
     def _tick_worker(self, worker, now):
+        self._move_from_leaving(worker, now)
         if now > worker.compute_lapse_at():
             if not worker.is_listed:
                 self.end_worker(worker, now)
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -81,7 +81,7 @@
         # The earlier owner is no more; what it sent may still arrive.
         self.owner.end_earlier(self.now)
 
-    def list_worker(self, worker_id, state=messages.WorkerState.READY):
+    def list_worker(self, worker_id, state=messages.WorkerState.READY, leaves_in_ms=0):
         """Show a worker in the store."""
         entry = messages.WorkerEntry(
             worker_id,
@@ -90,6 +90,7 @@
             "h1",
             state,
             ROOM,
+            leaves_in_ms=leaves_in_ms,
         )
         self.revision += 1
         self.owner.take_worker(entry, self.revision, self.now)
@@ -350,6 +351,28 @@
         owner.take_start_outcome(again, fenced, self.world.now)
         self.assertTrue(owner.is_fenced)
 
+    def test_tasks_that_cannot_end_before_their_worker_leaves_are_moved(self):
+        self.world.submit(make_job("s", make_step(1, 60, 20_000)))
+        self.world.submit(make_job("t", make_step(1, 60, 3000)))
+        self.world.submit(make_job("u", make_step(1, 60, 20_000, lasting=True)))
+        self.world.run(1)
+        draining = messages.WorkerState.DRAINING
+        places = {
+            key.job_id: worker
+            for worker in self.world.workers_by_id.values()
+            for key in worker.active_by_key
+        }
+        # One ends within the time that is left, one can't, one serves on.
+        for job_id in ("s", "t", "u"):
+            self.world.list_worker(places[job_id].worker_id, draining, 3000)
+        self.world.run(0.5)
+        left = {
+            job_id
+            for job_id, worker in places.items()
+            if any(key.job_id == job_id for key in worker.active_by_key)
+        }
+        self.assertEqual(left, {"t", "u"})
+
     def test_work_that_fills_is_kept_from_work_that_serves(self):
         fills = make_step(6, 2, 60_000, lasting=True, fills=True)
         serves = make_step(2, 2, 60_000, lasting=True, tail_target_ms=40)
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -1,6 +1,14 @@
 """What the store tells an owner: the configuration, workers and jobs."""
 
-from thornport.cell import ending, leases, messages, model, progress, ticketing
+from thornport.cell import (
+    ending,
+    leases,
+    leaving,
+    messages,
+    model,
+    progress,
+    ticketing,
+)
 from thornport.jobs import record
 
 
@@ -42,6 +50,7 @@
             worker = model.Worker(entry, self._earlier_over_at)
             self.workers_by_id[entry.worker_id] = worker
         worker.entry = entry
+        worker.leaves_at = leaving.read_leaves_at(entry, now)
         worker.revision = revision
         worker.is_listed = True
         self.needs_round = True
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -75,6 +75,7 @@
     Attributes:
       entry: Its messages.WorkerEntry.
       revision: An int, the store's revision of the entry; 0 if there was none.
+      leaves_at: A float, when it leaves at the earliest; None if it did not say.
       is_listed: Whether the store lists it.
       is_heard: Whether it has answered this owner.
       used: Demand of its live runs.
@@ -97,6 +98,7 @@
     entry: messages.WorkerEntry
     unheard_until: float
     revision: int = 0
+    leaves_at: float | None = None
     is_listed: bool = True
     is_heard: bool = False
     used: spec.Demand = spec.Demand()
