Give calls for advice to processes that are free, not to a queue of one

The new owner knew one or two processes then, and gave them the calls of all waiting steps: at 0.4 to 1 s a call the last were due after 20 s, with no other call until then.

Ruled out: the records (the last end was taken and the step was due), room, tickets, rounds (other jobs' second steps started), a lost message (the call was still open).

Change: a call is given to a process that is free within 20 ms, else it waits for the next round, which an answer brings about; so the foremost step goes first and processes that greet later take their share. An answer frees its process, however long the call was thought to take.

--- a/thornport/cell/advising.py
+++ b/thornport/cell/advising.py
@@ -2,12 +2,16 @@
 
 The advice service works on one call at a time for each caller, so a call of
 half a second holds up all later calls of the same caller. Calls that take
-long go to some of the processes, the short ones to the others.
+long go to some of the processes, the short ones to the others. A call is given to
+a process only when it can make it soon: what waits here goes to whoever is free
+first, and the foremost step first.
 """
 
 import msgspec
 
 LONG_CALL_S = 0.15  # between the dear queue's 0.75 s and the others' 0.06 s
+# A process gets its next call so long before it is free: a round and the way there.
+QUEUE_S = 0.02
 SILENCE_S = 1.6  # three greetings missed: the process gets no calls
 ANSWER_SLACK_S = 0.5  # beyond the time that a call takes, for the way and a busy node
 
@@ -21,6 +25,7 @@
       has_store: Whether the store answers it.
       cores: A float, how much processor its VM has.
       busy_until: A float, when it has made all calls given to it.
+      open_count: An int, calls given to it that have no answer yet.
     """
 
     name: str
@@ -29,6 +34,7 @@
     has_store: bool = True
     cores: float = 1.0
     busy_until: float = 0.0
+    open_count: int = 0
 
 
 class Callers:
@@ -95,18 +101,34 @@
           cost_s: A float, how long the call takes.
           now: A float.
         Returns:
-          A pair of the Caller and the deadline of the call, or None when
-          there is no process.
+          A pair of the Caller and the deadline of the call, or None when no
+          process can make it soon.
         """
         alive = sorted(self._list_alive(now), key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
-        group = alive[:half] if cost_s >= LONG_CALL_S else alive[half:] or alive
+        is_long = cost_s >= LONG_CALL_S
+        group = alive[:half] if is_long else alive[half:] or alive
         caller = min(group, key=lambda caller: caller.busy_until, default=None)
-        if caller is None:
+        if caller is None or caller.busy_until - now > QUEUE_S:
             return None
         caller.busy_until = max(caller.busy_until, now) + cost_s
+        caller.open_count += 1
         return caller, caller.busy_until + ANSWER_SLACK_S
 
+    def end_call(self, name, now):
+        """Take that a call has its answer, or is given up.
+
+        Args:
+          name: A str, of the process that made it.
+          now: A float.
+        """
+        caller = self._by_name.get(name)
+        if caller is None or not caller.open_count:
+            return
+        caller.open_count -= 1
+        if not caller.open_count:
+            caller.busy_until = min(caller.busy_until, now)
+
     def distrust(self, name, now):
         """Give no calls for a while to a process whose answer did not come.
 
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -44,8 +44,8 @@
             self._tick_worker(worker, now)
         for call in list(self._open_advice_by_step.values()):
             if now > call.deadline:
-                self.callers.distrust(call.name, now)
                 self.take_advice(call.request, None, now)
+                self.callers.distrust(call.name, now)
         for job in list(self._incoming_by_id.values()):
             if now - job.arrived_at > INCOMING_S:
                 del self._incoming_by_id[job.job_id]
