--- a/thornport/cell/liveness.py
+++ b/thornport/cell/liveness.py
@@ -77,6 +77,7 @@
             peers = frozenset(self._daemon.peer_addresses) - {self._owner_address}
             ask_at = now + self._candidacy.compute_turn_s()
             self._poll = polling.Poll(self._revision, peers, ask_at)
+            logs.log("owner-unheard", owner=self._owner_address, peers=len(peers))
         if self._poll.is_due(now):
             for address in self._poll.peer_addresses:
                 self._bus.send(address, "", peering.AskOwnerHeard(self._revision))
