--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -11,6 +11,7 @@
     owner,
     ownership,
     peering,
+    peerlist,
     receiving,
     relaying,
 )
@@ -39,7 +40,7 @@
       asker: The asking.Asker of the owner.
       candidacy: The candidacy.Candidacy of this process for the cell.
       liveness: The liveness.Liveness of the cell's owner.
-      peer_addresses: The set of addresses of all other processes, as last told.
+      peers: The peerlist.PeerList of the other processes.
     """
 
     def __init__(self, reactor, settings, ports, bus, metrics):
@@ -61,7 +62,7 @@
         self.config = None
         self.is_stopping = False
         self.intake = intake.Intake(reactor, self.relayed, metrics, self)
-        self.peer_addresses = set()
+        self.peers = peerlist.PeerList()
         self.asker = asking.Asker(reactor, bus)
         cores = settings.process.cpu_share * settings.process.cores
         self._cores = cores
@@ -136,7 +137,7 @@
         held = self.session is not None
         self._standing.leave()
         if held:
-            for address in self.peer_addresses:
+            for address in self.peers.addresses:
                 self.bus.send(address, "", peering.Leaving())
             tasks.spawn(self._claimer.release(), "release")
         left_s = self._settings.bounds.grace_s - LAST_CALLS_S
@@ -362,7 +363,7 @@
 
     def tell_unresolved(self, job_id):
         """Tell all peers of a job that may be kept, so that none refuses it."""
-        for address in self.peer_addresses:
+        for address in self.peers.addresses:
             self.bus.send(address, "", peering.Unresolved(job_id))
 
     def tell_incoming(self, value):
--- a/thornport/cell/liveness.py
+++ b/thornport/cell/liveness.py
@@ -64,7 +64,7 @@
 
     def _tell_alive(self):
         if self._daemon.session is not None:
-            for address in self._daemon.peer_addresses:
+            for address in self._daemon.peers.addresses:
                 self._bus.send(address, "", peering.Alive())
 
     def _check(self):
@@ -74,7 +74,7 @@
         if not self._candidacy.is_owner_silent(now):
             return
         if self._poll is None:
-            peers = frozenset(self._daemon.peer_addresses) - {self._owner_address}
+            peers = self._daemon.peers.addresses - {self._owner_address}
             ask_at = now + self._candidacy.compute_turn_s()
             self._poll = polling.Poll(self._revision, peers, ask_at)
             logs.log("owner-unheard", owner=self._owner_address, peers=len(peers))
--- /dev/null
+++ b/thornport/cell/peerlist_test.py
@@ -0,0 +1,26 @@
+"""Peers are remembered over a change of owner, and forgotten when they are gone."""
+
+import unittest
+
+from thornport.cell import peerlist
+
+
+class PeerList(unittest.TestCase):
+    """Lists of two owners, one after the other."""
+
+    def setUp(self):
+        self.peers = peerlist.PeerList()
+        self.peers.take({"a", "b", "c"}, 10.0)
+
+    def test_new_owner_that_knows_few_makes_nobody_forgotten(self):
+        self.peers.take({"a"}, 10.5)
+        self.assertEqual(self.peers.addresses, {"a", "b", "c"})
+
+    def test_peer_that_is_listed_no_more_is_forgotten(self):
+        self.peers.take({"a", "b"}, 11.0)
+        self.peers.take({"a", "b"}, 10.0 + peerlist.MEMORY_S)
+        self.assertEqual(self.peers.addresses, {"a", "b"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -30,16 +30,20 @@
 
 @take.register
 def take_hello(message: peering.Hello, daemon, address):
-    """A process can call for advice; tell it of the others."""
-    core = daemon.get_core()
-    if core is None:
+    """A process can call for advice; tell it of the others.
+
+    One that is becoming the owner takes it too: it needs calls for advice as soon
+    as it decides.
+    """
+    if daemon.session is None:
         return
     now = clock.read_monotonic()
-    core.callers.greet(message.name, address, message.has_store, message.cores, now)
+    callers = daemon.session.core.callers
+    callers.greet(message.name, address, message.has_store, message.cores, now)
     peers = peering.Peers(
-        tuple(core.callers.list_addresses(True, now)),
-        tuple(core.callers.list_addresses(False, now)),
-        core.callers.find_largest_cores(now),
+        tuple(callers.list_addresses(True, now)),
+        tuple(callers.list_addresses(False, now)),
+        callers.find_largest_cores(now),
     )
     daemon.bus.send(address, "", peers)
 
@@ -51,7 +55,8 @@
     daemon.candidacy.take_largest(message.largest_cores)
     own = {daemon.bus.address}
     daemon.relayed.peer_addresses = tuple(set(message.with_store) - own)
-    daemon.peer_addresses = (set(message.with_store) | set(message.others)) - own
+    listed = (set(message.with_store) | set(message.others)) - own
+    daemon.peers.take(listed, clock.read_monotonic())
 
 
 # Jobs that peers keep.
