--- a/soak/plan.py
+++ b/soak/plan.py
@@ -22,6 +22,8 @@
     STORE_AWAY = "away"
     WRITES_LOST = "lose_writes"
     HISTORY_GONE = "forgets"
+    KEYS_REVOKED = "revokes"
+    STORE_SLOW = "slow_ms"
     WORKER_CRASH = "crash"
     CONFIG = "config"
 
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -10,6 +10,7 @@
 from tests import harness, schedulers
 
 PROXY_DELAY_MS = 150
+STORE_SLOW_MS = 200  # 50 times the users' store
 RESTART_S = 0.4  # from the end of a process to its next life
 
 
@@ -73,9 +74,11 @@
             harness.call("POST", self._cell.url("platform", "/crash"))
         elif fault.kind is plan.Kind.WRITES_LOST:
             self._cell.set_platform_faults(lose_writes=3)
-        elif fault.kind is plan.Kind.HISTORY_GONE:
-            self._cell.set_platform_faults(forgets=True)
+        elif fault.kind in (plan.Kind.HISTORY_GONE, plan.Kind.KEYS_REVOKED):
+            self._cell.set_platform_faults(**{fault.kind.value: True})
         else:
-            self._cell.set_platform_faults(away=True)
+            is_slow = fault.kind is plan.Kind.STORE_SLOW
+            value = STORE_SLOW_MS if is_slow else True
+            self._cell.set_platform_faults(**{fault.kind.value: value})
             time.sleep(fault.for_s)
             self._cell.set_platform_faults()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,8 +3,9 @@
 It speaks the platform's published interface. `POST /faults` on the store's
 address sets what goes wrong: `away` (silent to all; what came meanwhile is done
 once it is back), `lose_writes` (apply, then say nothing), `forgets` (the history
-goes). `POST /crash` replaces a worker by another life. `GET /seen` tells what the
-workers saw.
+goes), `revokes` (every lease ends at once, with its keys), `keeps_leases` (none runs
+out), `slow_ms` (each call waits that long). `POST /crash` replaces a worker by
+another life. `GET /seen` tells what the workers saw.
 """
 
 import base64
@@ -59,7 +60,8 @@
         """Let time pass."""
         now = time.monotonic()
         before = self.store.revision
-        self.store.expire(now)
+        if not self.faults.keeps_leases:
+            self.store.expire(now)
         for worker in self.workers_by_id.values():
             worker.advance(now)
             if worker.ended:
@@ -79,6 +81,8 @@
             waiter = defer.Deferred()
             self.held.append(waiter)
             await waiter
+        if self.faults.slow_ms:
+            await task.deferLater(reactor, self.faults.slow_ms / 1000)
 
     def set_faults(self, faults):
         """Say what goes wrong from now on; what was held is done if it may."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,13 +9,18 @@
 from standins import serve
 from thornport.platform import workers
 
+MAX_ENTRIES = 32  # of a transaction, as the users' platform has it
+
 
 class Faults(msgspec.Struct):
-    """What goes wrong from now on."""
+    """What goes wrong from now on; platform.py says what each means."""
 
     away: bool = False
     lose_writes: int = 0
     forgets: bool = False
+    revokes: bool = False
+    keeps_leases: bool = False
+    slow_ms: int = 0
 
 
 class StoreApp:
@@ -77,6 +82,9 @@
         """Apply a transaction."""
         await self._hold()
         body = msgspec.json.decode(request.content.read())
+        parts = (body["expected_rev"], body["put"], body["remove"])
+        if sum(len(part) for part in parts) > MAX_ENTRIES:
+            return serve.reply(request, 400, {})
         conditions = [(row["key"], row["rev"]) for row in body["expected_rev"]]
         puts = [(row["key"], row["value"], row.get("lease", 0)) for row in body["put"]]
         revision = self._store.commit(conditions, puts, body["remove"])
@@ -130,6 +138,9 @@
         self._platform.set_faults(faults)
         if faults.forgets:
             self._store.forget_history()
+        if faults.revokes:
+            self._store.end_all_leases()
+            self._platform.wake()
         return b"{}"
 
     @app.route("/crash", methods=["POST"])
--- a/standins/transaction_store.py
+++ b/standins/transaction_store.py
@@ -72,6 +72,11 @@
         for key in keys:
             self._remove(key)
 
+    def end_all_leases(self):
+        """End every lease at once, whoever renews it."""
+        for lease in list(self.deadline_by_lease):
+            self.end_lease(lease)
+
     def commit(self, conditions, puts, removes):
         """Apply a transaction.
 
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -98,6 +98,37 @@
             self.cell.wait_state(self.other, job_id, "succeeded")
             self.assertEqual(self.count_starts(job_id), 3)
 
+    def test_silent_owner_is_replaced_by_agreement_of_its_peers(self):
+        for name in self.cell.names:
+            self.cell.by_name[name].wait_for(r"event=peers-listed count=2")
+        # The key of the dead owner stays, so nobody but its peers can tell.
+        self.cell.set_platform_faults(keeps_leases=True)
+        self.cell.by_name[self.owner].kill()
+        self.cell.names.remove(self.owner)
+        successor = self.cell.find_owner()
+        job_id, _ = self.cell.submit(successor)
+        self.cell.wait_state(successor, job_id, "succeeded")
+
+    def test_owner_whose_key_is_taken_back_goes_on_without_a_takeover(self):
+        job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=1500))
+        self.cell.wait_state(self.other, job_id, "running")
+        self.cell.set_platform_faults(revokes=True)
+        owner = self.cell.by_name[self.owner]
+        owner.wait_for(r"event=owner-key-regained")
+        more, _ = self.cell.submit(self.other)
+        for one in (job_id, more):
+            self.cell.wait_state(self.other, one, "succeeded")
+            self.assertEqual(self.count_starts(one), 3)
+        self.assertNotIn("event=not-deciding", owner.read_log())
+
+    def test_slow_store_is_written_to_in_several_lanes(self):
+        self.cell.set_platform_faults(slow_ms=150)
+        jobs = [self.cell.submit(self.other)[0] for _ in range(12)]
+        for job_id in jobs:
+            self.cell.wait_state(self.other, job_id, "succeeded")
+            self.assertEqual(self.count_starts(job_id), 3)
+        self.cell.set_platform_faults()
+
     def test_frozen_owner_wakes_to_a_successor(self):
         job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=2500))
         self.cell.wait_state(self.other, job_id, "running")
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -56,7 +56,10 @@
     own = {daemon.bus.address}
     daemon.relayed.peer_addresses = tuple(set(message.with_store) - own)
     listed = (set(message.with_store) | set(message.others)) - own
+    known = daemon.peers.addresses
     daemon.peers.take(listed, clock.read_monotonic())
+    if daemon.peers.addresses != known:
+        logs.log("peers-listed", count=len(daemon.peers.addresses), owner=address)
 
 
 # Jobs that peers keep.
