--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 from twisted.web import client as webclient
 
-from thornport.entry import callers, front, keys, peering, sharing
+from thornport.entry import callers, dispatch, front, keys, peering, sharing
 from thornport.fleet import vmlist
 from thornport.kernel import clock, logs, metrics, tasks
 from thornport.membership import node
@@ -87,10 +87,11 @@
 
     def _limit_connections(self):
         """Keep few enough idle connections that all entries' stay in bounds."""
-        members = max(1, len(self.node.ring.members))
-        for service in self._in_force.config.services_by_name.values():
-            idle = (service.connections - service.slots) // members
-            self.front.dispatcher.limit_connections(max(1, idle))
+        services = self._in_force.config.services_by_name.values()
+        if services:
+            members = len(self.node.ring.members)
+            idle = dispatch.compute_idle_connections(services, members)
+            self.front.dispatcher.limit_connections(idle)
 
     def _take_settings(self):
         self.front.take_settings()
--- a/thornport/entry/dispatch.py
+++ b/thornport/entry/dispatch.py
@@ -74,6 +74,21 @@
         )
 
 
+def compute_idle_connections(services, members):
+    """Compute how many idle connections to keep to each backend server.
+
+    One pool serves all services, so the service that takes the fewest decides.
+
+    Args:
+      services: An iterable of schema.Service, not empty.
+      members: An int, entries that share a backend server's connections.
+    Returns:
+      An int, at least 1.
+    """
+    spare = min(service.connections - service.slots for service in services)
+    return max(1, spare // max(1, members))
+
+
 class Dispatcher:
     """Sends requests over kept connections."""
 
