Give jobs an interface and a command line of the product's own

Change: cell/web.py beside the metrics, thornport jobs, and an explanation of each step by the owner (earlier steps, advice, room, no worker that could hold it). The answers of the adapter and of this interface share kernel/webreply.py. The metrics port may be chosen by the kernel.

--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -17,6 +17,7 @@
 jobs = 127.0.0.1:0
 ready = 127.0.0.1:0
 peer_port = 0
+metrics_port = 0
 [services]
 store = {store}
 advice = {advice}
--- a/thornport/cell/core.py
+++ b/thornport/cell/core.py
@@ -7,6 +7,7 @@
 
 from thornport.cell import (
     batches,
+    explaining,
     holds,
     learning,
     leaving,
@@ -26,7 +27,7 @@
     holds.Holds,
     leaving.Leaving,
     outcomes.Outcomes,
-    rounds.Rounds,
+    explaining.Explaining,
     batches.Batches,
 ):
     """All that an owner knows, and what it decides; see cellstate.CellState."""
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -176,6 +176,11 @@
             self.session.core.take_config(config)
             self.session.pump()
 
+    @property
+    def owner_name(self):
+        """The name of the process that owns the cell, empty if nobody does."""
+        return self._owner.name if self._owner is not None else ""
+
     def may_claim(self):
         """Whether this process could become the owner now."""
         return (
--- /dev/null
+++ b/thornport/cell/explaining.py
@@ -0,0 +1,125 @@
+"""What an owner knows of a job, and why a step of it waits.
+
+For people who ask why their job does not run: nothing here changes anything.
+"""
+
+import enum
+
+import msgspec
+
+from thornport.cell import placing, rounds
+from thornport.jobs import record
+
+
+class Waiting(enum.Enum):
+    """Why tasks of a step wait."""
+
+    NOTHING = "nothing"
+    EARLIER_STEPS = "earlier steps"
+    NO_FIT = "no worker could ever hold a task"
+    ADVICE = "advice on which workers may run it"
+    ROOM = "room"
+
+
+class StepView(msgspec.Struct, frozen=True):
+    """A step at one of its job's times.
+
+    Attributes:
+      tasks, done, live: Ints; a live task is ordered, running or being stopped.
+      failures: An int, failed runs.
+      waits_for: A Waiting.
+    """
+
+    time: int
+    step: int
+    tasks: int
+    done: int
+    live: int
+    failures: int
+    waits_for: Waiting
+
+
+class JobView(msgspec.Struct, frozen=True):
+    """A job.
+
+    Attributes:
+      state: The record.JobState that callers are shown.
+      steps: StepViews; none of a job that is over.
+    """
+
+    job_id: str
+    queue: str
+    state: record.JobState
+    accepted_at_ms: int
+    steps: tuple[StepView, ...] = ()
+
+
+class Explaining(rounds.Rounds):
+    """Answers questions about jobs."""
+
+    def explain_job(self, job_id, now):
+        """Say how far a job has come and what it waits for.
+
+        Args:
+          job_id: A str.
+          now: A float.
+        Returns:
+          A JobView, or None when the job is not known.
+        """
+        job = self.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        steps = [self._view_step(job, step, now) for step in job.steps_by_key.values()]
+        return self._view_job(job, tuple(steps))
+
+    def list_jobs(self, state=None):
+        """List the jobs that are known.
+
+        Args:
+          state: A record.JobState that they are in; None for any.
+        Returns:
+          A list of JobView without steps, in the order of acceptance.
+        """
+        return [
+            self._view_job(job)
+            for job in self.jobs_by_id.values()
+            if state is None or job.shown_state is state
+        ]
+
+    def _view_job(self, job, steps=()):
+        kept = job.record
+        return JobView(
+            job.job_id, kept.queue.name, job.shown_state, kept.accepted_at_ms, steps
+        )
+
+    def _view_step(self, job, step, now):
+        return StepView(
+            step.key.time,
+            step.key.step,
+            step.spec.count,
+            step.spec.count if step.is_done else len(step.done),
+            len(step.live_by_index),
+            sum(step.failures_by_index.values()),
+            self._find_waiting(job, step, now),
+        )
+
+    def _find_waiting(self, job, step, now):
+        if not step.waiting or job.is_over():
+            return Waiting.NOTHING
+        if not self._is_due(job, step):
+            return Waiting.EARLIER_STEPS
+        queue = self._queue_of(job)
+        suited = [
+            worker
+            for worker in self.workers_by_id.values()
+            if worker.entry.service == queue.service
+            and (not step.spec.label or step.spec.label in worker.entry.labels)
+            and step.spec.demand.fits(worker.entry.total)
+        ]
+        if not suited:
+            return Waiting.NO_FIT
+        if queue.advice is not None and not any(
+            placing.has_ticket(step, worker, now) for worker in suited
+        ):
+            return Waiting.ADVICE
+        return Waiting.ROOM
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -34,14 +34,15 @@
       jobs: A str, `IP:PORT` for callers.
       ready: A str, `IP:PORT` that the balancer asks.
       peer_port: An int, for messages between processes.
-      metrics_port: An int, where counters and histograms are shown; 0 for none.
+      metrics_port: An int, for counters, histograms and the interface for jobs; 0
+        lets the kernel choose, none is left out.
     """
 
     ip: str
     jobs: str
     ready: str
     peer_port: Port
-    metrics_port: Port = 0
+    metrics_port: Port | None = None
 
 
 class Services(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/thornport/cell/web.py
@@ -0,0 +1,184 @@
+"""The product's own interface for jobs, over HTTP.
+
+It is served beside the metrics, for operators and for platforms without an
+interface of their own. `thornport jobs` speaks it. Bodies are the types of
+`jobs.spec`, `cell.explaining` and this module, as JSON.
+"""
+
+import time
+
+import msgspec
+from returns import result
+
+from thornport.jobs import intake, record, spec
+from thornport.kernel import clock, webreply
+
+PATIENCE_S = 3.0  # for the store, when a job or a cancel is handed in
+MAX_ID_CHARS = 64  # a job's ID is part of keys, which have 200 bytes at most
+ID_CHARS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
+
+
+class StateView(msgspec.Struct, frozen=True):
+    """The state of a job."""
+
+    job_id: str
+    state: record.JobState
+
+
+class QueueView(msgspec.Struct, frozen=True):
+    """A queue.
+
+    Attributes:
+      waiting: An int, jobs of which no task has begun; None if it was not asked for.
+    """
+
+    name: str
+    priority: int
+    service: str
+    waiting: int | None = None
+
+
+def add_routes(app, daemon):
+    """Add the interface to an app.
+
+    Args:
+      app: A klein.Klein.
+      daemon: A daemon.SchedulerDaemon.
+    """
+
+    @app.route("/v1/queues", methods=["GET"])
+    def list_queues(request):
+        queues = daemon.config.queues if daemon.config else ()
+        views = [QueueView(q.name, q.priority, q.service) for q in queues]
+        return webreply.answer(request, 200, views)
+
+    @app.route("/v1/queues/<name>", methods=["GET"])
+    async def show_queue(request, name):
+        queue = find_queue(daemon, name)
+        if queue is None:
+            return no_queue(request, name)
+        read = await daemon.count_waiting(name)
+        if isinstance(read, result.Failure):
+            return webreply.refuse(request, 503, read.failure().reason)
+        view = QueueView(name, queue.priority, queue.service, read.unwrap())
+        return webreply.answer(request, 200, view)
+
+    @app.route("/v1/queues/<name>/jobs/<job_id>", methods=["PUT"])
+    async def submit(request, name, job_id):
+        queue = find_queue(daemon, name)
+        if queue is None:
+            return no_queue(request, name)
+        try:
+            job = decode_job(job_id, request.content.read())
+        except spec.SpecError as error:
+            return webreply.answer(request, 400, webreply.Problem(str(error)))
+        now = clock.read_monotonic()
+        kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
+        outcome = await daemon.intake.submit(kept, now + PATIENCE_S)
+        return answer_outcome(request, job_id, outcome, record.JobState.QUEUED)
+
+    @app.route("/v1/jobs", methods=["GET"])
+    def list_jobs(request):
+        core = daemon.get_core()
+        if core is None:
+            return not_owner(request, daemon)
+        text = request.args.get(b"state", [b""])[0].decode("latin-1")
+        try:
+            state = record.JobState(text) if text else None
+        except ValueError:
+            return webreply.answer(request, 400, webreply.Problem(f"state: {text}"))
+        return webreply.answer(request, 200, core.list_jobs(state))
+
+    @app.route("/v1/jobs/<job_id>", methods=["GET"])
+    async def show_job(request, job_id):
+        core = daemon.get_core()
+        view = core and core.explain_job(job_id, clock.read_monotonic())
+        if view:
+            return webreply.answer(request, 200, view)
+        read = await daemon.read_state(job_id)
+        if isinstance(read, result.Failure):
+            return webreply.refuse(request, 503, read.failure().reason)
+        if read.unwrap() is None:
+            return no_job(request, job_id)
+        return webreply.answer(request, 200, StateView(job_id, read.unwrap()))
+
+    @app.route("/v1/jobs/<job_id>", methods=["DELETE"])
+    async def cancel(request, job_id):
+        deadline = clock.read_monotonic() + PATIENCE_S
+        outcome = await daemon.intake.cancel(job_id, deadline)
+        return answer_outcome(request, job_id, outcome, record.JobState.CANCELLED)
+
+
+def find_queue(daemon, name):
+    """Find a queue by its name; None when there is none."""
+    queues = daemon.config.queues if daemon.config else ()
+    return next((queue for queue in queues if queue.name == name), None)
+
+
+def decode_job(job_id, body):
+    """Decode and check a job.
+
+    Args:
+      job_id: A str, chosen by the caller.
+      body: Bytes.
+    Returns:
+      A spec.Job.
+    Raises:
+      spec.SpecError: The ID or the body is wrong, with the place of the fault.
+    """
+    if not 0 < len(job_id) <= MAX_ID_CHARS or not ID_CHARS.issuperset(job_id):
+        raise spec.SpecError(f"job ID: 1 to {MAX_ID_CHARS} of a-z, 0-9 and -")
+    try:
+        job = msgspec.json.decode(body, type=spec.Job)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise spec.SpecError(str(error)) from error
+    spec.check_job(job)
+    return job
+
+
+def answer_outcome(request, job_id, outcome, state):
+    """Answer what became of a job or cancel that was handed in.
+
+    Args:
+      request: A twisted request.
+      job_id: A str.
+      outcome: An outcome of intake.
+      state: The record.JobState if it was accepted.
+    Returns:
+      Bytes, the body.
+    """
+    if isinstance(outcome, intake.Accepted):
+        return webreply.answer(request, 200, StateView(job_id, state))
+    if isinstance(outcome, intake.NoSuchJob):
+        return no_job(request, job_id)
+    return answer_not_kept(request, outcome)
+
+
+def answer_not_kept(request, outcome):
+    """Answer a call that was not kept, or of which that is not known.
+
+    Args:
+      request: A twisted request.
+      outcome: An intake.Refused or Unknown.
+    Returns:
+      Bytes, the body.
+    """
+    status = 503 if isinstance(outcome, intake.Refused) else 504
+    return webreply.refuse(request, status, outcome.reason, outcome.retry_s)
+
+
+def no_queue(request, name):
+    """Answer that there is no such queue."""
+    return webreply.answer(request, 404, webreply.Problem(f"no queue {name}"))
+
+
+def no_job(request, job_id):
+    """Answer that there is no such job."""
+    return webreply.answer(request, 404, webreply.Problem(f"no job {job_id}"))
+
+
+def not_owner(request, daemon):
+    """Answer who could tell."""
+    owner = daemon.owner_name or "nobody"
+    told = webreply.Problem(f"{owner} owns the cell and can tell")
+    return webreply.answer(request, 421, told)
--- /dev/null
+++ b/thornport/commands/jobs.py
@@ -0,0 +1,102 @@
+"""`thornport jobs`: hand in, watch, cancel and explain jobs; prints JSON."""
+
+import pathlib
+import uuid
+from typing import Annotated
+
+import treq
+import typer
+from twisted.internet import error as neterror
+from twisted.web import client as webclient
+
+from thornport.commands import offline
+
+TIMEOUT_S = 10.0  # a process answers within its patience of 3 s
+EXIT_REFUSED = 1
+EXIT_UNKNOWN = 3
+STATUS_UNKNOWN = 504  # the job or cancel may be kept
+
+app = typer.Typer(no_args_is_help=True, help="Jobs of a running cell.")
+
+Url = Annotated[
+    str,
+    typer.Option(
+        envvar="THORNPORT_URL",
+        help="Metrics address of a scheduler process, http://IP:PORT.",
+    ),
+]
+JobId = Annotated[str, typer.Argument(help="ID of the job.")]
+
+
+@app.command()
+def submit(
+    queue: str,
+    path: Annotated[pathlib.Path, typer.Argument(exists=True, dir_okay=False)],
+    url: Url,
+    job_id: Annotated[str, typer.Option("--id", help="The same ID is one job.")] = "",
+):
+    """Hand in a job that a JSON file describes."""
+    chosen = job_id or uuid.uuid4().hex[:16]
+    call("PUT", f"{url}/v1/queues/{queue}/jobs/{chosen}", path.read_bytes())
+
+
+@app.command()
+def show(job_id: JobId, url: Url):
+    """Show a job's state; at the owner, also its steps and what they wait for."""
+    call("GET", f"{url}/v1/jobs/{job_id}")
+
+
+@app.command()
+def cancel(job_id: JobId, url: Url):
+    """Cancel a job."""
+    call("DELETE", f"{url}/v1/jobs/{job_id}")
+
+
+@app.command(name="list")
+def list_jobs(
+    url: Url,
+    state: Annotated[str, typer.Option(help="Only jobs in this state.")] = "",
+):
+    """List the jobs that the owner of the cell knows."""
+    query = f"?state={state}" if state else ""
+    call("GET", f"{url}/v1/jobs{query}")
+
+
+@app.command()
+def queues(url: Url, name: Annotated[str, typer.Argument()] = ""):
+    """List the queues, or show one with the jobs that wait in it."""
+    call("GET", f"{url}/v1/queues" + (f"/{name}" if name else ""))
+
+
+def call(method, url, body=None):
+    """Call a process, print its answer and exit by its status.
+
+    Args:
+      method, url: A str each.
+      body: Bytes or None.
+    """
+    status, text = offline.run_in_reactor(lambda reactor: ask(method, url, body))
+    typer.echo(text, err=status != 200)
+    if status == STATUS_UNKNOWN:
+        raise typer.Exit(EXIT_UNKNOWN)
+    if status != 200:
+        raise typer.Exit(EXIT_REFUSED)
+
+
+async def ask(method, url, body):
+    """Call a process.
+
+    Args:
+      method, url, body: As for `call`.
+    Returns:
+      A pair of the status and the answer's text; STATUS_UNKNOWN when a call that
+      changes something has no answer.
+    """
+    try:
+        response = await treq.request(method, url, data=body, timeout=TIMEOUT_S)
+        return response.code, await response.text()
+    except neterror.ConnectError as failure:
+        return 0, f"{url}: not connected: {failure}"
+    except (webclient.ResponseFailed, neterror.ConnectionLost, TimeoutError) as failure:
+        status = 0 if method == "GET" else STATUS_UNKNOWN
+        return status, f"{url}: no answer: {failure}"
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -7,7 +7,7 @@
 import typer
 from returns import result
 
-from thornport.commands import daemons, offline
+from thornport.commands import daemons, jobs, offline
 from thornport.kernel import problem
 from thornport.load import arrivals, driver
 from thornport.load import report as load_report
@@ -16,6 +16,7 @@
 app = typer.Typer(no_args_is_help=True, help="A cluster scheduler for unlike work.")
 settings_app = typer.Typer(no_args_is_help=True, help="Edit the tree of settings.")
 app.add_typer(settings_app, name="settings")
+app.add_typer(jobs.app, name="jobs")
 
 StoreOption = Annotated[str, typer.Option(help="URL of the key-value service.")]
 Files = Annotated[list[pathlib.Path], typer.Argument(exists=True, dir_okay=False)]
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -12,7 +12,7 @@
 from twisted.internet import reactor  # noqa: E402
 from twisted.web import server  # noqa: E402
 
-from thornport.cell import daemon, peering, ports, settings  # noqa: E402
+from thornport.cell import daemon, peering, ports, settings, web  # noqa: E402
 from thornport.commands import daemons  # noqa: E402
 from thornport.kernel import httpcalls, logs, metrics, metricsweb  # noqa: E402
 from thornport.peers import bus  # noqa: E402
@@ -102,9 +102,11 @@
         "http": listen(listening.jobs, ingress.make_app(scheduler)),
         "ready": listen(listening.ready, ingress.make_ready_app(scheduler)),
     }
-    if listening.metrics_port:
+    if listening.metrics_port is not None:
         shown = f"{listening.ip}:{listening.metrics_port}"
-        bound["metrics"] = listen(shown, metricsweb.make_app(counters))
+        internal = metricsweb.make_app(counters)
+        web.add_routes(internal, scheduler)
+        bound["metrics"] = listen(shown, internal)
     reactor.callWhenRunning(scheduler.start)
     reactor.callWhenRunning(lambda: logs.log("listening", **bound))
     reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -6,8 +6,9 @@
 import msgspec
 from returns import result
 
+from thornport.cell import web
 from thornport.jobs import intake, record, spec
-from thornport.kernel import clock
+from thornport.kernel import clock, webreply
 from thornport.platform import jobs
 
 DEADLINE_HEADER = "Thornport-Deadline-Ms"
@@ -27,12 +28,6 @@
     waiting: int
 
 
-class WireError(msgspec.Struct, frozen=True):
-    """The body of an answer that is no success."""
-
-    error: str
-
-
 def make_app(daemon):
     """Make the interface for callers.
 
@@ -46,12 +41,12 @@
     @app.route("/", branch=True)
     async def take(request):
         if daemon.config is None:
-            return refuse(request, 503, "no configuration yet")
+            return webreply.refuse(request, 503, "no configuration yet")
         host = request.getRequestHostname().decode("latin-1")
         path = request.path.decode("latin-1")
         queue = daemon.find_queue(host, path)
         if queue is None:
-            return answer(request, 404, WireError("no such queue"))
+            return webreply.answer(request, 404, webreply.Problem("no such queue"))
         rest = path.removeprefix(queue.path_prefix)
         if not daemon.is_ready():
             # So that the caller's next connection goes to another process.
@@ -59,14 +54,14 @@
         if request.method == b"GET" and not rest:
             return await count_waiting(daemon, request, queue)
         if not is_job_id(rest):
-            return answer(request, 404, WireError("no such job"))
+            return webreply.answer(request, 404, webreply.Problem("no such job"))
         if request.method == b"POST":
             return await submit(daemon, request, queue, rest)
         if request.method == b"GET":
             return await read_state(daemon, request, rest)
         if request.method == b"DELETE":
             return await cancel(daemon, request, rest)
-        return answer(request, 405, WireError("GET, POST or DELETE"))
+        return webreply.answer(request, 405, webreply.Problem("GET, POST or DELETE"))
 
     return app
 
@@ -93,28 +88,28 @@
     """Take a job."""
     body = request.content.read()
     if len(body) > daemon.config.max_body_bytes:
-        return answer(request, 413, WireError("the body is too large"))
+        return webreply.answer(request, 413, webreply.Problem("the body is too large"))
     try:
         job = jobs.decode_job(body)
     except spec.SpecError as error:
-        return answer(request, 400, WireError(str(error)))
+        return webreply.answer(request, 400, webreply.Problem(str(error)))
     now = clock.read_monotonic()
     kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
     outcome = await daemon.intake.submit(kept, read_deadline(request, now))
     if isinstance(outcome, intake.Accepted):
-        return answer(request, 200, WireState(record.JobState.QUEUED.value))
-    return answer_not_kept(request, outcome)
+        return webreply.answer(request, 200, WireState(record.JobState.QUEUED.value))
+    return web.answer_not_kept(request, outcome)
 
 
 async def read_state(daemon, request, job_id):
     """Answer the state of a job."""
     read = await daemon.read_state(job_id)
     if isinstance(read, result.Failure):
-        return refuse(request, 503, read.failure().reason)
+        return webreply.refuse(request, 503, read.failure().reason)
     state = read.unwrap()
     if state is None:
-        return answer(request, 410, WireError("no such job"))
-    return answer(request, 200, WireState(state.value))
+        return webreply.answer(request, 410, webreply.Problem("no such job"))
+    return webreply.answer(request, 200, WireState(state.value))
 
 
 async def cancel(daemon, request, job_id):
@@ -122,18 +117,18 @@
     deadline = read_deadline(request, clock.read_monotonic())
     outcome = await daemon.intake.cancel(job_id, deadline)
     if isinstance(outcome, intake.Accepted):
-        return answer(request, 200, WireState(record.JobState.CANCELLED.value))
+        return webreply.answer(request, 200, WireState(record.JobState.CANCELLED.value))
     if isinstance(outcome, intake.NoSuchJob):
-        return answer(request, 410, WireError("no such job"))
-    return answer_not_kept(request, outcome)
+        return webreply.answer(request, 410, webreply.Problem("no such job"))
+    return web.answer_not_kept(request, outcome)
 
 
 async def count_waiting(daemon, request, queue):
     """Answer how many jobs of a queue have not begun."""
     read = await daemon.count_waiting(queue.name)
     if isinstance(read, result.Failure):
-        return refuse(request, 503, read.failure().reason)
-    return answer(request, 200, WireWaiting(read.unwrap()))
+        return webreply.refuse(request, 503, read.failure().reason)
+    return webreply.answer(request, 200, WireWaiting(read.unwrap()))
 
 
 def is_job_id(text):
@@ -153,37 +148,3 @@
     text = request.getHeader(DEADLINE_HEADER) or ""
     wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
     return now + wait_ms / 1000
-
-
-def answer(request, status, body):
-    """Answer.
-
-    Args:
-      request: A twisted request.
-      status: An int.
-      body: A struct.
-    Returns:
-      Bytes, the body.
-    """
-    request.setResponseCode(status)
-    request.setHeader("Content-Type", "application/json")
-    return msgspec.json.encode(body)
-
-
-def answer_not_kept(request, outcome):
-    """Answer a call that was not kept, or of which that is not known.
-
-    Args:
-      request: A twisted request.
-      outcome: An intake.Refused or Unknown.
-    Returns:
-      Bytes, the body.
-    """
-    status = 503 if isinstance(outcome, intake.Refused) else 504
-    return refuse(request, status, outcome.reason, outcome.retry_s)
-
-
-def refuse(request, status, reason, retry_s=1):
-    """Answer that nothing is known to be done, and when to come back."""
-    request.setHeader("Retry-After", str(retry_s))
-    return answer(request, status, WireError(reason))
