--- a/thornport/cell/candidacy.py
+++ b/thornport/cell/candidacy.py
@@ -1,9 +1,8 @@
 """Which process claims a cell, and how long it waits before it does.
 
 The owner of a large cell needs the processor of a large VM, so smaller ones wait
-a little, and hand the cell over if they got it all the same. An owner that was
-heard a moment ago is alive and gets a key back that ran out, without anything to
-be read anew, so it is given the first try.
+a little. An owner that was heard a moment ago is alive and gets a key back that
+ran out, without anything to be read anew, so it is given the first try.
 """
 
 import xxhash
@@ -20,11 +19,6 @@
 # more after its last heartbeat.
 OWNER_ALIVE_S = 0.35
 REGAIN_WAIT_S = 0.15  # several tries of an owner that the store answers
-# An owner hands the cell to a VM with this many times its processor: a takeover costs
-# some tenths of a second, which a slightly larger VM does not make good.
-LARGER_TIMES = 1.5
-# Not at once, so that an owner's callers have greeted it, and not again and again.
-HAND_OVER_PERIOD_S = 3.0
 
 
 class Candidacy:
--- a/thornport/cell/candidacy_test.py
+++ b/thornport/cell/candidacy_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import advising, candidacy
+from thornport.cell import candidacy
 
 
 class ComputeWait(unittest.TestCase):
@@ -38,34 +38,5 @@
         self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
 
 
-class ListLarger(unittest.TestCase):
-    """Whom an owner on a small VM hands its cell to."""
-
-    def setUp(self):
-        self.callers = advising.Callers()
-        self.callers.greet("small", "10.0.0.1:1", True, 0.5, 10.0)
-        self.callers.greet("large", "10.0.0.2:1", True, 2.0, 10.0)
-
-    def list_addresses(self, now=10.1):
-        """The addresses of those that are much larger than a small VM."""
-        larger = self.callers.list_larger(0.5 * candidacy.LARGER_TIMES, now)
-        return [caller.address for caller in larger]
-
-    def test_larger_vm_is_found(self):
-        self.callers.greet("medium", "10.0.0.3:1", True, 1.0, 10.0)
-        self.assertEqual(self.list_addresses(), ["10.0.0.2:1"])
-
-    def test_vm_that_the_store_does_not_answer_is_passed_over(self):
-        self.callers.greet("large", "10.0.0.2:1", False, 2.0, 10.0)
-        self.assertEqual(self.list_addresses(), [])
-
-    def test_vm_that_was_not_heard_for_long_is_passed_over(self):
-        self.assertEqual(self.list_addresses(now=20.0), [])
-
-    def test_slightly_larger_vm_is_not_worth_a_takeover(self):
-        self.callers.greet("large", "10.0.0.2:1", True, 0.6, 10.0)
-        self.assertEqual(self.list_addresses(), [])
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -1,13 +1,12 @@
 """The scheduler process: takes jobs from callers, and may own the cell."""
 
-import random
-
 from returns import result
 
 from thornport.cell import (
     asking,
     candidacy,
     liveness,
+    offering,
     owner,
     ownership,
     peering,
@@ -23,7 +22,6 @@
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
-OFFER_PERIOD_S = 0.1  # offers of an owner that the store does not answer
 LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
@@ -87,45 +85,20 @@
             self._settings.process.name,
             self.bus.address,
         )
-        self._follow(self.ports.config_key, self._take_config)
-        self._follow(ownership.OWNER_KEY, self._take_owner)
+        store = self.ports.store
+        watching.follow_key(
+            self._reactor, store, self.ports.config_key, self._take_config
+        )
+        watching.follow_key(self._reactor, store, ownership.OWNER_KEY, self._take_owner)
         self._prober.start()
         self.liveness.start()
         tasks.call_periodically(self._reactor, HELLO_PERIOD_S, self._greet, "greet")
         tasks.call_periodically(
             self._reactor, STORE_CHECK_PERIOD_S, self._check_store, "check-store"
         )
-        tasks.call_periodically(self._reactor, OFFER_PERIOD_S, self._offer, "offer")
-        tasks.call_periodically(
-            self._reactor, candidacy.HAND_OVER_PERIOD_S, self._hand_over, "hand-over"
-        )
+        offering.Offering(self, self._cores).start(self._reactor)
         logs.log("started", peer=self.bus.address, **describe(self._settings))
 
-    def _follow(self, key, take_value):
-        """Follow one key.
-
-        Args:
-          key: A str.
-          take_value: A callable of bytes, None when the key is gone, and of the
-            revision, an int.
-        """
-
-        def take_all(items):
-            found = [item for item in items if item.key == key]
-            if found:
-                take_value(found[0].value, found[0].revision)
-            else:
-                take_value(None, transactions.ABSENT_REVISION)
-
-        def take_change(change):
-            if change.key == key:
-                take_value(change.value, change.revision)
-
-        follower = watching.Follower(
-            self._reactor, self.ports.store, key, take_all, take_change
-        )
-        tasks.spawn(follower.follow(), f"follow {key}")
-
     def stop(self):
         """Stop in the planned way: hand the cell over, serve what comes.
 
@@ -295,29 +268,6 @@
             self._offered_token = token
             self._standing.key_is_offered()
 
-    def _offer(self):
-        """Offer the cell to a peer while the store does not answer us."""
-        core = self.get_core()
-        if core is not None and not self.has_store():
-            self._offer_to_any(core.callers, 0.0, "the store is away")
-
-    def _hand_over(self):
-        """Offer the cell to a process on a much larger VM."""
-        core = self.get_core()
-        if core is None or not self.has_store():
-            return
-        wanted = self._cores * candidacy.LARGER_TIMES
-        self._offer_to_any(core.callers, wanted, "its VM is larger")
-
-    def _offer_to_any(self, callers, cores, reason):
-        """Offer the cell to one of the largest VMs that has more than some cores."""
-        larger = callers.list_larger(cores, clock.read_monotonic())
-        if larger:
-            chosen = random.choice(larger)
-            token = self.session.core.token
-            logs.log("cell-offered", token=token, to=chosen.name, reason=reason)
-            self.bus.send(chosen.address, "", peering.Offer(token))
-
     def get_core(self):
         """The core of the cell if this process decides, else None."""
         session = self.session
--- /dev/null
+++ b/thornport/cell/lanes.py
@@ -0,0 +1,118 @@
+"""Lanes of an owner's writes, their heads, and the transactions in them.
+
+All here is pure; `ledger` sends the transactions.
+"""
+
+import msgspec
+from twisted.internet import defer
+
+from thornport.cell import ownership
+from thornport.jobs import record
+from thornport.kernel import logs
+from thornport.store import transactions
+
+HEAD_KEY = "thornport/cell/head"
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The value of a head key: who wrote last, and who may still give orders.
+
+    Attributes:
+      token: An int, the revision of the owner's key.
+      sequence: An int that rises with each transaction of this owner in the lane.
+      address: A str, where the owner takes messages.
+      earlier: Addresses of earlier owners that have not said that they ceased.
+    """
+
+    token: int
+    sequence: int
+    address: str
+    earlier: tuple[str, ...] = ()
+
+
+class Lane(msgspec.Struct, eq=False):
+    """One of the lanes.
+
+    Attributes:
+      number: An int, from 0.
+      revision: An int, of its head key.
+      sequence: An int, of its last transaction.
+      busy_since: A float, since when a transaction is open; None when none is.
+      wants_key: Whether its transaction waits for the owner's key.
+      sleeping: A Deferred of a bool, whether it is time to confirm; None when it
+        does not sleep.
+    """
+
+    number: int
+    revision: int = transactions.ABSENT_REVISION
+    sequence: int = 0
+    busy_since: float | None = None
+    wants_key: bool = False
+    sleeping: defer.Deferred | None = None
+
+    @property
+    def head_key(self):
+        """The key of its head, a str."""
+        return f"{HEAD_KEY}/{self.number}" if self.number else HEAD_KEY
+
+    def wake(self, is_due=False):
+        """End a sleep.
+
+        Args:
+          is_due: A bool, whether it is time to confirm.
+        """
+        sleeping, self.sleeping = self.sleeping, None
+        if sleeping is not None:
+            sleeping.callback(is_due)
+
+
+def make_transaction(lane, batch, head, token):
+    """Make the transaction that keeps a batch.
+
+    Args:
+      lane: A Lane.
+      batch: A batches.Batch, or None when only the ownership is confirmed.
+      head: Bytes, the new value of the lane's head.
+      token: An int, the revision of the owner's key.
+    Returns:
+      A transactions.Transaction.
+    """
+    conditions = [
+        transactions.Condition(ownership.OWNER_KEY, token),
+        transactions.Condition(lane.head_key, lane.revision),
+    ]
+    puts = [transactions.Put(lane.head_key, head)]
+    removes = []
+    if batch is not None:
+        for job_id, value in batch.progress_by_job.items():
+            puts.append(transactions.Put(record.PROGRESS_PREFIX + job_id, value))
+        for job_id, value in batch.closed_by_job.items():
+            puts.append(transactions.Put(record.JOB_PREFIX + job_id, value))
+            removes.append(record.PROGRESS_PREFIX + job_id)
+        for job_id in batch.forgotten:
+            removes += [
+                prefix + job_id
+                for prefix in (
+                    record.JOB_PREFIX,
+                    record.CANCEL_PREFIX,
+                    record.PROGRESS_PREFIX,
+                )
+            ]
+    return transactions.Transaction(conditions, puts, removes)
+
+
+def decode_head(value):
+    """Decode the head key.
+
+    Args:
+      value: Bytes, empty when there is none.
+    Returns:
+      A Head or None.
+    """
+    if not value:
+        return None
+    try:
+        return msgspec.json.decode(value, type=Head)
+    except msgspec.MsgspecError as error:
+        logs.log("head-undecodable", reason=str(error))
+        return None
--- /dev/null
+++ b/thornport/cell/lanes_test.py
@@ -0,0 +1,38 @@
+"""Transactions of an owner stay within what the store takes."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from thornport.cell import batches, lanes
+
+STORE_ENTRIES = 32  # the most of a transaction, by the users' platform
+
+
+class Transactions(unittest.TestCase):
+    """Batches as full as the owner makes them."""
+
+    @given(st.integers(0, batches.BATCH_JOBS), st.data())
+    def test_full_batch_is_within_the_store_s_bound(self, jobs, data):
+        closed = data.draw(st.integers(0, jobs))
+        forgotten = (batches.BATCH_JOBS - jobs) // batches.FORGOTTEN_KEYS
+        batch = batches.Batch(
+            {f"open{n}": b"" for n in range(jobs - closed)},
+            [],
+            [],
+            [f"gone{n}" for n in range(forgotten)],
+            {f"closed{n}": b"" for n in range(closed)},
+        )
+        made = lanes.make_transaction(lanes.Lane(1), batch, b"", 7)
+        parts = (made.conditions, made.puts, made.removes)
+        self.assertLessEqual(sum(len(part) for part in parts), STORE_ENTRIES)
+
+    def test_each_lane_has_a_head_of_its_own(self):
+        keys = {lanes.Lane(number).head_key for number in range(6)}
+        self.assertEqual(len(keys), 6)
+        self.assertIn(lanes.HEAD_KEY, keys)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -17,12 +17,10 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import ownership
-from thornport.jobs import record
+from thornport.cell import lanes, ownership
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
 
-HEAD_KEY = "thornport/cell/head"
 # A store that answers 60 times slower (0.24 s) takes 4 transactions of 14 jobs a
 # second and lane; four times the small cells' load is 250 records a second.
 LANES = 6
@@ -43,58 +41,6 @@
 USUAL_S = 0.005  # the store's usual answer, until measured
 
 
-class Head(msgspec.Struct, frozen=True):
-    """The value of a head key: who wrote last, and who may still give orders.
-
-    Attributes:
-      token: An int, the revision of the owner's key.
-      sequence: An int that rises with each transaction of this owner in the lane.
-      address: A str, where the owner takes messages.
-      earlier: Addresses of earlier owners that have not said that they ceased.
-    """
-
-    token: int
-    sequence: int
-    address: str
-    earlier: tuple[str, ...] = ()
-
-
-class Lane(msgspec.Struct, eq=False):
-    """One of the lanes.
-
-    Attributes:
-      number: An int, from 0.
-      revision: An int, of its head key.
-      sequence: An int, of its last transaction.
-      busy_since: A float, since when a transaction is open; None when none is.
-      wants_key: Whether its transaction waits for the owner's key.
-      sleeping: A Deferred of a bool, whether it is time to confirm; None when it
-        does not sleep.
-    """
-
-    number: int
-    revision: int = transactions.ABSENT_REVISION
-    sequence: int = 0
-    busy_since: float | None = None
-    wants_key: bool = False
-    sleeping: defer.Deferred | None = None
-
-    @property
-    def head_key(self):
-        """The key of its head, a str."""
-        return f"{HEAD_KEY}/{self.number}" if self.number else HEAD_KEY
-
-    def wake(self, is_due=False):
-        """End a sleep.
-
-        Args:
-          is_due: A bool, whether it is time to confirm.
-        """
-        sleeping, self.sleeping = self.sleeping, None
-        if sleeping is not None:
-            sleeping.callback(is_due)
-
-
 class Ledger:
     """Writes the batches of one ownership.
 
@@ -123,7 +69,7 @@
         self._store = store
         self._token = token
         self._metrics = metrics
-        self._lanes = [Lane(number) for number in range(LANES)]
+        self._lanes = [lanes.Lane(number) for number in range(LANES)]
         self._typical_s = USUAL_S
         self._regaining = []
         self._is_regaining = False
@@ -148,15 +94,15 @@
 
     async def read_heads(self):
         """Read the heads; a bool, whether the store answered."""
-        read = await watching.read_prefix(self._store, HEAD_KEY)
+        read = await watching.read_prefix(self._store, lanes.HEAD_KEY)
         if isinstance(read, result.Failure):
             return False
         item_by_key = {item.key: item for item in read.unwrap()[0]}
         for lane in self._lanes:
             item = item_by_key.get(lane.head_key)
             lane.revision = item.revision if item else transactions.ABSENT_REVISION
-        first = item_by_key.get(HEAD_KEY)
-        last = decode_head(first.value) if first is not None else None
+        first = item_by_key.get(lanes.HEAD_KEY)
+        last = lanes.decode_head(first.value) if first is not None else None
         if last is not None:
             self.earlier = tuple(dict.fromkeys((*last.earlier, last.address)))
         return True
@@ -243,7 +189,7 @@
             lane.sequence += 1
             earlier = () if lane.number else self.earlier
             head = msgspec.json.encode(
-                Head(self._token, lane.sequence, self._address, earlier)
+                lanes.Head(self._token, lane.sequence, self._address, earlier)
             )
             sent_at, error = await self._send(lane, batch, head)
             if error is None or self._was_applied(lane, error, head):
@@ -305,14 +251,14 @@
         it be applied only once.
 
         Args:
-          lane: A Lane.
+          lane: A lanes.Lane.
           batch: A batches.Batch or None.
           head: Bytes, the value of the head key.
         Returns:
           A pair: a float, when it was first sent, or None if the ledger was
           stopped; and the transactions.Refused, or None if it was applied.
         """
-        transaction = self._make_transaction(lane, batch, head)
+        transaction = lanes.make_transaction(lane, batch, head, self._token)
         began_at = clock.read_monotonic()
         outcomes = defer.DeferredQueue()
         open_count = 0
@@ -357,44 +303,3 @@
             return False
         lane.revision = item.revision
         return True
-
-    def _make_transaction(self, lane, batch, head):
-        conditions = [
-            transactions.Condition(ownership.OWNER_KEY, self._token),
-            transactions.Condition(lane.head_key, lane.revision),
-        ]
-        puts = [transactions.Put(lane.head_key, head)]
-        removes = []
-        if batch is not None:
-            for job_id, value in batch.progress_by_job.items():
-                puts.append(transactions.Put(record.PROGRESS_PREFIX + job_id, value))
-            for job_id, value in batch.closed_by_job.items():
-                puts.append(transactions.Put(record.JOB_PREFIX + job_id, value))
-                removes.append(record.PROGRESS_PREFIX + job_id)
-            for job_id in batch.forgotten:
-                removes += [
-                    prefix + job_id
-                    for prefix in (
-                        record.JOB_PREFIX,
-                        record.CANCEL_PREFIX,
-                        record.PROGRESS_PREFIX,
-                    )
-                ]
-        return transactions.Transaction(conditions, puts, removes)
-
-
-def decode_head(value):
-    """Decode the head key.
-
-    Args:
-      value: Bytes, empty when there is none.
-    Returns:
-      A Head or None.
-    """
-    if not value:
-        return None
-    try:
-        return msgspec.json.decode(value, type=Head)
-    except msgspec.MsgspecError as error:
-        logs.log("head-undecodable", reason=str(error))
-        return None
--- a/thornport/cell/ledger_test.py
+++ b/thornport/cell/ledger_test.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 
 from standins import transaction_store
-from thornport.cell import batches, ledger, ownership
+from thornport.cell import batches, lanes, ledger, ownership
 from thornport.jobs import record
 from thornport.kernel import clock, metrics, tasks
 from thornport.store import port, transactions
@@ -199,7 +199,7 @@
     def test_one_lane_does_it_all_while_the_store_is_fast(self):
         self.write("a", "b", "c")
         heads = [key for key in self.store.kept.by_key if key.startswith("thornport/c")]
-        self.assertEqual(sorted(heads), [ledger.HEAD_KEY, ownership.OWNER_KEY])
+        self.assertEqual(sorted(heads), [lanes.HEAD_KEY, ownership.OWNER_KEY])
 
     def test_key_is_got_back_once_all_lanes_are_settled(self):
         self.hold_commits(2)
@@ -229,7 +229,7 @@
 
     def test_key_is_not_got_back_once_another_has_written(self):
         self.write("a")
-        self.store.kept.commit([], [(ledger.HEAD_KEY, b"another's", 0)], [])
+        self.store.kept.commit([], [(lanes.HEAD_KEY, b"another's", 0)], [])
         self.lose_key()
         self.write("b")
         self.assertEqual(self.list_kept(), ["a"])
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -118,3 +118,29 @@
         if self._is_lost:
             self._is_lost = False
             logs.log("store-watch-regained", prefix=self._prefix)
+
+
+def follow_key(reactor, store, key, take_value):
+    """Follow one key until the process ends.
+
+    Args:
+      reactor: Twisted's reactor.
+      store: A store client.
+      key: A str.
+      take_value: A callable of bytes, None when the key is gone, and of the
+        revision, an int.
+    """
+
+    def take_all(items):
+        found = [item for item in items if item.key == key]
+        if found:
+            take_value(found[0].value, found[0].revision)
+        else:
+            take_value(None, transactions.ABSENT_REVISION)
+
+    def take_change(change):
+        if change.key == key:
+            take_value(change.value, change.revision)
+
+    follower = Follower(reactor, store, key, take_all, take_change)
+    tasks.spawn(follower.follow(), f"follow {key}")
