Read all prefixes at once when taking over

Change: the three prefixes are read together; earlier owners can't write any more, so their order does not matter. They are taken in as before: workers, jobs, progress.

--- a/thornport/cell/following.py
+++ b/thornport/cell/following.py
@@ -4,12 +4,14 @@
 this owner that writes it afterwards.
 """
 
+import msgspec
 from returns import result
+from twisted.internet import defer
 
 from thornport.cell import learning
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
-from thornport.store import watching
+from thornport.store import transactions, watching
 
 # Between answers of a watch: peers tell of jobs at once, so the watch is for
 # what they could not tell, and calls are priced.
@@ -17,6 +19,13 @@
 RETRY_S = 0.1  # after a read that the store did not answer
 
 
+class Kept(msgspec.Struct, frozen=True):
+    """What the store keeps under a prefix, and where a watch of it goes on."""
+
+    items: list[transactions.Item]
+    at: int
+
+
 class Following:
     """Reads the keys of a cell, follows them, and tells the core of each."""
 
@@ -37,12 +46,26 @@
         self._inbox_at = None
 
     async def read(self):
-        """Read all that is kept, until the store has answered."""
-        self._workers_at = await self._read(
-            self._ports.worker_prefix, self._take_workers
+        """Read all that is kept, until the store has answered.
+
+        All prefixes are read at once, for a slow store takes long for each. Earlier
+        owners write nothing any more, so it does not matter which was read first.
+        """
+        prefixes = (
+            self._ports.worker_prefix,
+            record.INBOX_PREFIX,
+            record.PROGRESS_PREFIX,
         )
-        self._inbox_at = await self._read(record.INBOX_PREFIX, self._take_inbox)
-        await self._read(record.PROGRESS_PREFIX, self._take_progress)
+        reads = [
+            tasks.spawn(self._read(prefix), f"read {prefix}") for prefix in prefixes
+        ]
+        workers, inbox, progress = await defer.gatherResults(reads)
+        if not self._session.is_active:
+            return
+        self._workers_at, self._inbox_at = workers.at, inbox.at
+        self._take_workers(workers.items)
+        self._take_inbox(inbox.items)
+        self._take_progress(progress.items)
 
     def follow(self):
         """Follow the keys from where they were read."""
@@ -65,13 +88,12 @@
         for follower in self._followers:
             follower.stop()
 
-    async def _read(self, prefix, take_items):
+    async def _read(self, prefix):
+        """Read a prefix; a Kept, or None when the ownership is lost."""
         while self._session.is_active:
             read = await watching.read_prefix(self._ports.store, prefix)
             if isinstance(read, result.Success):
-                items, at = read.unwrap()
-                take_items(items)
-                return at
+                return Kept(*read.unwrap())
             await tasks.sleep(self._reactor, RETRY_S)
         return None
 
