--- a/thornport/cell/core_test.py
+++ b/thornport/cell/core_test.py
@@ -425,7 +425,10 @@
         self.assertLess(len(hung.started), 2 + 10)
 
     def test_successor_reads_little_of_jobs_that_are_over(self):
-        self.world.submit(make_job("m", make_step(2, 4, 200, gang=True)))
+        kept = make_job("m", make_step(2, 4, 200, gang=True))
+        self.assertTrue(self.world.owner.take_job(kept, self.world.now))
+        self.assertFalse(self.world.owner.take_job(kept, self.world.now))
+        self.world.submit(kept)
         self.world.submit(make_job("n", make_step(2, 4, 60_000)))
         self.world.run(1)
         self.world.cancel("n")
--- a/thornport/cell/following.py
+++ b/thornport/cell/following.py
@@ -185,8 +185,8 @@
         now = clock.read_monotonic()
         if change.key.startswith(record.JOB_PREFIX):
             kept = decode_job(change.key, change.value)
-            if kept is not None:
-                self._core.take_job(kept, now)
+            # The owner's own writes and what peers told of come back here.
+            if kept is not None and self._core.take_job(kept, now):
                 logs.log("job-taken", job=kept.job_id, revision=change.revision)
         elif change.key.startswith(record.CANCEL_PREFIX):
             job_id = change.key.removeprefix(record.CANCEL_PREFIX)
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -109,18 +109,21 @@
         Args:
           kept: A record.JobRecord.
           now: A float.
+        Returns:
+          A bool, whether it was not known before.
         """
         if kept.job_id in self.jobs_by_id:
-            return
+            return False
         if kept.end_state is not None:
             self._take_closed(kept, now)
-            return
+            return True
         job = self._incoming_by_id.pop(kept.job_id, None)
         if job is None or job.record != kept:
             job = self._make_job(kept, now)
         self.jobs_by_id[kept.job_id] = job
         self._unended_by_id[kept.job_id] = job
         self.needs_round = True
+        return True
 
     def _take_closed(self, kept, now):
         """Take a job that was over before this owner."""
