--- /dev/null
+++ b/thornport/cell/testworld.py
@@ -0,0 +1,231 @@
+"""The world that the tests of the owner's decisions run in, in simulated time.
+
+One store that keeps what a batch holds, some workers by the platform's rules, and
+owners that replace one another. What the users are promised is checked at each
+start. It stands apart from `core_test`, which says what is to come of each case.
+"""
+
+from standins import leased_worker
+from thornport.cell import core, messages
+from thornport.jobs import queue, record, spec
+
+ROOM = spec.Demand(64_000, 131_072, 0)
+QUEUE = queue.Queue("press", "h", "/p/", "press-desk", max_attempts=3)
+CONFIG = queue.Config(1, (QUEUE,))
+STEP_S = 0.05
+
+
+def make_job(job_id, *steps):
+    """Make the record of a job."""
+    return record.JobRecord(job_id, QUEUE, spec.Job("text", steps), 0)
+
+
+class Faults:
+    """What goes wrong, by the chances of one world."""
+
+    def __init__(self, rng, lost=0.0, late=0.0, failing=0.0):
+        self.rng = rng
+        self.lost = lost
+        self.late = late
+        self.failing = failing
+
+    def draw(self, chance):
+        """Whether something of this chance happens now."""
+        return self.rng.random() < chance
+
+
+class World:
+    """A store, workers and the owners of a cell, in simulated time."""
+
+    def __init__(self, faults, worker_count=3, clock_rate=1.0):
+        self.now = 100.0
+        self.faults = faults
+        self.jobs_by_id = {}
+        self.submitted_by_id = {}
+        self.progress_by_id = {}
+        self.cancelled = set()
+        self.token = 0
+        self.revision = 0
+        self.late_calls = []
+        self.workers_by_id = {
+            f"w{n}": leased_worker.LeasedWorker(f"w{n}", ROOM, clock_rate)
+            for n in range(worker_count)
+        }
+        self.noted_done = set()
+        self.refusing = set()
+        self.is_store_away = False
+        self.owner = None
+        self.take_over()
+
+    def take_over(self):
+        """A new owner reads what is kept; the earlier one is no more."""
+        self.token += 1
+        self.owner = core.CellCore(self.token, self.now, self.now + 17.0, 120.0)
+        self.owner.take_config(CONFIG)
+        for worker_id in self.workers_by_id:
+            self.list_worker(worker_id)
+        for kept in self.jobs_by_id.values():
+            self.owner.take_job(kept, self.now)
+        for job_id, value in self.progress_by_id.items():
+            kept = record.decode_progress(value)
+            self.owner.restore_progress(job_id, kept, self.now)
+        for job_id in self.cancelled:
+            self.owner.take_cancel(job_id, self.now)
+        # The earlier owner is no more; what it sent may still arrive.
+        self.owner.end_earlier(self.now)
+
+    def list_worker(self, worker_id, state=messages.WorkerState.READY, leaves_in_ms=0):
+        """Show a worker in the store."""
+        entry = messages.WorkerEntry(
+            worker_id,
+            f"10.0.0.{worker_id[1:]}:1",
+            "press-desk",
+            "h1",
+            state,
+            ROOM,
+            leaves_in_ms=leaves_in_ms,
+        )
+        self.revision += 1
+        self.owner.take_worker(entry, self.revision, self.now)
+
+    def submit(self, kept):
+        """Keep a job and tell the owner."""
+        self.jobs_by_id[kept.job_id] = self.submitted_by_id[kept.job_id] = kept
+        self.owner.take_job(kept, self.now)
+
+    def cancel(self, job_id):
+        """Keep a cancel and tell the owner."""
+        self.cancelled.add(job_id)
+        self.owner.take_cancel(job_id, self.now)
+
+    def crash(self, worker_id):
+        """A worker is lost with all that ran there."""
+        del self.workers_by_id[worker_id]
+        self.owner.drop_worker(worker_id, self.now)
+
+    def leave(self, worker_id):
+        """A worker ends as it said it would: its port refuses."""
+        self.crash(worker_id)
+        self.refusing.add(worker_id)
+
+    def step(self):
+        """Let a little time pass."""
+        self.now += STEP_S
+        for worker in self.workers_by_id.values():
+            worker.advance(self.now)
+        self._do_late_calls()
+        self.owner.tick(self.now, int(self.now * 1000))
+        for worker_id in list(self.owner.workers_by_id):
+            self._look(worker_id)
+        self._keep()
+        self.owner.place(self.now)
+        self._keep()
+        self._carry_out()
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(int(seconds / STEP_S)):
+            self.step()
+
+    def _keep(self):
+        if self.is_store_away:
+            return
+        self.owner.take_kept(None, self.now, self.now)
+        while (batch := self.owner.make_batch()) is not None:
+            self.progress_by_id.update(batch.progress_by_job)
+            for job_id, value in batch.closed_by_job.items():
+                self.jobs_by_id[job_id] = record.decode_job(value)
+                self.progress_by_id.pop(job_id, None)
+            self.owner.take_kept(batch, self.now, self.now)
+
+    def _carry_out(self):
+        for order in self.owner.take_orders():
+            is_start = isinstance(order, messages.StartOrder)
+            if is_start:
+                self.check_recorded(order)
+            worker = self.workers_by_id.get(order.worker_id)
+            if worker is None:
+                outcome = messages.Unanswered("silent")
+            elif self.faults.draw(self.faults.late):
+                due = self.now + self.faults.rng.uniform(2.0, 12.0)
+                self.late_calls.append((due, order))
+                outcome = messages.Unanswered("late")
+            else:
+                outcome = self._do(worker, order)
+                if self.faults.draw(self.faults.lost):
+                    outcome = messages.Unanswered("lost")
+            take = (
+                self.owner.take_start_outcome
+                if is_start
+                else self.owner.take_stop_outcome
+            )
+            take(order, outcome, self.now)
+
+    def _do(self, worker, order):
+        if isinstance(order, messages.StopOrder):
+            return worker.stop(order, self.now)
+        step = self.submitted_by_id[order.key.job_id].job.steps[order.key.step]
+        fails = self.faults.draw(self.faults.failing)
+        count = len(worker.started)
+        outcome = worker.start(order, step.demand, step.estimate_ms, fails, self.now)
+        if len(worker.started) > count:
+            self.check_start(order, worker)
+        return outcome
+
+    def _do_late_calls(self):
+        due = [call for call in self.late_calls if call[0] <= self.now]
+        self.late_calls = [call for call in self.late_calls if call[0] > self.now]
+        for _, order in due:
+            worker = self.workers_by_id.get(order.worker_id)
+            if worker is not None:
+                self._do(worker, order)
+
+    def _look(self, worker_id):
+        request = self.owner.make_hold(worker_id, self.now)
+        if request is None:
+            return
+        worker = self.workers_by_id.get(worker_id)
+        if worker_id in self.refusing:
+            answer = messages.NotReached("refused", is_refused=True)
+        elif worker is None or self.faults.draw(self.faults.lost):
+            answer = messages.Unanswered("lost")
+        else:
+            answer = worker.hold(request, self.now)
+        self.owner.take_hold(request, self.now, answer, self.now + 0.001)
+
+    def check_recorded(self, order):
+        """A start is written before the worker is told."""
+        kept = record.decode_progress(self.progress_by_id[order.key.job_id])
+        runs = {
+            (step.time, step.step, live.index, live.run, live.worker_id)
+            for step in kept.steps
+            for live in step.live
+        }
+        key = order.key
+        wanted = (key.time, key.step, key.index, order.run, order.worker_id)
+        assert wanted in runs, f"{order} is not recorded"
+
+    def check_start(self, order, worker):
+        """No task runs twice, none after it is done, none over room."""
+        places = [
+            other.worker_id
+            for other in self.workers_by_id.values()
+            if order.key in other.active_by_key
+        ]
+        assert len(places) == 1, f"{order.key} runs at {places}"
+        assert worker.over_room == 0, f"{worker.worker_id} is over its room"
+        for other in self.workers_by_id.values():
+            self.noted_done |= other.noted_done
+        assert order.key not in self.noted_done, f"{order.key} was noted as done"
+
+    def read_states(self):
+        """The states that callers are shown, by job id."""
+        return {
+            job_id: self.owner.read_state(job_id).value for job_id in self.jobs_by_id
+        }
+
+
+def make_step(count, cores, run_ms, **more):
+    """Make a step of tasks of some cores."""
+    demand = spec.Demand(cores * 1000, 1000, 0)
+    return spec.Step(count, demand, run_ms, **more)
