Send the owner's transactions from a module of their own

The last is now committing; it gives an Outcome, where a bare pair was handed around. Order of calls, limits and metrics are as before.

--- /dev/null
+++ b/thornport/cell/committing.py
@@ -0,0 +1,110 @@
+"""Committing a transaction until its outcome is known, by a store that may be slow.
+
+An answer may be lost, or late. A transaction without one is sent again while its
+earlier copies are open, once it has taken several times as long as usual: its head
+lets it be applied only once. How long is usual is measured here.
+"""
+
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from thornport.kernel import clock, tasks
+from thornport.store import port, transactions
+
+RETRY_S = 0.1  # after a write that the store did not take
+# A transaction is sent again when it has taken this many times as long as usual.
+AGAIN_TIMES = 4
+MIN_AGAIN_S = 0.06  # several times the store's usual 5 ms
+MAX_AGAIN_S = 0.5
+MAX_OPEN = 3  # copies of a transaction that are open together
+LATENCY_WEIGHT = 0.2  # of the newest answer in the usual latency
+USUAL_S = 0.005  # the store's usual answer, until measured
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What became of a transaction.
+
+    Attributes:
+      sent_at: A float, when its first copy was sent.
+      revision: An int, the store's when it was applied; None if it was refused.
+      refused: The transactions.Refused; None if it was applied.
+    """
+
+    sent_at: float
+    revision: int | None = None
+    refused: transactions.Refused | None = None
+
+
+class Committer:
+    """Commits the transactions of one ledger."""
+
+    __slots__ = ("_is_stopped", "_metrics", "_reactor", "_store", "_typical_s")
+
+    def __init__(self, reactor, store, metrics):
+        """Begin.
+
+        Args:
+          reactor: Twisted's reactor.
+          store: A store client.
+          metrics: A metrics.Metrics.
+        """
+        self._reactor = reactor
+        self._store = store
+        self._metrics = metrics
+        self._typical_s = USUAL_S
+        self._is_stopped = False
+
+    def stop(self):
+        """Send nothing more."""
+        self._is_stopped = True
+
+    async def commit(self, transaction):
+        """Send a transaction until its outcome is known.
+
+        Args:
+          transaction: A transactions.Transaction that can be applied only once.
+        Returns:
+          An Outcome; None if this was stopped before.
+        """
+        began_at = clock.read_monotonic()
+        answers = defer.DeferredQueue()
+        open_count = 0
+        while not self._is_stopped:
+            if open_count < MAX_OPEN:
+                open_count += 1
+                sent = tasks.spawn(self._store.commit(transaction), "commit")
+                sent.addCallback(answers.put)
+            answer = await self._wait_for_answer(answers)
+            if answer is None:
+                self._metrics.count("ledger.sent_again")
+                continue
+            open_count -= 1
+            outcome = self._read_outcome(answer, began_at)
+            if outcome is not None:
+                return outcome
+            self._metrics.count("ledger.retries")
+            await tasks.sleep(self._reactor, RETRY_S)
+        return None
+
+    async def _wait_for_answer(self, answers):
+        """Wait for an answer; None when it is time to send again."""
+        wait_s = min(MAX_AGAIN_S, max(MIN_AGAIN_S, AGAIN_TIMES * self._typical_s))
+        waiting = answers.get().addTimeout(wait_s, self._reactor)
+        try:
+            return await waiting
+        except defer.TimeoutError:
+            return None
+
+    def _read_outcome(self, answer, began_at):
+        """Read the outcome from an answer; None when it does not tell."""
+        if isinstance(answer, result.Success):
+            self._note_latency(clock.read_monotonic() - began_at)
+            return Outcome(began_at, revision=answer.unwrap())
+        if port.is_failure(answer, transactions.Refused):
+            return Outcome(began_at, refused=answer.failure())
+        return None
+
+    def _note_latency(self, took_s):
+        self._typical_s += LATENCY_WEIGHT * (took_s - self._typical_s)
+        self._metrics.observe("ledger.commit_ms", took_s * 1000)
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -2,7 +2,7 @@
 
 Each transaction names the owner's key and the head key of its lane, which it
 changes, so that one whose answer was lost can be sent again and is applied once,
-and a late one is never applied over a newer one.
+and a late one is never applied over a newer one; `committing` sends them.
 
 The first lane does it all while the store answers in milliseconds. A slow store
 answers some times a second, and a transaction holds few jobs, so further lanes join
@@ -17,7 +17,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import lanes, ownership
+from thornport.cell import committing, lanes, ownership
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
 
@@ -31,14 +31,6 @@
 # jobs are in time by tens of milliseconds.
 GAP_S = 0.004
 CONFIRM_PERIOD_S = 2.0  # an idle owner confirms that it is the owner
-RETRY_S = 0.1  # after a write that the store did not take
-# A transaction is sent again when it has taken this many times as long as usual.
-AGAIN_TIMES = 4
-MIN_AGAIN_S = 0.06  # several times the store's usual 5 ms
-MAX_AGAIN_S = 0.5
-MAX_OPEN = 3  # copies of a transaction that are open together
-LATENCY_WEIGHT = 0.2  # of the newest answer in the usual latency
-USUAL_S = 0.005  # the store's usual answer, until measured
 
 
 class Ledger:
@@ -67,10 +59,9 @@
         self.earlier = ()
         self._reactor = reactor
         self._store = store
+        self._committer = committing.Committer(reactor, store, metrics)
         self._token = token
-        self._metrics = metrics
         self._lanes = [lanes.Lane(number) for number in range(LANES)]
-        self._typical_s = USUAL_S
         self._regaining = []
         self._is_regaining = False
         self._is_stopped = False
@@ -78,6 +69,7 @@
     def stop(self):
         """Write no further batch."""
         self._is_stopped = True
+        self._committer.stop()
         for lane in self._lanes:
             lane.wake()
         self._end_regaining(None)
@@ -172,10 +164,7 @@
           the key is not ours any more.
         """
         lane.busy_since = clock.read_monotonic()
-        joining = None
-        if lane.number + 1 < LANES:
-            following = self._lanes[lane.number + 1]
-            joining = self._reactor.callLater(OVERLAP_S, following.wake)
+        joining = self._let_join_later(lane)
         try:
             return await self._commit_busy(lane, batch)
         finally:
@@ -184,6 +173,13 @@
             if joining is not None and joining.active():
                 joining.cancel()
 
+    def _let_join_later(self, lane):
+        """Wake the lane after this one in a while; the timer, None for the last."""
+        if lane.number + 1 == LANES:
+            return None
+        joining = self._lanes[lane.number + 1]
+        return self._reactor.callLater(OVERLAP_S, joining.wake)
+
     async def _commit_busy(self, lane, batch):
         while not self._is_stopped:
             lane.sequence += 1
@@ -191,10 +187,13 @@
             head = msgspec.json.encode(
                 lanes.Head(self._token, lane.sequence, self._address, earlier)
             )
-            sent_at, error = await self._send(lane, batch, head)
-            if error is None or self._was_applied(lane, error, head):
-                return sent_at
-            if ownership.OWNER_KEY in error.by_key:
+            transaction = lanes.make_transaction(lane, batch, head, self._token)
+            outcome = await self._committer.commit(transaction)
+            if outcome is None:
+                return None
+            if note_applied(lane, outcome, head):
+                return outcome.sent_at
+            if ownership.OWNER_KEY in outcome.refused.by_key:
                 logs.log("ledger-refused", token=self._token, reason="not the owner")
                 return None
             if not await self._wait_for_key(lane):
@@ -244,62 +243,22 @@
         for waiting in regaining:
             waiting.callback(token is not None)
 
-    async def _send(self, lane, batch, head):
-        """Send a transaction until its outcome is known.
-
-        One without an answer is sent again while the first is open: its head lets
-        it be applied only once.
-
-        Args:
-          lane: A lanes.Lane.
-          batch: A batches.Batch or None.
-          head: Bytes, the value of the head key.
-        Returns:
-          A pair: a float, when it was first sent, or None if the ledger was
-          stopped; and the transactions.Refused, or None if it was applied.
-        """
-        transaction = lanes.make_transaction(lane, batch, head, self._token)
-        began_at = clock.read_monotonic()
-        outcomes = defer.DeferredQueue()
-        open_count = 0
-        while not self._is_stopped:
-            if open_count < MAX_OPEN:
-                open_count += 1
-                sent = tasks.spawn(self._store.commit(transaction), "commit")
-                sent.addCallback(outcomes.put)
-            written = await self._next_outcome(outcomes)
-            if written is None:
-                self._metrics.count("ledger.sent_again")
-                continue
-            open_count -= 1
-            if isinstance(written, result.Success):
-                lane.revision = written.unwrap()
-                self._note_latency(clock.read_monotonic() - began_at)
-                return began_at, None
-            error = written.failure()
-            if isinstance(error, transactions.Refused):
-                return began_at, error
-            self._metrics.count("ledger.retries")
-            await tasks.sleep(self._reactor, RETRY_S)
-        return None, None
-
-    async def _next_outcome(self, outcomes):
-        """Wait for an outcome; None when it is time to send again."""
-        wait_s = min(MAX_AGAIN_S, max(MIN_AGAIN_S, AGAIN_TIMES * self._typical_s))
-        waiting = outcomes.get().addTimeout(wait_s, self._reactor)
-        try:
-            return await waiting
-        except defer.TimeoutError:
-            return None
 
-    def _note_latency(self, took_s):
-        self._typical_s += LATENCY_WEIGHT * (took_s - self._typical_s)
-        self._metrics.observe("ledger.commit_ms", took_s * 1000)
+def note_applied(lane, outcome, head):
+    """Note in a lane that its transaction, or a copy of it, was applied.
 
-    def _was_applied(self, lane, error, head):
-        """Tell whether a copy of a refused transaction was applied before."""
-        item = error.by_key.get(lane.head_key)
-        if item is None or item.value != head:
-            return False
-        lane.revision = item.revision
+    Args:
+      lane: A lanes.Lane.
+      outcome: A committing.Outcome.
+      head: Bytes, the value of the head key in the transaction.
+    Returns:
+      A bool, whether it was.
+    """
+    if outcome.refused is None:
+        lane.revision = outcome.revision
         return True
+    item = outcome.refused.by_key.get(lane.head_key)
+    if item is None or item.value != head:
+        return False
+    lane.revision = item.revision
+    return True
