Name the exit codes and statuses of the commands once

Exit codes 1 and 3 stood in main and again in jobs; they are now in exits. Statuses 200 and 0 had no name in jobs, and its header did not say why it exists. The codes are as before.

--- a/thornport/commands/jobs.py
+++ b/thornport/commands/jobs.py
@@ -1,4 +1,8 @@
-"""`thornport jobs`: hand in, watch, cancel and explain jobs; prints JSON."""
+"""`thornport jobs`: hand in, watch, cancel and explain jobs; prints JSON.
+
+It speaks the interface of `cell.web`, so that operators need no client of their
+platform's. The exit code tells a script whether a job may be kept.
+"""
 
 import pathlib
 import uuid
@@ -9,12 +13,12 @@
 from twisted.internet import error as neterror
 from twisted.web import client as webclient
 
-from thornport.commands import offline
+from thornport.commands import exits, offline
 
 TIMEOUT_S = 10.0  # a process answers within its patience of 3 s
-EXIT_REFUSED = 1
-EXIT_UNKNOWN = 3
+STATUS_OK = 200
 STATUS_UNKNOWN = 504  # the job or cancel may be kept
+STATUS_NO_ANSWER = 0  # of a call that changed nothing; no status of HTTP
 
 app = typer.Typer(no_args_is_help=True, help="Jobs of a running cell.")
 
@@ -74,13 +78,15 @@
     Args:
       method, url: A str each.
       body: Bytes or None.
+    Raises:
+      typer.Exit: The answer is no success.
     """
     status, text = offline.run_in_reactor(lambda reactor: ask(method, url, body))
-    typer.echo(text, err=status != 200)
+    typer.echo(text, err=status != STATUS_OK)
     if status == STATUS_UNKNOWN:
-        raise typer.Exit(EXIT_UNKNOWN)
-    if status != 200:
-        raise typer.Exit(EXIT_REFUSED)
+        raise typer.Exit(exits.UNKNOWN)
+    if status != STATUS_OK:
+        raise typer.Exit(exits.REFUSED)
 
 
 async def ask(method, url, body):
@@ -89,14 +95,14 @@
     Args:
       method, url, body: As for `call`.
     Returns:
-      A pair of the status and the answer's text; STATUS_UNKNOWN when a call that
-      changes something has no answer.
+      A pair of the status and the answer's text. Without an answer the status is
+      STATUS_UNKNOWN if the call may have changed something, else STATUS_NO_ANSWER.
     """
     try:
         response = await treq.request(method, url, data=body, timeout=TIMEOUT_S)
         return response.code, await response.text()
     except neterror.ConnectError as failure:
-        return 0, f"{url}: not connected: {failure}"
+        return STATUS_NO_ANSWER, f"{url}: not connected: {failure}"
     except (webclient.ResponseFailed, neterror.ConnectionLost, TimeoutError) as failure:
-        status = 0 if method == "GET" else STATUS_UNKNOWN
+        status = STATUS_NO_ANSWER if method == "GET" else STATUS_UNKNOWN
         return status, f"{url}: no answer: {failure}"
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -7,7 +7,7 @@
 import typer
 from returns import result
 
-from thornport.commands import daemons, jobs, offline
+from thornport.commands import daemons, exits, jobs, offline
 from thornport.kernel import problem
 from thornport.load import arrivals, driver
 from thornport.load import report as load_report
@@ -21,9 +21,6 @@
 StoreOption = Annotated[str, typer.Option(help="URL of the key-value service.")]
 Files = Annotated[list[pathlib.Path], typer.Argument(exists=True, dir_okay=False)]
 
-EXIT_REFUSED = 1
-EXIT_UNKNOWN = 3
-
 
 @app.command()
 def entry(path: pathlib.Path):
@@ -65,7 +62,7 @@
     made = offline.run_load(where, mix, seed, callers)
     typer.echo(msgspec.json.encode(made) if json else load_report.format_report(made))
     if made.doubled or made.untrue:
-        raise typer.Exit(EXIT_REFUSED)
+        raise typer.Exit(exits.REFUSED)
 
 
 @settings_app.command()
@@ -81,7 +78,7 @@
     made = offline.plan_files(load_or_exit(files), store)
     if isinstance(made, result.Failure):
         typer.echo(made.failure().reason, err=True)
-        raise typer.Exit(EXIT_REFUSED)
+        raise typer.Exit(exits.REFUSED)
     typer.echo(offline.format_plan(made.unwrap()))
 
 
@@ -96,7 +93,7 @@
     typer.echo(error.reason, err=True)
     for path in error.paths:
         typer.echo(f"  differs: [{path}]", err=True)
-    raise typer.Exit(EXIT_REFUSED if error.known else EXIT_UNKNOWN)
+    raise typer.Exit(exits.REFUSED if error.known else exits.UNKNOWN)
 
 
 @app.command()
@@ -141,7 +138,7 @@
         return offline.load_files(files)
     except problem.ProblemsError as error:
         typer.echo(str(error), err=True)
-        raise typer.Exit(EXIT_REFUSED) from error
+        raise typer.Exit(exits.REFUSED) from error
 
 
 if __name__ == "__main__":
