Part the telling of peers from the scheduler's daemon

A literal 0 that meant no token reads ABSENT_REVISION, the spread's 1000 has a name, and three docstrings say what is true: who offers a cell, and what lanes does itself.

--- a/thornport/cell/candidacy.py
+++ b/thornport/cell/candidacy.py
@@ -18,6 +18,7 @@
 # Three heartbeats missed; the key of an owner that was killed goes later, 0.75 s or
 # more after its last heartbeat.
 OWNER_ALIVE_S = 0.35
+SHARES = 1000  # steps of the spread, each 0.02 ms
 REGAIN_WAIT_S = 0.15  # several tries of an owner that the store answers
 
 
@@ -35,7 +36,7 @@
         """
         self._cores = cores
         self._largest_cores = LARGE_CORES
-        self._share = xxhash.xxh3_64_intdigest(name.encode()) % 1000 / 1000
+        self._share = xxhash.xxh3_64_intdigest(name.encode()) % SHARES / SHARES
         self._heard_at = None
 
     def take_largest(self, largest_cores):
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -13,6 +13,7 @@
     peerlist,
     receiving,
     relaying,
+    telling,
 )
 from thornport.jobs import intake, queue, reading, record
 from thornport.kernel import clock, logs, tasks
@@ -25,7 +26,7 @@
 LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
-class SchedulerDaemon(intake.Telling):
+class SchedulerDaemon:
     """One scheduler process.
 
     Attributes:
@@ -59,7 +60,8 @@
         self.metrics = metrics
         self.config = None
         self.is_stopping = False
-        self.intake = intake.Intake(reactor, self.relayed, metrics, self)
+        told = telling.PeerTelling(self)
+        self.intake = intake.Intake(reactor, self.relayed, metrics, told)
         self.peers = peerlist.PeerList()
         self.asker = asking.Asker(reactor, bus)
         cores = settings.process.cpu_share * settings.process.cores
@@ -154,6 +156,11 @@
         """The name of the process that owns the cell, empty if nobody does."""
         return self._owner.name if self._owner is not None else ""
 
+    @property
+    def owner_address(self):
+        """Where the owner takes messages, a str; None if nobody owns the cell."""
+        return self._owner.address if self._owner is not None else None
+
     def may_claim(self):
         """Whether this process could become the owner now."""
         return (
@@ -190,8 +197,9 @@
         is_offered = self._offered_token != transactions.ABSENT_REVISION
         wait_s = self.candidacy.compute_wait_s(clock.read_monotonic(), is_offered)
         await tasks.sleep(self._reactor, wait_s)
-        offered, self._offered_token = self._offered_token, 0
-        if self._owner is not None and not offered:
+        offered = self._offered_token
+        self._offered_token = transactions.ABSENT_REVISION
+        if self._owner is not None and offered == transactions.ABSENT_REVISION:
             self._standing.claim_failed()
             return
         if await self._claimer.claim(offered):
@@ -259,7 +267,9 @@
         receiving.take(message, self, address)
 
     def take_offer(self, token):
-        """Take the offer of an owner, if the store answers us.
+        """Claim the cell from its owner, if the store answers us.
+
+        The owner has offered it, or most peers agree that it is silent.
 
         Args:
           token: An int, the revision of the owner's key.
@@ -314,28 +324,6 @@
         """Find the queue of a request, a queue.Queue or None."""
         return queue.find_queue(self.config, host, path)
 
-    # What the other processes are told.
-
-    def tell_unresolved(self, job_id):
-        """Tell all peers of a job that may be kept, so that none refuses it."""
-        for address in self.peers.addresses:
-            self.bus.send(address, "", peering.Unresolved(job_id))
-
-    def tell_incoming(self, value):
-        """Tell the owner of a job that is being kept."""
-        if self.get_core() is not None:
-            self.session.take_incoming(value)
-        elif self._owner is not None:
-            self.bus.send(self._owner.address, "", peering.Incoming(value))
-
-    def tell_kept(self, job_id, is_cancel=False):
-        """Tell the owner that a job, or its cancel, is kept."""
-        if self.get_core() is not None:
-            self.session.take_kept_by_peer(job_id, is_cancel)
-        elif self._owner is not None:
-            message = peering.Kept(job_id, is_cancel)
-            self.bus.send(self._owner.address, "", message)
-
 
 def describe(settings):
     """The settings that a start logs, as a dict for the log alone."""
--- a/thornport/cell/lanes.py
+++ b/thornport/cell/lanes.py
@@ -1,6 +1,6 @@
 """Lanes of an owner's writes, their heads, and the transactions in them.
 
-All here is pure; `ledger` sends the transactions.
+Nothing here calls the store: `ledger` decides when a lane writes.
 """
 
 import msgspec
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -114,7 +114,7 @@
 
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
-    """An owner that the store does not answer offers the cell."""
+    """An owner offers the cell: it lacks the store, or its VM is smaller."""
     daemon.take_offer(message.token)
 
 
