Ask for a step's label in one place

Placing and explaining each told for themselves whether a worker has the label of a step; both now ask placing.has_label. The module functions of following say their arguments and what they return.

--- a/thornport/cell/explaining.py
+++ b/thornport/cell/explaining.py
@@ -109,13 +109,7 @@
         if not self._is_due(job, step):
             return Waiting.EARLIER_STEPS
         queue = self._queue_of(job)
-        suited = [
-            worker
-            for worker in self.workers_by_id.values()
-            if worker.entry.service == queue.service
-            and (not step.spec.label or step.spec.label in worker.entry.labels)
-            and step.spec.demand.fits(worker.entry.total)
-        ]
+        suited = self._list_suited(step, queue)
         if not suited:
             return Waiting.NO_FIT
         if queue.advice is not None and not any(
@@ -123,3 +117,13 @@
         ):
             return Waiting.ADVICE
         return Waiting.ROOM
+
+    def _list_suited(self, step, queue):
+        """List the workers that could hold a task if nothing else ran there."""
+        return [
+            worker
+            for worker in self.workers_by_id.values()
+            if worker.entry.service == queue.service
+            and placing.has_label(step, worker)
+            and step.spec.demand.fits(worker.entry.total)
+        ]
--- a/thornport/cell/following.py
+++ b/thornport/cell/following.py
@@ -20,7 +20,12 @@
 
 
 class Kept(msgspec.Struct, frozen=True):
-    """What the store keeps under a prefix, and where a watch of it goes on."""
+    """What the store keeps under a prefix.
+
+    Attributes:
+      items: A list of transactions.Item.
+      at: An int, the store's revision from which a watch goes on.
+    """
 
     items: list[transactions.Item]
     at: int
@@ -220,12 +225,24 @@
 
 
 def read_acceptance(kept):
-    """When a job was accepted: what jobs are sorted by."""
+    """Read when a job was accepted, by which jobs are sorted.
+
+    Args:
+      kept: A record.JobRecord.
+    Returns:
+      An int, milliseconds since 1970.
+    """
     return kept.accepted_at_ms
 
 
 def list_cancels(items):
-    """List the IDs of the jobs whose cancel is among the items of the inbox."""
+    """List the jobs whose cancel is among the items of the inbox.
+
+    Args:
+      items: A list of transactions.Item.
+    Returns:
+      A list of str, job IDs.
+    """
     return [
         item.key.removeprefix(record.CANCEL_PREFIX)
         for item in items
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -67,11 +67,23 @@
     Returns:
       A bool.
     """
-    if step.spec.label and step.spec.label not in worker.entry.labels:
+    if not has_label(step, worker):
         return False
     return not disturbs(step, worker) and is_taking(worker, now)
 
 
+def has_label(step, worker):
+    """Tell whether a worker has the label that a step asks for, if any.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+    Returns:
+      A bool.
+    """
+    return not step.spec.label or step.spec.label in worker.entry.labels
+
+
 def disturbs(step, worker):
     """Tell whether a step and what runs at a worker must stay apart.
 
