--- a/thornport/cell/web.py
+++ b/thornport/cell/web.py
@@ -45,6 +45,14 @@
       app: A klein.Klein.
       daemon: A daemon.SchedulerDaemon.
     """
+    add_queue_routes(app, daemon)
+    add_submit_route(app, daemon)
+    add_list_route(app, daemon)
+    add_job_routes(app, daemon)
+
+
+def add_queue_routes(app, daemon):
+    """Add the questions about queues; arguments as for `add_routes`."""
 
     @app.route("/v1/queues", methods=["GET"])
     def list_queues(request):
@@ -63,6 +71,10 @@
         view = QueueView(name, queue.priority, queue.service, read.unwrap())
         return webreply.answer(request, 200, view)
 
+
+def add_submit_route(app, daemon):
+    """Add the handing in of jobs; arguments as for `add_routes`."""
+
     @app.route("/v1/queues/<name>/jobs/<job_id>", methods=["PUT"])
     async def submit(request, name, job_id):
         queue = find_queue(daemon, name)
@@ -77,6 +89,10 @@
         outcome = await daemon.intake.submit(kept, now + PATIENCE_S)
         return answer_outcome(request, job_id, outcome, record.JobState.QUEUED)
 
+
+def add_list_route(app, daemon):
+    """Add the list of jobs, which the owner has; arguments as for `add_routes`."""
+
     @app.route("/v1/jobs", methods=["GET"])
     def list_jobs(request):
         core = daemon.get_core()
@@ -89,6 +105,10 @@
             return webreply.answer(request, 400, webreply.Problem(f"state: {text}"))
         return webreply.answer(request, 200, core.list_jobs(state))
 
+
+def add_job_routes(app, daemon):
+    """Add showing and cancelling a job; arguments as for `add_routes`."""
+
     @app.route("/v1/jobs/<job_id>", methods=["GET"])
     async def show_job(request, job_id):
         core = daemon.get_core()
@@ -110,7 +130,14 @@
 
 
 def find_queue(daemon, name):
-    """Find a queue by its name; None when there is none."""
+    """Find a queue by its name.
+
+    Args:
+      daemon: A daemon.SchedulerDaemon.
+      name: A str.
+    Returns:
+      A queue.Queue, or None when there is none.
+    """
     queues = daemon.config.queues if daemon.config else ()
     return next((queue for queue in queues if queue.name == name), None)
 
@@ -168,17 +195,38 @@
 
 
 def no_queue(request, name):
-    """Answer that there is no such queue."""
+    """Answer that there is no such queue.
+
+    Args:
+      request: A twisted request.
+      name: A str.
+    Returns:
+      Bytes, the body.
+    """
     return webreply.answer(request, 404, webreply.Problem(f"no queue {name}"))
 
 
 def no_job(request, job_id):
-    """Answer that there is no such job."""
+    """Answer that there is no such job.
+
+    Args:
+      request: A twisted request.
+      job_id: A str.
+    Returns:
+      Bytes, the body.
+    """
     return webreply.answer(request, 404, webreply.Problem(f"no job {job_id}"))
 
 
 def not_owner(request, daemon):
-    """Answer who could tell."""
+    """Answer who could tell.
+
+    Args:
+      request: A twisted request.
+      daemon: A daemon.SchedulerDaemon.
+    Returns:
+      Bytes, the body.
+    """
     owner = daemon.owner_name or "nobody"
     told = webreply.Problem(f"{owner} owns the cell and can tell")
     return webreply.answer(request, 421, told)
