Name the numbers of the soak's strikes

Lost writes and the step of a config's version were bare threes, and a fault that lasts was set and cleared within a chain of branches; that is a function now. Faults and their sizes are as before.

Tests: ruff clean, the module imports; the soak was not run.

--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -11,6 +11,8 @@
 
 PROXY_DELAY_MS = 150
 STORE_SLOW_MS = 200  # 50 times the users' store
+LOST_WRITES = 3  # in a row, of whichever process they are
+VERSION_STEP = 3  # of a config: any rise puts it in force
 RESTART_S = 0.4  # from the end of a process to its next life
 
 
@@ -18,13 +20,22 @@
     """Strikes, and mends what it struck when its time is over."""
 
     def __init__(self, cell):
+        """Take what is struck.
+
+        Args:
+          cell: A schedulers.Schedulers that runs.
+        """
         self._cell = cell
         self._lock_by_name = {name: threading.Lock() for name in cell.names}
         self._threads = []
         self._version = schedulers.CONFIG["version"]
 
     def run(self, faults):
-        """Carry out a plan; returns when all is mended."""
+        """Carry out a plan; it is over when all is mended.
+
+        Args:
+          faults: A list of plan.Fault in order of time.
+        """
         began = time.monotonic()
         for fault in faults:
             time.sleep(max(0.0, began + fault.at_s - time.monotonic()))
@@ -68,17 +79,19 @@
 
     def _strike_platform(self, fault):
         if fault.kind is plan.Kind.CONFIG:
-            self._version += 3
+            self._version += VERSION_STEP
             self._cell.put_config(schedulers.CONFIG | {"version": self._version})
         elif fault.kind is plan.Kind.WORKER_CRASH:
             harness.call("POST", self._cell.url("platform", "/crash"))
         elif fault.kind is plan.Kind.WRITES_LOST:
-            self._cell.set_platform_faults(lose_writes=3)
+            self._cell.set_platform_faults(lose_writes=LOST_WRITES)
         elif fault.kind in (plan.Kind.HISTORY_GONE, plan.Kind.KEYS_REVOKED):
             self._cell.set_platform_faults(**{fault.kind.value: True})
         else:
-            is_slow = fault.kind is plan.Kind.STORE_SLOW
-            value = STORE_SLOW_MS if is_slow else True
-            self._cell.set_platform_faults(**{fault.kind.value: value})
-            time.sleep(fault.for_s)
-            self._cell.set_platform_faults()
+            value = STORE_SLOW_MS if fault.kind is plan.Kind.STORE_SLOW else True
+            self._set_for_a_while(fault, value)
+
+    def _set_for_a_while(self, fault, value):
+        self._cell.set_platform_faults(**{fault.kind.value: value})
+        time.sleep(fault.for_s)
+        self._cell.set_platform_faults()
