Give the ends that a worker keeps a type

Ends that are not in the store yet were bare pairs of number and job ID, read by their place; they are UnkeptEnd structs now, in the same order.

Tests: thornport.cell, 65 passed, 0 failed.

--- a/thornport/cell/batches.py
+++ b/thornport/cell/batches.py
@@ -90,10 +90,10 @@
     def _ack_ends(self, worker):
         """Let a worker forget the ends that are in the store."""
         while worker.unkept_ends:
-            number, job_id = worker.unkept_ends[0]
-            if job_id in self.dirty or job_id in self._in_flight:
+            end = worker.unkept_ends[0]
+            if end.job_id in self.dirty or end.job_id in self._in_flight:
                 return
-            worker.acked_number = number
+            worker.acked_number = end.number
             worker.unkept_ends.popleft()
 
     def _take_kept_jobs(self, batch, now):
--- a/thornport/cell/ending.py
+++ b/thornport/cell/ending.py
@@ -21,7 +21,7 @@
         if end.number <= worker.seen_number:
             return
         worker.seen_number = end.number
-        worker.unkept_ends.append((end.number, end.key.job_id))
+        worker.unkept_ends.append(model.UnkeptEnd(end.number, end.key.job_id))
         run = worker.runs_by_key.get(end.key)
         if run is None or run.run != end.run:
             return
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -69,6 +69,18 @@
         return self.step.demand
 
 
+class UnkeptEnd(msgspec.Struct, frozen=True):
+    """An end of a run that a worker told of, and that is not in the store yet.
+
+    Attributes:
+      number: An int, by which the worker is told that it may forget the end.
+      job_id: A str.
+    """
+
+    number: int
+    job_id: str
+
+
 class Worker(msgspec.Struct, eq=False):
     """A life of a worker.
 
@@ -87,7 +99,7 @@
       unheard_until: A float; if never heard by this owner, all that an
         earlier owner started is over then.
       seen_number, acked_number: Ends taken in; ends kept in the store.
-      unkept_ends: Pairs of number and job id, of ends that are not kept yet, in order.
+      unkept_ends: UnkeptEnds, in order of their numbers.
       failures: An int, failed runs since one was done.
       stalls: An int, how often all its tasks stood still since any went on.
       avoid_until: A float; it gets no starts before.
@@ -111,7 +123,7 @@
     granted_ms: int = 0
     seen_number: int = 0
     acked_number: int = 0
-    unkept_ends: collections.deque[tuple[int, str]] = msgspec.field(
+    unkept_ends: collections.deque[UnkeptEnd] = msgspec.field(
         default_factory=collections.deque
     )
     failures: int = 0
