Say the arguments of public methods that lacked them

keep_listed, take_largest, the start of offering and was_away_within took arguments that their docstrings did not describe; they do now, with no change of code.

--- a/thornport/cell/candidacy.py
+++ b/thornport/cell/candidacy.py
@@ -40,7 +40,11 @@
         self._heard_at = None
 
     def take_largest(self, largest_cores):
-        """Take how much processor the largest VM has, a float; 0 if not known."""
+        """Take how much processor the largest VM has.
+
+        Args:
+          largest_cores: A float; 0 if it is not known.
+        """
         if largest_cores:
             self._largest_cores = largest_cores
 
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -97,7 +97,13 @@
             worker.is_listed = False
 
     def keep_listed(self, listed_ids, now, may_come_back=False):
-        """Take a whole list of workers; the others are dropped likewise."""
+        """Take a whole list of workers; the others are dropped likewise.
+
+        Args:
+          listed_ids: A set of str.
+          now: A float.
+          may_come_back: As for `drop_worker`.
+        """
         for worker_id in set(self.workers_by_id) - listed_ids:
             self.drop_worker(worker_id, now, may_come_back)
 
--- a/thornport/cell/offering.py
+++ b/thornport/cell/offering.py
@@ -31,7 +31,11 @@
         self._cores = cores
 
     def start(self, reactor):
-        """Begin; `reactor` is Twisted's."""
+        """Begin to make offers.
+
+        Args:
+          reactor: Twisted's reactor.
+        """
         tasks.call_periodically(reactor, OFFER_PERIOD_S, self.offer, "offer")
         tasks.call_periodically(
             reactor, HAND_OVER_PERIOD_S, self.hand_over, "hand-over"
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -29,7 +29,13 @@
         self._back_at = None
 
     def was_away_within(self, seconds):
-        """Whether the store is away, or was within some seconds."""
+        """Tell whether the store is away, or was a moment ago.
+
+        Args:
+          seconds: A float, how long ago counts.
+        Returns:
+          A bool.
+        """
         if self._back_at is not None:
             since_s = clock.read_monotonic() - self._back_at
             return self.is_away() or since_s < seconds
