Give what peers tell during a takeover a type

Word of jobs that comes while the records are read was kept as bare pairs of a method and its subject; it is EarlyWord now, told in the same order afterwards. The header of learning names the peers too.

--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -51,7 +51,7 @@
         self._open_advice_by_step = {}
         # Jobs that are being kept, and jobs whose end is not decided.
         self._incoming_by_id = {}
-        # What peers tell of jobs while the records are read, in order; None else.
+        # learning.EarlyWords while the records are read, in order; None else.
         self._early_word = None
         self._unended_by_id = {}
         self.needs_round = False
--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -1,4 +1,8 @@
-"""What the store tells an owner: the configuration, workers and jobs."""
+"""What the store and the peers tell an owner: the configuration, workers, jobs."""
+
+import collections.abc
+
+import msgspec
 
 from thornport.cell import (
     ending,
@@ -16,6 +20,18 @@
 RELIST_S = 2.5
 
 
+class EarlyWord(msgspec.Struct, frozen=True):
+    """What a peer told of a job while the records were being read.
+
+    Attributes:
+      take: A callable of the subject and of the time, a float.
+      subject: A record.JobRecord, or the job's ID, a str.
+    """
+
+    take: collections.abc.Callable
+    subject: record.JobRecord | str
+
+
 class Learning(ending.Ending, ticketing.Ticketing):
     """Takes in what the store tells, at first and as it changes."""
 
@@ -157,13 +173,13 @@
           now: A float.
         """
         early, self._early_word = self._early_word, None
-        for take, subject in early:
-            take(subject, now)
+        for word in early:
+            word.take(word.subject, now)
 
     def accept_incoming(self, job_id, now):
         """Take that a job that was incoming is accepted."""
         if self._early_word is not None:
-            self._early_word.append((self.accept_incoming, job_id))
+            self._early_word.append(EarlyWord(self.accept_incoming, job_id))
             return
         job = self._incoming_by_id.get(job_id)
         if job is not None:
@@ -179,7 +195,7 @@
           now: A float.
         """
         if self._early_word is not None:
-            self._early_word.append((self.take_incoming, kept))
+            self._early_word.append(EarlyWord(self.take_incoming, kept))
             return
         if kept.job_id in self.jobs_by_id or kept.job_id in self._incoming_by_id:
             return
