--- a/thornport/cell/learning.py
+++ b/thornport/cell/learning.py
@@ -1,4 +1,8 @@
-"""What the store tells an owner: the configuration, workers and jobs."""
+"""What the store and the peers tell an owner: the configuration, workers, jobs."""
+
+import collections.abc
+
+import msgspec
 
 from thornport.cell import (
     ending,
@@ -16,6 +20,18 @@
 RELIST_S = 2.5
 
 
+class EarlyWord(msgspec.Struct, frozen=True):
+    """What a peer told of a job while the records were being read.
+
+    Attributes:
+      take: A callable of the subject and of the time, a float.
+      subject: A record.JobRecord, or the job's ID, a str.
+    """
+
+    take: collections.abc.Callable
+    subject: record.JobRecord | str
+
+
 class Learning(ending.Ending, ticketing.Ticketing):
     """Takes in what the store tells, at first and as it changes."""
 
@@ -97,7 +113,13 @@
             worker.is_listed = False
 
     def keep_listed(self, listed_ids, now, may_come_back=False):
-        """Take a whole list of workers; the others are dropped likewise."""
+        """Take a whole list of workers; the others are dropped likewise.
+
+        Args:
+          listed_ids: A set of str.
+          now: A float.
+          may_come_back: As for `drop_worker`.
+        """
         for worker_id in set(self.workers_by_id) - listed_ids:
             self.drop_worker(worker_id, now, may_come_back)
 
@@ -154,13 +176,13 @@
           now: A float.
         """
         early, self._early_word = self._early_word, None
-        for take, subject in early:
-            take(subject, now)
+        for word in early:
+            word.take(word.subject, now)
 
     def accept_incoming(self, job_id, now):
         """Take that a job that was incoming is accepted."""
         if self._early_word is not None:
-            self._early_word.append((self.accept_incoming, job_id))
+            self._early_word.append(EarlyWord(self.accept_incoming, job_id))
             return
         job = self._incoming_by_id.get(job_id)
         if job is not None:
@@ -176,7 +198,7 @@
           now: A float.
         """
         if self._early_word is not None:
-            self._early_word.append((self.take_incoming, kept))
+            self._early_word.append(EarlyWord(self.take_incoming, kept))
             return
         if kept.job_id in self.jobs_by_id or kept.job_id in self._incoming_by_id:
             return
