Keep the cell when a lane is refused while its key is got back

Cause: read once more: a lane that begins while another gets the key back is refused under the old token, and finds a key in the store that is ours already; it was taken for another owner's, which ended the ownership and left the key to run out.

Change: such a lane waits for the key, or sends again under the new token if its head is as it was.

--- a/thornport/cell/ledger.py
+++ b/thornport/cell/ledger.py
@@ -193,13 +193,32 @@
                 return None
             if note_applied(lane, outcome, head):
                 return outcome.sent_at
-            if ownership.OWNER_KEY in outcome.refused.by_key:
+            by_key = outcome.refused.by_key
+            if self._is_ours_again(lane, by_key):
+                continue
+            # While it is being got back, the key that is there may be ours.
+            if ownership.OWNER_KEY in by_key and not self._is_regaining:
                 logs.log("ledger-refused", token=self._token, reason="not the owner")
                 return None
             if not await self._wait_for_key(lane):
                 return None
         return None
 
+    def _is_ours_again(self, lane, by_key):
+        """Whether the key was got back since a transaction was sent.
+
+        Args:
+          lane: Its lanes.Lane, whose head nobody else has written then.
+          by_key: The Items of its conditions as they are, by key.
+        Returns:
+          A bool; the transaction may be sent again under the new token.
+        """
+        owner = by_key.get(ownership.OWNER_KEY)
+        head = by_key.get(lane.head_key)
+        revision = head.revision if head else transactions.ABSENT_REVISION
+        is_ours = owner is not None and owner.revision == self._token
+        return is_ours and revision == lane.revision
+
     async def _wait_for_key(self, lane):
         """Get the key back, once no lane has a transaction that may be applied.
 
--- a/thornport/cell/ledger_test.py
+++ b/thornport/cell/ledger_test.py
@@ -26,6 +26,7 @@
         self.held = []
         self.hold_next = 0
         self.commits = 0
+        self.late_answer = None
 
     async def read_key(self, key):
         """Read a key."""
@@ -52,7 +53,10 @@
             self.hold_next -= 1
             self.held.append(transaction)
             return await defer.Deferred()
-        return await self.answer(self.apply(transaction))
+        outcome = self.apply(transaction)
+        if self.late_answer is not None:
+            await self.late_answer
+        return await self.answer(outcome)
 
     async def answer(self, outcome):
         """Answer, unless the answer is to be lost."""
@@ -90,6 +94,7 @@
         self.ended = []
         self.regained_heads = []
         self.is_running = False
+        self.regain_answer = None
         self.ledger = self.make_ledger(self.store.token, "10.0.0.1:1")
 
     def make_ledger(self, token, address):
@@ -101,11 +106,14 @@
     async def regain(self, conditions):
         """Get the key back if nobody else has written a head."""
         self.regained_heads.append(conditions)
-        return self.store.kept.commit(
+        token = self.store.kept.commit(
             [(ownership.OWNER_KEY, 0)] + [(c.key, c.revision) for c in conditions],
             [(ownership.OWNER_KEY, TOKEN_VALUE, 0)],
             [],
         )
+        if self.regain_answer is not None:
+            await self.regain_answer
+        return token
 
     def lose_key(self):
         """Take the owner's key away."""
@@ -227,6 +235,45 @@
         self.assertEqual(self.list_kept(), ["a", "b"])
         self.assertEqual(self.read_value("a"), b"a")
 
+    def test_lane_that_is_refused_while_the_key_is_got_back_goes_on(self):
+        self.write("a")
+        self.lose_key()
+        self.regain_answer = defer.Deferred()
+        self.begin("b")
+        # The key is ours in the store, and the answer on its way.
+        for _ in range(5):
+            self.clock.advance(0.01)
+        self.begin("c")
+        for _ in range(5):
+            self.clock.advance(0.01)
+        self.assertEqual(self.list_kept(), ["a"])
+        answer, self.regain_answer = self.regain_answer, None
+        answer.callback(None)
+        for _ in range(100):
+            self.clock.advance(0.01)
+        self.assertEqual(self.list_kept(), ["a", "b", "c"])
+        self.assertEqual(self.ended, [])
+
+    def test_refusal_that_comes_after_the_key_was_got_back_ends_nothing(self):
+        self.write("a")
+        self.lose_key()
+        self.regain_answer = defer.Deferred()
+        self.begin("b")
+        for _ in range(2):
+            self.clock.advance(0.01)
+        late = self.store.late_answer = defer.Deferred()
+        self.begin("c")
+        for _ in range(2):
+            self.clock.advance(0.01)
+        self.store.late_answer = None
+        self.regain_answer.callback(None)
+        self.clock.advance(0.01)
+        late.callback(None)
+        for _ in range(100):
+            self.clock.advance(0.01)
+        self.assertEqual(self.list_kept(), ["a", "b", "c"])
+        self.assertEqual(self.ended, [])
+
     def test_key_is_not_got_back_once_another_has_written(self):
         self.write("a")
         self.store.kept.commit([], [(lanes.HEAD_KEY, b"another's", 0)], [])
