Part the data of loans and of keys from the classes that decide over them

Change: routing/ledgers.py and once/records.py hold the types and the functions that need nothing else; the text of both is as it was.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,7 @@
 from thornport.membership import guard, record
 from thornport.once import holder, messages
 from thornport.placement import model, placer
-from thornport.routing import homes, lender, loans
+from thornport.routing import homes, ledgers, lender, loans
 from thornport.settings import compile as compiling
 from thornport.settings import schema, tree
 
@@ -193,7 +193,7 @@
     """Slot sharing: time and bytes a second at one entry by members."""
     frames = codec.Codec(loans.Demand | loans.Grants | guard.Beat | guard.Ack)
     backends = {
-        f"10.1.0.{n}:80": lender.Backend(f"10.1.0.{n}:80", "s", 8, 2.0)
+        f"10.1.0.{n}:80": ledgers.Backend(f"10.1.0.{n}:80", "s", 8, 2.0)
         for n in range(24)
     }
     spans = []
--- a/thornport/entry/sharing.py
+++ b/thornport/entry/sharing.py
@@ -1,7 +1,7 @@
 """Slots at the edge: moves demands, grants and handovers between entries."""
 
 from thornport.kernel import clock, logs, tasks
-from thornport.routing import borrower, homes, lender, loans
+from thornport.routing import borrower, homes, ledgers, lender, loans
 
 TICK_S = 0.05
 DEMAND_PERIOD_S = 0.5
@@ -66,7 +66,7 @@
 
     def _refresh_backends(self, services_by_name):
         self._backends_by_address = {
-            target.address: lender.Backend(
+            target.address: ledgers.Backend(
                 target.address,
                 target.service,
                 services_by_name[target.service].slots,
--- a/thornport/once/holder.py
+++ b/thornport/once/holder.py
@@ -11,47 +11,17 @@
 """
 
 import heapq
-import uuid
-
-import msgspec
 
 from thornport.kernel import clock
 from thornport.membership import record, settling
-from thornport.once import messages
+from thornport.once import messages, records
 
 MAX_RECORDS = 200_000
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 RECORDS_PER_PART = 200
-UUID7_VERSION = 7
-UUID7_TIME_SHIFT = 80
 CLOCK_SKEW_MS = 5_000
 
 
-class Record(msgspec.Struct):
-    """What is kept of one key.
-
-    Attributes:
-      claim_ids: A list of str: the claim granted here and those granted by
-        other holders, as any of them may be the one that ran. The key is
-        free again only when each of them is released.
-      granted_id: A str, the claim granted here; empty if none was.
-    """
-
-    claim_ids: list[str]
-    digest: bytes
-    expires_at: float
-    granted_id: str = ""
-    is_done: bool = False
-    answer: object = None
-
-
-class LiveDoubt(msgspec.Struct):
-    """A messages.Doubt with its deadline here."""
-
-    doubt: messages.Doubt
-    expires_at: float
-
-
 class Holder:
     """The records of one member.
 
@@ -126,11 +96,11 @@
         kept = [
             self._pack(key, entry, now)
             for key, entry in self.records_by_key.items()
-            if is_holder(self.ring.members, sender_id, key)
+            if records.is_holder(self.ring.members, sender_id, key)
         ]
         step = RECORDS_PER_PART
         chunks = [kept[n : n + step] for n in range(0, len(kept), step)] or [[]]
-        doubts = [pack_doubt(live, now) for live in self._doubts]
+        doubts = [records.pack_doubt(live, now) for live in self._doubts]
         return [
             messages.Records(ask.epoch, part, len(chunks), chunk, doubts, self._base)
             for part, chunk in enumerate(chunks)
@@ -175,7 +145,7 @@
         expires_at = clock.compute_deadline(kept.remaining_ms, now)
         known = self.records_by_key.get(kept.key)
         if known is None:
-            made = Record(list(kept.claim_ids), kept.digest, expires_at)
+            made = records.Record(list(kept.claim_ids), kept.digest, expires_at)
             made.is_done, made.answer = kept.is_done, kept.answer
             self._write(kept.key, made)
             return
@@ -186,21 +156,21 @@
             self._end_record(known, kept.answer)
 
     def _end_record(self, entry, answer):
-        self._answer_bytes -= measure_answer(entry)
+        self._answer_bytes -= records.measure_answer(entry)
         entry.is_done = True
         entry.answer = answer
-        self._answer_bytes += measure_answer(entry)
+        self._answer_bytes += records.measure_answer(entry)
 
     def _write(self, key, entry):
         self._drop(key)
         self.records_by_key[key] = entry
-        self._answer_bytes += measure_answer(entry)
+        self._answer_bytes += records.measure_answer(entry)
         heapq.heappush(self._expiries, (entry.expires_at, key))
 
     def _drop(self, key):
         entry = self.records_by_key.pop(key, None)
         if entry:
-            self._answer_bytes -= measure_answer(entry)
+            self._answer_bytes -= records.measure_answer(entry)
 
     def _settle_if_done(self, now):
         """Work out what may be lost, once all have said what they hold."""
@@ -246,7 +216,7 @@
             if same_ring and live.doubt.lost_ids == doubt.lost_ids:
                 return
         expires_at = clock.compute_deadline(doubt.remaining_ms, now)
-        self._doubts.append(LiveDoubt(doubt, expires_at))
+        self._doubts.append(records.LiveDoubt(doubt, expires_at))
 
     def take_claim(self, claim, may_act, now):
         """Vote on a claim.
@@ -285,7 +255,7 @@
             return messages.Vote.FULL
         expires_at = clock.compute_deadline(claim.life_ms, now)
         claim_ids = [claim.claim_id]
-        made = Record(claim_ids, claim.digest, expires_at, claim.claim_id)
+        made = records.Record(claim_ids, claim.digest, expires_at, claim.claim_id)
         self._write(claim.key, made)
         return messages.Vote.GRANTED
 
@@ -293,7 +263,7 @@
         """Tell whether this member would have an earlier record of the key."""
         if self._is_closing or claim.epoch != self.ring.epoch:
             return False
-        if not is_holder(self.ring.members, self._me, claim.key):
+        if not records.is_holder(self.ring.members, self._me, claim.key):
             return False
         if self._settling.is_settled:
             return True
@@ -301,7 +271,7 @@
         # all that was claimed there, if it had settled then.
         if self._base.epoch != self.ring.epoch - 1:
             return False
-        return is_holder(self._base.members, self._me, claim.key)
+        return records.is_holder(self._base.members, self._me, claim.key)
 
     def _is_doubted(self, key):
         """Tell whether a record of the key may be lost with its holders."""
@@ -310,7 +280,7 @@
             holders = record.pick_holders(doubt.members, key, messages.HOLDERS)
             lost = [m for m in holders if m.member_id in doubt.lost_ids]
             quorum = messages.QUORUM_BY_HOLDERS[len(holders)]
-            made_ms = read_key_time(key)
+            made_ms = records.read_key_time(key)
             made_before = made_ms is None or made_ms <= doubt.lost_ms + CLOCK_SKEW_MS
             if len(lost) >= quorum and made_before:
                 return True
@@ -353,52 +323,3 @@
             if entry and entry.expires_at <= now:
                 self._drop(key)
         self._doubts = [live for live in self._doubts if live.expires_at > now]
-
-
-def is_holder(members, member_id, key):
-    """Tell whether a member is one of the holders of a key.
-
-    Args:
-      members: A tuple of record.Member.
-      member_id: A str.
-      key: A str.
-    Returns:
-      A bool.
-    """
-    holders = record.pick_holders(members, key, messages.HOLDERS)
-    return any(member.member_id == member_id for member in holders)
-
-
-def pack_doubt(live, now):
-    """Turn a doubt's deadline into the time left.
-
-    Args:
-      live: A LiveDoubt.
-      now: A float.
-    Returns:
-      A messages.Doubt.
-    """
-    remaining_ms = clock.compute_remaining_ms(live.expires_at, now)
-    return msgspec.structs.replace(live.doubt, remaining_ms=remaining_ms)
-
-
-def measure_answer(entry):
-    """Measure the kept answer of a record, in bytes."""
-    return len(entry.answer.body) if entry.answer else 0
-
-
-def read_key_time(key):
-    """Read when a key was made, if it tells (a UUID of version 7).
-
-    Args:
-      key: A str, the workspace, a slash and the caller's key.
-    Returns:
-      An int of wall-clock milliseconds, or None.
-    """
-    try:
-        parsed = uuid.UUID(key.rpartition("/")[2])
-    except ValueError:
-        return None
-    if parsed.version != UUID7_VERSION:
-        return None
-    return parsed.int >> UUID7_TIME_SHIFT
--- a/thornport/once/once_test.py
+++ b/thornport/once/once_test.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from thornport.membership import record
-from thornport.once import claims, holder, messages
+from thornport.once import claims, holder, messages, records
 
 STEP_S = 0.1
 LIFE_MS = 60_000
@@ -204,7 +204,7 @@
 
 def make_key(made_ms):
     """Make a key that is a UUID of version 7, the same for the same time."""
-    value = made_ms << holder.UUID7_TIME_SHIFT | 7 << 76 | 2 << 62
+    value = made_ms << records.UUID7_TIME_SHIFT | 7 << 76 | 2 << 62
     return f"press/{uuid.UUID(int=value)}"
 
 
--- a/thornport/routing/lender.py
+++ b/thornport/routing/lender.py
@@ -9,67 +9,13 @@
 Pure: messages and time in, messages out.
 """
 
-import msgspec
-
 from thornport.kernel import clock
 from thornport.membership import settling
-from thornport.routing import homes, loans, shares
+from thornport.routing import homes, ledgers, loans, shares
 
 UNKNOWN_BORROWER = "unknown"
 
 
-class Backend(msgspec.Struct, frozen=True):
-    """A backend server as its home needs to know it."""
-
-    address: str
-    service: str
-    slots: int
-    max_run_s: float
-
-
-class Loan(msgspec.Struct):
-    """What one borrower may have running on one backend server.
-
-    Attributes:
-      peak: An int, the highest limit among the grants it may still act on.
-      in_flight: An int, as it last said.
-      over_at: A float, past which nothing of it can be running.
-    """
-
-    seq: int = 0
-    limit: int = 0
-    peak: int = 0
-    in_flight: int = 0
-    over_at: float = 0.0
-
-    @property
-    def liability(self):
-        """How many requests it may have running, at worst."""
-        return max(self.peak, self.in_flight)
-
-
-class Ledger(msgspec.Struct):
-    """The loans of one backend server.
-
-    Attributes:
-      unknown_from: A float, when a former home may have been lost; for the
-        length of a loan and a run from then, every slot that is not accounted
-        for may be in use.
-    """
-
-    backend: Backend
-    unknown_from: float
-    loans_by_id: dict[str, Loan] = msgspec.field(default_factory=dict)
-
-
-class Borrower(msgspec.Struct):
-    """What is known of one borrower."""
-
-    token: float
-    heard_at: float
-    demand: dict[str, dict[int, int]]
-
-
 class Lender:
     """The ledgers of one home.
 
@@ -152,15 +98,15 @@
     def _import_loans(self, address, handed_by_id, now):
         backend = self._backends_by_address.get(address)
         if backend is None:
-            backend = Backend(address, "", 0, 0.0)
+            backend = ledgers.Backend(address, "", 0, 0.0)
         # Another member may have been the last home and be lost, even where
         # an earlier one hands something over.
         ledger = self.ledgers_by_address.setdefault(
-            address, Ledger(backend, self._unknown_from)
+            address, ledgers.Ledger(backend, self._unknown_from)
         )
         for borrower, handed in handed_by_id.items():
             over_at = clock.compute_deadline(handed.remaining_ms, now)
-            loan = ledger.loans_by_id.setdefault(borrower, Loan())
+            loan = ledger.loans_by_id.setdefault(borrower, ledgers.Loan())
             loan.peak = max(loan.peak, handed.liability)
             loan.over_at = max(loan.over_at, over_at)
 
@@ -198,17 +144,17 @@
 
     def _hand_over(self, ledger, now):
         """List every loan, the unaccounted slots among them."""
-        end_loans(ledger, now)
+        ledgers.end_loans(ledger, now)
         handed = {
             borrower: loans.HandedLoan(
                 loan.liability, clock.compute_remaining_ms(loan.over_at, now)
             )
             for borrower, loan in ledger.loans_by_id.items()
         }
-        unknown = count_unknown(ledger, now)
+        unknown = ledgers.count_unknown(ledger, now)
         if unknown:
             left_ms = clock.compute_remaining_ms(
-                find_end(ledger.backend, ledger.unknown_from), now
+                ledgers.find_end(ledger.backend, ledger.unknown_from), now
             )
             handed[UNKNOWN_BORROWER] = loans.HandedLoan(unknown, left_ms)
         return handed
@@ -230,7 +176,7 @@
                 continue
             ledger = self.ledgers_by_address.get(address)
             if ledger is None:
-                ledger = Ledger(backend, self._unknown_from)
+                ledger = ledgers.Ledger(backend, self._unknown_from)
                 self.ledgers_by_address[address] = ledger
             # Whoever was home in between may never have taken this over.
             released = self._released_by_address.pop(address, None)
@@ -251,7 +197,9 @@
         known = self._borrowers_by_id.get(borrower_id)
         if known and demand.token <= known.token:
             return None
-        self._borrowers_by_id[borrower_id] = Borrower(demand.token, now, demand.demand)
+        self._borrowers_by_id[borrower_id] = ledgers.Borrower(
+            demand.token, now, demand.demand
+        )
         if not self.is_settled:
             return None
         for address, hold in demand.holds.items():
@@ -261,9 +209,9 @@
         return self._make_grants(borrower_id)
 
     def _take_hold(self, ledger, borrower_id, hold, now):
-        loan = ledger.loans_by_id.setdefault(borrower_id, Loan())
+        loan = ledger.loans_by_id.setdefault(borrower_id, ledgers.Loan())
         loan.in_flight = hold.in_flight
-        loan.over_at = find_end(ledger.backend, now)
+        loan.over_at = ledgers.find_end(ledger.backend, now)
         # A loan handed over has no grant of this home yet (seq 0); a hold of
         # seq 0 says only that the former home's grant is still on its way.
         if loan.seq and hold.seq == loan.seq:
@@ -277,7 +225,7 @@
             if loan is None or self._homes.find(address) != self._me:
                 continue
             if loan.limit:
-                loan.over_at = find_end(ledger.backend, borrower.heard_at)
+                loan.over_at = ledgers.find_end(ledger.backend, borrower.heard_at)
             by_backend[address] = loans.Grant(loan.seq, loan.limit)
         ttl_ms = int(loans.LOAN_S * clock.MS_PER_S)
         return loans.Grants(borrower.token, ttl_ms, by_backend)
@@ -325,12 +273,12 @@
 
     def _move_limits(self, ledger, targets, now):
         """Lower first; raise only by what is surely free."""
-        end_loans(ledger, now)
+        ledgers.end_loans(ledger, now)
         moved = set()
         # An older home knew less than the last, and the last may be lost; then
         # nothing is granted on the word of what was handed over.
-        is_known = now >= find_end(ledger.backend, ledger.unknown_from)
-        is_sound = is_known and count_liable(ledger) <= ledger.backend.slots
+        is_known = now >= ledgers.find_end(ledger.backend, ledger.unknown_from)
+        is_sound = is_known and ledgers.count_liable(ledger) <= ledger.backend.slots
         for borrower_id, loan in ledger.loans_by_id.items():
             target = targets.get(borrower_id, 0)
             # A loan handed over is bounded here only once its borrower has
@@ -338,11 +286,15 @@
             if target < loan.limit or (loan.peak and not loan.seq):
                 self._set_limit(loan, min(target, loan.peak) if is_sound else 0)
                 moved.add(borrower_id)
-        free = ledger.backend.slots - count_liable(ledger) - count_unknown(ledger, now)
+        free = (
+            ledger.backend.slots
+            - ledgers.count_liable(ledger)
+            - ledgers.count_unknown(ledger, now)
+        )
         for borrower_id, target in targets.items():
             if free <= 0:
                 break
-            loan = ledger.loans_by_id.setdefault(borrower_id, Loan())
+            loan = ledger.loans_by_id.setdefault(borrower_id, ledgers.Loan())
             # What it is already liable for may be lent to it at no cost.
             raised = min(target, loan.liability + free)
             if raised > loan.limit:
@@ -371,53 +323,3 @@
           A list of str.
         """
         return [a for a in self._backends_by_address if self._homes.find(a) == self._me]
-
-
-def find_end(backend, heard_at):
-    """Find when nothing lent to a borrower can be running any more.
-
-    Args:
-      backend: A Backend.
-      heard_at: A float, when the borrower was last heard.
-    Returns:
-      A float.
-    """
-    lasting_s = loans.LOAN_S + backend.max_run_s
-    return heard_at + lasting_s * clock.CLOCK_RATE_MARGIN
-
-
-def end_loans(ledger, now):
-    """End the loans of borrowers that were silent for long enough.
-
-    Args:
-      ledger: A Ledger.
-      now: A float.
-    """
-    for borrower_id, loan in list(ledger.loans_by_id.items()):
-        if now >= loan.over_at:
-            del ledger.loans_by_id[borrower_id]
-
-
-def count_liable(ledger):
-    """Count the slots that borrowers may be using.
-
-    Args:
-      ledger: A Ledger.
-    Returns:
-      An int.
-    """
-    return sum(loan.liability for loan in ledger.loans_by_id.values())
-
-
-def count_unknown(ledger, now):
-    """Count the slots that a lost home may have lent to whom nobody knows.
-
-    Args:
-      ledger: A Ledger.
-      now: A float.
-    Returns:
-      An int.
-    """
-    if now >= find_end(ledger.backend, ledger.unknown_from):
-        return 0
-    return max(0, ledger.backend.slots - count_liable(ledger))
--- a/thornport/routing/loans_test.py
+++ b/thornport/routing/loans_test.py
@@ -13,7 +13,7 @@
 
 from thornport.fleet import vmlist
 from thornport.membership import record
-from thornport.routing import borrower, homes, lender, loans, shares
+from thornport.routing import borrower, homes, ledgers, lender, loans, shares
 
 STEP_S = 0.1
 SLOTS = 3
@@ -21,7 +21,7 @@
 SERVICE = "quotes"
 PRICES = (1, 10)
 LISTED = {a: vmlist.Listed(a, SERVICE, a, "h0", "", False) for a in ("b1", "b2", "b3")}
-BACKENDS = {a: lender.Backend(a, SERVICE, SLOTS, MAX_RUN_S) for a in LISTED}
+BACKENDS = {a: ledgers.Backend(a, SERVICE, SLOTS, MAX_RUN_S) for a in LISTED}
 
 
 class Entry:
