Let the soak tell of lost jobs soon

Cause: a copy broken on purpose, which accepts before it writes, was not reported within 300 s: each lost job was waited for for 60 s, one after the other.

Change: once one job has not ended in 60 s, the others, which have had the same time, get 2 s each; every one is reported as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,8 @@
 
 from tests import harness
 
+END_PATIENCE_S = 60.0  # for the work of accepted jobs, long after all is mended
+LATER_PATIENCE_S = 2.0  # once one job has not ended, the others have had the time
 FINAL_STATES = frozenset({"succeeded", "failed", "cancelled"})
 
 
@@ -36,12 +38,14 @@
       A list of str, a line for each broken promise.
     """
     broken = []
+    patience_s = END_PATIENCE_S
     for job_id in sorted(book.accepted):
         try:
             state = harness.wait_until(
-                lambda j=job_id: read_final(cell, j), f"the end of {job_id}", 60.0
+                lambda j=job_id: read_final(cell, j), f"the end of {job_id}", patience_s
             )
         except AssertionError as error:
+            patience_s = LATER_PATIENCE_S
             broken.append(f"{error}, last {cell.read_state(cell.names[0], job_id)!r}")
             continue
         wanted = {"succeeded"}
