Tell which steps are late and for what, and what advice answered

Cause: a job that waited past its objective left no line; whether it waited for an earlier step, for advice, for a ticket, for room or for a worker that advice would let run it could not be told from the logs.

Change: a line for each answer of advice (asked, good), and one a step, once, when it waits past its job's objective. 'thornport jobs show' tells two more reasons: no worker there is let run it, and a gang wider than its workers. The objective moves to the record, whose data it is.

--- a/thornport/cell/explaining.py
+++ b/thornport/cell/explaining.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell import placing, rounds
+from thornport.cell import messages, placing, rounds
 from thornport.jobs import record
 
 
@@ -17,7 +17,10 @@
     NOTHING = "nothing"
     EARLIER_STEPS = "earlier steps"
     NO_FIT = "no worker could ever hold a task"
+    TOO_WIDE = "the workers that may run it could never hold the whole gang"
     ADVICE = "advice on which workers may run it"
+    NOT_ADVISED = "a new worker: advice lets none of those there run it"
+    TICKET = "a ticket anew"
     ROOM = "room"
 
 
@@ -54,9 +57,67 @@
     steps: tuple[StepView, ...] = ()
 
 
+class LateStep(msgspec.Struct, frozen=True):
+    """A step that still waits when its job should have ended.
+
+    Attributes:
+      key: Its messages.StepKey.
+      waited_ms: An int, since the owner learned of its job.
+      waits_for: A Waiting.
+      waiting: An int, its tasks without a run.
+      suited: An int, workers that could hold a task if nothing else ran there.
+      asked, good: Ints, workers that advice was asked about, and that may run it.
+      ticketed: An int, workers for which it has a ticket that holds.
+    """
+
+    key: messages.StepKey
+    waited_ms: int
+    waits_for: Waiting
+    waiting: int
+    suited: int
+    asked: int
+    good: int
+    ticketed: int
+
+
 class Explaining(rounds.Rounds):
     """Answers questions about jobs."""
 
+    def take_late_steps(self, now):
+        """Take the steps that wait past their job's objective, each once.
+
+        Args:
+          now: A float.
+        Returns:
+          A list of LateStep; a step that waits for earlier ones is not in it.
+        """
+        late = []
+        for job in self._unended_by_id.values():
+            if job.record.job.repeats:
+                continue
+            waited_s = now - job.arrived_at
+            if waited_s * 1000 < job.record.compute_objective_ms():
+                continue
+            for step in job.steps_by_key.values():
+                if step.is_told_late or not step.waiting or not self._is_due(job, step):
+                    continue
+                step.is_told_late = True
+                late.append(self._view_late(job, step, waited_s, now))
+        return late
+
+    def _view_late(self, job, step, waited_s, now):
+        suited = self._list_suited(step, self._queue_of(job))
+        return LateStep(
+            step.key,
+            int(waited_s * 1000),
+            self._find_waiting(job, step, now),
+            len(step.waiting),
+            len(suited),
+            len(step.asked_ids),
+            len(step.good_ids),
+            sum(placing.has_ticket(step, worker, now) for worker in suited),
+        )
+
     def explain_job(self, job_id, now):
         """Say how far a job has come and what it waits for.
 
@@ -112,10 +173,20 @@
         suited = self._list_suited(step, queue)
         if not suited:
             return Waiting.NO_FIT
+        if queue.advice is not None:
+            if step.is_advising or any(
+                worker.worker_id not in step.asked_ids for worker in suited
+            ):
+                return Waiting.ADVICE
+            suited = [w for w in suited if w.worker_id in step.good_ids]
+            if not suited:
+                return Waiting.NOT_ADVISED
+        if step.spec.gang and placing.count_places(step, suited) < step.spec.count:
+            return Waiting.TOO_WIDE
         if queue.advice is not None and not any(
             placing.has_ticket(step, worker, now) for worker in suited
         ):
-            return Waiting.ADVICE
+            return Waiting.TICKET if placing.has_room(step, suited) else Waiting.ROOM
         return Waiting.ROOM
 
     def _list_suited(self, step, queue):
--- a/thornport/cell/explaining_test.py
+++ b/thornport/cell/explaining_test.py
@@ -49,6 +49,47 @@
         waits = self.explain(self.make_step(1), kept_queue=ADVISED)
         self.assertEqual(waits, [explaining.Waiting.ADVICE])
 
+    def test_gang_wider_than_its_workers_is_told(self):
+        step = spec.Step(3, spec.Demand(30_000, 10, 0), 100, gang=True)
+        self.assertEqual(self.explain(step), [explaining.Waiting.TOO_WIDE])
+
+    def advise(self, *good):
+        """Answer the open call for advice."""
+        (call,) = self.core.take_orders()
+        tickets = tuple(messages.Ticket(worker_id, "t") for worker_id in good)
+        answer = messages.AdviceAnswer(tickets, 900)
+        self.core.take_advice(call.request, answer, 0.0)
+
+    def ask_advice(self):
+        """Hand in a job whose queue needs advice, at a worker that answers."""
+        self.core.callers.greet("p", "b:1", True, 1.0, 0.0)
+        request = self.core.make_hold("w1", 0.0)
+        self.core.take_hold(request, 0.0, messages.HoldAnswer(0, [], []), 0.0)
+        step = self.make_step(1)
+        self.core.take_incoming(
+            record.JobRecord("a", ADVISED, spec.Job("text", (step,)), 7), 0.0
+        )
+
+    def test_advice_that_lets_no_worker_run_it_is_told(self):
+        self.ask_advice()
+        self.advise()
+        waits = self.explain(self.make_step(1), kept_queue=ADVISED)
+        self.assertEqual(waits, [explaining.Waiting.NOT_ADVISED])
+
+    def test_ticket_that_ran_out_is_told(self):
+        self.ask_advice()
+        self.advise("w1")
+        self.explain(self.make_step(1), kept_queue=ADVISED)
+        view = self.core.explain_job("a", 1.0)
+        self.assertEqual(view.steps[0].waits_for, explaining.Waiting.TICKET)
+
+    def test_late_step_is_told_once(self):
+        self.explain(self.make_step(65))
+        self.assertEqual(self.core.take_late_steps(0.0), [])
+        (late,) = self.core.take_late_steps(60.0)
+        self.assertEqual(late.waits_for, explaining.Waiting.NO_FIT)
+        self.assertEqual(self.core.take_late_steps(61.0), [])
+
     def test_unknown_job_is_none_and_known_ones_are_listed_by_state(self):
         self.explain(self.make_step(1))
         self.assertIsNone(self.core.explain_job("b", 0.0))
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -213,6 +213,7 @@
       good_ids: Those of them that may run the step.
       is_advising: Whether a call for advice is open.
       retry_advice_at: A float, no call for advice before.
+      is_told_late: Whether it was told that it waits past its job's objective.
     """
 
     key: messages.StepKey
@@ -233,6 +234,7 @@
     good_ids: set[str] = msgspec.field(default_factory=set)
     is_advising: bool = False
     retry_advice_at: float = 0.0
+    is_told_late: bool = False
 
     def forget_advice(self):
         """Drop the tickets and ids of workers; nothing of it starts any more."""
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner.py
@@ -16,6 +16,7 @@
 # An earlier owner renews this long without the store; then its leases lapse.
 EARLIER_OWNER_S = leases.UNCONFIRMED_LIMIT_S + leases.EARLIER_LEASE_S
 ASK_CEASED_S = 0.3  # between questions to earlier owners
+LATE_CHECK_S = 0.5  # between searches for steps that are late; a log line is no hurry
 
 
 class OwnerSession:
@@ -55,7 +56,7 @@
         )
         self._following = following.Following(reactor, self)
         self.looks = looks.Looks(reactor, self)
-        self._ticker = None
+        self._tickers = []
         self._round = None
         self._round_gap_s = ROUND_GAP_S
         self.is_active = True
@@ -68,8 +69,8 @@
         self.looks.end_pauses()
         self._ledger.stop()
         self._following.stop()
-        ticker, self._ticker = self._ticker, None
-        if ticker is not None:
+        tickers, self._tickers = self._tickers, []
+        for ticker in tickers:
             ticker.stop()
 
     def lose(self, reason):
@@ -141,9 +142,12 @@
     def decide(self):
         """Begin to decide."""
         self.is_deciding = True
-        self._ticker = tasks.call_periodically(
-            self._reactor, TICK_S, self._tick, "tick"
-        )
+        self._tickers = [
+            tasks.call_periodically(self._reactor, TICK_S, self._tick, "tick"),
+            tasks.call_periodically(
+                self._reactor, LATE_CHECK_S, self._log_late, "log-late-steps"
+            ),
+        ]
         tasks.spawn(self._write(), "write-records")
         tasks.spawn(self._ask_earlier(), "ask-earlier-owners")
         self._tick()
@@ -204,6 +208,21 @@
         self.looks.look_at_new()
         self.pump()
 
+    def _log_late(self):
+        for late in self.core.take_late_steps(clock.read_monotonic()):
+            logs.log(
+                "step-late",
+                job=late.key.job_id,
+                step=f"{late.key.time}.{late.key.step}",
+                waited_ms=late.waited_ms,
+                waits_for=late.waits_for.value,
+                tasks=late.waiting,
+                suited=late.suited,
+                asked=late.asked,
+                good=late.good,
+                ticketed=late.ticketed,
+            )
+
     def pump(self):
         """Carry out what was decided, and see to the next round."""
         if not self.is_deciding:
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -248,3 +248,26 @@
     """
     assigned = fill(step, workers)
     return len(assigned) >= (step.spec.count if step.spec.gang else 1)
+
+
+def count_places(step, workers):
+    """Count the tasks of a step that workers could hold if nothing else ran there.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker.
+    Returns:
+      An int, at most the tasks of the step.
+    """
+    places = 0
+    for worker in workers:
+        left = worker.entry.total
+        most = step.spec.max_per_worker or step.spec.count
+        held = 0
+        while held < most and step.spec.demand.fits(left):
+            left = left.subtract(step.spec.demand)
+            held += 1
+        places += held
+        if places >= step.spec.count:
+            return step.spec.count
+    return places
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -223,6 +223,15 @@
 @take.register
 def take_advised(message: peering.Advised, daemon, address):
     """Advice has come, or the call failed."""
+    logs.log(
+        "advice-taken",
+        job=message.job_id,
+        step=f"{message.time}.{message.step}",
+        by=address,
+        asked=len(message.worker_ids),
+        good=len(message.tickets) if message.is_answered else None,
+        valid_ms=message.valid_ms,
+    )
     core = daemon.get_core()
     if core is None:
         return
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -10,7 +10,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.jobs import record, spec
+from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import port, transactions
 
@@ -193,7 +193,7 @@
             "job-submitted",
             job=kept.job_id,
             queue=kept.queue.name,
-            objective_ms=compute_objective_ms(kept),
+            objective_ms=kept.compute_objective_ms(),
             outcome=what,
             reason=getattr(outcome, "reason", ""),
         )
@@ -252,19 +252,7 @@
     Returns:
       A float, seconds.
     """
-    return min(MAX_REFUSE_S, REFUSE_SHARE * compute_objective_ms(kept) / 1000)
-
-
-def compute_objective_ms(kept):
-    """Within what time a job is in time, by its own estimates.
-
-    Args:
-      kept: A record.JobRecord.
-    Returns:
-      An int, milliseconds.
-    """
-    chain_ms = spec.compute_chain_ms(kept.job)
-    return int(kept.queue.target_ms + kept.queue.stretch * chain_ms)
+    return min(MAX_REFUSE_S, REFUSE_SHARE * kept.compute_objective_ms() / 1000)
 
 
 def make_transaction(batch):
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -45,6 +45,11 @@
     accepted_at_ms: int
     end_state: JobState | None = None
 
+    def compute_objective_ms(self):
+        """Compute within what time the job is in time, by its own estimates; an int."""
+        chain_ms = spec.compute_chain_ms(self.job)
+        return int(self.queue.target_ms + self.queue.stretch * chain_ms)
+
 
 def close_job(kept, state):
     """Make what stands for a job that is over.
