--- a/thornport/cell/explaining.py
+++ b/thornport/cell/explaining.py
@@ -174,19 +174,19 @@
         if not suited:
             return Waiting.NO_FIT
         if queue.advice is not None:
-            if step.is_advising or any(
-                worker.worker_id not in step.asked_ids for worker in suited
-            ):
-                return Waiting.ADVICE
-            suited = [w for w in suited if w.worker_id in step.good_ids]
-            if not suited:
-                return Waiting.NOT_ADVISED
+            good = [w for w in suited if w.worker_id in step.good_ids]
+            if not good:
+                is_asked = all(w.worker_id in step.asked_ids for w in suited)
+                return Waiting.NOT_ADVISED if is_asked else Waiting.ADVICE
+            suited = good
         if step.spec.gang and placing.count_places(step, suited) < step.spec.count:
             return Waiting.TOO_WIDE
+        if not placing.has_room(step, suited):
+            return Waiting.ROOM
         if queue.advice is not None and not any(
             placing.has_ticket(step, worker, now) for worker in suited
         ):
-            return Waiting.TICKET if placing.has_room(step, suited) else Waiting.ROOM
+            return Waiting.TICKET
         return Waiting.ROOM
 
     def _list_suited(self, step, queue):
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -231,7 +231,7 @@
         if limit and held_by_id.get(worker_id, 0) >= limit:
             continue
         is_avoided = worker_id in avoided
-        rank = (is_avoided, preference_by_id[worker_id], free.millicores, worker_id)
+        rank = (is_avoided, preference_by_id[worker_id], *free.rank_room(), worker_id)
         if best_rank is None or rank < best_rank:
             best, best_rank = worker_id, rank
     return best
--- a/thornport/jobs/spec.py
+++ b/thornport/jobs/spec.py
@@ -37,6 +37,15 @@
             self.accelerators - other.accelerators,
         )
 
+    def rank_room(self):
+        """Rank room for best fit: what has fewer accelerators left goes first.
+
+        Returns:
+          A pair that is lower for room that is filled rather. Accelerators are the
+          scarcest: a task of all of them needs a worker on which none is used.
+        """
+        return self.accelerators, self.millicores
+
     def fits(self, room):
         """Tell whether this fits into some room, all resources at once."""
         return (
