--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -55,17 +55,8 @@
         if step.waiting and not step.is_advising:
             self._ask_advice(step, queue, allowed, now)
 
-    def _is_foremost(self, queue):
-        """Whether no queue of its service goes first: it gets the fast workers."""
-        others = self._queues_by_name.values()
-        return all(
-            queue.priority <= other.priority
-            for other in others
-            if other.service == queue.service
-        )
-
     def _start_step(self, job, step, workers):
-        wants_fast = self._is_foremost(self._queue_of(job))
+        wants_fast = self._queue_of(job).priority == 0
         assigned = placing.assign_step(step, workers, wants_fast)
         if not assigned:
             return
