--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -46,6 +46,7 @@
         self.callers = advising.Callers()
         self._queues_by_name = {}
         self._next_order = 0
+        self._lossy_until = now  # answers of workers are being lost until then
         # Runs whose starts wait until their records are kept.
         self._recording = []
         self._open_advice_by_step = {}
--- a/thornport/cell/holds.py
+++ b/thornport/cell/holds.py
@@ -11,6 +11,13 @@
 # little, and urgent tasks are late after some tenths of a second.
 HOLD_WAIT_MS = 700
 IDLE_WAIT_MS = 2000  # where nothing runs there is little to hide; looks are priced
+# Where urgent tasks run while answers are being lost: one that is lost hides their
+# ends for 0.45 s instead of 1 s, for 7 looks a second and worker instead of 3.
+LOSSY_WAIT_MS = 150
+LOSSY_S = 5.0  # from a lost answer on; the users' workers lose some for about as long
+# A worker that answers again so soon after a look that failed was not cut off: the
+# answer alone was lost.
+LOST_ANSWER_S = 1.6
 # An entry goes after three heartbeats of silence, 4.5 s; well below that, it went
 # because the worker ended.
 LEFT_S = 2.5
@@ -43,7 +50,7 @@
             )
         deadline_ms = leases.extend(worker, now)
         is_acked = worker.acked_number >= worker.seen_number
-        wait_ms = HOLD_WAIT_MS if worker.runs_by_key else IDLE_WAIT_MS
+        wait_ms = self._choose_wait_ms(worker, now)
         return messages.HoldRequest(
             worker_id,
             worker.entry.address,
@@ -53,6 +60,14 @@
             wait_ms if is_acked else 0,
         )
 
+    def _choose_wait_ms(self, worker, now):
+        """Choose how long a look may wait for an end, an int."""
+        if not worker.runs_by_key:
+            return IDLE_WAIT_MS
+        if now < self._lossy_until and self.is_urgent_at(worker.worker_id):
+            return LOSSY_WAIT_MS
+        return HOLD_WAIT_MS
+
     def is_urgent_at(self, worker_id):
         """Tell whether a run of the first priority is live at a worker."""
         worker = self.workers_by_id.get(worker_id)
@@ -79,11 +94,13 @@
         if not isinstance(answer, messages.HoldAnswer):
             # Orders would fail as this look did; the next look clears it.
             worker.avoid(now + ending.AVOID_S)
+            worker.unanswered_at = now
             if has_left(worker, answer, now):
                 self.end_worker(worker, now)
             return
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
+        self._judge_loss(worker, now)
         for end in sorted(answer.ended, key=lambda end: end.number):
             self._take_end(worker, end, now)
         self._take_running(worker, answer, sent_at, now)
@@ -92,6 +109,12 @@
             worker.granted_ms = max(worker.granted_ms, worker.clock_ms + leases.HOLD_MS)
         self.needs_round = True
 
+    def _judge_loss(self, worker, now):
+        """Tell answers that are lost from workers that are."""
+        failed_at, worker.unanswered_at = worker.unanswered_at, None
+        if failed_at is not None and now - failed_at < LOST_ANSWER_S:
+            self._lossy_until = now + LOSSY_S
+
     def _take_running(self, worker, answer, sent_at, now):
         rows_by_key = {(row.key, row.run): row for row in answer.running}
         for run in list(worker.runs_by_key.values()):
--- a/thornport/cell/looks.py
+++ b/thornport/cell/looks.py
@@ -12,7 +12,9 @@
 ACK_POLL_S = 0.004  # between looks whether ends are kept
 LOOK_GAP_S = 0.01  # from an answer with ends to the next look: looks are priced
 PATIENT_GAP_S = 0.25  # likewise, while nothing urgent runs there
-LOOK_RETRY_S = 0.25  # after a look that a worker did not answer
+LOOK_RETRY_S = 0.25  # after a second look that a worker did not answer
+# After the first: most often its answer alone was lost, and ends wait to be seen.
+FIRST_RETRY_S = 0.01
 ACK_PATIENCE_S = 0.3  # longest wait until ends are kept before the next look
 
 
@@ -49,6 +51,7 @@
     async def _look_at(self, worker_id):
         """Renew the leases of a worker and see what ended, again and again."""
         address = self._core.workers_by_id[worker_id].entry.address
+        retry_s = FIRST_RETRY_S
         while self._session.is_active:
             sent_at = clock.read_monotonic()
             request = self._core.make_hold(worker_id, sent_at)
@@ -65,7 +68,9 @@
             self._session.metrics.count("worker.looks")
             if worker_id not in self._hurried:
                 self._take_look(request, sent_at, answer)
-            await self._rest(worker_id, answer)
+            await self._rest(worker_id, answer, retry_s)
+            is_answered = isinstance(answer, messages.HoldAnswer)
+            retry_s = FIRST_RETRY_S if is_answered else LOOK_RETRY_S
         self._look_by_worker.pop(worker_id, None)
         self._ports.workers.forget(address)
 
@@ -91,13 +96,13 @@
                 log_end(request.worker_id, end)
         self._session.pump()
 
-    async def _rest(self, worker_id, answer):
+    async def _rest(self, worker_id, answer, retry_s):
         """Wait until the next look is due."""
         if worker_id in self._hurried:
             self._hurried.discard(worker_id)
             return
         if not isinstance(answer, messages.HoldAnswer):
-            await tasks.sleep(self._reactor, LOOK_RETRY_S)
+            await tasks.sleep(self._reactor, retry_s)
             return
         if answer.ended:
             await self._pause(worker_id)
--- a/thornport/cell/model.py
+++ b/thornport/cell/model.py
@@ -103,6 +103,7 @@
       failures: An int, failed runs since one was done.
       stalls: An int, how often all its tasks stood still since any went on.
       avoid_until: A float; it gets no starts before.
+      unanswered_at: A float, when the last look failed; None after an answer.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
       pace_count, pace_log: Ends so far, and the mean logarithm of the time that
@@ -129,6 +130,7 @@
     failures: int = 0
     stalls: int = 0
     avoid_until: float = 0.0
+    unanswered_at: float | None = None
     filling_count: int = 0
     serving_count: int = 0
     pace_count: int = 0
