--- a/thornport/cell/relaying.py
+++ b/thornport/cell/relaying.py
@@ -15,6 +15,9 @@
 from thornport.store import port, transactions
 
 HEDGE_S = 0.12  # the store answers in 4 ms; a busy one in some tens
+# A store that answers all slowly answers a peer no sooner: a call goes by way of a
+# peer when it takes this many times as long as the slowest answers of late.
+HEDGE_TIMES = 2.0
 PEER_S = 0.4  # longest wait for a peer's answer
 
 
@@ -69,6 +72,16 @@
             if self.peer_addresses:
                 return await self._ask_peer(make_question)
             return result.Failure(port.Unavailable("the store is away"))
+        direct = tasks.spawn(call(), "store-call")
+        hedge_s = max(HEDGE_S, HEDGE_TIMES * self._store.slowest_s)
+        outcome = await self._wait_until(direct, hedge_s)
+        if is_known(outcome) or not self.peer_addresses:
+            return outcome if outcome is not None else read_direct(await direct)
+        relayed = tasks.spawn(self._ask_peer(make_question), "ask-peer")
+        return await self._wait_for_either(direct, relayed)
+
+    async def _wait_until(self, running, seconds):
+        """Wait for a call a while; its outcome, or None while it is open."""
         first = defer.Deferred()
 
         def note(outcome):
@@ -76,19 +89,26 @@
                 first.callback(outcome)
             return outcome
 
-        direct = tasks.spawn(call(), "store-call").addCallback(note)
-        outcome = await tasks.wait_timed(
-            self._reactor, first, HEDGE_S, lambda: first.callback(None)
+        running.addCallback(note)
+        return await tasks.wait_timed(
+            self._reactor, first, seconds, lambda: first.callback(None)
         )
-        if is_known(outcome) or not self.peer_addresses:
-            return outcome if outcome is not None else await direct_outcome(direct)
-        relayed = await self._ask_peer(make_question)
-        if is_known(relayed):
-            return relayed
-        if outcome is None:
+
+    async def _wait_for_either(self, direct, relayed):
+        """Wait until one of two calls tells what is in the store, or both failed."""
+        answers = defer.DeferredQueue()
+        for running in (direct, relayed):
+            running.addCallback(lambda outcome: answers.put(outcome) or outcome)
+        first = await answers.get()
+        if is_known(first):
+            return first
+        if not direct.called and self._store.is_away():
             # The direct call is still open: the write may have been applied.
             return result.Failure(port.Ambiguous("no answer yet"))
-        return outcome if is_ambiguous(outcome) else relayed
+        second = await answers.get()
+        if is_known(second):
+            return second
+        return first if is_ambiguous(first) else read_direct(second)
 
     async def _ask_peer(self, make_question):
         address = self._random.choice(self.peer_addresses)
@@ -125,9 +145,8 @@
         self._bus.send(address, "", encode_answer(message.ask_id, outcome))
 
 
-async def direct_outcome(direct):
-    """Wait for the direct call."""
-    outcome = await direct
+def read_direct(outcome):
+    """Take the outcome of a call that may have failed by a fault of ours."""
     if outcome is None:
         return result.Failure(port.Ambiguous("the call failed"))
     return outcome
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -7,9 +7,14 @@
 
 # Failing for this long means away; a single refusal for the rate does not.
 AWAY_S = 0.15
-# A call that is open for so long, and none answered since, means away too; a
-# store that answers 60 times slower takes 0.24 s.
+# A call that is open for so long, and none answered since, means away too; or for so
+# many times as long as the slowest answer of late: a store that answers 98 times
+# slower, 0.39 s, is no lost one.
 SILENT_S = 0.35
+SILENT_TIMES = 2.0
+# By each answer the slowest one counts for less, so that a slow store which is lost
+# after it was fast again for some seconds is soon known to be lost.
+FADING = 0.8
 
 
 class CheckedStore:
@@ -24,6 +29,7 @@
         self._store = store
         self._failing_since = None
         self._answered_at = 0.0
+        self._slowest_s = 0.0
         self._open_since_by_id = {}
         self._was_away = False
         self._back_at = None
@@ -47,13 +53,17 @@
         if self._failing_since is not None and now - self._failing_since > AWAY_S:
             return True
         oldest = min(self._open_since_by_id.values(), default=now)
-        return now - max(oldest, self._answered_at) > SILENT_S and oldest < now
+        silent_s = max(SILENT_S, SILENT_TIMES * self._slowest_s)
+        return now - max(oldest, self._answered_at) > silent_s and oldest < now
+
+    @property
+    def slowest_s(self):
+        """How long the slowest answers of late took, a float in seconds."""
+        return self._slowest_s
 
     def _note(self, began_at, outcome):
-        is_lost = port.is_failure(outcome, port.Unavailable) or port.is_failure(
-            outcome, port.Ambiguous
-        )
-        if is_lost:
+        has_failed = is_lost(outcome)
+        if has_failed:
             # A call that was not answered in a second has failed for a second; one
             # that began before the last answer says nothing of what came after it.
             if self._failing_since is None and began_at >= self._answered_at:
@@ -66,7 +76,7 @@
             if not self._was_away:
                 self._back_at = clock.read_monotonic()
             event = "store-lost" if self._was_away else "store-regained"
-            logs.log(event, reason=outcome.failure().reason if is_lost else "")
+            logs.log(event, reason=outcome.failure().reason if has_failed else "")
         return outcome
 
     async def _check(self, call):
@@ -77,6 +87,9 @@
             outcome = await call
         finally:
             del self._open_since_by_id[call_id]
+        if not is_lost(outcome):
+            took_s = clock.read_monotonic() - began_at
+            self._slowest_s = max(took_s, FADING * self._slowest_s)
         return self._note(began_at, outcome)
 
     async def read_key(self, key):
@@ -110,3 +123,10 @@
     async def end_lease(self, lease_id):
         """As the client's."""
         return await self._check(self._store.end_lease(lease_id))
+
+
+def is_lost(outcome):
+    """Tell whether the store did not answer a call, or did not take it."""
+    return port.is_failure(outcome, port.Unavailable) or port.is_failure(
+        outcome, port.Ambiguous
+    )
--- a/thornport/store/health_test.py
+++ b/thornport/store/health_test.py
@@ -49,6 +49,27 @@
         """Answer the oldest call."""
         self.fake.answer(result.Success(transactions.Item("k", b"", 0)))
 
+    def test_store_that_answers_slowly_is_not_away(self):
+        self.call()
+        self.now += 0.34
+        self.succeed()
+        self.call()
+        self.now += 0.5
+        self.assertFalse(self.store.is_away())
+        self.now += 0.5
+        self.assertTrue(self.store.is_away())
+
+    def test_slowness_is_forgotten_by_fast_answers(self):
+        self.call()
+        self.now += 0.34
+        self.succeed()
+        for _ in range(12):
+            self.call()
+            self.succeed()
+        self.call()
+        self.now += health.SILENT_S + 0.01
+        self.assertTrue(self.store.is_away())
+
     def test_one_refused_call_is_not_enough(self):
         self.call()
         self.fail()
