--- a/thornport/cell/looks.py
+++ b/thornport/cell/looks.py
@@ -16,6 +16,9 @@
 # After the first: most often its answer alone was lost, and ends wait to be seen.
 FIRST_RETRY_S = 0.01
 ACK_PATIENCE_S = 0.3  # longest wait until ends are kept before the next look
+# Likewise where urgent tasks run: while the store is slow, an end is seen 0.05 s later
+# on average instead of 0.15 s, for three times the looks there.
+URGENT_ACK_PATIENCE_S = 0.1
 
 
 class Looks:
@@ -106,7 +109,9 @@
             return
         if answer.ended:
             await self._pause(worker_id)
-        patience_until = clock.read_monotonic() + ACK_PATIENCE_S
+        is_urgent = self._core.is_urgent_at(worker_id)
+        patience_s = URGENT_ACK_PATIENCE_S if is_urgent else ACK_PATIENCE_S
+        patience_until = clock.read_monotonic() + patience_s
         while self._session.is_active and clock.read_monotonic() < patience_until:
             worker = self._core.workers_by_id.get(worker_id)
             if worker is None or worker.acked_number >= worker.seen_number:
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -1,4 +1,11 @@
-"""Rounds of placement: what can start is started, the foremost steps first."""
+"""Rounds of placement: what can start is started, the foremost steps first.
+
+A job that is being kept is placed meanwhile, and its starts are recorded beside it;
+they go out once it is accepted. That saves one of the store's answers before the first
+start: 4 ms, and 0.2 to 0.4 s while the store is slow.
+"""
+
+import itertools
 
 from thornport.cell import messages, model, placing, ticketing
 from thornport.jobs import record
@@ -30,7 +37,10 @@
 
     def _list_ready(self):
         ready = []
-        for job in self._unended_by_id.values():
+        jobs = itertools.chain(
+            self._unended_by_id.values(), self._incoming_by_id.values()
+        )
+        for job in jobs:
             for step in job.steps_by_key.values():
                 if step.waiting and self._is_due(job, step):
                     ready.append((job, step))
