Round: keep room for wide steps, and renew their tickets before it comes

Small tasks take each piece of such a worker as it comes free, and a ticket, which runs out after 2 s, was asked for only when there was room: 0.5 s in which others took it. Ruled out: too little in all (two thirds of the accelerators are in use).

Change: the foremost eight wide steps get the workers on which they can start soonest, by the progress of the runs there; steps behind them start there only if they are over by then, or fit beside. Advice for a wide step is asked for at once, since which workers are good never changes, and its tickets are renewed 0.4 s before the room is expected.

--- a/thornport/cell/explaining.py
+++ b/thornport/cell/explaining.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell import messages, placing, rounds
+from thornport.cell import messages, placing, reserving, rounds
 from thornport.jobs import record
 
 
@@ -181,7 +181,7 @@
             suited = good
         if step.spec.gang and placing.count_places(step, suited) < step.spec.count:
             return Waiting.TOO_WIDE
-        if not placing.has_room(step, suited):
+        if not placing.has_room(step, suited, reserving.Reservations(now)):
             return Waiting.ROOM
         if queue.advice is not None and not any(
             placing.has_ticket(step, worker, now) for worker in suited
--- a/thornport/cell/placing.py
+++ b/thornport/cell/placing.py
@@ -123,45 +123,46 @@
     return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
 
 
-def assign_step(step, workers, wants_fast=False):
+def assign_step(step, workers, reserved, wants_fast=False):
     """Choose workers for the waiting tasks of a step.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker that may run it now.
+      reserved: A reserving.Reservations of room that is kept for steps before it.
       wants_fast: Whether it is urgent, and gets the fastest that have room;
         others leave those free.
     Returns:
       A list of Assignment; for a gang, of all its tasks or of none.
     """
     if not step.spec.gang:
-        return fill(step, workers, wants_fast)
+        return fill(step, workers, reserved, wants_fast)
     if step.live_by_index:
         return []
     if step.spec.same_rack:
         for rack in sorted({worker.entry.rack for worker in workers}):
             within = [worker for worker in workers if worker.entry.rack == rack]
-            assigned = fill(step, within, wants_fast)
+            assigned = fill(step, within, reserved, wants_fast)
             if len(assigned) == step.spec.count:
                 return assigned
-    assigned = fill(step, workers, wants_fast)
+    assigned = fill(step, workers, reserved, wants_fast)
     return assigned if len(assigned) == step.spec.count else []
 
 
-def fill(step, workers, wants_fast=False):
+def fill(step, workers, reserved, wants_fast=False):
     """Assign waiting tasks, each to the best worker that has room.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
-      wants_fast: As for `assign_step`.
+      reserved, wants_fast: As for `assign_step`.
     Returns:
       A list of Assignment.
     """
     demand = step.spec.demand
     free_by_id = {}
     for worker in workers:
-        free = worker.compute_free()
+        free = reserved.limit_room(step, worker)
         # The workers were listed before others of this round were placed.
         if demand.fits(free) and not disturbs(step, worker):
             free_by_id[worker.worker_id] = free
@@ -237,16 +238,17 @@
     return best
 
 
-def has_room(step, workers):
+def has_room(step, workers, reserved):
     """Tell whether the tasks of a step could start: all of a gang, or any.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
+      reserved: As for `assign_step`.
     Returns:
       A bool.
     """
-    assigned = fill(step, workers)
+    assigned = fill(step, workers, reserved)
     return len(assigned) >= (step.spec.count if step.spec.gang else 1)
 
 
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -7,7 +7,7 @@
 
 import itertools
 
-from thornport.cell import messages, model, placing, ticketing
+from thornport.cell import messages, model, placing, reserving, ticketing
 from thornport.jobs import record
 
 ROUND_STEPS = 80  # steps tried in a round, to bound its processor time
@@ -20,6 +20,7 @@
         """Start what can start, the foremost steps first."""
         self.needs_round = False
         candidates_by_kind = {}
+        reserved = reserving.Reservations(now)
         tried = 0
         for job, step in self._list_ready():
             queue = self._queue_of(job)
@@ -30,8 +31,10 @@
             candidates = candidates_by_kind[kind]
             # What no worker has room for costs a comparison, and holds up nothing.
             if candidates.may_hold(step.spec.demand):
-                self._place_step(job, step, queue, candidates.workers, now)
+                self._place_step(job, step, queue, candidates.workers, reserved, now)
                 tried += 1
+            if step.waiting and reserved.may_reserve():
+                self._reserve(step, queue, candidates.workers, reserved, now)
             if tried >= ROUND_STEPS:
                 return
 
@@ -55,19 +58,30 @@
             for number in step.spec.after
         )
 
-    def _place_step(self, job, step, queue, allowed, now):
+    def _reserve(self, step, queue, allowed, reserved, now):
+        """Keep room for a wide step that waits."""
+        if not reserving.is_wide(step, allowed):
+            return
+        if queue.advice is None:
+            reserved.reserve(step, allowed)
+            return
+        good = [worker for worker in allowed if worker.worker_id in step.good_ids]
+        starts_at = reserved.reserve(step, good) if good else None
+        self._ask_early(step, queue, allowed, starts_at, now)
+
+    def _place_step(self, job, step, queue, allowed, reserved, now):
         if queue.advice is None:
-            self._start_step(job, step, allowed)
+            self._start_step(job, step, allowed, reserved)
             return
         ticketed = [w for w in allowed if placing.has_ticket(step, w, now)]
         if ticketed:
-            self._start_step(job, step, ticketed)
+            self._start_step(job, step, ticketed, reserved)
         if step.waiting and not step.is_advising:
-            self._ask_advice(step, queue, allowed, now)
+            self._ask_advice(step, queue, allowed, reserved, now)
 
-    def _start_step(self, job, step, workers):
+    def _start_step(self, job, step, workers, reserved):
         wants_fast = self._queue_of(job).priority == 0
-        assigned = placing.assign_step(step, workers, wants_fast)
+        assigned = placing.assign_step(step, workers, reserved, wants_fast)
         if not assigned:
             return
         step.last_run += 1
@@ -84,7 +98,9 @@
                 model.RunState.RECORDING,
             )
             step.live_by_index[assignment.index] = run
-            self.workers_by_id[assignment.worker_id].add_run(run)
+            worker = self.workers_by_id[assignment.worker_id]
+            reserved.take_room(step, worker)
+            worker.add_run(run)
             self._recording.append(run)
         job.has_begun = True
         if job.state is record.JobState.QUEUED:
--- a/thornport/cell/ticketing.py
+++ b/thornport/cell/ticketing.py
@@ -10,6 +10,9 @@
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
 ASKED_WORKERS = 100  # named in one call; each makes the call longer
+# A ticket is there this long before its room is expected: runs end early too, and a
+# ticket holds for 2 s.
+TICKET_LEAD_S = 0.4
 
 
 class CallAdvice(msgspec.Struct, frozen=True):
@@ -28,10 +31,44 @@
 class Ticketing(cellstate.CellState):
     """Has advice called for and takes the answers."""
 
-    def _ask_advice(self, step, queue, allowed, now):
-        if now < step.retry_advice_at:
+    def _ask_advice(self, step, queue, allowed, reserved, now):
+        """Ask about workers for a step that could start now."""
+        wanted = self._list_wanted(step, allowed, now)
+        # What is known to be good is worth a call only if it has room.
+        hopeful = [
+            worker
+            for worker in allowed
+            if worker.worker_id not in step.asked_ids
+            or worker.worker_id in step.good_ids
+        ]
+        if wanted and placing.has_room(step, hopeful, reserved):
+            self._call_advice(step, queue, wanted, now)
+
+    def _ask_early(self, step, queue, allowed, starts_at, now):
+        """Ask about workers for a step that can't start yet.
+
+        Which are good never changes, and is asked at once: room is kept at those alone.
+        Their tickets are renewed so that they are there when the room comes.
+
+        Args:
+          step: A model.StepState.
+          queue: A queue.Queue with advice.
+          allowed: A list of model.Worker.
+          starts_at: A float, when it is expected to start; None if that is not known.
+          now: A float.
+        """
+        wanted = self._list_wanted(step, allowed, now)
+        if not wanted:
+            return
+        is_known = all(worker.worker_id in step.asked_ids for worker in wanted)
+        lead_s = compute_cost_s(queue.advice, wanted) + TICKET_LEAD_S
+        if is_known and (starts_at is None or starts_at - now > lead_s):
             return
-        wanted = [
+        self._call_advice(step, queue, wanted, now)
+
+    def _list_wanted(self, step, allowed, now):
+        """List the workers that advice or a ticket is to be had for."""
+        return [
             worker
             for worker in allowed
             if worker.worker_id not in step.asked_ids
@@ -40,18 +77,12 @@
                 and not placing.has_ticket(step, worker, now)
             )
         ]
-        # What is known to be good is worth a call only if it has room.
-        hopeful = [
-            worker
-            for worker in allowed
-            if worker.worker_id not in step.asked_ids
-            or worker.worker_id in step.good_ids
-        ]
-        if not wanted or not placing.has_room(step, hopeful):
+
+    def _call_advice(self, step, queue, wanted, now):
+        if step.is_advising or now < step.retry_advice_at:
             return
         wanted = wanted[:ASKED_WORKERS]
-        cost_s = (queue.advice.base_ms + queue.advice.worker_ms * len(wanted)) / 1000
-        chosen = self.callers.choose(cost_s, now)
+        chosen = self.callers.choose(compute_cost_s(queue.advice, wanted), now)
         if chosen is None:
             return
         caller, deadline = chosen
@@ -96,3 +127,15 @@
             if worker.entry.service == queue.service
             and placing.is_allowed(step, worker, now)
         ]
+
+
+def compute_cost_s(advice, workers):
+    """Compute how long a call for advice takes.
+
+    Args:
+      advice: A queue.Advice.
+      workers: A list of the workers that it is about.
+    Returns:
+      A float, seconds.
+    """
+    return (advice.base_ms + advice.worker_ms * len(workers)) / 1000
--- a/thornport/jobs/spec.py
+++ b/thornport/jobs/spec.py
@@ -37,6 +37,27 @@
             self.accelerators - other.accelerators,
         )
 
+    def limit(self, other):
+        """Limit by another, resource by resource, giving a new Demand."""
+        return Demand(
+            min(self.millicores, other.millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def share_of(self, total):
+        """Say what share of a whole this is, a float, by the resource it has least of.
+
+        Args:
+          total: A Demand; a resource that it has none of counts for nothing.
+        """
+        shares = (
+            (self.millicores, total.millicores),
+            (self.memory_mb, total.memory_mb),
+            (self.accelerators, total.accelerators),
+        )
+        return max((part / whole for part, whole in shares if whole), default=0.0)
+
     def rank_room(self):
         """Rank room for best fit: what has fewer accelerators left goes first.
 
