--- a/thornport/cell/advising.py
+++ b/thornport/cell/advising.py
@@ -59,6 +59,14 @@
         caller.has_store = has_store
         caller.cores = cores
 
+    def forget(self, name):
+        """Give no calls to a process until it greets again.
+
+        Args:
+          name: A str.
+        """
+        self._by_name.pop(name, None)
+
     def find_largest_cores(self, now):
         """The most processor that a VM of a process that is well has, a float."""
         return max((caller.cores for caller in self._list_alive(now)), default=0.0)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -20,6 +20,10 @@
 from thornport.store import probing, transactions, watching
 
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
+# Between greetings to a new owner until it answers: the first are lost while the
+# connections to it and from it are made, some milliseconds each, and an owner without
+# greetings has nobody to call for advice.
+GREET_AGAIN_S = (0.01, 0.02, 0.04, 0.08, 0.16)
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
@@ -40,6 +44,7 @@
       candidacy: The candidacy.Candidacy of this process for the cell.
       liveness: The liveness.Liveness of the cell's owner.
       peers: The peerlist.PeerList of the other processes.
+      greeted_address: A str, of the owner that answered a greeting last.
     """
 
     def __init__(self, reactor, settings, ports, bus, metrics):
@@ -63,6 +68,7 @@
         told = telling.PeerTelling(self)
         self.intake = intake.Intake(reactor, self.relayed, metrics, told)
         self.peers = peerlist.PeerList()
+        self.greeted_address = ""
         self.asker = asking.Asker(reactor, bus)
         cores = settings.process.cpu_share * settings.process.cores
         self._cores = cores
@@ -183,7 +189,9 @@
             and self._owner.incarnation != self._claimer.incarnation
         ):
             self._standing.key_is_lost()
-        self._greet()
+        if self._owner is not None and self._owner != known:
+            self.greeted_address = ""
+            tasks.spawn(self._greet_new(self._owner), "greet-new-owner")
 
     # The actions of ownership.Standing.
 
@@ -263,6 +271,14 @@
             hello = peering.Hello(name, self.has_store(), self._cores)
             self.bus.send(self._owner.address, "", hello)
 
+    async def _greet_new(self, owner):
+        """Greet a new owner until it has answered."""
+        for wait_s in GREET_AGAIN_S:
+            self._greet()
+            await tasks.sleep(self._reactor, wait_s)
+            if self._owner != owner or self.greeted_address == owner.address:
+                return
+
     def _take_message(self, sender, address, message):
         receiving.take(message, self, address)
 
--- a/thornport/cell/offering.py
+++ b/thornport/cell/offering.py
@@ -10,6 +10,10 @@
 from thornport.kernel import clock, logs, tasks
 
 OFFER_PERIOD_S = 0.1  # offers of an owner that the store does not answer
+# Looks in a row that find the store away before the first offer: when the store turns
+# slow, its first late answers come a few hundredths of a second after it counts as
+# away, and a takeover by a slow store takes 2 s.
+AWAY_LOOKS = 2
 # An owner hands the cell to a VM with this many times its processor: a takeover costs
 # some tenths of a second, which a slightly larger VM does not make good.
 LARGER_TIMES = 1.5
@@ -29,6 +33,7 @@
         """
         self._daemon = daemon
         self._cores = cores
+        self._away_looks = 0
 
     def start(self, reactor):
         """Begin to make offers.
@@ -43,7 +48,8 @@
 
     def offer(self):
         """Offer the cell to a peer while the store does not answer us."""
-        if not self._daemon.has_store():
+        self._away_looks = 0 if self._daemon.has_store() else self._away_looks + 1
+        if self._away_looks >= AWAY_LOOKS:
             self._offer_to_larger(0.0, "the store is away")
 
     def hand_over(self):
--- a/thornport/cell/offering_test.py
+++ b/thornport/cell/offering_test.py
@@ -62,8 +62,15 @@
         self.assertEqual(self.read_offers(has_store=True), [("10.0.0.2:1", 7)])
 
     def test_cell_is_offered_while_the_store_is_away(self):
+        self.assertEqual(self.read_offers(has_store=False), [])
         self.assertEqual(self.read_offers(has_store=False), [("10.0.0.2:1", 7)])
 
+    def test_one_late_answer_of_the_store_makes_no_offer(self):
+        # With nobody on a larger VM, the loss of the store alone makes an offer.
+        self.core.callers.greet("large", "10.0.0.2:1", True, 0.5, 10.0)
+        for has_store in (False, True, False, True):
+            self.assertEqual(self.read_offers(has_store), [])
+
     def test_process_that_does_not_decide_offers_nothing(self):
         self.daemon.get_core.return_value = None
         self.assertEqual(self.read_offers(has_store=False), [])
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/receiving.py
@@ -33,7 +33,8 @@
     """A process can call for advice; tell it of the others.
 
     One that is becoming the owner takes it too: it needs calls for advice as soon
-    as it decides.
+    as it decides. A process that messages do not reach yet is given no calls; it
+    greets again until it is answered.
     """
     if daemon.session is None:
         return
@@ -45,12 +46,14 @@
         tuple(callers.list_addresses(False, now)),
         callers.find_largest_cores(now),
     )
-    daemon.bus.send(address, "", peers)
+    if not daemon.bus.send(address, "", peers):
+        callers.forget(message.name)
 
 
 @take.register
 def take_peers(message: peering.Peers, daemon, address):
     """The owner tells which peers the store answers."""
+    daemon.greeted_address = address
     daemon.liveness.hear(address)
     daemon.candidacy.take_largest(message.largest_cores)
     own = {daemon.bus.address}
--- a/thornport/cell/receiving_test.py
+++ b/thornport/cell/receiving_test.py
@@ -22,6 +22,14 @@
         ((address, _, told),) = [c.args for c in self.daemon.bus.send.call_args_list]
         self.assertEqual((address, told.with_store), (ADDRESS, (ADDRESS,)))
 
+    def test_process_that_is_not_reached_yet_is_given_no_calls(self):
+        self.daemon.bus.send.return_value = False
+        receiving.take(peering.Hello("vm-2", True, 2.0), self.daemon, ADDRESS)
+        self.assertIsNone(self.core.callers.choose(0.01, 0.0))
+        self.daemon.bus.send.return_value = True
+        receiving.take(peering.Hello("vm-2", True, 2.0), self.daemon, ADDRESS)
+        self.assertIsNotNone(self.core.callers.choose(0.01, 0.0))
+
     def test_process_that_is_not_becoming_the_owner_answers_nothing(self):
         self.daemon.session = None
         receiving.take(peering.Hello("vm-2", True, 2.0), self.daemon, ADDRESS)
--- a/thornport/peers/bus.py
+++ b/thornport/peers/bus.py
@@ -113,10 +113,13 @@
           address: A str, `IP:PORT`.
           target: A str, a member id, or empty.
           message: A struct.
+        Returns:
+          A bool, false when it is lost already: there is no connection yet, or the
+          queue is full.
         """
         if address == self.address:
             self._reactor.callLater(0, self._take, self.member_id, address, message)
-            return
+            return True
         body = self._codec.encode(message)
         frame = Frame(self.member_id, self.address, target, body)
         try:
@@ -125,6 +128,8 @@
             self._metrics.count("peers.sent_bytes", len(body))
         except zmq.Again:
             self._metrics.count("peers.dropped")
+            return False
+        return True
 
     def _find_push(self, address):
         push = self._push_by_address.get(address)
