Replace connections that fall silent: zmq's heartbeats, and one time-out for a pool

Cause: an open connection may fall silent for good without a reset while new ones work. The bus sent into such a connection without end; of kept HTTP connections each cost a call its time-out. A test with a forwarder that silences what is open never got a message through again (20 s); three idle connections stayed in their pool after a time-out.

Change: zmq asks each connection for a sign of life every 0.5 s and replaces one that does not answer in 0.5 s; a call that times out closes its address's idle connections of which nothing came since it was sent.

Time to the first message after a silence, by the test: 1.1 s.

--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -45,7 +45,13 @@
 
 
 class Connection(protocol.Protocol):
-    """One connection, with one call on it at a time."""
+    """One connection, with one call on it at a time.
+
+    Attributes:
+      is_open: Whether it was made and has not ended.
+      heard_at: A float of the reactor's time, when the pool last got it back.
+      note_progress: A callable, called when bytes come; None for none.
+    """
 
     def __init__(self, pool):
         self._pool = pool
@@ -54,6 +60,7 @@
         self._body = []
         self._keeps = True
         self.is_open = False
+        self.heard_at = 0.0
         self.note_progress = None
 
     def connectionMade(self):
@@ -119,9 +126,10 @@
 class Pool:
     """The idle connections to one address."""
 
-    __slots__ = ("idle",)
+    __slots__ = ("_reactor", "idle")
 
-    def __init__(self):
+    def __init__(self, reactor):
+        self._reactor = reactor
         self.idle = collections.deque()
 
     def take(self):
@@ -134,8 +142,22 @@
 
     def put_back(self, connection):
         """Keep a connection for the next call."""
+        connection.heard_at = self._reactor.seconds()
         self.idle.append(connection)
 
+    def drop_unheard(self, since):
+        """Close the idle connections of which nothing came since a time.
+
+        Connections may fall silent without a reset, all at once, while new ones work;
+        each would cost a call its time-out.
+
+        Args:
+          since: A float of the reactor's time, when a call was sent that timed out.
+        """
+        for connection in [c for c in self.idle if c.heard_at < since]:
+            self.idle.remove(connection)
+            connection.transport.abortConnection()
+
     def drop(self, connection):
         """Forget a connection that was lost."""
         if connection in self.idle:
@@ -184,7 +206,7 @@
         Returns:
           A Result of Answer, NotSent or NoAnswer.
         """
-        pool = self._pool_by_address.setdefault(address, Pool())
+        pool = self._pool_by_address.setdefault(address, Pool(self._reactor))
         connection = pool.take()
         if connection is None:
             opened = await self._open(address, pool, min(timeout_s, CONNECT_TIMEOUT_S))
@@ -192,8 +214,14 @@
                 return opened
             connection = opened.unwrap()
         data = format_request(address, method, path, body, headers)
+        sent_at = self._reactor.seconds()
         waiting = connection.send(data)
-        timer = self._reactor.callLater(timeout_s, waiting.cancel)
+
+        def give_up():
+            pool.drop_unheard(sent_at)
+            waiting.cancel()
+
+        timer = self._reactor.callLater(timeout_s, give_up)
         if is_long:
             connection.note_progress = lambda: timer.reset(timeout_s)
         try:
--- a/thornport/kernel/httpcalls_test.py
+++ b/thornport/kernel/httpcalls_test.py
@@ -35,9 +35,10 @@
     def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
         """Note who wants a connection."""
         self.factory = factory
+        self.opened = getattr(self, "opened", 0) + 1
 
 
-class Timeouts(unittest.TestCase):
+class Calls(unittest.TestCase):
     """Calls in simulated time, over a transport in memory."""
 
     def setUp(self):
@@ -56,6 +57,10 @@
         self.reactor.advance(0)
         return connection
 
+
+class Timeouts(Calls):
+    """When a call is given up."""
+
     def send(self, connection, *parts):
         """Let parts of an answer come, each most of a timeout after the other."""
         for part in parts:
@@ -80,5 +85,41 @@
         self.assertIsInstance(self.given[0], result.Failure)
 
 
+class Silence(Calls):
+    """Kept connections that fall silent without a reset."""
+
+    def answer(self, connection):
+        """Let a whole answer come."""
+        connection.dataReceived(HEAD + b"abcdef")
+
+    def call_kept(self):
+        """Begin a call that finds a kept connection."""
+        call = self.calls.call("10.0.0.1:80", "GET", "/", timeout_s=TIMEOUT_S)
+        tasks.spawn(call, "call").addCallback(self.given.append)
+
+    def test_one_time_out_ends_the_other_idle_connections(self):
+        connections = [self.begin(is_long=False) for _ in range(3)]
+        for connection in connections:
+            self.answer(connection)
+        self.reactor.advance(1.0)
+        self.call_kept()
+        self.reactor.advance(TIMEOUT_S * 1.1)
+        self.assertIsInstance(self.given[-1], result.Failure)
+        self.assertFalse(any(connection.is_open for connection in connections))
+        self.answer(self.begin(is_long=False))
+        self.assertEqual(self.given[-1].unwrap().status, 200)
+
+    def test_connection_that_answered_meanwhile_is_kept(self):
+        connections = [self.begin(is_long=False) for _ in range(2)]
+        for connection in connections:
+            self.answer(connection)
+        self.reactor.advance(1.0)
+        self.call_kept()
+        self.call_kept()
+        self.answer(connections[0])
+        self.reactor.advance(TIMEOUT_S * 1.1)
+        self.assertEqual([c.is_open for c in connections], [True, False])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/peers/bus.py
+++ b/thornport/peers/bus.py
@@ -2,8 +2,9 @@
 
 Every process binds one PULL socket and connects one PUSH socket to each peer
 it talks to. zmq hides lost connections, so its silence proves nothing: lease
-and heartbeat are the slices' own. Queues are bounded, and what does not fit
-is dropped and counted; every message of ours is one that may be lost.
+and heartbeat are the slices' own. Its own heartbeats replace connections alone.
+Queues are bounded, and what does not fit is dropped and counted; every message
+of ours is one that may be lost.
 """
 
 import zmq
@@ -15,6 +16,10 @@
 HIGH_WATER_MARK = 2000
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MAX_RECEIVED_AT_ONCE = 200
+# A connection that falls silent without a reset is replaced within a second: each is
+# asked for a sign of life this often, and has as long to answer. A quarter of a second
+# would cost the owner of a large cell hundreds of wake-ups a second.
+HEARTBEAT_MS = 500
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
 
@@ -142,6 +147,9 @@
             push.set(zmq.IMMEDIATE, 1)
             push.set(zmq.RECONNECT_IVL, RECONNECT_MS)
             push.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            push.set(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+            push.set(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_MS)
+            push.set(zmq.HEARTBEAT_TTL, 2 * HEARTBEAT_MS)
             push.connect(f"tcp://{address}")
             self._push_by_address[address] = push
         return push
