--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/cellstate.py
@@ -3,7 +3,7 @@
 Each part is a class over this state with one duty; `core.CellCore` joins them.
 """
 
-from thornport.cell import advising, headroom, messages
+from thornport.cell import advising, messages
 
 
 class CellState:
@@ -46,7 +46,6 @@
         self.callers = advising.Callers()
         self._queues_by_name = {}
         self._next_order = 0
-        self._headroom = headroom.Headroom()
         self._lossy_until = now  # answers of workers are being lost until then
         # Runs whose starts wait until their records are kept.
         self._recording = []
--- a/thornport/cell/reserving.py
+++ b/thornport/cell/reserving.py
@@ -43,19 +43,9 @@
 
 
 class Reservations:
-    """The room that is kept in one round.
+    """The room that is kept in one round."""
 
-    Attributes:
-      headroom: Demand that the step at hand leaves on each worker.
-    """
-
-    __slots__ = (
-        "_claim_by_worker",
-        "_now",
-        "_releases_by_worker",
-        "_step_count",
-        "headroom",
-    )
+    __slots__ = ("_claim_by_worker", "_now", "_releases_by_worker", "_step_count")
 
     def __init__(self, now):
         """Begin with nothing kept.
@@ -67,7 +57,6 @@
         self._claim_by_worker = {}
         self._releases_by_worker = {}
         self._step_count = 0
-        self.headroom = spec.Demand()
 
     def may_reserve(self):
         """Whether a further step may get workers."""
@@ -83,8 +72,6 @@
           A spec.Demand.
         """
         free = worker.compute_free()
-        if step.spec.demand.add(self.headroom).fits(worker.entry.total):
-            free = free.subtract(self.headroom)
         claim = self._claim_by_worker.get(worker.worker_id)
         if claim is None or self._is_over_by(step, worker, claim.starts_at):
             return free
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/rounds.py
@@ -8,7 +8,7 @@
 import itertools
 
 from thornport.cell import messages, model, placing, reserving, ticketing
-from thornport.jobs import record, spec
+from thornport.jobs import record
 
 ROUND_STEPS = 80  # steps tried in a round, to bound its processor time
 
@@ -29,13 +29,11 @@
                 allowed = self._list_allowed(step, queue, now)
                 candidates_by_kind[kind] = placing.Candidates(allowed)
             candidates = candidates_by_kind[kind]
-            is_wide = reserving.is_wide(step, candidates.workers)
-            reserved.headroom = self._compute_headroom(queue, step, is_wide, now)
             # What no worker has room for costs a comparison, and holds up nothing.
             if candidates.may_hold(step.spec.demand):
                 self._place_step(job, step, queue, candidates.workers, reserved, now)
                 tried += 1
-            if step.waiting and is_wide and reserved.may_reserve():
+            if step.waiting and reserved.may_reserve():
                 self._reserve(step, queue, candidates.workers, reserved, now)
             if tried >= ROUND_STEPS:
                 return
@@ -60,14 +58,10 @@
             for number in step.spec.after
         )
 
-    def _compute_headroom(self, queue, step, is_wide, now):
-        """Compute what tasks of a step leave on each worker for urgent ones."""
-        if queue.priority == 0 or step.spec.lasting or is_wide:
-            return spec.Demand()
-        return self._headroom.compute(queue.service, now)
-
     def _reserve(self, step, queue, allowed, reserved, now):
         """Keep room for a wide step that waits."""
+        if not reserving.is_wide(step, allowed):
+            return
         if queue.advice is None:
             reserved.reserve(step, allowed)
             return
@@ -77,17 +71,16 @@
 
     def _place_step(self, job, step, queue, allowed, reserved, now):
         if queue.advice is None:
-            self._start_step(job, step, allowed, reserved, now)
+            self._start_step(job, step, allowed, reserved)
             return
         ticketed = [w for w in allowed if placing.has_ticket(step, w, now)]
         if ticketed:
-            self._start_step(job, step, ticketed, reserved, now)
+            self._start_step(job, step, ticketed, reserved)
         if step.waiting and not step.is_advising:
             self._ask_advice(step, queue, allowed, reserved, now)
 
-    def _start_step(self, job, step, workers, reserved, now):
-        queue = self._queue_of(job)
-        wants_fast = queue.priority == 0
+    def _start_step(self, job, step, workers, reserved):
+        wants_fast = self._queue_of(job).priority == 0
         assigned = placing.assign_step(step, workers, reserved, wants_fast)
         if not assigned:
             return
@@ -109,8 +102,6 @@
             reserved.take_room(step, worker)
             worker.add_run(run)
             self._recording.append(run)
-            if queue.priority == 0:
-                self._headroom.note_start(queue.service, step.spec.demand, now)
         job.has_begun = True
         if job.state is record.JobState.QUEUED:
             job.state = record.JobState.RUNNING
