Part the cell by duty: decisions, the owner, peers

41 modules lay side by side; a newcomer could not tell which are pure, which hold the owner's key and which speak to peers. Two bare pairs get types: the call that a process is given, and the state of a job that a batch keeps.

--- a/bench/cell.py
+++ b/bench/cell.py
@@ -9,7 +9,7 @@
 
 from hdrh import histogram
 
-from thornport.cell import core, messages
+from thornport.cell.decisions import core, messages
 from thornport.jobs import queue, record, spec
 
 WORKER_COUNTS = (24, 176, 860)
--- a/standins/leased_worker.py
+++ b/standins/leased_worker.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.jobs import spec
 
 MAX_HOLD_MS = 6000
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from standins import serve
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.platform import workers
 
 
--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -6,7 +6,7 @@
 """
 
 from standins import leased_worker
-from thornport.cell import core, messages
+from thornport.cell.decisions import core, messages
 from thornport.jobs import queue, record, spec
 
 ROOM = spec.Demand(64_000, 131_072, 0)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -2,13 +2,11 @@
 
 from returns import result
 
-from thornport.cell import (
+from thornport.cell.owner import offering, owner, ownership
+from thornport.cell.peers import (
     asking,
     candidacy,
     liveness,
-    offering,
-    owner,
-    ownership,
     peering,
     peerlist,
     receiving,
--- /dev/null
+++ b/thornport/cell/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner of a cell decides: pure, messages and time in, messages out."""
--- a/thornport/cell/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -37,6 +37,18 @@
     open_count: int = 0
 
 
+class GivenCall(msgspec.Struct, frozen=True):
+    """A call that a process is given.
+
+    Attributes:
+      caller: The Caller.
+      deadline: A float, when its answer is given up.
+    """
+
+    caller: Caller
+    deadline: float
+
+
 class Callers:
     """The processes that can call, by name."""
 
@@ -109,8 +121,7 @@
           cost_s: A float, how long the call takes.
           now: A float.
         Returns:
-          A pair of the Caller and the deadline of the call, or None when no
-          process can make it soon.
+          A GivenCall, or None when no process can make it soon.
         """
         alive = sorted(self._list_alive(now), key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
@@ -121,7 +132,7 @@
             return None
         caller.busy_until = max(caller.busy_until, now) + cost_s
         caller.open_count += 1
-        return caller, caller.busy_until + ANSWER_SLACK_S
+        return GivenCall(caller, caller.busy_until + ANSWER_SLACK_S)
 
     def end_call(self, name, now):
         """Take that a call has its answer, or is given up.
--- a/thornport/cell/advising_test.py
+++ b/thornport/cell/decisions/advising_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import advising
+from thornport.cell.decisions import advising
 
 LONG_S = 0.7
 SHORT_S = 0.009
@@ -22,8 +22,8 @@
 
     def choose(self, cost_s, now=10.0):
         """The name of the process that is chosen, or None."""
-        chosen = self.callers.choose(cost_s, now)
-        return chosen and chosen[0].name
+        given = self.callers.choose(cost_s, now)
+        return given and given.caller.name
 
     def test_long_calls_hold_up_no_short_ones(self):
         self.assertEqual({self.choose(LONG_S), self.choose(LONG_S)}, {"a", "b"})
--- a/thornport/cell/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell import ending, leases, messages, model, progress
+from thornport.cell.decisions import ending, leases, messages, model, progress
 from thornport.jobs import record
 
 # Of a transaction's 32 entries, two are conditions and one the head; a job that is
@@ -16,13 +16,20 @@
 FORGOTTEN_KEYS = 3  # of a job that is forgotten: its own, its cancel's, its progress'
 
 
+class DecidedState(msgspec.Struct, frozen=True):
+    """The state of a job that is shown once it is kept."""
+
+    job_id: str
+    state: record.JobState
+
+
 class Batch(msgspec.Struct, frozen=True):
     """What one transaction keeps.
 
     Attributes:
       progress_by_job: Bytes by job id.
       runs: The Runs whose starts may go out once this is kept.
-      states: Pairs of job id and record.JobState.
+      states: DecidedStates of the jobs.
       forgotten: Ids of jobs whose records are removed.
       closed_by_job: What stands for jobs that are over, bytes by job id; their
         progress is removed.
@@ -31,7 +38,7 @@
 
     progress_by_job: dict[str, bytes]
     runs: list[model.Run]
-    states: list[tuple[str, record.JobState]]
+    states: list[DecidedState]
     forgotten: list[str]
     closed_by_job: dict[str, bytes] = {}
     dropped: list[str] = []
@@ -58,7 +65,7 @@
         return Batch(
             encode_progress(jobs),
             self._take_recording(set(job_ids)),
-            [(job.job_id, job.state) for job in jobs],
+            [DecidedState(job.job_id, job.state) for job in jobs],
             self._take_forgotten((BATCH_JOBS - len(jobs)) // FORGOTTEN_KEYS),
             encode_closed(jobs),
             [job_id for job_id, job in found.items() if job is None],
@@ -102,15 +109,15 @@
 
     def _take_kept_jobs(self, batch, now):
         self._in_flight.difference_update(batch.dropped)
-        for job_id, state in batch.states:
-            self._in_flight.discard(job_id)
-            job = self._find_job(job_id)
+        for decided in batch.states:
+            self._in_flight.discard(decided.job_id)
+            job = self._find_job(decided.job_id)
             if job is None:
                 continue
-            job.shown_state = state
-            if state in record.FINAL_STATES and job.ended_at is None:
+            job.shown_state = decided.state
+            if job.shown_state in record.FINAL_STATES and job.ended_at is None:
                 job.ended_at = now
-            if job_id not in self.dirty and progress.is_closed(job):
+            if job.job_id not in self.dirty and progress.is_closed(job):
                 job.close()
         for run in batch.runs:
             if run.state is not model.RunState.RECORDING:
--- a/thornport/cell/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -3,7 +3,7 @@
 Each part is a class over this state with one duty; `core.CellCore` joins them.
 """
 
-from thornport.cell import advising, messages
+from thornport.cell.decisions import advising, messages
 
 
 class CellState:
--- a/thornport/cell/core.py
+++ b/thornport/cell/decisions/core.py
@@ -5,7 +5,7 @@
 names it is kept, so a successor knows each worker that may run a task.
 """
 
-from thornport.cell import (
+from thornport.cell.decisions import (
     batches,
     explaining,
     holds,
--- a/thornport/cell/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from tests import cellworld
-from thornport.cell import core, messages
+from thornport.cell.decisions import core, messages
 from thornport.jobs import record, spec
 
 
--- a/thornport/cell/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -3,7 +3,7 @@
 A run that may be live keeps its room and its task until it is surely over.
 """
 
-from thornport.cell import cellstate, messages, model
+from thornport.cell.decisions import cellstate, messages, model
 from thornport.jobs import record
 
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
--- a/thornport/cell/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell import messages, placing, reserving, rounds
+from thornport.cell.decisions import messages, placing, reserving, rounds
 from thornport.jobs import record
 
 
--- a/thornport/cell/explaining_test.py
+++ b/thornport/cell/decisions/explaining_test.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from thornport.cell import core, explaining, messages
+from thornport.cell.decisions import core, explaining, messages
 from thornport.jobs import queue, record, spec
 
 ROOM = spec.Demand(64_000, 131_072, 0)
--- a/thornport/cell/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -4,7 +4,7 @@
 all tasks stand still gets no starts for a while.
 """
 
-from thornport.cell import ending, leases, messages, model
+from thornport.cell.decisions import ending, leases, messages, model
 from thornport.jobs import spec as specs
 
 # A look that waits: one whose answer is lost hides ends for this long and a
--- a/thornport/cell/holds_test.py
+++ b/thornport/cell/decisions/holds_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import core, holds, messages
+from thornport.cell.decisions import core, holds, messages
 from thornport.jobs import queue, record, spec
 
 ROOM = spec.Demand(64_000, 131_072, 0)
--- a/thornport/cell/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from thornport.cell import (
+from thornport.cell.decisions import (
     batches,
     leases,
     leaving,
--- a/thornport/cell/leases.py
+++ b/thornport/cell/decisions/leases.py
@@ -4,7 +4,7 @@
 does no harm: what it can't renew ends by itself.
 """
 
-from thornport.cell import model
+from thornport.cell.decisions import model
 
 HOLD_MS = 6000  # the longest lease that workers grant
 GRANT_SILENCE_S = 1.5  # a look that waits and its time-out, 1.0 s, and a little
--- a/thornport/cell/leaving.py
+++ b/thornport/cell/decisions/leaving.py
@@ -5,7 +5,7 @@
 loses little.
 """
 
-from thornport.cell import ending, messages, model
+from thornport.cell.decisions import ending, messages, model
 
 # Workers stay a little longer than they say; a task that would end within this is
 # left alone.
--- a/thornport/cell/model.py
+++ b/thornport/cell/decisions/model.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.jobs import record, spec
 
 # A worker's clock may run this much slower than ours (the users' bound).
--- a/thornport/cell/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -1,6 +1,6 @@
 """What came of the orders to workers: of starts and of stops."""
 
-from thornport.cell import ending, messages, model
+from thornport.cell.decisions import ending, messages, model
 
 
 class Outcomes(ending.Ending):
--- a/thornport/cell/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -1,6 +1,6 @@
 """Between the owner's state of a job and the record of it in the store."""
 
-from thornport.cell import messages, model
+from thornport.cell.decisions import messages, model
 from thornport.jobs import record
 
 
--- a/thornport/cell/reserving_test.py
+++ b/thornport/cell/decisions/reserving_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import core, messages, model, reserving
+from thornport.cell.decisions import core, messages, model, reserving
 from thornport.jobs import queue, record, spec
 
 ROOM = spec.Demand(64_000, 128_000, 8)
--- a/thornport/cell/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -7,7 +7,7 @@
 
 import itertools
 
-from thornport.cell import messages, model, placing, reserving, ticketing
+from thornport.cell.decisions import messages, model, placing, reserving, ticketing
 from thornport.jobs import record
 
 ROUND_STEPS = 80  # steps tried in a round, to bound its processor time
--- a/thornport/cell/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from thornport.cell import cellstate, messages, placing
+from thornport.cell.decisions import cellstate, messages, placing
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
 ASKED_WORKERS = 100  # named in one call; each makes the call longer
@@ -82,13 +82,13 @@
         if step.is_advising or now < step.retry_advice_at:
             return
         wanted = wanted[:ASKED_WORKERS]
-        chosen = self.callers.choose(compute_cost_s(queue.advice, wanted), now)
-        if chosen is None:
+        given = self.callers.choose(compute_cost_s(queue.advice, wanted), now)
+        if given is None:
             return
-        caller, deadline = chosen
         step.is_advising = True
         request = messages.AdviceRequest(step.key, tuple(w.worker_id for w in wanted))
-        call = CallAdvice(caller.name, caller.address, request, deadline)
+        caller = given.caller
+        call = CallAdvice(caller.name, caller.address, request, given.deadline)
         self._open_advice_by_step[step.key] = call
         self.orders.append(call)
 
--- a/thornport/cell/following.py
+++ b/thornport/cell/owner/following.py
@@ -8,7 +8,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import learning
+from thornport.cell.decisions import learning
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
--- a/thornport/cell/lanes.py
+++ b/thornport/cell/owner/lanes.py
@@ -6,7 +6,7 @@
 import msgspec
 from twisted.internet import defer
 
-from thornport.cell import ownership
+from thornport.cell.owner import ownership
 from thornport.jobs import record
 from thornport.kernel import logs
 from thornport.store import transactions
--- a/thornport/cell/lanes_test.py
+++ b/thornport/cell/owner/lanes_test.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornport.cell import batches, lanes
+from thornport.cell.decisions import batches
+from thornport.cell.owner import lanes
 
 STORE_ENTRIES = 32  # the most of a transaction, by the users' platform
 
--- a/thornport/cell/ledger.py
+++ b/thornport/cell/owner/ledger.py
@@ -17,7 +17,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import committing, lanes, ownership
+from thornport.cell.owner import committing, lanes, ownership
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
 
--- a/thornport/cell/ledger_test.py
+++ b/thornport/cell/owner/ledger_test.py
@@ -7,7 +7,8 @@
 from twisted.internet import defer, task
 
 from standins import transaction_store
-from thornport.cell import batches, lanes, ledger, ownership
+from thornport.cell.decisions import batches
+from thornport.cell.owner import lanes, ledger, ownership
 from thornport.jobs import record
 from thornport.kernel import clock, metrics, tasks
 from thornport.store import port, transactions
--- a/thornport/cell/looks.py
+++ b/thornport/cell/owner/looks.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.kernel import clock, logs, tasks
 
 ACK_POLL_S = 0.004  # between looks whether ends are kept
--- a/thornport/cell/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -6,7 +6,7 @@
 
 import random
 
-from thornport.cell import peering
+from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
 OFFER_PERIOD_S = 0.1  # offers of an owner that the store does not answer
--- a/thornport/cell/offering_test.py
+++ b/thornport/cell/owner/offering_test.py
@@ -3,7 +3,8 @@
 import unittest
 from unittest import mock
 
-from thornport.cell import advising, offering
+from thornport.cell.decisions import advising
+from thornport.cell.owner import offering
 from thornport.kernel import clock
 
 
--- a/thornport/cell/orders.py
+++ b/thornport/cell/owner/orders.py
@@ -2,7 +2,8 @@
 
 import functools
 
-from thornport.cell import messages, peering, ticketing
+from thornport.cell.decisions import messages, ticketing
+from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
 
--- a/thornport/cell/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -2,7 +2,9 @@
 
 import time
 
-from thornport.cell import core, following, leases, ledger, looks, orders, peering
+from thornport.cell.decisions import core, leases
+from thornport.cell.owner import following, ledger, looks, orders
+from thornport.cell.peers import peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 
@@ -198,9 +200,9 @@
 
     def _take_kept(self, batch, sent_at):
         self.core.take_kept(batch, sent_at, clock.read_monotonic())
-        for job_id, state in batch.states if batch is not None else ():
-            if state in record.FINAL_STATES:
-                logs.log("job-ended", job=job_id, state=state.value)
+        for decided in batch.states if batch is not None else ():
+            if decided.state in record.FINAL_STATES:
+                logs.log("job-ended", job=decided.job_id, state=decided.state.value)
         self.pump()
 
     def _tick(self):
--- /dev/null
+++ b/thornport/cell/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of a cell tell and ask one another."""
--- a/thornport/cell/asking.py
+++ b/thornport/cell/peers/asking.py
@@ -1,6 +1,6 @@
 """Asking the owner of the cell over the bus."""
 
-from thornport.cell import peering, questions
+from thornport.cell.peers import peering, questions
 
 ANSWER_S = 0.25  # an owner that is well answers in a few milliseconds
 
--- a/thornport/cell/candidacy_test.py
+++ b/thornport/cell/peers/candidacy_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import candidacy
+from thornport.cell.peers import candidacy
 
 
 class ComputeWait(unittest.TestCase):
--- a/thornport/cell/liveness.py
+++ b/thornport/cell/peers/liveness.py
@@ -4,7 +4,7 @@
 it any more asks the others, and takes the cell over when most of them agree.
 """
 
-from thornport.cell import candidacy, peering, polling
+from thornport.cell.peers import candidacy, peering, polling
 from thornport.kernel import clock, logs, tasks
 
 CHECK_PERIOD_S = 0.05  # between looks at what was heard; well below a heartbeat
--- a/thornport/cell/peering_test.py
+++ b/thornport/cell/peers/peering_test.py
@@ -3,7 +3,7 @@
 import typing
 import unittest
 
-from thornport.cell import peering, receiving
+from thornport.cell.peers import peering, receiving
 from thornport.kernel import codec
 
 
--- a/thornport/cell/peerlist_test.py
+++ b/thornport/cell/peers/peerlist_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import peerlist
+from thornport.cell.peers import peerlist
 
 
 class PeerList(unittest.TestCase):
--- a/thornport/cell/polling_test.py
+++ b/thornport/cell/peers/polling_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from thornport.cell import polling
+from thornport.cell.peers import polling
 
 PEERS = frozenset({"a", "b", "c", "d"})
 
--- a/thornport/cell/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -9,7 +9,8 @@
 
 from returns import result
 
-from thornport.cell import messages, peering
+from thornport.cell.decisions import messages
+from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
 
--- a/thornport/cell/receiving_test.py
+++ b/thornport/cell/peers/receiving_test.py
@@ -3,7 +3,8 @@
 import unittest
 from unittest import mock
 
-from thornport.cell import core, peering, receiving
+from thornport.cell.decisions import core
+from thornport.cell.peers import peering, receiving
 
 ADDRESS = "10.0.0.2:1"
 
--- a/thornport/cell/relaying.py
+++ b/thornport/cell/peers/relaying.py
@@ -10,7 +10,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell import peering, questions
+from thornport.cell.peers import peering, questions
 from thornport.kernel import tasks
 from thornport.store import port, transactions
 
--- a/thornport/cell/relaying_test.py
+++ b/thornport/cell/peers/relaying_test.py
@@ -5,7 +5,7 @@
 from returns import result
 from twisted.internet import defer, task
 
-from thornport.cell import peering, relaying
+from thornport.cell.peers import peering, relaying
 from thornport.kernel import tasks
 from thornport.store import port, transactions
 
--- a/thornport/cell/telling.py
+++ b/thornport/cell/peers/telling.py
@@ -4,7 +4,7 @@
 word of it lets the owner start sooner. A message that is lost is not sent again.
 """
 
-from thornport.cell import peering
+from thornport.cell.peers import peering
 from thornport.jobs import intake
 
 
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -12,7 +12,8 @@
 from twisted.internet import reactor  # noqa: E402
 from twisted.web import server  # noqa: E402
 
-from thornport.cell import daemon, peering, ports, settings, web  # noqa: E402
+from thornport.cell import daemon, ports, settings, web  # noqa: E402
+from thornport.cell.peers import peering  # noqa: E402
 from thornport.commands import daemons  # noqa: E402
 from thornport.kernel import httpcalls, logs, metrics, metricsweb  # noqa: E402
 from thornport.peers import bus  # noqa: E402
--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from returns import result
 
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.jobs import spec
 from thornport.kernel import httpcalls
 from thornport.platform import advice, config, jobs, store, workers
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -3,7 +3,7 @@
 import msgspec
 from returns import result
 
-from thornport.cell import messages
+from thornport.cell.decisions import messages
 from thornport.jobs import spec
 from thornport.kernel import httpcalls
 
