Bench: decisions in cells with accelerators, at 27 and 178 workers

A mix in which tasks of one and of all eight accelerators wait for one another, beside urgent tasks.

--- a/bench/cell.py
+++ b/bench/cell.py
@@ -1,19 +1,24 @@
 """What the decisions of a cell's owner cost, by the number of its workers.
 
 The pure core alone, in one process: jobs of the users' mix come, each start is
-answered at once and each task ends when its time is over, in simulated time.
+answered at once and each task ends when its time is over, in simulated time. A second
+mix has accelerators: tasks of one and of all eight of a worker wait for one another.
 """
 
+import collections.abc
 import random
 import time
 
+import msgspec
 from hdrh import histogram
 
 from thornport.cell.decisions import core, messages
 from thornport.jobs import queue, record, spec
 
 WORKER_COUNTS = (24, 176, 860)
+ACCELERATOR_WORKER_COUNTS = (27, 178)
 ROOM = spec.Demand(64_000, 131_072, 0)
+ACCELERATOR_ROOM = spec.Demand(64_000, 131_072, 8)
 STEP_S = 0.01
 SIMULATED_S = 10.0
 JOBS_A_WORKER_S = 1.1  # 28 jobs a second over 24 workers
@@ -33,10 +38,45 @@
     return record.JobRecord(f"{number:016x}", kept_queue, job, 0)
 
 
+def make_accelerator_job(rng, number):
+    """Draw a job: urgent ones, and tasks of one and of eight accelerators."""
+    draw = rng.random()
+    if draw < 0.8:
+        step = spec.Step(6, spec.Demand(3000, 8700, 0), 560)
+        kept_queue = URGENT
+    elif draw < 0.9:
+        step = spec.Step(2, spec.Demand(31_000, 45_000, 8), 3600, gang=True)
+        kept_queue = LARGE
+    else:
+        step = spec.Step(4, spec.Demand(5600, 11_000, 1), 3800)
+        kept_queue = LARGE
+    job = spec.Job("text", (step,))
+    return record.JobRecord(f"{number:016x}", kept_queue, job, 0)
+
+
+class Mix(msgspec.Struct, frozen=True):
+    """What a simulation is made of.
+
+    Attributes:
+      make_job: A callable of random numbers and a job's number.
+      room: Demand, what a worker has.
+      jobs_a_worker_s: A float, jobs that come for each worker and second.
+    """
+
+    name: str
+    make_job: collections.abc.Callable
+    room: spec.Demand
+    jobs_a_worker_s: float
+
+
+PLAIN = Mix("plain", make_job, ROOM, JOBS_A_WORKER_S)
+ACCELERATORS = Mix("accelerators", make_accelerator_job, ACCELERATOR_ROOM, 0.45)
+
+
 class Simulation:
     """One owner, its workers and the time."""
 
-    def __init__(self, worker_count):
+    def __init__(self, worker_count, mix):
         self.now = 0.0
         self.core = core.CellCore(1, self.now, self.now, 1.0)
         self.core.take_config(queue.Config(1, (URGENT, LARGE)))
@@ -51,7 +91,7 @@
                 "press-desk",
                 "h1",
                 messages.WorkerState.READY,
-                ROOM,
+                mix.room,
             )
             self.core.take_worker(entry, number, self.now)
             self.look(f"w{number}")
@@ -92,19 +132,21 @@
                 self.starts += 1
 
 
-def measure(worker_count):
+def measure(worker_count, mix):
     """Run one size; returns starts, seconds of decisions, and a histogram."""
     rng = random.Random(worker_count)
-    simulation = Simulation(worker_count)
+    simulation = Simulation(worker_count, mix)
     rounds = histogram.HdrHistogram(1, 10_000_000, 3)
     total_s = 0.0
     number = 0
     while simulation.now < SIMULATED_S:
         simulation.now += STEP_S
-        for _ in range(round(rng.expovariate(1 / (JOBS_A_WORKER_S * worker_count)))):
+        for _ in range(
+            round(rng.expovariate(1 / (mix.jobs_a_worker_s * worker_count)))
+        ):
             if rng.random() < STEP_S:
                 number += 1
-                simulation.core.take_job(make_job(rng, number), simulation.now)
+                simulation.core.take_job(mix.make_job(rng, number), simulation.now)
         began = time.perf_counter()
         simulation.end_due()
         simulation.decide()
@@ -116,12 +158,14 @@
 
 def main():
     """Print a line for each size."""
-    for worker_count in WORKER_COUNTS:
-        starts, total_s, rounds = measure(worker_count)
+    sizes = [(count, PLAIN) for count in WORKER_COUNTS]
+    sizes += [(count, ACCELERATORS) for count in ACCELERATOR_WORKER_COUNTS]
+    for worker_count, mix in sizes:
+        starts, total_s, rounds = measure(worker_count, mix)
         p50 = rounds.get_value_at_percentile(50) / 1000
         p99 = rounds.get_value_at_percentile(99) / 1000
         print(
-            f"cell workers={worker_count} starts={starts} "
+            f"cell mix={mix.name} workers={worker_count} starts={starts} "
             f"ms_a_start={1000 * total_s / max(1, starts):.3f} "
             f"starts_a_second={starts / total_s:.0f} "
             f"round_ms_p50={p50:.2f} p99={p99:.2f} "
