Send no start to a worker that began to leave while its record was kept

A run that is recorded beside its job may wait for some seconds until the job is accepted; its worker may have said meanwhile that it drains, and a start more than 2 s later is not allowed. Found by reading; the new test fails without the change.

--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -132,8 +132,10 @@
         job = self.jobs_by_id[run.key.job_id]
         step = self._find_step(run.key)
         ticket, deadline = step.tickets_by_worker.get(run.worker_id, ("", None))
-        if deadline is not None and now > deadline:
-            # Keeping the record took longer than the ticket holds.
+        is_leaving = worker.entry.state is not messages.WorkerState.READY
+        if is_leaving or (deadline is not None and now > deadline):
+            # Keeping the record, or the job, took longer than the ticket holds, or
+            # the worker has begun to leave meanwhile.
             self._release_run(run, now)
             return
         run.state = model.RunState.ORDERED
--- a/thornport/cell/decisions/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -63,6 +63,20 @@
         self.world.run(0.1)
         self.assertEqual(self.count_starts(), 2)
 
+    def test_start_is_not_sent_to_a_worker_that_has_begun_to_leave(self):
+        self.world.offer(cellworld.make_job("l", cellworld.make_step(1, 4, 300)))
+        self.world.run(0.5)
+        (place,) = [
+            worker_id
+            for worker_id, worker in self.world.owner.workers_by_id.items()
+            if worker.runs_by_key
+        ]
+        self.world.list_worker(place, messages.WorkerState.DRAINING)
+        self.world.accept("l")
+        self.world.run(1)
+        self.assertEqual(self.world.workers_by_id[place].started, [])
+        self.assertEqual(self.world.read_states(), {"l": "succeeded"})
+
     def test_job_that_is_never_accepted_gives_its_room_back(self):
         self.world.offer(cellworld.make_job("r", cellworld.make_step(3, 60, 300)))
         self.world.run(core.INCOMING_S + 0.5)
