Silence open connections to the store, in a test and in the soak

The soak draws one more fault: the connections of a process to the store that are open carry nothing any more, new ones work. Two tests with real processes silence those of all at once and of one after the other; each accepts jobs again and each job runs once.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,7 @@
     STORE_RESET = "cut"
     STORE_SILENT = "freeze"
     STORE_ONE_WAY = "one_way"
+    STORE_MUTED = "mute"
     STORE_AWAY = "away"
     WRITES_LOST = "lose_writes"
     HISTORY_GONE = "forgets"
@@ -38,6 +39,7 @@
         Kind.STORE_RESET,
         Kind.STORE_SILENT,
         Kind.STORE_ONE_WAY,
+        Kind.STORE_MUTED,
     }
 )
 
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -3,6 +3,7 @@
 `POST /faults` with JSON sets: `cut` (end all connections, refuse new ones),
 `delay_ms` (each way), `freeze` (hold all bytes, keep connections open),
 `one_way` (hold the bytes of answers alone),
+`mute` (drop all bytes of the connections open now, for good; new ones work),
 `truncate` (end the connection after so many bytes of an answer).
 """
 
@@ -28,6 +29,7 @@
     delay_ms: int = 0
     freeze: bool = False
     one_way: bool = False
+    mute: bool = False
     truncate: int = 0
 
 
@@ -45,6 +47,9 @@
         if faults.cut:
             for side in list(self.sides):
                 side.transport.abortConnection()
+        if faults.mute:
+            for side in self.sides:
+                side.is_muted = True
         if not faults.freeze and not faults.one_way:
             held, self.held = self.held, []
             for side, data in held:
@@ -57,6 +62,8 @@
 class Side:
     """What both sides of a forwarded connection do with bytes."""
 
+    is_muted = False
+
     def connectionMade(self):
         """Keep track of the side."""
         STATE.sides.add(self)
@@ -71,6 +78,8 @@
     def dataReceived(self, data):
         """Pass bytes on as the faults have it."""
         faults = STATE.faults
+        if self.is_muted:
+            return
         if faults.freeze or (faults.one_way and self.is_answering):
             STATE.held.append((self, data))
         elif faults.delay_ms:
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -9,8 +9,10 @@
 class SchedulerCase(unittest.TestCase):
     """A cell of three schedulers, with what must always hold checked at the end."""
 
+    has_proxies = False
+
     def setUp(self):
-        self.cell = schedulers.Schedulers(3)
+        self.cell = schedulers.Schedulers(3, has_proxies=self.has_proxies)
         self.addCleanup(self.cell.close)
         self.owner = self.cell.find_owner()
         self.other = next(name for name in self.cell.names if name != self.owner)
@@ -205,5 +207,39 @@
             self.assertEqual(self.count_starts(job_id), 3)
 
 
+class SilentConnections(SchedulerCase):
+    """Open connections to the store carry nothing any more; new ones work."""
+
+    has_proxies = True
+
+    def mute(self, *names):
+        """Silence the connections to the store that some schedulers have open."""
+        for name in names:
+            self.cell.set_proxy(f"store-of-{name}", mute=True)
+            self.cell.set_proxy(f"store-of-{name}")
+
+    def check_accepts(self, name):
+        """A job is accepted before long, runs once, and its end is shown."""
+
+        def submit():
+            job_id, status = self.cell.submit(name)
+            return job_id if status == 200 else None
+
+        job_id = harness.wait_until(submit, f"{name} accepts")
+        self.cell.wait_state(name, job_id, "succeeded")
+        self.assertEqual(self.count_starts(job_id), 3)
+
+    def test_those_of_all_processes_at_once(self):
+        self.check_accepts(self.other)
+        self.mute(*self.cell.names)
+        for name in self.cell.names:
+            self.check_accepts(name)
+
+    def test_those_of_one_process_after_the_other(self):
+        for name in self.cell.names:
+            self.mute(name)
+            self.check_accepts(name)
+
+
 if __name__ == "__main__":
     unittest.main()
