Bound the search for wide steps in a round

Cause, found by reading: whether a step is wide was asked of each waiting step and each worker, and wide steps that no worker may run were tried without end, so a backlog of thousands would have made rounds of tenths of a second.

Change: a step is wide by what a usual worker has, one comparison; 40 wide steps are tried in a round at most.

--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from thornport.jobs import spec
+
 TICKET_MARGIN_S = 0.1  # from the decision to the worker: a commit and a call
 
 
@@ -17,9 +19,10 @@
 
     Attributes:
       workers: A list of model.Worker.
+      usual_total: Demand, what the one in the middle has by its cores.
     """
 
-    __slots__ = ("_memory_mb", "_millicores", "workers")
+    __slots__ = ("_memory_mb", "_millicores", "usual_total", "workers")
 
     def __init__(self, workers):
         """Look at the room of each once.
@@ -31,6 +34,8 @@
         frees = [worker.compute_free() for worker in workers]
         self._millicores = max((free.millicores for free in frees), default=-1)
         self._memory_mb = max((free.memory_mb for free in frees), default=-1)
+        totals = sorted((w.entry.total for w in workers), key=lambda t: t.millicores)
+        self.usual_total = totals[len(totals) // 2] if totals else spec.Demand()
 
     def may_hold(self, demand):
         """Tell whether a task could fit, by the most room that there was.
--- a/thornport/cell/decisions/reserving.py
+++ b/thornport/cell/decisions/reserving.py
@@ -15,9 +15,11 @@
 # A task of a quarter of a worker's room or more is wide: smaller ones find their room
 # as tasks end.
 WIDE_SHARE = 0.25
-# Wide steps that get workers in a round: with fewer than eight workers a wide step each
-# they would hold a whole small cell; it bounds the time of a round too.
+# Wide steps that get workers in a round: the rest of a small cell stays for others.
 MAX_STEPS = 8
+# Wide steps that are tried for it, to bound the time of a round: of many that no worker
+# may run, or that wait for their advice, the first would be tried in each round.
+MAX_TRIED = 40
 # A run that should be over by its estimate ends within this share of it, on average.
 OVERDUE_SHARE = 0.25
 STOPPING_S = 0.3  # a stop takes some tenths of a second
@@ -45,7 +47,13 @@
 class Reservations:
     """The room that is kept in one round."""
 
-    __slots__ = ("_claim_by_worker", "_now", "_releases_by_worker", "_step_count")
+    __slots__ = (
+        "_claim_by_worker",
+        "_now",
+        "_releases_by_worker",
+        "_step_count",
+        "_tried",
+    )
 
     def __init__(self, now):
         """Begin with nothing kept.
@@ -57,10 +65,15 @@
         self._claim_by_worker = {}
         self._releases_by_worker = {}
         self._step_count = 0
+        self._tried = 0
 
     def may_reserve(self):
         """Whether a further step may get workers."""
-        return self._step_count < MAX_STEPS
+        return self._step_count < MAX_STEPS and self._tried < MAX_TRIED
+
+    def note_try(self):
+        """Count a step that may get workers."""
+        self._tried += 1
 
     def limit_room(self, step, worker):
         """Say what room of a worker a step may use now.
@@ -176,22 +189,20 @@
         return releases
 
 
-def is_wide(step, workers):
+def is_wide(step, usual_total):
     """Tell whether a step needs room to be kept for it.
 
     Args:
       step: A model.StepState.
-      workers: A list of model.Worker that may run it.
+      usual_total: Demand, what a worker that may run it usually has.
     Returns:
-      A bool; true of gangs, and of tasks that take much of most workers.
+      A bool; true of gangs, and of tasks that take much of a worker.
     """
     if step.spec.lasting:
         return False
     if step.spec.gang and step.spec.count > 1:
         return True
-    demand = step.spec.demand
-    wide = sum(demand.share_of(worker.entry.total) >= WIDE_SHARE for worker in workers)
-    return 2 * wide > len(workers)
+    return step.spec.demand.share_of(usual_total) >= WIDE_SHARE
 
 
 def estimate_s(step_spec, worker):
--- a/thornport/cell/decisions/reserving_test.py
+++ b/thornport/cell/decisions/reserving_test.py
@@ -94,11 +94,16 @@
         self.assertIsNone(self.reserved.reserve(make_step(WHOLE), [self.worker]))
 
     def test_only_wide_steps_have_room_kept(self):
-        workers = [self.worker]
-        self.assertTrue(reserving.is_wide(make_step(WHOLE), workers))
-        self.assertTrue(reserving.is_wide(make_step(SMALL, 2, gang=True), workers))
-        self.assertFalse(reserving.is_wide(make_step(SMALL, 9), workers))
-        self.assertFalse(reserving.is_wide(make_step(WHOLE, lasting=True), workers))
+        self.assertTrue(reserving.is_wide(make_step(WHOLE), ROOM))
+        self.assertTrue(reserving.is_wide(make_step(SMALL, 2, gang=True), ROOM))
+        self.assertFalse(reserving.is_wide(make_step(SMALL, 9), ROOM))
+        self.assertFalse(reserving.is_wide(make_step(WHOLE, lasting=True), ROOM))
+
+    def test_steps_that_never_get_room_bound_the_round(self):
+        for _ in range(reserving.MAX_TRIED):
+            self.assertTrue(self.reserved.may_reserve())
+            self.reserved.note_try()
+        self.assertFalse(self.reserved.may_reserve())
 
 
 WIDE_QUEUE = queue.Queue(
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -34,7 +34,7 @@
                 self._place_step(job, step, queue, candidates.workers, reserved, now)
                 tried += 1
             if step.waiting and reserved.may_reserve():
-                self._reserve(step, queue, candidates.workers, reserved, now)
+                self._reserve(step, queue, candidates, reserved, now)
             if tried >= ROUND_STEPS:
                 return
 
@@ -58,10 +58,12 @@
             for number in step.spec.after
         )
 
-    def _reserve(self, step, queue, allowed, reserved, now):
+    def _reserve(self, step, queue, candidates, reserved, now):
         """Keep room for a wide step that waits."""
-        if not reserving.is_wide(step, allowed):
+        if not reserving.is_wide(step, candidates.usual_total):
             return
+        reserved.note_try()
+        allowed = candidates.workers
         if queue.advice is None:
             reserved.reserve(step, allowed)
             return
