--- a/thornport/placement/daemon.py
+++ b/thornport/placement/daemon.py
@@ -12,7 +12,7 @@
 from thornport.kernel import clock, codec, ids, logs, metrics, tasks
 from thornport.membership import guard, node, relay
 from thornport.peers import bus
-from thornport.placement import model, placer, workers
+from thornport.placement import model, placer, views, workers
 from thornport.settings import inforce
 from thornport.store import client as storeclient
 from thornport.store import port
@@ -126,7 +126,7 @@
         @app.route("/v1/jobs", methods=["GET"])
         def list_jobs(request):
             request.setHeader("Content-Type", "application/json")
-            return msgspec.json.encode(describe_jobs(self._placer))
+            return msgspec.json.encode(views.view_jobs(self._placer))
 
         return app
 
@@ -223,21 +223,3 @@
             if isinstance(written, result.Success) or conflict:
                 return
             await tasks.sleep(self._reactor, RETRY_STORE_S)
-
-
-def describe_jobs(state):
-    """Describe every job for operators.
-
-    Args:
-      state: A placer.Placer.
-    Returns:
-      A dict from job name to a dict from task id to state and attempts.
-    """
-    jobs = {name: {} for name in state.finished_jobs}
-    for task in state.tasks_by_id.values():
-        described = {"state": task.state.value, "attempts": task.attempts}
-        jobs.setdefault(task.job_name, {})[task.task_id] = described
-    return {
-        name: {"finished": name in state.finished_jobs, "tasks": described}
-        for name, described in jobs.items()
-    }
