Tell what a call given up had received, and by which version a request was refused

Sight for the incident: 'no answer in 2.6 s' does not tell a slow link from a silent store, one lost watch of twenty seconds left one line, and a request refused for want of a queue left none. Now the reason of a call given up names the bytes that came, store-watch-regained says how long and how many tries, and queue-not-found names the version in force and how long ago the store confirmed it. Logic is unchanged.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -75,6 +75,7 @@
         self.liveness = liveness.Liveness(reactor, bus, self)
         self._standing = ownership.Standing(self)
         self._claimer = None
+        self._config_follower = None
         self.session = None
         self._owner = None
         self._prober = probing.Prober(reactor, ports.store)
@@ -93,7 +94,7 @@
             self.bus.address,
         )
         store = self.ports.store
-        watching.follow_key(
+        self._config_follower = watching.follow_key(
             self._reactor, store, self.ports.config_key, self._take_config
         )
         watching.follow_key(self._reactor, store, ownership.OWNER_KEY, self._take_owner)
@@ -336,8 +337,26 @@
         return await reading.count_waiting(self.relayed, queue_name)
 
     def find_queue(self, host, path):
-        """Find the queue of a request, a queue.Queue or None."""
-        return queue.find_queue(self.config, host, path)
+        """Find the queue of a request.
+
+        Args:
+          host: A str, without a port.
+          path: A str.
+        Returns:
+          A queue.Queue; None when the configuration in force has none, which is
+          logged with its version and how long ago the store confirmed it.
+        """
+        found = queue.find_queue(self.config, host, path)
+        if found is None:
+            age_s = self._config_follower.read_age_s()
+            logs.log(
+                "queue-not-found",
+                host=host,
+                path=path,
+                version=self.config.version,
+                confirmed_ms=None if age_s is None else int(age_s * clock.MS_PER_S),
+            )
+        return found
 
 
 def describe(settings):
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -51,6 +51,7 @@
       is_open: Whether it was made and has not ended.
       heard_at: A float of the reactor's time, when the pool last got it back.
       note_progress: A callable, called when bytes come; None for none.
+      received: An int, bytes of the answer that have come so far.
     """
 
     def __init__(self, pool):
@@ -62,6 +63,7 @@
         self.is_open = False
         self.heard_at = 0.0
         self.note_progress = None
+        self.received = 0
 
     def connectionMade(self):
         """Send small requests at once."""
@@ -78,6 +80,7 @@
         """
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
+        self.received = 0
         self._waiting = defer.Deferred(lambda _: self.transport.abortConnection())
         self.transport.write(data)
         return self._waiting
@@ -87,6 +90,7 @@
         if self._parser is None:
             self.transport.abortConnection()
             return
+        self.received += len(data)
         if self.note_progress is not None:
             self.note_progress()
         try:
@@ -227,7 +231,7 @@
         try:
             return await waiting
         except defer.CancelledError:
-            return result.Failure(NoAnswer(f"no answer in {timeout_s} s"))
+            return result.Failure(NoAnswer(describe_timeout(timeout_s, connection)))
         finally:
             connection.note_progress = None
             if timer.active():
@@ -254,6 +258,20 @@
             pool.close()
 
 
+def describe_timeout(timeout_s, connection):
+    """Describe a call that was given up.
+
+    Whether bytes of its answer had come tells a slow link from a silent server.
+
+    Args:
+      timeout_s: A float, the time that it had.
+      connection: Its Connection.
+    Returns:
+      A str.
+    """
+    return f"no answer in {timeout_s} s, {connection.received} bytes of it had come"
+
+
 def format_request(address, method, path, body, headers):
     """Format a request.
 
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -2,7 +2,7 @@
 
 from returns import result
 
-from thornport.kernel import logs, tasks
+from thornport.kernel import clock, logs, tasks
 from thornport.store import port, transactions
 
 WATCH_MS = 2000  # a silent store is noticed after this and a little more
@@ -57,7 +57,19 @@
         self._take_all = take_all
         self._take_change = take_change
         self._is_stopped = False
-        self._is_lost = False
+        self._lost_at = None
+        self._failures = 0
+        self._heard_at = None
+
+    def read_age_s(self):
+        """How long ago the store last told of the prefix.
+
+        Returns:
+          A float, seconds; None before it has told anything.
+        """
+        if self._heard_at is None:
+            return None
+        return clock.read_monotonic() - self._heard_at
 
     def stop(self):
         """Tell nothing any more."""
@@ -74,7 +86,7 @@
                 at = await self._read_all()
                 continue
             # A store that did not answer is asked without waiting.
-            wait_ms = 0 if self._is_lost else WATCH_MS
+            wait_ms = 0 if self._lost_at is not None else WATCH_MS
             watched = await self._store.watch(self._prefix, at, wait_ms)
             if self._is_stopped:
                 return
@@ -110,14 +122,22 @@
         return max(at, changes.at)
 
     def _lose(self, reason):
-        if not self._is_lost:
-            self._is_lost = True
+        self._failures += 1
+        if self._lost_at is None:
+            self._lost_at = clock.read_monotonic()
             logs.log("store-watch-lost", prefix=self._prefix, reason=reason)
 
     def _regain(self):
-        if self._is_lost:
-            self._is_lost = False
-            logs.log("store-watch-regained", prefix=self._prefix)
+        now = self._heard_at = clock.read_monotonic()
+        if self._lost_at is not None:
+            logs.log(
+                "store-watch-regained",
+                prefix=self._prefix,
+                lost_ms=int((now - self._lost_at) * clock.MS_PER_S),
+                failures=self._failures,
+            )
+        self._lost_at = None
+        self._failures = 0
 
 
 def follow_key(reactor, store, key, take_value):
@@ -129,6 +149,8 @@
       key: A str.
       take_value: A callable of bytes, None when the key is gone, and of the
         revision, an int.
+    Returns:
+      The Follower.
     """
 
     def take_all(items):
@@ -144,3 +166,4 @@
 
     follower = Follower(reactor, store, key, take_all, take_change)
     tasks.spawn(follower.follow(), f"follow {key}")
+    return follower
