Test that a large configuration arrives over a slow link, red

Reproduces the incident of a version not in force with real processes: 1 MB of configuration over a link of 500 KB/s. The proxy of the tests passes answers on at a rate.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -4,7 +4,8 @@
 `delay_ms` (each way), `freeze` (hold all bytes, keep connections open),
 `one_way` (hold the bytes of answers alone),
 `mute` (drop all bytes of the connections open now, for good; new ones work),
-`truncate` (end the connection after so many bytes of an answer).
+`truncate` (end the connection after so many bytes of an answer),
+`bytes_per_s` (pass the bytes of each connection's answers on at this rate).
 """
 
 import klein
@@ -14,6 +15,8 @@
 
 from standins import serve
 
+PIECE_BYTES = 8192  # of what is passed on at a rate
+
 
 class Options(msgspec.Struct):
     """Options of the command line."""
@@ -31,6 +34,7 @@
     one_way: bool = False
     mute: bool = False
     truncate: int = 0
+    bytes_per_s: int = 0
 
 
 class State:
@@ -68,6 +72,7 @@
         """Keep track of the side."""
         STATE.sides.add(self)
         self.passed = 0
+        self.idle_at = 0.0  # when what was passed on at a rate is all through
         super().connectionMade()
 
     def connectionLost(self, reason):
@@ -84,9 +89,19 @@
             STATE.held.append((self, data))
         elif faults.delay_ms:
             reactor.callLater(faults.delay_ms / 1000, self.pass_on, data)
+        elif self.is_answering and (faults.bytes_per_s or self.idle_at):
+            self.pass_on_slowly(data, faults.bytes_per_s)
         else:
             self.pass_on(data)
 
+    def pass_on_slowly(self, data, bytes_per_s):
+        """Pass bytes on piece by piece, behind those that came before."""
+        self.idle_at = max(self.idle_at, reactor.seconds())
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            self.idle_at += len(piece) / bytes_per_s if bytes_per_s else 0.0
+            reactor.callLater(self.idle_at - reactor.seconds(), self.pass_on, piece)
+
     def pass_on(self, data):
         """Pass bytes on to the other side, if it is still there."""
         if self.peer is None:
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -241,5 +241,35 @@
             self.check_accepts(name)
 
 
+class SlowLink(SchedulerCase):
+    """A link over which a large configuration takes seconds.
+
+    The configuration grew by 1,400 routes, and one VM with a link of 10 Mbit/s
+    answered by the version before for 20 s: it gave up its watch 0.6 s after the wait
+    though bytes of the answer came without a break, asked again with 0.6 s in all,
+    which no such answer can keep, and began anew until the store had forgotten the
+    change. Its monitoring proved it: the link was full all the time, its processor at
+    1%, and the store answered every other call.
+    """
+
+    has_proxies = True
+    routes = 4000  # 1 MB on the wire
+    bytes_per_s = 500_000
+
+    def test_large_configuration_comes_into_force(self):
+        first = schedulers.CONFIG["routes"][0]
+        more = [
+            first | {"name": f"r-{number}", "path_prefix": f"/r-{number}/"}
+            for number in range(self.routes)
+        ]
+        self.cell.set_proxy(f"store-of-{self.other}", bytes_per_s=self.bytes_per_s)
+        for version in (5, 6):
+            config = {"version": version, "routes": [first, *more]}
+            self.cell.put_config(schedulers.CONFIG | config)
+            log = self.cell.by_name[self.other]
+            log.wait_for(rf"event=config-in-force version={version}")
+        self.assertEqual(self.cell.submit(self.other)[1], 200)
+
+
 if __name__ == "__main__":
     unittest.main()
