Give a call up for silence, not for the size of its answer

Cause: the time of a watch bounded the whole answer, and after one that was given up the next asked without a wait and had 0.6 s in all. A configuration that takes longer over its VM's link never arrived: each try began anew, until the store had forgotten the change. Ruled out by the record: a silent store, a version that was dismissed, a process without processor. Change: a time bounds the wait for an answer's first bytes; once they come, a pause in them. This holds for every call (is_long, which only reads of pages had, is gone).

--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -106,8 +106,7 @@
         if after_key:
             query["after"] = after_key
         path = "/-/kv-range?" + urllib.parse.urlencode(query)
-        # A page has 1 MB at most, which takes 2 s on a link of 5 Mbit/s.
-        answer = await self._call("GET", path, is_long=True)
+        answer = await self._call("GET", path)
         return decode_body(answer, WirePage).map(decode_page)
 
     async def watch(self, prefix, after_revision, wait_ms):
@@ -115,7 +114,9 @@
         wait_ms = min(wait_ms, MAX_WATCH_MS)
         query = {"path_prefix": prefix, "after": after_revision, "wait_ms": wait_ms}
         path = "/-/kv-watch?" + urllib.parse.urlencode(query)
-        answer = await self._call("GET", path, timeout_s=wait_ms / 1000 + WATCH_SLACK_S)
+        # The wait is over when the answer begins, which may have 1 MB.
+        timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+        answer = await self._call("GET", path, timeout_s=timeout_s)
         if is_status(answer, 410):
             return result.Failure(transactions.HistoryGone("history is gone"))
         return decode_body(answer, WireEvents).map(decode_events)
@@ -152,9 +153,7 @@
         )
         return answer.map(lambda _: None)
 
-    async def _call(
-        self, method, path, body=b"", is_write=False, timeout_s=None, is_long=False
-    ):
+    async def _call(self, method, path, body=b"", is_write=False, timeout_s=None):
         self._metrics.count("store.writes" if is_write else "store.reads")
         answer = await self._calls.call(
             self._address,
@@ -162,7 +161,7 @@
             path,
             body,
             timeout_s or self._timeout_s,
-            is_long=is_long,
+            silence_s=self._timeout_s,
         )
         if isinstance(answer, result.Failure):
             return result.Failure(turn_error(answer.failure(), is_write))
