Bound a pause in a body, not the body, at the other HTTP clients too

The same cause elsewhere: the client of the key-value service cut a body by its total time, and the list of VMs, the workers of a placer and the health checks bounded no body at all, so that a connection that falls silent stopped their period for good.

--- a/bench/thin.py
+++ b/bench/thin.py
@@ -179,7 +179,7 @@
 
     async def _read_vms(self):
         url = self._settings.platform.vms
-        read = await vmlist.read_list(self._http, url, TIMEOUT_S)
+        read = await vmlist.read_list(self._reactor, self._http, url, TIMEOUT_S)
         if isinstance(read, result.Success):
             backends = vmlist.select_role(read.unwrap(), vmlist.Role.BACKEND)
             self._front.listed_by_address = backends
--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -7,7 +7,7 @@
 
 from thornport.entry import callers, dispatch, front, keys, peering, sharing
 from thornport.fleet import vmlist
-from thornport.kernel import clock, logs, metrics, tasks
+from thornport.kernel import clock, httpbody, logs, metrics, tasks
 from thornport.membership import node
 from thornport.peers import bus
 from thornport.routing import loans
@@ -132,7 +132,7 @@
     async def _read_vms_now(self):
         platform = self._settings.platform
         read = await vmlist.read_list(
-            self._http, platform.vms, platform.store_timeout_s
+            self._reactor, self._http, platform.vms, platform.store_timeout_s
         )
         if isinstance(read, result.Failure):
             logs.log("vms-unavailable", reason=read.failure().reason)
@@ -154,7 +154,7 @@
         try:
             url = f"http://{address}/health"
             response = await self._http.get(url, timeout=HEALTH_TIMEOUT_S)
-            await treq.content(response)
+            await httpbody.read_body(self._reactor, response, HEALTH_TIMEOUT_S)
         except Exception as error:
             # A server that does not answer is passed over for its failed
             # requests; only its own word makes it a leaving one.
--- a/thornport/fleet/vmlist.py
+++ b/thornport/fleet/vmlist.py
@@ -7,9 +7,10 @@
 import enum
 
 import msgspec
-import treq
 from returns import result
 
+from thornport.kernel import httpbody
+
 LABEL_ROLE = "role"
 LABEL_STATE = "state"
 LABEL_SERVICE = "service"
@@ -94,19 +95,20 @@
     return {group.labels["vm"] for group in groups if "vm" in group.labels}
 
 
-async def read_list(http, url, timeout_s):
+async def read_list(reactor, http, url, timeout_s):
     """Read the list.
 
     Args:
+      reactor: Twisted's reactor.
       http: A treq HTTPClient.
       url: A str.
-      timeout_s: A float, seconds.
+      timeout_s: A float, seconds until the answer, and the longest pause in it.
     Returns:
       A Result of a list of Group, or ListError.
     """
     try:
         response = await http.get(url, timeout=timeout_s)
-        body = await treq.content(response)
+        body = await httpbody.read_body(reactor, response, timeout_s)
     except Exception as error:
         # Whatever ends the call, the list known so far stays in use.
         return result.Failure(ListError(str(error)))
--- /dev/null
+++ b/thornport/kernel/httpbody.py
@@ -0,0 +1,73 @@
+"""Reading the body of an HTTP answer, given up when nothing of it comes any more.
+
+A bound on the whole body would cut a large one on a slow link each time anew; none at
+all would wait for ever on a connection that has fallen silent.
+"""
+
+from twisted.internet import defer, protocol
+from twisted.web import client, http
+
+
+class SilentBodyError(Exception):
+    """Nothing of a body came for too long."""
+
+
+class BodyReader(protocol.Protocol):
+    """Collects a body and gives it up after a pause.
+
+    Attributes:
+      given: A Deferred of bytes.
+    """
+
+    def __init__(self, reactor, silence_s):
+        """Begin to wait.
+
+        Args:
+          reactor: Twisted's reactor.
+          silence_s: A float, the longest pause in seconds.
+        """
+        self.given = defer.Deferred()
+        self._parts = []
+        self._silence_s = silence_s
+        self._timer = reactor.callLater(silence_s, self._give_up)
+
+    def dataReceived(self, data):
+        """Take a part."""
+        self._parts.append(data)
+        if self._timer.active():
+            self._timer.reset(self._silence_s)
+
+    def connectionLost(self, reason):
+        """The body is whole, or was cut."""
+        if self._timer.active():
+            self._timer.cancel()
+        if self.given.called:
+            return
+        # A body without a length ends with its connection.
+        if reason.check(client.ResponseDone, http.PotentialDataLoss):
+            self.given.callback(b"".join(self._parts))
+        else:
+            self.given.errback(reason)
+
+    def _give_up(self):
+        received = sum(len(part) for part in self._parts)
+        told = f"nothing came for {self._silence_s} s after {received} bytes"
+        self.given.errback(SilentBodyError(told))
+        abort = getattr(self.transport, "abortConnection", None)
+        if abort is not None:
+            abort()
+
+
+def read_body(reactor, response, silence_s):
+    """Read the body of an answer.
+
+    Args:
+      reactor: Twisted's reactor.
+      response: A treq response.
+      silence_s: A float, the longest pause in seconds.
+    Returns:
+      A Deferred of bytes; it fails with SilentBodyError, or with what cut the body.
+    """
+    reader = BodyReader(reactor, silence_s)
+    response.deliverBody(reader)
+    return reader.given
--- a/thornport/placement/daemon.py
+++ b/thornport/placement/daemon.py
@@ -54,7 +54,9 @@
         pool.retryAutomatically = False
         agent = webclient.Agent(reactor, pool=pool)
         self._http = treq.client.HTTPClient(agent)
-        self._workers = workers.WorkerClient(self._http, placer.COMMAND_TIMEOUT_S)
+        self._workers = workers.WorkerClient(
+            reactor, self._http, placer.COMMAND_TIMEOUT_S
+        )
         self._in_force = inforce.InForce()
         self._bus = bus.Bus(reactor, CODEC, self._metrics)
         self._node = node.Node(
@@ -135,7 +137,9 @@
 
     async def _read_vms_now(self):
         url = self._settings.platform.vms
-        read = await vmlist.read_list(self._http, url, placer.COMMAND_TIMEOUT_S)
+        read = await vmlist.read_list(
+            self._reactor, self._http, url, placer.COMMAND_TIMEOUT_S
+        )
         if isinstance(read, result.Failure):
             logs.log("vms-unavailable", reason=read.failure().reason)
             return
--- a/thornport/placement/workers.py
+++ b/thornport/placement/workers.py
@@ -3,9 +3,9 @@
 import functools
 
 import msgspec
-import treq
 from returns import result
 
+from thornport.kernel import httpbody
 from thornport.placement import model
 
 HTTP_OK = 200
@@ -39,15 +39,17 @@
 class WorkerClient:
     """Calls workers by their addresses."""
 
-    __slots__ = ("http", "timeout_s")
+    __slots__ = ("_reactor", "http", "timeout_s")
 
-    def __init__(self, http, timeout_s):
+    def __init__(self, reactor, http, timeout_s):
         """Take the HTTP client to use.
 
         Args:
+          reactor: Twisted's reactor.
           http: A treq HTTPClient.
-          timeout_s: A float, seconds.
+          timeout_s: A float, seconds until an answer, and the longest pause in it.
         """
+        self._reactor = reactor
         self.http = http
         self.timeout_s = timeout_s
 
@@ -81,7 +83,7 @@
             response = await self.http.request(
                 method, url, data=data, timeout=self.timeout_s
             )
-            content = await treq.content(response)
+            content = await httpbody.read_body(self._reactor, response, self.timeout_s)
         except Exception as error:
             # A command whose answer is lost may have been done; the next
             # report tells.
--- a/thornport/store/client.py
+++ b/thornport/store/client.py
@@ -13,6 +13,7 @@
 from twisted.internet import error as neterror
 from twisted.web import client as webclient
 
+from thornport.kernel import httpbody
 from thornport.store import port
 
 HTTP_OK = 200
@@ -116,7 +117,7 @@
                 params={"cas": str(index)},
                 timeout=self._timeout_s,
             )
-            body = await treq.content(response)
+            body = await httpbody.read_body(self._reactor, response, self._timeout_s)
         except NOT_SENT_ERRORS as error:
             return result.Failure(port.Unavailable(str(error)))
         except Exception as error:
@@ -139,7 +140,7 @@
             response = await self._treq.get(
                 self._base + key, params=params, timeout=timeout_s
             )
-            body = await treq.content(response).addTimeout(timeout_s, self._reactor)
+            body = await httpbody.read_body(self._reactor, response, self._timeout_s)
         except (Exception, defer.CancelledError) as error:
             return result.Failure(port.Unavailable(str(error)))
         if response.code == HTTP_NOT_FOUND:
