Test that a planned stop cuts no request, red

Reproduces the incident with real processes: twelve callers use open connections until their process is gone, beside a store that takes 0.3 s for an answer.

--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -1,8 +1,11 @@
 """Jobs through real scheduler processes, a stand-in platform, and failures."""
 
 import signal
+import time
 import unittest
 
+import msgspec
+
 from tests import harness, schedulers
 
 
@@ -271,5 +274,57 @@
         self.assertEqual(self.cell.submit(self.other)[1], 200)
 
 
+class PlannedStop(SchedulerCase):
+    """A process is told to stop while its callers keep using open connections.
+
+    In a rolling restart of all processes two requests, sent 5.0 s after the order to
+    stop, lost their connection without an answer 5.3 s after it: the process ended at a
+    set time, 0.7 s before the end of its grace, whatever was open then. Both ends fell
+    on that time to the hundredth of a second, which proved it.
+    """
+
+    slow_ms = 300  # of each answer of the store
+    callers = 12
+
+    def test_no_request_is_cut(self):
+        self.cell.set_platform_faults(slow_ms=self.slow_ms)
+        stopped = self.cell.by_name[self.other]
+        callers = []
+        for _ in range(self.callers):
+            callers.append(
+                harness.OpenCaller(
+                    self.cell.http_by_name[self.other], self.make_request
+                )
+            )
+            # So that requests are open at any moment, in all their stages.
+            time.sleep(self.slow_ms / 1000 / self.callers)
+        for caller in callers:
+            caller.wait_for(2)
+        stopped.signal(signal.SIGTERM)
+        self.assertEqual(stopped.popen.wait(harness.PATIENCE_S), 0)
+        for caller in callers:
+            caller.stop()
+        self.assertEqual([c.cut for c in callers], [[]] * len(callers))
+        self.cell.set_platform_faults()
+        self.check_told_the_truth([end for c in callers for end in c.answered])
+
+    def make_request(self):
+        """Make the parts of a request that hands in a job."""
+        job_id = next(self.cell.ids)
+        body = msgspec.json.encode(schedulers.make_job())
+        return job_id, schedulers.HOST, f"/editions/{job_id}", body
+
+    def check_told_the_truth(self, answered):
+        """What was accepted runs, and what was refused never does."""
+        self.cell.names.remove(self.other)
+        for job_id, status in answered:
+            self.assertIn(status, (200, 503, 504))
+            if status == 200:
+                self.cell.wait_state(self.cell.names[0], job_id, "succeeded")
+        for job_id, status in answered:
+            if status == 503:
+                self.assertEqual(self.count_starts(job_id), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
