Answer every request that was read before a process ends

Cause: a process that is told to stop ended at a set time, 0.7 s before the end of its grace, whatever was open; requests come until then, and one that the store keeps waiting lost its connection. Ruled out by the record: a kill (0.7 s too early) and a race with a connection being closed (both ends at 5.30 s to the millisecond). In the last second nothing is taken; half a second before the end what is open gets its final answer. The same cause elsewhere: a cancel or a read whose store call outlasted its caller had no bound; a job whose first try was still open here was refused while the store was away.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -1,7 +1,6 @@
 """The scheduler process: takes jobs from callers, and may own the cell."""
 
-from returns import result
-
+from thornport.cell import serving
 from thornport.cell.owner import offering, owner, ownership
 from thornport.cell.peers import (
     asking,
@@ -13,7 +12,7 @@
     relaying,
     telling,
 )
-from thornport.jobs import intake, queue, reading, record
+from thornport.jobs import intake, queue
 from thornport.kernel import clock, logs, tasks
 from thornport.store import probing, transactions, watching
 
@@ -26,7 +25,6 @@
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
-LAST_CALLS_S = 0.7  # kept of the grace time for the last answers
 
 
 class SchedulerDaemon:
@@ -35,7 +33,7 @@
     Attributes:
       config: The queue.Config in force, None before the first.
       is_stopping: Whether the process was told to stop.
-      intake: The intake.Intake of jobs and cancels.
+      serving: The serving.Serving of callers.
       session: The owner.OwnerSession of this process, None while it is not the owner.
       ports, bus: As they were given.
       relayed: The relaying.RelayedStore.
@@ -65,7 +63,8 @@
         self.config = None
         self.is_stopping = False
         told = telling.PeerTelling(self)
-        self.intake = intake.Intake(reactor, self.relayed, metrics, told)
+        job_intake = intake.Intake(reactor, self.relayed, metrics, told)
+        self.serving = serving.Serving(reactor, self, job_intake)
         self.peers = peerlist.PeerList()
         self.greeted_address = ""
         self.asker = asking.Asker(reactor, bus)
@@ -115,14 +114,14 @@
         """
         logs.log("stopping", grace_s=self._settings.bounds.grace_s)
         self.is_stopping = True
+        end_at = clock.read_monotonic() + self._settings.bounds.grace_s
         held = self.session is not None
         self._standing.leave()
         if held:
             for address in self.peers.addresses:
                 self.bus.send(address, "", peering.Leaving())
             tasks.spawn(self._claimer.release(), "release")
-        left_s = self._settings.bounds.grace_s - LAST_CALLS_S
-        return tasks.sleep(self._reactor, max(0.0, left_s))
+        return tasks.spawn(self.serving.stop(end_at), "serve-out")
 
     def is_ready(self):
         """Whether callers are to be sent here."""
@@ -301,41 +300,6 @@
 
     # What callers ask for.
 
-    async def read_state(self, job_id):
-        """Read the state of a job: from the owner, else from the store.
-
-        Args:
-          job_id: A str.
-        Returns:
-          A Result of record.JobState, or of None when there is no such job.
-        """
-        core = self.get_core()
-        known = core.read_state(job_id) if core is not None else None
-        if known is not None:
-            return result.Success(known)
-        if core is None and self._owner is not None:
-            state = await self.asker.ask_state(self._owner.address, job_id)
-            if state:
-                return result.Success(record.JobState(state))
-        return await reading.read_state(self.relayed, job_id)
-
-    async def count_waiting(self, queue_name):
-        """Count the jobs of a queue of which no task has begun.
-
-        Args:
-          queue_name: A str.
-        Returns:
-          A Result of int.
-        """
-        core = self.get_core()
-        if core is not None:
-            return result.Success(core.count_waiting(queue_name))
-        if self._owner is not None:
-            count = await self.asker.ask_waiting(self._owner.address, queue_name)
-            if count is not None:
-                return result.Success(count)
-        return await reading.count_waiting(self.relayed, queue_name)
-
     def find_queue(self, host, path):
         """Find the queue of a request.
 
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -72,7 +72,7 @@
 @take.register
 def take_unresolved(message: peering.Unresolved, daemon, address):
     """A job at a peer may be kept."""
-    daemon.intake.note_unresolved(message.job_id)
+    daemon.serving.intake.note_unresolved(message.job_id)
 
 
 @take.register
--- /dev/null
+++ b/thornport/cell/serving.py
@@ -0,0 +1,188 @@
+"""What callers ask of a scheduler process: each is answered in time, to its end."""
+
+import math
+
+from returns import result
+from twisted.internet import defer
+
+from thornport.jobs import intake, reading, record
+from thornport.kernel import clock, draining, logs, tasks
+from thornport.store import port
+
+# Of the grace time, before its end: from when no request is taken any more, when those
+# that are open get their final answer, and when the process ends. A store that answers
+# 60 times slower (0.24 s) tells in the first 0.5 s what became of a job; the last
+# answers leave in milliseconds; the end has room for timers that fire late.
+LAST_TAKEN_S = 1.0
+LAST_ANSWERS_S = 0.5
+END_S = 0.3
+# An answer is on its way before its caller gives up; shorter than the intake's, which
+# says more where it is not waiting for the store.
+ANSWER_MARGIN_S = 0.1
+LATE_REASON = "no outcome in the time that is left"
+STOPS_REASON = "the process stops"
+ELSEWHERE_RETRY_S = 0  # the caller's next connection goes to a process that serves
+
+
+class Serving:
+    """Serves callers.
+
+    Attributes:
+      intake: The intake.Intake of jobs and cancels.
+      open_requests: The draining.OpenRequests of the sites that callers reach.
+    """
+
+    def __init__(self, reactor, daemon, job_intake):
+        """Take what is asked.
+
+        Args:
+          reactor: Twisted's reactor.
+          daemon: The daemon.SchedulerDaemon.
+          job_intake: An intake.Intake.
+        """
+        self._reactor = reactor
+        self._daemon = daemon
+        self.intake = job_intake
+        self.open_requests = draining.OpenRequests()
+        self._take_until = math.inf
+
+    async def stop(self, end_at):
+        """Serve until shortly before the process is killed, and cut nothing.
+
+        It stays until then though nothing is open: callers go on using their
+        connections, and whoever comes is told where to turn.
+
+        Args:
+          end_at: A float, when the process is killed.
+        """
+        self.open_requests.close_connections()
+        self._take_until = end_at - LAST_TAKEN_S
+        await self._sleep_until(end_at - LAST_ANSWERS_S)
+        given_up = self.open_requests.end_waits()
+        await self._sleep_until(end_at - END_S)
+        left = self.open_requests.count
+        logs.log("stopped", given_up=given_up, left_open=left)
+
+    def _sleep_until(self, at):
+        return tasks.sleep(self._reactor, max(0.0, at - clock.read_monotonic()))
+
+    def _answer(self, asked, deadline, running, make_late):
+        """Wait for an outcome until its caller, or the process, can't wait longer.
+
+        Args:
+          asked: A str for the log, what was asked.
+          deadline: A float, when the caller gives up.
+          running: A coroutine or Deferred giving the outcome.
+          make_late: A callable giving the outcome to tell when there is none yet.
+        Returns:
+          An awaitable of the outcome.
+        """
+
+        def give_up():
+            logs.log("answer-late", asked=asked, stopping=self.open_requests.is_closing)
+            return make_late()
+
+        left_s = deadline - ANSWER_MARGIN_S - clock.read_monotonic()
+        return self.open_requests.wait(self._reactor, running, left_s, give_up)
+
+    def _is_over(self, asked):
+        """Whether what comes now can't be answered before the process ends."""
+        is_over = clock.read_monotonic() >= self._take_until
+        if is_over:
+            logs.log("turned-away", asked=asked, reason=STOPS_REASON)
+        return is_over
+
+    def submit(self, kept, deadline):
+        """Keep a job.
+
+        Args:
+          kept: A record.JobRecord.
+          deadline: A float, when its caller gives up.
+        Returns:
+          An awaitable of an outcome of intake.
+        """
+        job_id = kept.job_id
+        if self._is_over(f"submit {job_id}"):
+            turned_away = self.intake.turn_away(job_id, STOPS_REASON, ELSEWHERE_RETRY_S)
+            return defer.succeed(turned_away)
+        return self._answer(
+            f"submit {job_id}",
+            deadline,
+            self.intake.submit(kept, deadline),
+            lambda: self.intake.give_up(job_id, LATE_REASON),
+        )
+
+    def cancel(self, job_id, deadline):
+        """Keep a cancel.
+
+        Args:
+          job_id: A str.
+          deadline: A float, when its caller gives up.
+        Returns:
+          An awaitable of an outcome of intake.
+        """
+        if self._is_over(f"cancel {job_id}"):
+            return defer.succeed(intake.Refused(STOPS_REASON, ELSEWHERE_RETRY_S))
+        return self._answer(
+            f"cancel {job_id}",
+            deadline,
+            self.intake.cancel(job_id, deadline),
+            lambda: intake.Unknown(LATE_REASON),
+        )
+
+    def read_state(self, job_id, deadline):
+        """Read the state of a job: from the owner, else from the store.
+
+        Args:
+          job_id: A str.
+          deadline: A float, when the caller gives up.
+        Returns:
+          An awaitable of a Result of record.JobState, or of None when there is no
+          such job.
+        """
+        return self._read(f"state {job_id}", deadline, self._read_state, job_id)
+
+    def count_waiting(self, queue_name, deadline):
+        """Count the jobs of a queue of which no task has begun.
+
+        Args:
+          queue_name: A str.
+          deadline: A float, when the caller gives up.
+        Returns:
+          An awaitable of a Result of int.
+        """
+        asked = f"waiting {queue_name}"
+        return self._read(asked, deadline, self._count_waiting, queue_name)
+
+    def _read(self, asked, deadline, read, name):
+        if self._is_over(asked):
+            return defer.succeed(fail(STOPS_REASON))
+        return self._answer(asked, deadline, read(name), lambda: fail(LATE_REASON))
+
+    async def _read_state(self, job_id):
+        core = self._daemon.get_core()
+        known = core.read_state(job_id) if core is not None else None
+        if known is not None:
+            return result.Success(known)
+        address = self._daemon.owner_address
+        if core is None and address is not None:
+            state = await self._daemon.asker.ask_state(address, job_id)
+            if state:
+                return result.Success(record.JobState(state))
+        return await reading.read_state(self._daemon.relayed, job_id)
+
+    async def _count_waiting(self, queue_name):
+        core = self._daemon.get_core()
+        if core is not None:
+            return result.Success(core.count_waiting(queue_name))
+        address = self._daemon.owner_address
+        if address is not None:
+            count = await self._daemon.asker.ask_waiting(address, queue_name)
+            if count is not None:
+                return result.Success(count)
+        return await reading.count_waiting(self._daemon.relayed, queue_name)
+
+
+def fail(reason):
+    """Make the outcome of a read that has none."""
+    return result.Failure(port.Unavailable(reason))
--- /dev/null
+++ b/thornport/cell/serving_test.py
@@ -0,0 +1,84 @@
+"""What callers are told by a process that stops, in simulated time."""
+
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import defer, task
+
+from thornport.cell import serving
+from thornport.jobs import intake, record
+from thornport.kernel import clock, tasks
+
+GRACE_S = 6.0
+
+
+class Stopping(unittest.TestCase):
+    """A process that is told to stop."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.intake = mock.Mock(spec=intake.Intake)
+        self.intake.turn_away.side_effect = lambda job_id, *more: intake.Refused(*more)
+        self.intake.give_up.side_effect = lambda _, reason: intake.Unknown(reason)
+        self.intake.submit.side_effect = lambda *_: defer.Deferred()
+        self.daemon = mock.Mock()
+        self.serving = serving.Serving(self.clock, self.daemon, self.intake)
+        self.ended = []
+        self.given = []
+
+    def stop(self):
+        """Tell the process to stop."""
+        stopping = self.serving.stop(self.clock.seconds() + GRACE_S)
+        tasks.spawn(stopping, "stop").addCallback(self.ended.append)
+
+    def submit(self):
+        """Hand in a job whose caller waits for three seconds."""
+        kept = mock.Mock(spec=record.JobRecord, job_id="a")
+        asked = self.serving.submit(kept, self.clock.seconds() + 3.0)
+        defer.ensureDeferred(asked).addCallback(self.given.append)
+
+    def test_it_serves_for_most_of_its_grace(self):
+        self.stop()
+        self.clock.advance(GRACE_S - serving.LAST_TAKEN_S - 0.1)
+        self.intake.submit.side_effect = lambda *_: defer.succeed(intake.Accepted())
+        self.submit()
+        self.assertEqual(self.given, [intake.Accepted()])
+
+    def test_what_comes_too_late_is_turned_away_at_once(self):
+        self.stop()
+        self.clock.advance(GRACE_S - serving.LAST_TAKEN_S)
+        self.submit()
+        refused = intake.Refused(serving.STOPS_REASON, serving.ELSEWHERE_RETRY_S)
+        self.assertEqual(self.given, [refused])
+        self.intake.submit.assert_not_called()
+        read = defer.ensureDeferred(self.serving.read_state("a", 100.0))
+        self.assertIsInstance(self.read_result(read), result.Failure)
+
+    def test_what_is_open_is_answered_before_the_end(self):
+        self.stop()
+        self.clock.advance(GRACE_S - serving.LAST_TAKEN_S - 0.1)
+        self.submit()
+        self.clock.advance(serving.LAST_TAKEN_S - serving.LAST_ANSWERS_S + 0.1)
+        self.assertIsInstance(self.given[0], intake.Unknown)
+        self.assertFalse(self.ended)
+        self.clock.advance(serving.LAST_ANSWERS_S - serving.END_S)
+        self.assertTrue(self.ended)
+
+    def test_caller_gets_an_answer_before_it_gives_up(self):
+        self.submit()
+        self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
+        self.assertIsInstance(self.given[0], intake.Unknown)
+
+    def read_result(self, deferred):
+        """The outcome of a Deferred that has fired."""
+        given = []
+        deferred.addCallback(given.append)
+        return given[0]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/cell/web.py
+++ b/thornport/cell/web.py
@@ -13,7 +13,7 @@
 from thornport.jobs import intake, record, spec
 from thornport.kernel import clock, webreply
 
-PATIENCE_S = 3.0  # for the store, when a job or a cancel is handed in
+PATIENCE_S = 3.0  # for an answer to a call of this interface
 MAX_ID_CHARS = 64  # a job's ID is part of keys, which have 200 bytes at most
 ID_CHARS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
 
@@ -65,7 +65,8 @@
         queue = find_queue(daemon, name)
         if queue is None:
             return no_queue(request, name)
-        read = await daemon.count_waiting(name)
+        deadline = clock.read_monotonic() + PATIENCE_S
+        read = await daemon.serving.count_waiting(name, deadline)
         if isinstance(read, result.Failure):
             return webreply.refuse(request, 503, read.failure().reason)
         view = QueueView(name, queue.priority, queue.service, read.unwrap())
@@ -86,7 +87,7 @@
             return webreply.answer(request, 400, webreply.Problem(str(error)))
         now = clock.read_monotonic()
         kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
-        outcome = await daemon.intake.submit(kept, now + PATIENCE_S)
+        outcome = await daemon.serving.submit(kept, now + PATIENCE_S)
         return answer_outcome(request, job_id, outcome, record.JobState.QUEUED)
 
 
@@ -115,7 +116,8 @@
         view = core and core.explain_job(job_id, clock.read_monotonic())
         if view:
             return webreply.answer(request, 200, view)
-        read = await daemon.read_state(job_id)
+        deadline = clock.read_monotonic() + PATIENCE_S
+        read = await daemon.serving.read_state(job_id, deadline)
         if isinstance(read, result.Failure):
             return webreply.refuse(request, 503, read.failure().reason)
         if read.unwrap() is None:
@@ -125,7 +127,7 @@
     @app.route("/v1/jobs/<job_id>", methods=["DELETE"])
     async def cancel(request, job_id):
         deadline = clock.read_monotonic() + PATIENCE_S
-        outcome = await daemon.intake.cancel(job_id, deadline)
+        outcome = await daemon.serving.cancel(job_id, deadline)
         return answer_outcome(request, job_id, outcome, record.JobState.CANCELLED)
 
 
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -6,6 +6,8 @@
 answer was lost.
 """
 
+import collections
+
 import msgspec
 from returns import result
 from twisted.internet import defer
@@ -97,6 +99,7 @@
         self._metrics = metrics
         self._tell = tell
         self._unresolved_until_by_id = {}
+        self._open_count_by_id = collections.Counter()
         self._gathered = []
 
     def note_unresolved(self, job_id):
@@ -123,9 +126,9 @@
         refuse_at = clock.read_monotonic() + compute_refuse_s(kept)
         give_up_at = deadline - ANSWER_MARGIN_S
         pending = Pending(kept, refuse_at, give_up_at, defer.Deferred())
-        if kept.job_id in self._unresolved_until_by_id:
-            pending.may_be_kept = True
-        elif self._store.is_away():
+        pending.may_be_kept = self._may_be_kept(kept.job_id)
+        self._open_count_by_id[kept.job_id] += 1
+        if self._store.is_away() and not pending.may_be_kept:
             self._settle(pending, Refused("the store is away"), "refused")
             return pending.outcome
         pending.value = record.encode_record(kept)
@@ -135,6 +138,38 @@
         self._gathered.append(pending)
         return pending.outcome
 
+    def give_up(self, job_id, reason):
+        """Say of a job that is being handed in that its outcome is not known.
+
+        Args:
+          job_id: A str.
+          reason: A str.
+        Returns:
+          An Unknown; no process refuses the job from now on.
+        """
+        self.note_unresolved(job_id)
+        self._tell.tell_unresolved(job_id)
+        return Unknown(reason)
+
+    def turn_away(self, job_id, reason, retry_s):
+        """Take no job any more.
+
+        Args:
+          job_id: A str.
+          reason: A str.
+          retry_s: An int, when the caller is to come back.
+        Returns:
+          A Refused, or an Unknown if it may be kept by an earlier try.
+        """
+        kind = Unknown if self._may_be_kept(job_id) else Refused
+        return kind(reason, retry_s)
+
+    def _may_be_kept(self, job_id):
+        """Whether an earlier try, which may be open still, may have kept a job."""
+        return (
+            job_id in self._unresolved_until_by_id or job_id in self._open_count_by_id
+        )
+
     def _flush(self):
         gathered, self._gathered = self._gathered, []
         for start in range(0, len(gathered), BATCH_JOBS):
@@ -177,9 +212,8 @@
                 patient_until += RESOLVE_S
             if now < min(pending.give_up_at, patient_until):
                 return False
-            self.note_unresolved(pending.kept.job_id)
-            self._tell.tell_unresolved(pending.kept.job_id)
-            self._settle(pending, Unknown(error.reason), "unknown")
+            unknown = self.give_up(pending.kept.job_id, error.reason)
+            self._settle(pending, unknown, "unknown")
             return True
         if now < pending.refuse_at:
             return False
@@ -189,6 +223,9 @@
     def _settle(self, pending, outcome, what):
         self._metrics.count(f"jobs.{what}")
         kept = pending.kept
+        self._open_count_by_id[kept.job_id] -= 1
+        if not self._open_count_by_id[kept.job_id]:
+            del self._open_count_by_id[kept.job_id]
         logs.log(
             "job-submitted",
             job=kept.job_id,
--- a/thornport/jobs/intake_test.py
+++ b/thornport/jobs/intake_test.py
@@ -47,14 +47,18 @@
             self.clock, self.store, metrics.Metrics(), self.telling
         )
 
+    def make_record(self, job_id):
+        """Make the record of a small job."""
+        job = spec.Job("text", (spec.Step(1, spec.Demand(1, 1, 0), 200),))
+        return record.JobRecord(job_id, QUEUE, job, 0)
+
     def submit(self, job_id="a"):
         """Hand in a job and let time pass to its deadline.
 
         Returns:
           A pair of the outcome and the seconds that it took.
         """
-        job = spec.Job("text", (spec.Step(1, spec.Demand(1, 1, 0), 200),))
-        kept = record.JobRecord(job_id, QUEUE, job, 0)
+        kept = self.make_record(job_id)
         began_at = self.clock.seconds()
         told = []
         waiting = self.intake.submit(kept, began_at + DEADLINE_S)
@@ -107,6 +111,15 @@
         self.assertIsInstance(self.submit("b")[0], intake.Unknown)
         self.assertIsInstance(self.submit("c")[0], intake.Refused)
 
+    def test_job_whose_first_try_is_open_is_not_refused(self):
+        self.store.outcomes = [result.Failure(port.Unavailable("status 503"))]
+        self.intake.submit(self.make_record("a"), self.clock.seconds() + DEADLINE_S)
+        self.store.away = True
+        turned_away = self.intake.turn_away("a", "the process stops", 0)
+        self.assertIsInstance(turned_away, intake.Unknown)
+        self.assertIsInstance(self.submit("a")[0], intake.Unknown)
+        self.assertIsInstance(self.intake.turn_away("b", "", 0), intake.Refused)
+
     def test_lost_answer_is_resolved_by_sending_again(self):
         item = transactions.Item(record.JOB_PREFIX + "a", b"", 3)
         known = transactions.Refused("a condition failed", {item.key: item})
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -10,12 +10,11 @@
 
 import msgspec  # noqa: E402
 from twisted.internet import reactor  # noqa: E402
-from twisted.web import server  # noqa: E402
 
 from thornport.cell import daemon, ports, settings, web  # noqa: E402
 from thornport.cell.peers import peering  # noqa: E402
 from thornport.commands import daemons  # noqa: E402
-from thornport.kernel import httpcalls, logs, metrics, metricsweb  # noqa: E402
+from thornport.kernel import draining, httpcalls, logs, metrics, metricsweb  # noqa: E402
 from thornport.peers import bus  # noqa: E402
 from thornport.platform import (  # noqa: E402
     advice,
@@ -56,18 +55,18 @@
     )
 
 
-def listen(address, app):
+def listen(address, app, open_requests):
     """Serve an app.
 
     Args:
       address: A str, `IP:PORT`; port 0 lets the kernel choose.
       app: A klein.Klein.
+      open_requests: A draining.OpenRequests.
     Returns:
       A str, the address that was bound.
     """
     ip, port = address.rsplit(":", 1)
-    site = server.Site(app.resource(), timeout=None)
-    site.noisy = False
+    site = draining.DrainingSite(app.resource(), open_requests)
     bound = reactor.listenTCP(int(port), site, interface=ip, backlog=1024)
     return f"{ip}:{bound.getHost().port}"
 
@@ -99,15 +98,16 @@
         counters,
     )
     listening = process_settings.listen
+    taken = scheduler.serving.open_requests
     bound = {
-        "http": listen(listening.jobs, ingress.make_app(scheduler)),
-        "ready": listen(listening.ready, ingress.make_ready_app(scheduler)),
+        "http": listen(listening.jobs, ingress.make_app(scheduler), taken),
+        "ready": listen(listening.ready, ingress.make_ready_app(scheduler), taken),
     }
     if listening.metrics_port is not None:
         shown = f"{listening.ip}:{listening.metrics_port}"
         internal = metricsweb.make_app(counters)
         web.add_routes(internal, scheduler)
-        bound["metrics"] = listen(shown, internal)
+        bound["metrics"] = listen(shown, internal, taken)
     reactor.callWhenRunning(scheduler.start)
     reactor.callWhenRunning(lambda: logs.log("listening", **bound))
     reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -95,7 +95,7 @@
         return webreply.answer(request, 400, webreply.Problem(str(error)))
     now = clock.read_monotonic()
     kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
-    outcome = await daemon.intake.submit(kept, read_deadline(request, now))
+    outcome = await daemon.serving.submit(kept, read_deadline(request, now))
     if isinstance(outcome, intake.Accepted):
         return webreply.answer(request, 200, WireState(record.JobState.QUEUED.value))
     return web.answer_not_kept(request, outcome)
@@ -103,7 +103,8 @@
 
 async def read_state(daemon, request, job_id):
     """Answer the state of a job."""
-    read = await daemon.read_state(job_id)
+    deadline = read_deadline(request, clock.read_monotonic())
+    read = await daemon.serving.read_state(job_id, deadline)
     if isinstance(read, result.Failure):
         return webreply.refuse(request, 503, read.failure().reason)
     state = read.unwrap()
@@ -115,7 +116,7 @@
 async def cancel(daemon, request, job_id):
     """Cancel a job."""
     deadline = read_deadline(request, clock.read_monotonic())
-    outcome = await daemon.intake.cancel(job_id, deadline)
+    outcome = await daemon.serving.cancel(job_id, deadline)
     if isinstance(outcome, intake.Accepted):
         return webreply.answer(request, 200, WireState(record.JobState.CANCELLED.value))
     if isinstance(outcome, intake.NoSuchJob):
@@ -125,7 +126,8 @@
 
 async def count_waiting(daemon, request, queue):
     """Answer how many jobs of a queue have not begun."""
-    read = await daemon.count_waiting(queue.name)
+    deadline = read_deadline(request, clock.read_monotonic())
+    read = await daemon.serving.count_waiting(queue.name, deadline)
     if isinstance(read, result.Failure):
         return webreply.refuse(request, 503, read.failure().reason)
     return webreply.answer(request, 200, WireWaiting(read.unwrap()))
