Soak: slow links to the store, growing configurations, callers to the end of a stop

Now a link passes 200 KB/s, each version has 200 routes more and must be in force everywhere at the end, and two callers use open connections until a process that is told to stop is gone.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,14 +33,16 @@
         cell.find_owner()
         for thread in threads:
             thread.start()
-        strikes.Striker(cell).run(plan.make_plan(seed, seconds, cell.names))
+        striker = strikes.Striker(cell)
+        striker.run(plan.make_plan(seed, seconds, cell.names))
         for thread in threads:
             thread.stopping.set()
         for thread in threads:
             thread.join()
         broken = checks.check_jobs(cell, book)
         broken += checks.check_workers(cell.read_seen(), book)
-        broken += checks.check_configs(cell)
+        broken += checks.check_configs(cell, striker.version)
+        broken += striker.cut
         is_kept = not broken
     finally:
         cell.end_processes()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -62,16 +62,21 @@
     return state if state in FINAL_STATES else ""
 
 
-def check_configs(cell):
-    """Check that versions only rose in each life of each scheduler.
+def check_configs(cell, newest):
+    """Check that versions only rose in each life of each scheduler, to the newest.
 
     Args:
       cell: A schedulers.Schedulers.
+      newest: An int, the version that was written last.
     Returns:
       A list of str, a line for each broken promise.
     """
     broken = []
     for name in cell.names:
+        try:
+            cell.by_name[name].wait_for(rf"config-in-force version={newest} ")
+        except AssertionError as error:
+            broken.append(f"{name}: {error}")
         log = cell.by_name[name].read_log()
         versions = [int(v) for v in re.findall(r"config-in-force version=(\d+)", log)]
         if versions != sorted(set(versions)):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,7 @@
     STORE_SILENT = "freeze"
     STORE_ONE_WAY = "one_way"
     STORE_MUTED = "mute"
+    STORE_NARROW = "bytes_per_s"
     STORE_AWAY = "away"
     WRITES_LOST = "lose_writes"
     HISTORY_GONE = "forgets"
@@ -40,6 +41,7 @@
         Kind.STORE_SILENT,
         Kind.STORE_ONE_WAY,
         Kind.STORE_MUTED,
+        Kind.STORE_NARROW,
     }
 )
 
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -1,6 +1,7 @@
 """Carrying out the faults of a plan against the processes of a cell."""
 
 import contextlib
+import itertools
 import signal
 import subprocess
 import threading
@@ -10,14 +11,28 @@
 from tests import harness, schedulers
 
 PROXY_DELAY_MS = 150
+PROXY_BYTES_PER_S = 200_000  # of a connection; a configuration takes up to a second
 STORE_SLOW_MS = 200  # 50 times the users' store
 LOST_WRITES = 3  # in a row, of whichever process they are
 VERSION_STEP = 3  # of a config: any rise puts it in force
+ROUTES_STEP = 200  # more routes in each version
+OPEN_CALLERS = 2  # that use their connection to a process that is told to stop
 RESTART_S = 0.4  # from the end of a process to its next life
 
 
+VALUE_BY_KIND = {
+    plan.Kind.STORE_DELAYED: PROXY_DELAY_MS,
+    plan.Kind.STORE_NARROW: PROXY_BYTES_PER_S,
+}
+
+
 class Striker:
-    """Strikes, and mends what it struck when its time is over."""
+    """Strikes, and mends what it struck when its time is over.
+
+    Attributes:
+      cut: A list of str, requests that a planned stop cut.
+      version: An int, of the configuration that was written last.
+    """
 
     def __init__(self, cell):
         """Take what is struck.
@@ -28,7 +43,11 @@
         self._cell = cell
         self._lock_by_name = {name: threading.Lock() for name in cell.names}
         self._threads = []
-        self._version = schedulers.CONFIG["version"]
+        self._ids = itertools.count(1)
+        self._config_lock = threading.Lock()
+        self._routes = list(schedulers.CONFIG["routes"])
+        self.version = schedulers.CONFIG["version"]
+        self.cut = []
 
     def run(self, faults):
         """Carry out a plan; it is over when all is mended.
@@ -54,7 +73,7 @@
             with self._lock_by_name[fault.target]:
                 self._signal(fault)
         elif fault.kind in plan.OF_SCHEDULER:
-            value = PROXY_DELAY_MS if fault.kind is plan.Kind.STORE_DELAYED else True
+            value = VALUE_BY_KIND.get(fault.kind, True)
             proxy = f"store-of-{fault.target}"
             self._cell.set_proxy(proxy, **{fault.kind.value: value})
             time.sleep(fault.for_s)
@@ -70,17 +89,35 @@
             process.thaw()
             return
         if fault.kind is plan.Kind.STOP:
-            process.signal(signal.SIGTERM)
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                process.popen.wait(harness.PATIENCE_S)
+            self._stop(fault.target)
         process.kill()
         time.sleep(RESTART_S)
         self._cell.start_scheduler(fault.target)
 
+    def _stop(self, name):
+        """Tell a process to stop while callers use their connections to the end."""
+        address = self._cell.http_by_name[name]
+        callers = [
+            harness.OpenCaller(address, self._make_request) for _ in range(OPEN_CALLERS)
+        ]
+        process = self._cell.by_name[name]
+        process.signal(signal.SIGTERM)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            process.popen.wait(harness.PATIENCE_S)
+        for caller in callers:
+            caller.stop()
+            self.cut += [
+                f"cut by a planned stop of {name}: {cut}" for cut in caller.cut
+            ]
+
+    def _make_request(self):
+        """Make the parts of a request for the state of a job that nobody handed in."""
+        job_id = f"{next(self._ids):016x}"
+        return job_id, schedulers.HOST, f"/editions/{job_id}", None
+
     def _strike_platform(self, fault):
         if fault.kind is plan.Kind.CONFIG:
-            self._version += VERSION_STEP
-            self._cell.put_config(schedulers.CONFIG | {"version": self._version})
+            self._put_config()
         elif fault.kind is plan.Kind.WORKER_CRASH:
             harness.call("POST", self._cell.url("platform", "/crash"))
         elif fault.kind is plan.Kind.WRITES_LOST:
@@ -91,6 +128,17 @@
             value = STORE_SLOW_MS if fault.kind is plan.Kind.STORE_SLOW else True
             self._set_for_a_while(fault, value)
 
+    def _put_config(self):
+        """Write a version with more routes than the one before."""
+        with self._config_lock:
+            self.version += VERSION_STEP
+            first = self._routes[0]
+            for _ in range(ROUTES_STEP):
+                name = f"route-{len(self._routes)}"
+                self._routes.append(first | {"name": name, "path_prefix": f"/{name}/"})
+            more = {"version": self.version, "routes": self._routes}
+            self._cell.put_config(schedulers.CONFIG | more)
+
     def _set_for_a_while(self, fault, value):
         self._cell.set_platform_faults(**{fault.kind.value: value})
         time.sleep(fault.for_s)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -364,7 +364,8 @@
 
         Args:
           address: A str, `IP:PORT`.
-          make_request: A callable giving a name, a host, a path and a body.
+          make_request: A callable giving a name, a host, a path and a body; without
+            a body the request is a read.
         """
         self.answered = []
         self.cut = []
@@ -384,7 +385,8 @@
             name, host, path, body = self._make_request()
             sent_at = time.monotonic()
             try:
-                connection.request("POST", path, body, {"Host": host})
+                method = "GET" if body is None else "POST"
+                connection.request(method, path, body, {"Host": host})
                 sent_at = time.monotonic()
                 answer = connection.getresponse()
                 answer.read()
