Say that there is no such queue only by a configuration that is confirmed

Cause: a process whose watch of the configuration was lost answered 404 for a route that had been added since; it could know that it did not know. Now after 3 s without word of the store it refuses such a request for the moment (503, when to come back).

--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -238,6 +238,18 @@
         for name in self.cell.names:
             self.check_accepts(name)
 
+    def test_unknown_route_is_no_certainty_while_the_store_is_silent(self):
+        self.assertEqual(self.read_unknown_route(), 404)
+        self.cell.set_proxy(f"store-of-{self.other}", freeze=True)
+        harness.wait_until(lambda: self.read_unknown_route() == 503, "no certainty")
+        self.cell.set_proxy(f"store-of-{self.other}")
+        harness.wait_until(lambda: self.read_unknown_route() == 404, "certainty")
+
+    def read_unknown_route(self):
+        """The status of a request for a route that is in no configuration."""
+        answer = self.cell.send("GET", self.other, "/nothing/here")
+        return answer.status if answer is not None else 0
+
     def test_those_of_one_process_after_the_other(self):
         for name in self.cell.names:
             self.mute(name)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -25,6 +25,10 @@
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
+# A configuration of which the store has not told for so long may be out of date: a
+# watch waits for 2 s and is answered within 0.6 s more, but for one whose answer is a
+# new version on its way.
+CONFIRMED_S = 3.0
 
 
 class SchedulerDaemon:
@@ -300,6 +304,11 @@
 
     # What callers ask for.
 
+    def is_config_confirmed(self):
+        """Whether the store has told of the configuration within CONFIRMED_S."""
+        age_s = self._config_follower.read_age_s()
+        return age_s is not None and age_s < CONFIRMED_S
+
     def find_queue(self, host, path):
         """Find the queue of a request.
 
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -46,7 +46,7 @@
         path = request.path.decode("latin-1")
         queue = daemon.find_queue(host, path)
         if queue is None:
-            return webreply.answer(request, 404, webreply.Problem("no such queue"))
+            return answer_no_queue(daemon, request)
         rest = path.removeprefix(queue.path_prefix)
         if not daemon.is_ready():
             # So that the caller's next connection goes to another process.
@@ -84,6 +84,17 @@
     return app
 
 
+def answer_no_queue(daemon, request):
+    """Answer that there is no such queue, if that is certain.
+
+    A queue may have been added since the store last told of the configuration.
+    """
+    if daemon.is_config_confirmed():
+        return webreply.answer(request, 404, webreply.Problem("no such queue"))
+    request.setHeader("Connection", "close")
+    return webreply.refuse(request, 503, "the configuration may be out of date")
+
+
 async def submit(daemon, request, queue, job_id):
     """Take a job."""
     body = request.content.read()
