Start daemons from the kernel, not from the command line's package

Three daemons imported upward, from the package of the command line, which imports them. The module needs logs and settings of processes alone, so it stands beside them. No change of behaviour; tests of the path and of jobs pass.

--- a/bench/thin.py
+++ b/bench/thin.py
@@ -17,10 +17,9 @@
 from twisted.web import http_headers, server
 
 from bench import watcher
-from thornport.commands import daemons
 from thornport.entry import callers, dispatch
 from thornport.fleet import vmlist
-from thornport.kernel import clock, logs, metrics, tasks
+from thornport.kernel import clock, daemons, logs, metrics, tasks
 from thornport.routing import outcome
 from thornport.routing import request as requests
 from thornport.settings import inforce
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -7,8 +7,8 @@
 import typer
 from returns import result
 
-from thornport.commands import daemons, exits, jobs, offline
-from thornport.kernel import problem
+from thornport.commands import exits, jobs, offline
+from thornport.kernel import daemons, problem
 from thornport.load import arrivals, driver
 from thornport.load import report as load_report
 from thornport.report import burn, logfiles, stages
--- a/thornport/entry/__main__.py
+++ b/thornport/entry/__main__.py
@@ -8,8 +8,8 @@
 def main():
     """Run the daemon, without the packages that it does not use."""
     lean.leave_out_tls()
-    from thornport.commands import daemons
     from thornport.entry import daemon
+    from thornport.kernel import daemons
 
     daemons.run(daemon.Entry, sys.argv[1])
 
--- a/thornport/placement/__main__.py
+++ b/thornport/placement/__main__.py
@@ -8,7 +8,7 @@
 def main():
     """Run the daemon, without the packages that it does not use."""
     lean.leave_out_tls()
-    from thornport.commands import daemons
+    from thornport.kernel import daemons
     from thornport.placement import daemon
 
     daemons.run(daemon.PlacerDaemon, sys.argv[1])
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -13,8 +13,14 @@
 
 from thornport.cell import daemon, ports, settings, web  # noqa: E402
 from thornport.cell.peers import peering  # noqa: E402
-from thornport.commands import daemons  # noqa: E402
-from thornport.kernel import draining, httpcalls, logs, metrics, metricsweb  # noqa: E402
+from thornport.kernel import (  # noqa: E402
+    daemons,
+    draining,
+    httpcalls,
+    logs,
+    metrics,
+    metricsweb,
+)
 from thornport.peers import bus  # noqa: E402
 from thornport.platform import (  # noqa: E402
     advice,
