--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -308,6 +308,20 @@
         self.cell.set_platform_faults()
         self.check_told_the_truth([end for c in callers for end in c.answered])
 
+    def test_job_that_is_kept_is_not_refused(self):
+        """Callers send an ID again, also after it was accepted, to any process."""
+        job_id, first = self.cell.submit(self.owner)
+        self.assertEqual(first, 200)
+        stopped = self.cell.by_name[self.other]
+        stopped.signal(signal.SIGTERM)
+        statuses = set()
+        while stopped.popen.poll() is None:
+            statuses.add(self.cell.submit(self.other, job_id=job_id)[1])
+        self.assertIn("event=turned-away", stopped.read_log())
+        self.assertNotIn(503, statuses)
+        self.cell.names.remove(self.other)
+        self.cell.wait_state(self.owner, job_id, "succeeded")
+
     def make_request(self):
         """Make the parts of a request that hands in a job."""
         job_id = next(self.cell.ids)
