Tell whoever comes in the last second of a stop that its job is unknown, not refused

Cause: in that second a process answers without asking the store, and knew of an earlier try only if it was open there or told of by a peer. It does not know of a job that another process, or itself, has accepted, and its peers forget it within two seconds of the order to stop, for it greets the owner no more. So 503, which says that a job never runs, was not true. Ruled out: asking the store first, which may outlast the process. Before: 503 among the answers to an ID that was accepted.

--- a/thornport/cell/serving.py
+++ b/thornport/cell/serving.py
@@ -103,8 +103,9 @@
         """
         job_id = kept.job_id
         if self._is_over(f"submit {job_id}"):
-            turned_away = self.intake.turn_away(job_id, STOPS_REASON, ELSEWHERE_RETRY_S)
-            return defer.succeed(turned_away)
+            # Another process may have kept it, at an earlier try; there is no time
+            # to ask the store, and a refusal would say that it never runs.
+            return defer.succeed(intake.Unknown(STOPS_REASON, ELSEWHERE_RETRY_S))
         return self._answer(
             f"submit {job_id}",
             deadline,
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -151,19 +151,6 @@
         self._tell.tell_unresolved(job_id)
         return Unknown(reason)
 
-    def turn_away(self, job_id, reason, retry_s):
-        """Take no job any more.
-
-        Args:
-          job_id: A str.
-          reason: A str.
-          retry_s: An int, when the caller is to come back.
-        Returns:
-          A Refused, or an Unknown if it may be kept by an earlier try.
-        """
-        kind = Unknown if self._may_be_kept(job_id) else Refused
-        return kind(reason, retry_s)
-
     def _may_be_kept(self, job_id):
         """Whether an earlier try, which may be open still, may have kept a job."""
         return (
