Test that a connection whose body fell silent is ended, red

read_body gives such a body up and wants to abort its connection, but what an Agent gives as the transport has no abortConnection, so the connection stays open for good. The fake answer now has the transport of an Agent.

--- a/thornport/kernel/httpbody_test.py
+++ b/thornport/kernel/httpbody_test.py
@@ -4,19 +4,33 @@
 
 from twisted.internet import task
 from twisted.python import failure
-from twisted.web import client, http
+from twisted.web import _newclient, client, http
 
 from thornport.kernel import httpbody
 
 SILENCE_S = 0.5
 
 
+class FakeTransport:
+    """A transport of a connection."""
+
+    is_ended = False
+
+    def loseConnection(self):
+        """End the connection."""
+        self.is_ended = True
+
+
 class FakeResponse:
-    """An answer whose body is delivered by hand."""
+    """An answer whose body is delivered by hand, over a transport as of an Agent."""
+
+    def __init__(self):
+        self.transport = FakeTransport()
 
     def deliverBody(self, reader):
         """Take who reads it."""
         self.reader = reader
+        reader.makeConnection(_newclient.TransportProxyProducer(self.transport))
 
 
 class Bodies(unittest.TestCase):
@@ -53,6 +67,11 @@
         self.end(client.ResponseFailed([]))
         self.assertEqual(len(self.given), 1)
 
+    def test_connection_that_fell_silent_is_ended(self):
+        self.send(b"ab")
+        self.reactor.advance(SILENCE_S * 1.1)
+        self.assertTrue(self.response.transport.is_ended)
+
     def test_body_without_a_length_ends_with_its_connection(self):
         self.send(b"ab")
         self.end(http.PotentialDataLoss())
