Test that a body that trickles for ever is given up, red

kernel/httpcalls.py gives an answer up after 30 s whatever comes; the reader of bodies for the other HTTP clients has no such bound, so that a peer that sends a byte now and then stops their period for good.

--- a/thornport/kernel/httpbody_test.py
+++ b/thornport/kernel/httpbody_test.py
@@ -6,7 +6,7 @@
 from twisted.python import failure
 from twisted.web import _newclient, client, http
 
-from thornport.kernel import httpbody
+from thornport.kernel import httpbody, httpcalls
 
 SILENCE_S = 0.5
 
@@ -72,6 +72,14 @@
         self.reactor.advance(SILENCE_S * 1.1)
         self.assertTrue(self.response.transport.is_ended)
 
+    def test_body_that_trickles_for_ever_is_given_up(self):
+        parts = int(httpcalls.LONGEST_ANSWER_S / SILENCE_S / 0.8)
+        self.send(*[b"a"] * parts)
+        self.assertEqual(self.given, [])
+        self.send(b"a")
+        self.given[0].trap(httpbody.SilentBodyError)
+        self.assertFalse(self.reactor.getDelayedCalls())
+
     def test_body_without_a_length_ends_with_its_connection(self):
         self.send(b"ab")
         self.end(http.PotentialDataLoss())
