Bound a body that trickles, as the other calls are

Cause: the longest wait that kernel/httpcalls.py has was not carried over to the reader of bodies; only pauses ended it. Ruled out: a bound by the timeout of treq, which ends with the head of the answer. Change: a second timer with the same bound, LONGEST_ANSWER_S.

--- a/thornport/kernel/httpbody.py
+++ b/thornport/kernel/httpbody.py
@@ -7,9 +7,11 @@
 from twisted.internet import defer, protocol
 from twisted.web import client, http
 
+from thornport.kernel import httpcalls
+
 
 class SilentBodyError(Exception):
-    """Nothing of a body came for too long."""
+    """Nothing of a body came for too long, or it trickled."""
 
 
 class BodyReader(protocol.Protocol):
@@ -29,7 +31,13 @@
         self.given = defer.Deferred()
         self._parts = []
         self._silence_s = silence_s
-        self._timer = reactor.callLater(silence_s, self._give_up)
+        self._timer = reactor.callLater(
+            silence_s, self._give_up, "nothing came", silence_s
+        )
+        longest_s = max(silence_s, httpcalls.LONGEST_ANSWER_S)
+        self._longest = reactor.callLater(
+            longest_s, self._give_up, "no end came", longest_s
+        )
 
     def dataReceived(self, data):
         """Take a part."""
@@ -39,8 +47,7 @@
 
     def connectionLost(self, reason):
         """The body is whole, or was cut."""
-        if self._timer.active():
-            self._timer.cancel()
+        self._stop_timers()
         if self.given.called:
             return
         # A body without a length ends with its connection.
@@ -49,14 +56,20 @@
         else:
             self.given.errback(reason)
 
-    def _give_up(self):
+    def _give_up(self, what, waited_s):
+        self._stop_timers()
         received = sum(len(part) for part in self._parts)
-        told = f"nothing came for {self._silence_s} s after {received} bytes"
+        told = f"{what} for {waited_s} s after {received} bytes"
         self.given.errback(SilentBodyError(told))
         # Nothing is left to be sent, so this ends it at once; the transport of an
         # Agent has no abortConnection.
         self.transport.loseConnection()
 
+    def _stop_timers(self):
+        for timer in (self._timer, self._longest):
+            if timer.active():
+                timer.cancel()
+
 
 def read_body(reactor, response, silence_s):
     """Read the body of an answer.
