Test that a key is read when it changes faster than it comes, red

The answer to a watch holds each version in whole. Where a version takes longer to come than until the next one, each answer holds more of them than the one before. The other tests are of what a watch that was lost tells, which had none.

--- /dev/null
+++ b/thornport/store/watching_test.py
@@ -0,0 +1,104 @@
+"""Following one key over a slow link, and what is told of it."""
+
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import defer, task
+
+from thornport.kernel import clock
+from thornport.store import port, transactions, watching
+
+KEY = "op/config"
+
+
+class FakeStore:
+    """Notes what it is asked; answers when told."""
+
+    def __init__(self):
+        self.asked = []
+
+    def read_page(self, prefix, after_key=""):
+        """Note a read."""
+        return self._ask("read")
+
+    def watch(self, prefix, after_revision, wait_ms):
+        """Note a watch."""
+        return self._ask(f"watch {after_revision}")
+
+    def _ask(self, what):
+        self.asked.append(what)
+        self.waiting = defer.Deferred()
+        return self.waiting
+
+    def answer_page(self, revision):
+        """Answer a read with the key as it was written last."""
+        item = transactions.Item(KEY, b"%d" % revision, revision)
+        self.waiting.callback(
+            result.Success(transactions.Page([item], False, revision))
+        )
+
+    def answer_watch(self, *revisions):
+        """Answer a watch with writes of the key."""
+        changes = [transactions.Change(KEY, b"%d" % r, r) for r in revisions]
+        at = revisions[-1] if revisions else 0
+        self.waiting.callback(result.Success(transactions.Changes(changes, at)))
+
+    def lose(self):
+        """Give no answer."""
+        self.waiting.callback(result.Failure(port.Unavailable("lost")))
+
+
+class OneKey(unittest.TestCase):
+    """A key that is followed, in simulated time."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.store = FakeStore()
+        self.taken = []
+        self.follower = watching.follow_key(
+            self.clock, self.store, KEY, lambda _, revision: self.taken.append(revision)
+        )
+        self.store.answer_page(3)
+
+    def test_key_is_read_once_and_watched(self):
+        self.store.answer_watch(5)
+        self.store.answer_watch(8)
+        self.assertEqual(self.store.asked, ["read", "watch 3", "watch 5", "watch 8"])
+        self.assertEqual(self.taken, [3, 5, 8])
+
+    def test_key_that_changes_faster_than_it_comes_is_read(self):
+        self.store.answer_watch(5, 8)
+        self.assertEqual(self.store.asked[-1], "read")
+        self.store.answer_page(12)
+        self.assertEqual(self.store.asked[-1], "watch 12")
+        self.assertEqual(self.taken, [3, 5, 8, 12])
+
+    def test_watch_that_was_cut_while_it_waited_goes_on(self):
+        self.clock.advance(watching.WATCH_MS / 1000)
+        self.store.lose()
+        self.clock.advance(watching.RETRY_S)
+        self.assertEqual(self.store.asked[-1], "watch 3")
+
+    def test_loss_and_its_end_are_told_once(self):
+        with mock.patch.object(watching.logs, "log") as log:
+            for _ in range(2):
+                self.clock.advance(1.0)
+                self.store.lose()
+                self.clock.advance(watching.RETRY_S)
+            self.assertAlmostEqual(self.follower.read_age_s(), 2.4)
+            self.store.answer_watch()
+        self.assertEqual(self.follower.read_age_s(), 0.0)
+        self.assertEqual(
+            [call.args[0] for call in log.call_args_list],
+            ["store-watch-lost", "store-watch-regained"],
+        )
+        told = log.call_args.kwargs
+        self.assertEqual((told["lost_ms"], told["failures"]), (1400, 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
