Test that a key is read after an answer that did not end, red

The cause of the incident at a larger size: an answer that takes longer than 30 s is given up and asked for anew, with more in it.

--- a/thornport/store/watching_test.py
+++ b/thornport/store/watching_test.py
@@ -6,7 +6,7 @@
 from returns import result
 from twisted.internet import defer, task
 
-from thornport.kernel import clock
+from thornport.kernel import clock, httpcalls
 from thornport.store import port, transactions, watching
 
 KEY = "op/config"
@@ -77,6 +77,12 @@
         self.assertEqual(self.store.asked[-1], "watch 12")
         self.assertEqual(self.taken, [3, 5, 8, 12])
 
+    def test_key_is_read_after_an_answer_that_did_not_end(self):
+        self.clock.advance(httpcalls.LONGEST_ANSWER_S)
+        self.store.lose()
+        self.clock.advance(watching.RETRY_S)
+        self.assertEqual(self.store.asked[-1], "read")
+
     def test_watch_that_was_cut_while_it_waited_goes_on(self):
         self.clock.advance(watching.WATCH_MS / 1000)
         self.store.lose()
