Read a key after an answer that did not end

Cause: an answer with more versions than come within the longest wait of a call, 30 s, is given up, and the next try asks for all of them and more, until the store has forgotten them. Change: whoever follows one key reads it after a watch that failed later than 5 s.

--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -7,6 +7,9 @@
 
 WATCH_MS = 2000  # a silent store is noticed after this and a little more
 RETRY_S = 0.2  # after a call that the store did not answer
+# A watch that fails after this had an answer that kept coming: one that is silent or
+# cut fails within its wait and a second.
+LONG_WATCH_S = 5.0
 
 
 async def read_prefix(store, prefix):
@@ -92,6 +95,7 @@
                 continue
             # A store that did not answer is asked without waiting.
             wait_ms = 0 if self._lost_at is not None else WATCH_MS
+            asked_at = clock.read_monotonic()
             watched = await self._store.watch(self._prefix, at, wait_ms)
             if self._is_stopped:
                 return
@@ -109,6 +113,9 @@
                 at = None
             else:
                 self._lose(watched.failure().reason)
+                if self._is_key and clock.read_monotonic() - asked_at > LONG_WATCH_S:
+                    # It held more versions than come within the longest wait.
+                    at = None
                 await tasks.sleep(self._reactor, RETRY_S)
 
     async def _read_all(self):
