Test what callers with little time are told, red, and late cancels, reads and the end

A caller that has 0.1 s left or less gets 504 in the next turn of the reactor, and all peers are told of its job, though the store answers in 4 ms; the code before the bound on answers accepted it. The other tests pass; these faults were found by none when put in by hand: a late cancel that raises or says refused, a read without a bound, a late job that no peer is told of, a process that ends when it is killed.

--- a/thornport/cell/serving_test.py
+++ b/thornport/cell/serving_test.py
@@ -11,6 +11,7 @@
 from thornport.kernel import clock, tasks
 
 GRACE_S = 6.0
+LAST_WAY_S = 0.25  # timers fire late, and the end of a process takes time
 
 
 class Stopping(unittest.TestCase):
@@ -34,10 +35,10 @@
         stopping = self.serving.stop(self.clock.seconds() + GRACE_S)
         tasks.spawn(stopping, "stop").addCallback(self.ended.append)
 
-    def submit(self):
-        """Hand in a job whose caller waits for three seconds."""
+    def submit(self, wait_s=3.0):
+        """Hand in a job whose caller waits for so long."""
         kept = mock.Mock(spec=record.JobRecord, job_id="a")
-        asked = self.serving.submit(kept, self.clock.seconds() + 3.0)
+        asked = self.serving.submit(kept, self.clock.seconds() + wait_s)
         defer.ensureDeferred(asked).addCallback(self.given.append)
 
     def test_it_serves_for_most_of_its_grace(self):
@@ -72,6 +73,50 @@
         self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
         self.assertIsInstance(self.given[0], intake.Unknown)
 
+    def test_caller_with_little_time_gets_the_outcome_that_is_there(self):
+        """A caller that tries again near its deadline leaves less than the margin."""
+
+        def keep(*_):
+            kept = defer.Deferred()
+            self.clock.callLater(0.005, kept.callback, intake.Accepted())
+            return kept
+
+        self.intake.submit.side_effect = keep
+        self.submit(wait_s=0.06)
+        self.clock.pump([0.001] * 10)
+        self.assertEqual(self.given, [intake.Accepted()])
+
+    def test_cancel_is_answered_before_its_caller_gives_up(self):
+        self.intake.cancel = lambda *_: defer.Deferred()
+        asked = self.serving.cancel("a", self.clock.seconds() + 3.0)
+        defer.ensureDeferred(asked).addCallback(self.given.append)
+        self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
+        self.assertEqual(self.given, [intake.Unknown(serving.LATE_REASON)])
+
+    def test_read_is_answered_before_its_caller_gives_up(self):
+        self.daemon.get_core.return_value = None
+        self.daemon.owner_address = "10.0.0.1:80"
+        self.daemon.asker.ask_state.side_effect = lambda *_: defer.Deferred()
+        self.daemon.asker.ask_waiting.side_effect = lambda *_: defer.Deferred()
+        for read in (self.serving.read_state, self.serving.count_waiting):
+            asked = defer.ensureDeferred(read("a", self.clock.seconds() + 3.0))
+            asked.addCallback(self.given.append)
+        self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
+        late = serving.fail(serving.LATE_REASON)
+        self.assertEqual(self.given, [late, late])
+
+    def test_peers_are_told_of_a_job_without_an_outcome(self):
+        self.submit()
+        self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
+        self.intake.give_up.assert_called_once_with("a", serving.LATE_REASON)
+
+    def test_process_ends_before_it_is_killed(self):
+        self.stop()
+        self.clock.advance(GRACE_S - serving.LAST_ANSWERS_S)
+        self.assertFalse(self.ended)
+        self.clock.advance(serving.LAST_ANSWERS_S - LAST_WAY_S)
+        self.assertTrue(self.ended)
+
     def read_result(self, deferred):
         """The outcome of a Deferred that has fired."""
         given = []
