Test late failures, failing last answers and writes to a caller that is gone, red

Three faults at the edges of draining, each shown by its test: what fails after its caller was answered is dropped without a line; a last answer that can't be made stops end_waits, and with it the stop, so that the process ends at once with the others open; and a write to a caller that went away while draining raises, where it is dropped at other times.

--- a/thornport/kernel/draining_test.py
+++ b/thornport/kernel/draining_test.py
@@ -1,12 +1,13 @@
 """Requests get their answer when it is there, when it is due, or at the end."""
 
 import unittest
+from unittest import mock
 
 from twisted.internet import defer, error, task
 from twisted.python import failure
 from twisted.web import resource, server
 
-from thornport.kernel import draining, tasks
+from thornport.kernel import draining, logs, tasks
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -40,6 +41,28 @@
         self.assertEqual(self.given, ["late"])
         self.assertFalse(self.clock.getDelayedCalls())
 
+    def test_late_failure_is_logged(self):
+        self.clock.advance(2.1)
+        with mock.patch.object(logs, "log") as log:
+            self.running.errback(ValueError("a fault of ours"))
+        self.assertEqual(log.call_args.args, ("task-failed",))
+        self.assertEqual(self.given, ["late"])
+
+    def test_one_answer_that_fails_holds_up_no_other(self):
+        def fail():
+            raise ValueError("a fault of ours")
+
+        failed = []
+        waiting = self.open_requests.wait(self.clock, defer.Deferred(), 1.0, fail)
+        defer.ensureDeferred(waiting).addErrback(failed.append)
+        last = self.open_requests.wait(
+            self.clock, defer.Deferred(), 1.0, lambda: "late too"
+        )
+        defer.ensureDeferred(last).addCallback(self.given.append)
+        self.assertEqual(self.open_requests.end_waits(), 3)
+        self.assertEqual(self.given, ["late", "late too"])
+        failed[0].trap(ValueError)
+
 
 class FakeTransport:
     """A transport that keeps what is written."""
@@ -120,6 +143,13 @@
         self.assertTrue(self.transport.written.endswith(b"x\r\n0\r\n\r\n"))
         self.assertTrue(self.transport.disconnecting)
 
+    def test_answer_to_a_caller_that_went_away_while_draining_is_dropped(self):
+        self.channel.dataReceived(REQUEST)
+        self.open_requests.close_connections()
+        self.channel.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.root.request.write(b"x")
+        self.assertEqual(self.transport.written, b"")
+
     def test_caller_that_goes_away_is_not_open_any_more(self):
         self.channel.dataReceived(REQUEST)
         self.channel.connectionLost(failure.Failure(error.ConnectionDone()))
