Keep late failures, failing last answers and lost callers from doing harm

Cause: fire_once dropped whatever came second, failures too; _end let what makes the late outcome raise into the loop over all waits; and a request whose connection is lost has no channel. Ruled out: klein, which stops a handler when its caller goes away, but writes what a handler returns that was over by then. Change: a late failure is logged; a late outcome that can't be made is the failure of its own request; a lost request is written to as at other times.

--- a/thornport/kernel/draining.py
+++ b/thornport/kernel/draining.py
@@ -9,8 +9,11 @@
 """
 
 from twisted.internet import defer
+from twisted.python import failure
 from twisted.web import server
 
+from thornport.kernel import tasks
+
 
 class OpenRequests:
     """The requests of a process that have been read and not been answered yet.
@@ -64,12 +67,18 @@
 
     def _end(self, first):
         make_late = self._late_by_wait.pop(first, None)
-        if make_late is not None:
-            fire_once(make_late(), first)
+        if make_late is None:
+            return
+        try:
+            outcome = make_late()
+        except Exception:
+            # Its caller gets an error, and the others their answers.
+            outcome = failure.Failure()
+        fire_once(outcome, first)
 
 
 def fire_once(outcome, first):
-    """Fire a Deferred unless it has fired.
+    """Fire a Deferred unless it has fired; a failure that comes too late is logged.
 
     Args:
       outcome: What to fire it with, or a twisted Failure.
@@ -77,6 +86,8 @@
     """
     if not first.called:
         first.callback(outcome)
+    elif isinstance(outcome, failure.Failure):
+        tasks.log_failure(outcome, "late-outcome")
 
 
 class DrainingRequest(server.Request):
@@ -94,7 +105,8 @@
 
     def write(self, data):
         """Write a part of the answer; before the first, say if the connection ends."""
-        if not self.startedWriting and self._open_requests.is_closing:
+        is_first = not self.startedWriting and self.channel is not None
+        if is_first and self._open_requests.is_closing:
             self.setHeader(b"Connection", b"close")
             # The server closes it itself: not all clients heed the header.
             self.channel.persistent = False
