Test that a call that is made again in time has a bound for its whole answer, red

Since calls are given up for silence alone, a look at a worker may take 30 s, and the next one, which renews leases of 6 s, waits for its end; likewise the renewal of the owner's lease of 1 s, and orders.

--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from returns import result
 
-from thornport.cell.decisions import messages
+from thornport.cell.decisions import leases, messages
+from thornport.cell.owner import ownership
 from thornport.jobs import spec
 from thornport.kernel import httpcalls
 from thornport.platform import advice, config, jobs, store, workers
@@ -39,8 +40,10 @@
         timeout_s=1.0,
         headers=(),
         silence_s=None,
+        longest_s=httpcalls.LONGEST_ANSWER_S,
     ):
         """Note the call and answer."""
+        self.longest_s = longest_s
         self.asked.append((method, path, body, dict(headers)))
         return self.outcome
 
@@ -226,6 +229,28 @@
             self.assertIsInstance(run(client.stop(order)), kind)
 
 
+class RepeatedCalls(unittest.TestCase):
+    """Calls that are made again in time: an answer that trickles may not hold them up.
+
+    A look renews leases of HOLD_MS, and the next one waits for its end; likewise the
+    renewal of the owner's lease.
+    """
+
+    def test_each_ends_while_there_is_time_for_another(self):
+        calls = FakeCalls(result.Failure(httpcalls.NoAnswer("cut")))
+        client = workers.WorkerClient(calls, 0.2)
+        run(client.hold(messages.HoldRequest("i-1", "10.0.0.9:80", 7, 0, 0, 700)))
+        self.assertLess(calls.longest_s, leases.HOLD_MS / 2 / 1000)
+        run(client.stop(messages.StopOrder("i-1", "10.0.0.9:80", TASK, 2, 7)))
+        self.assertEqual(calls.longest_s, 0.2)
+        client = store.StoreClient(calls, "10.0.0.7:80", 0.5, FakeMetrics())
+        run(client.renew_lease(77))
+        self.assertLess(calls.longest_s, ownership.LEASE_TTL_MS / 1000)
+        client = advice.AdviceClient(calls, "10.0.0.1:9")
+        run(client.advise(messages.AdviceRequest(STEP, ("i-1",)), 1.0))
+        self.assertEqual(calls.longest_s, 1.0)
+
+
 class Store(unittest.TestCase):
     """The store's calls."""
 
