Test how long a watch may be silent before and in its answer

Found by no module test when put in by hand: a pause in the answer of a watch as long as its wait, and a slack of 10 s for a silent store.

--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -43,6 +43,7 @@
         longest_s=httpcalls.LONGEST_ANSWER_S,
     ):
         """Note the call and answer."""
+        self.timeout_s, self.silence_s = timeout_s, silence_s
         self.longest_s = longest_s
         self.asked.append((method, path, body, dict(headers)))
         return self.outcome
@@ -320,6 +321,14 @@
         )
         self.assertIsInstance(gone.failure(), transactions.HistoryGone)
 
+    def test_watch_waits_long_for_its_answer_but_not_in_it(self):
+        calls = FakeCalls(result.Failure(httpcalls.NoAnswer("cut")))
+        client = store.StoreClient(calls, "10.0.0.7:80", 0.5, FakeMetrics())
+        run(client.watch("p/", 411, 2000))
+        self.assertEqual(calls.timeout_s, 2.0 + store.WATCH_SLACK_S)
+        self.assertEqual((calls.silence_s, calls.longest_s), (0.5, 30.0))
+        self.assertLess(store.WATCH_SLACK_S, 1.0)  # a silent store is noticed
+
     def test_lease_that_is_over(self):
         over, asked = self.ask(
             result.Success(answer(404, {})), lambda c: c.renew_lease(77)
