--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from returns import result
 
-from thornport.cell.decisions import messages
+from thornport.cell.decisions import leases, messages
+from thornport.cell.owner import ownership
 from thornport.jobs import spec
 from thornport.kernel import httpcalls
 from thornport.platform import advice, config, jobs, store, workers
@@ -39,8 +40,11 @@
         timeout_s=1.0,
         headers=(),
         silence_s=None,
+        longest_s=httpcalls.LONGEST_ANSWER_S,
     ):
         """Note the call and answer."""
+        self.timeout_s, self.silence_s = timeout_s, silence_s
+        self.longest_s = longest_s
         self.asked.append((method, path, body, dict(headers)))
         return self.outcome
 
@@ -226,6 +230,28 @@
             self.assertIsInstance(run(client.stop(order)), kind)
 
 
+class RepeatedCalls(unittest.TestCase):
+    """Calls that are made again in time: an answer that trickles may not hold them up.
+
+    A look renews leases of HOLD_MS, and the next one waits for its end; likewise the
+    renewal of the owner's lease.
+    """
+
+    def test_each_ends_while_there_is_time_for_another(self):
+        calls = FakeCalls(result.Failure(httpcalls.NoAnswer("cut")))
+        client = workers.WorkerClient(calls, 0.2)
+        run(client.hold(messages.HoldRequest("i-1", "10.0.0.9:80", 7, 0, 0, 700)))
+        self.assertLess(calls.longest_s, leases.HOLD_MS / 2 / 1000)
+        run(client.stop(messages.StopOrder("i-1", "10.0.0.9:80", TASK, 2, 7)))
+        self.assertEqual(calls.longest_s, 0.2)
+        client = store.StoreClient(calls, "10.0.0.7:80", 0.5, FakeMetrics())
+        run(client.renew_lease(77))
+        self.assertLess(calls.longest_s, ownership.LEASE_TTL_MS / 1000)
+        client = advice.AdviceClient(calls, "10.0.0.1:9")
+        run(client.advise(messages.AdviceRequest(STEP, ("i-1",)), 1.0))
+        self.assertEqual(calls.longest_s, 1.0)
+
+
 class Store(unittest.TestCase):
     """The store's calls."""
 
@@ -295,6 +321,14 @@
         )
         self.assertIsInstance(gone.failure(), transactions.HistoryGone)
 
+    def test_watch_waits_long_for_its_answer_but_not_in_it(self):
+        calls = FakeCalls(result.Failure(httpcalls.NoAnswer("cut")))
+        client = store.StoreClient(calls, "10.0.0.7:80", 0.5, FakeMetrics())
+        run(client.watch("p/", 411, 2000))
+        self.assertEqual(calls.timeout_s, 2.0 + store.WATCH_SLACK_S)
+        self.assertEqual((calls.silence_s, calls.longest_s), (0.5, 30.0))
+        self.assertLess(store.WATCH_SLACK_S, 1.0)  # a silent store is noticed
+
     def test_lease_that_is_over(self):
         over, asked = self.ask(
             result.Success(answer(404, {})), lambda c: c.renew_lease(77)
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -7,6 +7,9 @@
 
 WATCH_MS = 2000  # a silent store is noticed after this and a little more
 RETRY_S = 0.2  # after a call that the store did not answer
+# A watch that fails after this had an answer that kept coming: one that is silent or
+# cut fails within its wait and a second.
+LONG_WATCH_S = 5.0
 
 
 async def read_prefix(store, prefix):
@@ -38,7 +41,9 @@
 class Follower:
     """Follows a prefix until it is stopped."""
 
-    def __init__(self, reactor, store, prefix, take_all, take_change, gap_s=0.0):
+    def __init__(
+        self, reactor, store, prefix, take_all, take_change, gap_s=0.0, is_key=False
+    ):
         """Take what is told of changes.
 
         Args:
@@ -49,8 +54,11 @@
           take_change: A callable of a transactions.Change.
           gap_s: A float, from one answer to the next watch, so that changes
             share an answer.
+          is_key: A bool, whether the prefix is one key, of which the newest value
+            alone counts.
         """
         self._gap_s = gap_s
+        self._is_key = is_key
         self._reactor = reactor
         self._store = store
         self._prefix = prefix
@@ -87,12 +95,17 @@
                 continue
             # A store that did not answer is asked without waiting.
             wait_ms = 0 if self._lost_at is not None else WATCH_MS
+            asked_at = clock.read_monotonic()
             watched = await self._store.watch(self._prefix, at, wait_ms)
             if self._is_stopped:
                 return
             if isinstance(watched, result.Success):
                 self._regain()
                 at = self._take(watched.unwrap(), at)
+                if self._is_key and len(watched.unwrap().changes) > 1:
+                    # It changes faster than it comes. A further answer would hold
+                    # each version in whole, ever more of them; a read, the newest.
+                    at = None
                 if self._gap_s and watched.unwrap().changes:
                     await tasks.sleep(self._reactor, self._gap_s)
             elif port.is_failure(watched, transactions.HistoryGone):
@@ -100,6 +113,9 @@
                 at = None
             else:
                 self._lose(watched.failure().reason)
+                if self._is_key and clock.read_monotonic() - asked_at > LONG_WATCH_S:
+                    # It held more versions than come within the longest wait.
+                    at = None
                 await tasks.sleep(self._reactor, RETRY_S)
 
     async def _read_all(self):
@@ -164,6 +180,6 @@
         if change.key == key:
             take_value(change.value, change.revision)
 
-    follower = Follower(reactor, store, key, take_all, take_change)
+    follower = Follower(reactor, store, key, take_all, take_change, is_key=True)
     tasks.spawn(follower.follow(), f"follow {key}")
     return follower
