Wait for a peer as long as the store takes, and end connections as announced

And an answer that announced the end of its connection did not end it, so that callers stayed at a process that the store does not answer. Both tests were red before, green after.

--- a/thornport/cell/peers/questions.py
+++ b/thornport/cell/peers/questions.py
@@ -27,12 +27,13 @@
         self._ids = itertools.count(1)
         self._waiting_by_id = {}
 
-    async def ask(self, address, make_question):
+    async def ask(self, address, make_question, patience_s=0.0):
         """Ask and wait.
 
         Args:
           address: A str, of the process that is asked.
           make_question: A callable from an id to a message that carries it.
+          patience_s: A float, how long to wait if that is longer than usual.
         Returns:
           The answer, a message; None if it did not come in time.
         """
@@ -43,7 +44,7 @@
             return await tasks.wait_timed(
                 self._reactor,
                 waiting,
-                self._patience_s,
+                max(self._patience_s, patience_s),
                 lambda: waiting.callback(None),
             )
         finally:
--- a/thornport/cell/peers/relaying.py
+++ b/thornport/cell/peers/relaying.py
@@ -18,7 +18,10 @@
 # A store that answers all slowly answers a peer no sooner: a call goes by way of a
 # peer when it takes this many times as long as the slowest answers of late.
 HEDGE_TIMES = 2.0
-PEER_S = 0.4  # longest wait for a peer's answer
+PEER_S = 0.4  # wait for a peer's answer
+# Likewise, in times of the slowest answers of late: a peer that waits for a slow store
+# would be given up each time, and taken off the list.
+PEER_TIMES = 2.0
 
 
 class RelayedStore:
@@ -112,7 +115,8 @@
 
     async def _ask_peer(self, make_question):
         address = self._random.choice(self.peer_addresses)
-        answer = await self._questions.ask(address, make_question)
+        patience_s = PEER_TIMES * self._store.slowest_s
+        answer = await self._questions.ask(address, make_question, patience_s)
         if answer is None:
             # The owner tells again which peers the store answers.
             self.peer_addresses = tuple(
--- a/thornport/cell/peers/relaying_test.py
+++ b/thornport/cell/peers/relaying_test.py
@@ -121,6 +121,15 @@
         self.clock.advance(0.4)
         self.assertEqual(self.bus.sent, [])
 
+    def test_peer_of_a_slow_store_is_waited_for_and_kept(self):
+        self.store.slowest_s = 0.39
+        self.store.away = True
+        self.commit()
+        self.clock.advance(0.45)
+        self.answer_peer(peering.RelayedRevision, 7)
+        self.assertEqual(self.outcomes, [result.Success(7)])
+        self.assertEqual(self.relayed.peer_addresses, ("p:1",))
+
 
 async def awaited(waiting):
     """Wait for a Deferred."""
--- a/thornport/kernel/draining.py
+++ b/thornport/kernel/draining.py
@@ -108,7 +108,8 @@
         is_first = not self.startedWriting and self.channel is not None
         if is_first and self._open_requests.is_closing:
             self.setHeader(b"Connection", b"close")
-            # The server closes it itself: not all clients heed the header.
+        if is_first and self.responseHeaders.hasHeader(b"Connection"):
+            # The server closes what it says it will: not all clients heed the header.
             self.channel.persistent = False
         super().write(data)
 
--- a/thornport/kernel/draining_test.py
+++ b/thornport/kernel/draining_test.py
@@ -143,6 +143,12 @@
         self.assertTrue(self.transport.written.endswith(b"x\r\n0\r\n\r\n"))
         self.assertTrue(self.transport.disconnecting)
 
+    def test_answer_that_announces_the_end_of_its_connection_ends_it(self):
+        self.channel.dataReceived(REQUEST)
+        self.root.request.setHeader(b"Connection", b"close")
+        self.answer()
+        self.assertTrue(self.transport.disconnecting)
+
     def test_answer_to_a_caller_that_went_away_while_draining_is_dropped(self):
         self.channel.dataReceived(REQUEST)
         self.open_requests.close_connections()
