--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -260,11 +260,11 @@
     """A link over which a large configuration takes seconds.
 
     The configuration grew by 1,400 routes, and one small VM, whose connections get 550
-    KB/s of a link of 10 Mbit/s, answered by the version before for 20 s: it gave up its watch 0.6 s after the wait
-    though bytes of the answer came without a break, asked again with 0.6 s in all,
-    which no such answer can keep, and began anew until the store had forgotten the
-    change. Its monitoring proved it: the link was full all the time, its processor at
-    1%, and the store answered every other call.
+    KB/s of a link of 10 Mbit/s, answered by the version before for 20 s: it gave up its
+    watch 0.6 s after the wait though bytes of the answer came without a break, asked
+    again with 0.6 s in all, which no such answer can keep, and began anew until the
+    store had forgotten the change. Its monitoring proved it: the link was full all the
+    time, its processor at 1%, and the store answered every other call.
     """
 
     has_proxies = True
