Give the patience of a call a type, and split the call

How long a call waits is one value, httpcalls.Patience, and sending a request and waiting for its answer is a function of its own.

--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -24,6 +24,26 @@
 LONGEST_ANSWER_S = 30.0
 
 
+class Patience(msgspec.Struct, frozen=True):
+    """How long a call waits.
+
+    Attributes:
+      begin_s: A float, seconds until its answer begins once connected; to connect may
+        take as long again, CONNECT_TIMEOUT_S at most.
+      pause_s: A float, the longest pause in an answer that has begun; 0 for as long as
+        until it begins.
+      whole_s: A float, until the answer ends; less than the usual only where the answer
+        is small and the call must be made again in time.
+    """
+
+    begin_s: float
+    pause_s: float = 0.0
+    whole_s: float = LONGEST_ANSWER_S
+
+
+USUAL_PATIENCE = Patience(1.0)
+
+
 class Answer(msgspec.Struct, frozen=True):
     """The status and body of an answer."""
 
@@ -193,45 +213,36 @@
         self._reactor = reactor
         self._pool_by_address = {}
 
-    async def call(
-        self,
-        address,
-        method,
-        path,
-        body=b"",
-        timeout_s=1.0,
-        headers=(),
-        silence_s=None,
-        longest_s=LONGEST_ANSWER_S,
-    ):
+    async def call(self, address, method, path, body=b"", patience=None, headers=()):
         """Make one call.
 
-        It is given up for silence alone, not for the size of its answer: an answer that
-        takes longer than any bound set beforehand would be cut and asked for anew for
-        ever, which kept a configuration of 1 MB from a VM for 20 s.
+        It is given up for silence, not for the size of its answer: an answer that takes
+        longer than any bound set beforehand would be cut and asked for anew for ever,
+        which kept a configuration of 1 MB from a VM for 20 s.
 
         Args:
           address: A str, `IP:PORT`.
           method, path: A str each; the path with its query.
           body: Bytes, JSON; empty for none.
-          timeout_s: A float, seconds until the answer begins once connected; to
-            connect may take as long again, CONNECT_TIMEOUT_S at most.
+          patience: A Patience; None for the usual.
           headers: An iterable of pairs of str.
-          silence_s: A float, the longest pause in an answer that has begun; None for
-            as long as the timeout.
-          longest_s: A float, until the answer ends; less than the usual only where the
-            answer is small and the call must be made again in time.
         Returns:
           A Result of Answer, NotSent or NoAnswer.
         """
+        patience = patience or USUAL_PATIENCE
         pool = self._pool_by_address.setdefault(address, Pool(self._reactor))
         connection = pool.take()
         if connection is None:
-            opened = await self._open(address, pool, min(timeout_s, CONNECT_TIMEOUT_S))
+            connect_s = min(patience.begin_s, CONNECT_TIMEOUT_S)
+            opened = await self._open(address, pool, connect_s)
             if isinstance(opened, result.Failure):
                 return opened
             connection = opened.unwrap()
         data = format_request(address, method, path, body, headers)
+        return await self._exchange(connection, pool, data, patience)
+
+    async def _exchange(self, connection, pool, data, patience):
+        """Send a request and wait for its answer."""
         sent_at = self._reactor.seconds()
         waiting = connection.send(data)
 
@@ -240,12 +251,11 @@
             waiting.cancel()
 
         sending_s = len(data) / SLOWEST_BYTES_PER_S
-        timer = self._reactor.callLater(timeout_s + sending_s, give_up)
-        longest = self._reactor.callLater(
-            max(timeout_s, longest_s) + sending_s, waiting.cancel
-        )
-        pause_s = timeout_s if silence_s is None else silence_s
-        connection.note_progress = lambda: timer.reset(pause_s)
+        silence = self._reactor.callLater(patience.begin_s + sending_s, give_up)
+        whole_s = max(patience.begin_s, patience.whole_s)
+        whole = self._reactor.callLater(whole_s + sending_s, waiting.cancel)
+        pause_s = patience.pause_s or patience.begin_s
+        connection.note_progress = lambda: silence.reset(pause_s)
         try:
             return await waiting
         except defer.CancelledError:
@@ -253,9 +263,9 @@
             return result.Failure(NoAnswer(describe_timeout(took_s, connection)))
         finally:
             connection.note_progress = None
-            for pending in (timer, longest):
-                if pending.active():
-                    pending.cancel()
+            for timer in (silence, whole):
+                if timer.active():
+                    timer.cancel()
 
     async def _open(self, address, pool, timeout_s):
         host, port = address.rsplit(":", 1)
--- a/thornport/kernel/httpcalls_test.py
+++ b/thornport/kernel/httpcalls_test.py
@@ -48,11 +48,10 @@
         self.calls = httpcalls.HttpCalls(self.reactor)
         self.given = []
 
-    def begin(self, body=b"", silence_s=None, **more):
+    def begin(self, body=b"", **patience):
         """Begin a call; returns the client's protocol."""
-        call = self.calls.call(
-            "10.0.0.1:80", "GET", "/", body, TIMEOUT_S, silence_s=silence_s, **more
-        )
+        patience = httpcalls.Patience(TIMEOUT_S, **patience)
+        call = self.calls.call("10.0.0.1:80", "GET", "/", body, patience)
         tasks.spawn(call, "call").addCallback(self.given.append)
         connection = self.reactor.factory.buildProtocol(None)
         connection.makeConnection(FakeTransport(connection, self.reactor))
@@ -84,7 +83,7 @@
         self.assertFalse(self.reactor.getDelayedCalls())
 
     def test_answer_that_stops_coming_is_given_up(self):
-        connection = self.begin(silence_s=TIMEOUT_S / 5)
+        connection = self.begin(pause_s=TIMEOUT_S / 5)
         self.send(connection, HEAD)
         self.reactor.advance(TIMEOUT_S / 4)
         reason = self.given[0].failure().reason
@@ -100,7 +99,7 @@
         self.assertIsInstance(self.given[0], result.Failure)
 
     def test_caller_may_bound_the_whole_answer(self):
-        connection = self.begin(longest_s=TIMEOUT_S)
+        connection = self.begin(whole_s=TIMEOUT_S)
         self.send(connection, HEAD, b"ab", b"cd", b"ef")
         self.assertIsInstance(self.given[0], result.Failure)
 
@@ -120,7 +119,9 @@
 
     def call_kept(self):
         """Begin a call that finds a kept connection."""
-        call = self.calls.call("10.0.0.1:80", "GET", "/", timeout_s=TIMEOUT_S)
+        call = self.calls.call(
+            "10.0.0.1:80", "GET", "/", patience=httpcalls.Patience(TIMEOUT_S)
+        )
         tasks.spawn(call, "call").addCallback(self.given.append)
 
     def test_one_time_out_ends_the_other_idle_connections(self):
--- a/thornport/platform/advice.py
+++ b/thornport/platform/advice.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from thornport.cell.decisions import messages
+from thornport.kernel import httpcalls
 from thornport.platform import workers
 
 
@@ -49,8 +50,7 @@
             "POST",
             "/-/advise",
             msgspec.json.encode(wire),
-            timeout_s,
-            longest_s=timeout_s,
+            httpcalls.Patience(timeout_s, whole_s=timeout_s),
         )
         if isinstance(called, result.Failure):
             return result.Failure(called.failure().reason)
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -83,12 +83,12 @@
         Args:
           calls: An httpcalls.HttpCalls.
           address: A str, `IP:PORT`.
-          timeout_s: A float, seconds to wait for an answer.
+          timeout_s: A float, seconds to wait for an answer, and in one.
           metrics: A metrics.Metrics.
         """
         self._calls = calls
         self._address = address
-        self._timeout_s = timeout_s
+        self._patience = httpcalls.Patience(timeout_s, timeout_s)
         self._metrics = metrics
 
     async def read_key(self, key):
@@ -115,8 +115,9 @@
         query = {"path_prefix": prefix, "after": after_revision, "wait_ms": wait_ms}
         path = "/-/kv-watch?" + urllib.parse.urlencode(query)
         # The wait is over when the answer begins, which may have 1 MB.
-        timeout_s = wait_ms / 1000 + WATCH_SLACK_S
-        answer = await self._call("GET", path, timeout_s=timeout_s)
+        begin_s = wait_ms / 1000 + WATCH_SLACK_S
+        patience = httpcalls.Patience(begin_s, self._patience.pause_s)
+        answer = await self._call("GET", path, patience=patience)
         if is_status(answer, 410):
             return result.Failure(transactions.HistoryGone("history is gone"))
         return decode_body(answer, WireEvents).map(decode_events)
@@ -142,9 +143,9 @@
     async def renew_lease(self, lease_id):
         """Renew a lease; a Result of its time in milliseconds."""
         # A lease has time for three tries; the answer is small.
-        answer = await self._call(
-            "POST", f"/-/kv-keep/{lease_id}", longest_s=self._timeout_s
-        )
+        begin_s = self._patience.begin_s
+        patience = httpcalls.Patience(begin_s, whole_s=begin_s)
+        answer = await self._call("POST", f"/-/kv-keep/{lease_id}", patience=patience)
         if is_status(answer, 404):
             return result.Failure(transactions.LeaseGone("no such lease"))
         return decode_body(answer, WireLease).map(lambda wire: wire.ttl_ms)
@@ -156,24 +157,10 @@
         )
         return answer.map(lambda _: None)
 
-    async def _call(
-        self,
-        method,
-        path,
-        body=b"",
-        is_write=False,
-        timeout_s=None,
-        longest_s=httpcalls.LONGEST_ANSWER_S,
-    ):
+    async def _call(self, method, path, body=b"", is_write=False, patience=None):
         self._metrics.count("store.writes" if is_write else "store.reads")
         answer = await self._calls.call(
-            self._address,
-            method,
-            path,
-            body,
-            timeout_s or self._timeout_s,
-            silence_s=self._timeout_s,
-            longest_s=longest_s,
+            self._address, method, path, body, patience or self._patience
         )
         if isinstance(answer, result.Failure):
             return result.Failure(turn_error(answer.failure(), is_write))
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -168,7 +168,9 @@
           order_timeout_s: A float, seconds to wait for a start or a stop.
         """
         self._calls = calls
-        self._order_timeout_s = order_timeout_s
+        self._order_patience = httpcalls.Patience(
+            order_timeout_s, whole_s=order_timeout_s
+        )
 
     async def hold(self, request):
         """Renew and look.
@@ -186,9 +188,8 @@
             request,
             "/-/hold",
             body,
-            wait_s + HOLD_SLACK_S,
+            httpcalls.Patience(wait_s + HOLD_SLACK_S, whole_s=wait_s + HOLD_ANSWER_S),
             decode_hold,
-            wait_s + HOLD_ANSWER_S,
         )
 
     async def start(self, order):
@@ -208,8 +209,8 @@
             order.checkpoint,
             order.ticket,
         )
-        timeout_s = self._order_timeout_s
-        return await self._ask(order, "/-/run-start", body, timeout_s, decode_done)
+        patience = self._order_patience
+        return await self._ask(order, "/-/run-start", body, patience, decode_done)
 
     async def stop(self, order):
         """Stop a run.
@@ -220,15 +221,15 @@
           A Done, Rejected, NotReached or Unanswered.
         """
         body = WireStop(format_task(order.key), order.run, order.token)
-        timeout_s = self._order_timeout_s
-        return await self._ask(order, "/-/run-stop", body, timeout_s, decode_done)
+        patience = self._order_patience
+        return await self._ask(order, "/-/run-stop", body, patience, decode_done)
 
     def forget(self, address):
         """Close the idle connections to a worker that is gone."""
         self._calls.forget(address)
 
-    async def _ask(self, request, path, body, timeout_s, decode, longest_s=0.0):
-        answer = await self._call(request, path, body, timeout_s, longest_s)
+    async def _ask(self, request, path, body, patience, decode):
+        answer = await self._call(request, path, body, patience)
         if not isinstance(answer, httpcalls.Answer):
             return answer
         if answer.status != 200:
@@ -238,17 +239,11 @@
         except (msgspec.MsgspecError, ValueError, IndexError) as error:
             return messages.Unanswered(f"bad answer: {error}")
 
-    async def _call(self, request, path, body, timeout_s, longest_s):
+    async def _call(self, request, path, body, patience):
         data = msgspec.json.encode(body)
         headers = ((EXPECT_HEADER, request.worker_id),)
         called = await self._calls.call(
-            request.address,
-            "POST",
-            path,
-            data,
-            timeout_s,
-            headers,
-            longest_s=max(timeout_s, longest_s),
+            request.address, "POST", path, data, patience, headers
         )
         if isinstance(called, result.Success):
             return called.unwrap()
