--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -2,9 +2,12 @@
 
 One store that keeps what a batch holds, some workers by the platform's rules, and
 owners that replace one another. What the users are promised is checked at each
-start. It stands apart from `core_test`, which says what is to come of each case.
+start, and of cancelled jobs at each step. It stands apart from `core_test` and
+`ending_test`, which say what is to come of each case.
 """
 
+import msgspec
+
 from standins import leased_worker
 from thornport.cell.decisions import core, messages
 from thornport.jobs import queue, record, spec
@@ -13,6 +16,11 @@
 QUEUE = queue.Queue("press", "h", "/p/", "press-desk", max_attempts=3)
 CONFIG = queue.Config(1, (QUEUE,))
 STEP_S = 0.05
+# From the acknowledgement of a cancel, or from a late start, until the tasks of the
+# job have to be gone: the least `cancel_ms`, `contact_ms` and `stop_ms` of the users.
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+STOP_S = 0.2
 
 
 def make_job(job_id, *steps):
@@ -20,14 +28,34 @@
     return record.JobRecord(job_id, QUEUE, spec.Job("text", steps), 0)
 
 
+class OpenLook(msgspec.Struct, frozen=True):
+    """A look that waits at a worker.
+
+    Attributes:
+      due: A float, when it is answered though nothing has ended.
+    """
+
+    request: messages.HoldRequest
+    sent_at: float
+    due: float
+
+
 class Faults:
-    """What goes wrong, by the chances of one world."""
+    """What goes wrong, by the chances of one world.
 
-    def __init__(self, rng, lost=0.0, late=0.0, failing=0.0):
+    Attributes:
+      lost: A float, the chance that an answer of a worker is lost.
+      late: Likewise, that an order is left unanswered and carried out later.
+      failing: Likewise, that a task fails.
+      late_s: A pair of floats, how much later at the least and at the most.
+    """
+
+    def __init__(self, rng, lost=0.0, late=0.0, failing=0.0, late_s=(2.0, 12.0)):
         self.rng = rng
         self.lost = lost
         self.late = late
         self.failing = failing
+        self.late_s = late_s
 
     def draw(self, chance):
         """Whether something of this chance happens now."""
@@ -35,15 +63,39 @@
 
 
 class World:
-    """A store, workers and the owners of a cell, in simulated time."""
+    """A store, workers and the owners of a cell, in simulated time.
+
+    Attributes:
+      cancelled: Times of the acknowledged cancels by job id.
+      calm_from: A float; before it, orders or answers were being lost or late, so that
+        the bound on cancelled jobs counts from there.
+      silenced: Ids of workers whose answers are lost, though they do as told.
+      cut: Ids of workers that nothing reaches.
+      unlisted: Ids of workers that the store does not list, though they live.
+    """
 
-    def __init__(self, faults, worker_count=3, clock_rate=1.0):
+    def __init__(self, faults, worker_count=3, clock_rate=1.0, looks_wait=False):
+        """Begin.
+
+        Args:
+          faults: A Faults.
+          worker_count: An int.
+          clock_rate: A float, how fast the clocks of workers run.
+          looks_wait: A bool, whether looks wait for ends as they ask to; else each is
+            answered at once.
+        """
         self.now = 100.0
         self.faults = faults
         self.jobs_by_id = {}
         self.submitted_by_id = {}
         self.progress_by_id = {}
-        self.cancelled = set()
+        self.cancelled = {}
+        self.calm_from = self.now
+        self.silenced = set()
+        self.cut = set()
+        self.unlisted = set()
+        self.looks_wait = looks_wait
+        self.open_looks = {}
         self.token = 0
         self.revision = 0
         self.late_calls = []
@@ -57,12 +109,17 @@
         self.owner = None
         self.take_over()
 
-    def take_over(self):
-        """A new owner reads what is kept; the earlier one is no more."""
+    def take_over(self, is_known_gone=True):
+        """A new owner reads what is kept; the earlier one is no more.
+
+        Args:
+          is_known_gone: A bool, whether the earlier one could tell that it has ceased.
+        """
         self.token += 1
+        self.open_looks.clear()
         self.owner = core.CellCore(self.token, self.now, self.now + 17.0, 120.0)
         self.owner.take_config(CONFIG)
-        for worker_id in self.workers_by_id:
+        for worker_id in sorted(self.workers_by_id.keys() - self.unlisted):
             self.list_worker(worker_id)
         for kept in self.jobs_by_id.values():
             self.owner.take_job(kept, self.now)
@@ -72,7 +129,8 @@
         for job_id in self.cancelled:
             self.owner.take_cancel(job_id, self.now)
         # The earlier owner is no more; what it sent may still arrive.
-        self.owner.end_earlier(self.now)
+        if is_known_gone:
+            self.owner.end_earlier(self.now)
 
     def list_worker(self, worker_id, state=messages.WorkerState.READY, leaves_in_ms=0):
         """Show a worker in the store."""
@@ -95,7 +153,7 @@
 
     def cancel(self, job_id):
         """Keep a cancel and tell the owner."""
-        self.cancelled.add(job_id)
+        self.cancelled.setdefault(job_id, self.now)
         self.owner.take_cancel(job_id, self.now)
 
     def crash(self, worker_id):
@@ -103,6 +161,22 @@
         del self.workers_by_id[worker_id]
         self.owner.drop_worker(worker_id, self.now)
 
+    def unlist(self, worker_id):
+        """The entry of a worker lapses, though the worker lives."""
+        self.unlisted.add(worker_id)
+        self.owner.drop_worker(worker_id, self.now)
+
+    def relist(self, worker_id):
+        """A worker that lives has its entry back."""
+        self.unlisted.discard(worker_id)
+        self.list_worker(worker_id)
+
+    def reach_again(self, worker_id):
+        """A worker that was cut off or silenced is as the others again."""
+        self.cut.discard(worker_id)
+        self.silenced.discard(worker_id)
+        self.calm_from = self.now
+
     def leave(self, worker_id):
         """A worker ends as it said it would: its port refuses."""
         self.crash(worker_id)
@@ -110,10 +184,7 @@
 
     def step(self):
         """Let a little time pass."""
-        self.now += STEP_S
-        for worker in self.workers_by_id.values():
-            worker.advance(self.now)
-        self._do_late_calls()
+        self._pass_time()
         self.owner.tick(self.now, int(self.now * 1000))
         for worker_id in list(self.owner.workers_by_id):
             self._look(worker_id)
@@ -121,6 +192,20 @@
         self.owner.place(self.now)
         self._keep()
         self._carry_out()
+        if self.faults.lost or self.faults.late or self.is_store_away:
+            self.calm_from = self.now
+        self.check_cancelled()
+
+    def _pass_time(self):
+        self.now += STEP_S
+        for worker in self.workers_by_id.values():
+            worker.advance(self.now)
+        self._do_late_calls()
+
+    def run_without_owner(self, seconds):
+        """Let time pass while the owner is gone and has no successor yet."""
+        for _ in range(int(seconds / STEP_S)):
+            self._pass_time()
 
     def run(self, seconds):
         """Let time pass."""
@@ -144,16 +229,18 @@
             if is_start:
                 self.check_recorded(order)
             worker = self.workers_by_id.get(order.worker_id)
-            if worker is None:
+            if worker is None or order.worker_id in self.cut:
                 outcome = messages.Unanswered("silent")
             elif self.faults.draw(self.faults.late):
-                due = self.now + self.faults.rng.uniform(2.0, 12.0)
+                due = self.now + self.faults.rng.uniform(*self.faults.late_s)
                 self.late_calls.append((due, order))
                 outcome = messages.Unanswered("late")
             else:
                 outcome = self._do(worker, order)
-                if self.faults.draw(self.faults.lost):
+                if self._loses_answer(order.worker_id):
                     outcome = messages.Unanswered("lost")
+                elif not is_start:
+                    self.open_looks.pop(order.worker_id, None)
             take = (
                 self.owner.take_start_outcome
                 if is_start
@@ -180,18 +267,56 @@
             if worker is not None:
                 self._do(worker, order)
 
+    def _loses_answer(self, worker_id):
+        return worker_id in self.silenced or self.faults.draw(self.faults.lost)
+
     def _look(self, worker_id):
-        request = self.owner.make_hold(worker_id, self.now)
-        if request is None:
+        """Send a look unless one waits; take the answer once there is one."""
+        look = self.open_looks.pop(worker_id, None) or self._send_look(worker_id)
+        if look is None:
             return
         worker = self.workers_by_id.get(worker_id)
+        is_reached = worker is not None and worker_id not in self.cut
+        if is_reached and self.now < look.due and not worker.ended:
+            self.open_looks[worker_id] = look
+            return
         if worker_id in self.refusing:
             answer = messages.NotReached("refused", is_refused=True)
-        elif worker is None or self.faults.draw(self.faults.lost):
+        elif not is_reached or self._loses_answer(worker_id):
             answer = messages.Unanswered("lost")
         else:
-            answer = worker.hold(request, self.now)
-        self.owner.take_hold(request, self.now, answer, self.now + 0.001)
+            answer = worker.hold(look.request, self.now)
+        self.owner.take_hold(look.request, look.sent_at, answer, self.now + 0.001)
+
+    def _send_look(self, worker_id):
+        """Send a look: the worker renews the leases when it comes."""
+        request = self.owner.make_hold(worker_id, self.now)
+        if request is None:
+            return None
+        wait_s = request.wait_ms / 1000 if self.looks_wait else 0.0
+        worker = self.workers_by_id.get(worker_id)
+        if wait_s and worker is not None and worker_id not in self.cut:
+            worker.hold(request, self.now)
+        return OpenLook(request, self.now, self.now + wait_s)
+
+    def check_cancelled(self):
+        """No task of a cancelled job runs for longer than the users allow."""
+        for worker in self.workers_by_id.values():
+            if worker.worker_id in self.cut:
+                continue
+            started_by_run = {(key, run): at for key, run, at in worker.started}
+            for active in worker.active_by_key.values():
+                cancelled_at = self.cancelled.get(active.key.job_id)
+                if cancelled_at is None:
+                    continue
+                started_at = started_by_run[(active.key, active.run)]
+                gone_at = max(
+                    cancelled_at + CANCEL_S,
+                    started_at + CONTACT_S,
+                    self.calm_from + CONTACT_S,
+                )
+                where = f"{active.key} run {active.run} at {worker.worker_id}"
+                assert self.now <= gone_at + STOP_S, f"{where} was cancelled"
 
     def check_recorded(self, order):
         """A start is written before the worker is told."""
--- /dev/null
+++ b/thornport/cell/decisions/ending_test.py
@@ -0,0 +1,260 @@
+"""Runs of cancelled jobs: none goes on, whoever started it and however late.
+
+The world checks at each step that none runs past the users' bound. A run that is never
+stopped ends with its lease, 6 s after the last renewal, so the bound tells.
+"""
+
+import itertools
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests import cellworld
+from thornport.jobs import record
+
+LONG_MS = 60_000  # tasks that end by being stopped alone
+# Later than this a worker refuses a start, for its deadline is over.
+LAST_START_S = 5.5
+
+
+def make_world(**more):
+    """Make a world in which looks wait as they do at real workers."""
+    faults = cellworld.Faults(random.Random(1), **more)
+    return cellworld.World(faults, clock_rate=0.98, looks_wait=True)
+
+
+class CancelledCase(unittest.TestCase):
+    """A job of long tasks that is cancelled."""
+
+    def submit(self, world, **more):
+        """Hand in the job, in a world in which the owner has heard the workers."""
+        world.run(0.1)
+        step = cellworld.make_step(2, 20, LONG_MS, **more)
+        world.submit(cellworld.make_job("a", step))
+
+    def find_places(self, world):
+        """The workers that run a task of the job."""
+        workers = world.workers_by_id.values()
+        return [worker for worker in workers if worker.active_by_key]
+
+    def check_gone(self, world):
+        """Nothing of the job runs, and its end is shown."""
+        self.assertEqual(self.find_places(world), [])
+        self.assertEqual(world.read_states(), {"a": "cancelled"})
+        self.assertEqual(world.late_calls, [])
+        for worker in world.owner.workers_by_id.values():
+            self.assertFalse(worker.runs_by_key)
+
+
+class LateStarts(CancelledCase):
+    """Workers leave starts unanswered and carry them out seconds later."""
+
+    def test_start_left_unanswered_before_the_cancel(self):
+        # At 0.1 s the run has not been given up, at 3.0 s others have taken its place.
+        for late_s, cancel_s, gang in itertools.product(
+            (2.0, 4.0, LAST_START_S, 12.0), (0.1, 1.0, 3.0), (False, True)
+        ):
+            with self.subTest(late_s=late_s, cancel_s=cancel_s, gang=gang):
+                world = make_world(late=1.0, late_s=(late_s, late_s))
+                self.submit(world, gang=gang)
+                world.run(0.1)
+                self.assertTrue(world.late_calls)
+                world.faults.late = 0.0
+                world.run(cancel_s)
+                world.cancel("a")
+                world.run(15)
+                self.check_gone(world)
+
+    def test_stops_are_left_unanswered_too(self):
+        for late_s, trouble_s in itertools.product((2.0, 5.0, 12.0), (1.0, 3.0, 5.0)):
+            with self.subTest(late_s=late_s, trouble_s=trouble_s):
+                world = make_world(late=1.0, late_s=(late_s, late_s))
+                self.submit(world)
+                world.run(0.2)
+                world.cancel("a")
+                world.run(trouble_s)
+                world.faults.late = 0.0
+                world.run(15)
+                self.check_gone(world)
+
+    def test_start_that_comes_after_the_record_is_closed_is_barred(self):
+        world = make_world(late=1.0, late_s=(LAST_START_S, LAST_START_S))
+        self.submit(world)
+        world.run(0.05)
+        world.faults.late = 0.0
+        world.cancel("a")
+        world.run(2)
+        self.assertIsNotNone(world.jobs_by_id["a"].end_state)
+        self.assertEqual(len(world.late_calls), 2)
+        world.run(10)
+        self.check_gone(world)
+        starts = [w.started for w in world.workers_by_id.values()]
+        self.assertEqual(starts, [[], [], []])
+
+    def test_start_whose_worker_is_unlisted_meanwhile(self):
+        world = make_world(late=1.0, late_s=(3.0, 3.0))
+        self.submit(world)
+        world.run(0.1)
+        places = {order.worker_id for _, order in world.late_calls}
+        for worker_id in places:
+            world.unlist(worker_id)
+        world.run(1)
+        world.cancel("a")
+        world.run(1)
+        world.faults.late = 0.0
+        world.run(15)
+        self.check_gone(world)
+
+
+class GoneOwner(CancelledCase):
+    """The owner that gave the start is gone for good; a successor has to stop it."""
+
+    def replace_owner(self, world, without_s=1.0):
+        """The owner is killed, and a successor takes over a little later."""
+        world.run_without_owner(without_s)
+        world.take_over(is_known_gone=False)
+
+    def test_run_that_the_record_names(self):
+        world = make_world()
+        self.submit(world)
+        world.run(1)
+        self.assertTrue(self.find_places(world))
+        world.cancelled["a"] = world.now
+        self.replace_owner(world)
+        world.run(15)
+        self.check_gone(world)
+
+    def test_start_that_is_carried_out_after_its_sender_is_gone(self):
+        for late_s, without_s in itertools.product(
+            (0.5, 2.0, 4.0, LAST_START_S), (0.5, 1.0, 2.0)
+        ):
+            with self.subTest(late_s=late_s, without_s=without_s):
+                world = make_world(late=1.0, late_s=(late_s, late_s))
+                self.submit(world)
+                world.run(0.05)
+                self.assertEqual(len(world.late_calls), 2)
+                world.faults.late = 0.0
+                world.cancelled["a"] = world.now
+                self.replace_owner(world, without_s)
+                world.run(20)
+                self.check_gone(world)
+
+    def test_run_that_no_record_names(self):
+        world = make_world()
+        self.submit(world)
+        world.run(1)
+        self.assertTrue(self.find_places(world))
+        world.cancelled["a"] = world.now
+        kept = record.close_job(world.jobs_by_id["a"], record.JobState.CANCELLED)
+        for is_forgotten in (False, True):
+            with self.subTest(is_forgotten=is_forgotten):
+                world.progress_by_id.pop("a", None)
+                world.jobs_by_id = {} if is_forgotten else {"a": kept}
+                self.replace_owner(world)
+                world.run(5)
+                self.assertEqual(self.find_places(world), [])
+
+    def test_worker_that_the_successor_reaches_late(self):
+        for cut_s in (0.5, 2.0, 4.0):
+            with self.subTest(cut_s=cut_s):
+                world = make_world()
+                self.submit(world)
+                world.run(1)
+                places = [worker.worker_id for worker in self.find_places(world)]
+                world.cancel("a")
+                world.cut |= set(places)
+                self.replace_owner(world)
+                world.run(cut_s)
+                for worker_id in places:
+                    world.reach_again(worker_id)
+                world.run(20)
+                self.check_gone(world)
+
+    def test_job_whose_record_says_cancelled_while_its_runs_live(self):
+        for loses_answers in (False, True):
+            with self.subTest(loses_answers=loses_answers):
+                world = make_world()
+                self.submit(world)
+                world.run(1)
+                places = [worker.worker_id for worker in self.find_places(world)]
+                # The stops do not arrive; the end of the job is kept.
+                world.cut |= set(places)
+                world.cancel("a")
+                world.run(0.2)
+                kept = record.decode_progress(world.progress_by_id["a"])
+                self.assertEqual(kept.state, record.JobState.CANCELLED)
+                self.replace_owner(world)
+                for worker_id in places:
+                    world.reach_again(worker_id)
+                # The worker does as told, though its answers are lost for a while.
+                world.silenced |= set(places if loses_answers else ())
+                world.run(4)
+                self.assertEqual(self.find_places(world), [])
+                world.silenced.clear()
+                world.run(10)
+                self.check_gone(world)
+
+    def test_worker_that_is_not_listed_when_the_successor_reads(self):
+        for relisted_s in (2.0, None):
+            with self.subTest(relisted_s=relisted_s):
+                world = make_world()
+                self.submit(world)
+                world.run(1)
+                places = [worker.worker_id for worker in self.find_places(world)]
+                for worker_id in places:
+                    world.unlist(worker_id)
+                world.run(0.1)
+                world.cancelled["a"] = world.now
+                self.replace_owner(world)
+                world.run(relisted_s or 0.0)
+                if relisted_s is not None:
+                    for worker_id in places:
+                        world.relist(worker_id)
+                world.run(20)
+                self.check_gone(world)
+
+
+class AnyTrouble(unittest.TestCase):
+    """Cancels among lost and late orders, replaced owners, unlisted workers."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        seed=st.integers(0, 2**32),
+        lost=st.sampled_from([0.0, 0.2, 0.6]),
+        late=st.sampled_from([0.0, 0.3, 0.8]),
+        clock_rate=st.sampled_from([1.0, 0.98]),
+    )
+    def test_no_run_of_a_cancelled_job_goes_on(self, seed, lost, late, clock_rate):
+        rng = random.Random(seed)
+        faults = cellworld.Faults(rng, lost, late)
+        world = cellworld.World(faults, 4, clock_rate, looks_wait=True)
+        for number in range(6):
+            step = cellworld.make_step(
+                rng.randint(1, 3), rng.choice([2, 10, 18]), LONG_MS, gang=number % 2
+            )
+            world.submit(cellworld.make_job(f"j{number}", step))
+            world.run(rng.uniform(0.05, 2.0))
+            if rng.random() < 0.5:
+                world.cancel(f"j{rng.randint(0, number)}")
+            if rng.random() < 0.5:
+                world.unlist(rng.choice(sorted(world.workers_by_id)))
+            if rng.random() < 0.5:
+                world.run_without_owner(rng.uniform(0.3, 2.0))
+                world.take_over(is_known_gone=rng.random() < 0.5)
+        faults.lost = faults.late = 0.0
+        world.run(rng.uniform(0.0, 3.0))
+        for number in range(6):
+            world.cancel(f"j{number}")
+        world.run(2)
+        for worker_id in sorted(world.unlisted):
+            world.relist(worker_id)
+        world.run(20)
+        self.assertEqual(set(world.read_states().values()), {"cancelled"})
+        for worker in world.workers_by_id.values():
+            self.assertFalse(worker.active_by_key)
+
+
+if __name__ == "__main__":
+    unittest.main()
