Stop recorded runs of an ended job as soon as the record is read

Cause: a successor that read the record of a cancelled or failed job with live runs sent their stops only once a look at their worker had been answered; a worker that does as told while its answers are lost kept them to the end of their lease, 6 s. A cancel that came after the read was sent to the worker at once already, and again until confirmed. Change: both ways are one: restoring the runs of an ended job stops them. The stop on the first look goes, for no run of an ended job is unheard any more. Ruled out: lost stops (they are sent again every 0.4 s until confirmed) and late starts under the earlier token (fenced). Before: ending_test, a job whose record says cancelled, red at 3.2 s after the cancel. After: green; 202 module tests pass and the two that are red for a worker that is not listed; tests.scheduler_test 19 of 19.

--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -155,9 +155,6 @@
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
             run.percent_at = now
-            job = self.jobs_by_id.get(run.key.job_id)
-            if job is not None and job.is_over():
-                self._stop_run(run, now)
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -239,6 +239,10 @@
         for step_kept in kept.steps:
             for run in progress.restore_step(job, step_kept):
                 self._attach_run(run)
+                if job.is_over():
+                    # Not only once its worker has answered: answers may be lost
+                    # for seconds while orders are carried out.
+                    self._stop_run(run, now)
 
     def _attach_run(self, run):
         worker = self.workers_by_id.get(run.worker_id)
