Record the address of a worker with each run that may be live there

Cause: a record named the worker of a run by its ID alone. A successor that read the records while the worker was not listed (entries go after three heartbeats of silence, and with the store) knew no address, so it neither looked nor sent stops: a task of a cancelled job ran on to the end of its lease, 6.0 s after the cancel, of 3.0 s allowed. Change: the record of a live run has the address; a worker that is known by its runs alone is looked at, and its runs are stopped or renewed, like any other that the store does not list. What such a worker's entry said is not known: another life's entry at its address does not end it (the answer to the look does), nor does a port that refuses for a moment. Records of earlier versions are read, and earlier versions read these. Weighed: a key of its own for all addresses (fewer bytes, but a second record to keep in step with the first). Before: ending_test red for a worker that is not listed (1 of its tests, and the property).

--- a/thornport/cell/decisions/ending_test.py
+++ b/thornport/cell/decisions/ending_test.py
@@ -8,6 +8,7 @@
 import random
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -216,6 +217,50 @@
                 self.check_gone(world)
 
 
+class UnlistedWorkers(CancelledCase):
+    """A successor knows a worker by the record of its runs alone.
+
+    The world checks that no task of it is started elsewhere while it runs there.
+    """
+
+    def setUp(self):
+        self.world = make_world()
+        self.submit(self.world)
+        self.world.run(1)
+        (self.place,) = self.find_places(self.world)
+        self.world.unlist(self.place.worker_id)
+        self.world.run(0.1)
+        self.world.take_over(is_known_gone=False)
+        self.world.run(1)
+
+    def check_runs_on(self):
+        """The tasks go on where they were, and a cancel stops them."""
+        self.assertEqual(len(self.place.started), 2)
+        self.assertEqual(len(self.place.active_by_key), 2)
+        self.world.cancel("a")
+        self.world.run(1)
+        self.check_gone(self.world)
+
+    def test_its_tasks_go_on(self):
+        self.world.run(10)
+        self.check_runs_on()
+
+    def test_entry_of_an_earlier_life_at_its_address_does_not_end_it(self):
+        known = self.world.owner.workers_by_id[self.place.worker_id]
+        earlier = msgspec.structs.replace(known.entry, worker_id="w9")
+        self.world.revision += 1
+        self.world.owner.take_worker(earlier, self.world.revision, self.world.now)
+        self.world.run(1)
+        self.check_runs_on()
+
+    def test_port_that_refuses_for_a_moment_does_not_end_it(self):
+        self.world.refusing.add(self.place.worker_id)
+        self.world.run(1)
+        self.world.refusing.clear()
+        self.world.run(3)
+        self.check_runs_on()
+
+
 class AnyTrouble(unittest.TestCase):
     """Cancels among lost and late orders, replaced owners, unlisted workers."""
 
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -186,8 +186,9 @@
 def has_left(worker, answer, now):
     """Tell whether a worker has ended as it said it would.
 
-    It was draining, answered a moment ago, its port refuses now, and the store
-    does not list it: an entry of a worker that is merely silent stays longer.
+    Its entry said that it was draining, it answered a moment ago, its port refuses
+    now, and the store does not list it: an entry of a worker that is merely silent
+    stays longer.
 
     Args:
       worker: A model.Worker.
@@ -200,6 +201,7 @@
         isinstance(answer, messages.NotReached)
         and answer.is_refused
         and worker.is_heard
+        and worker.revision > 0
         and not worker.is_listed
         and worker.entry.state is messages.WorkerState.DRAINING
         and now - worker.heard_at < LEFT_S
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -88,6 +88,9 @@
             is_other = worker.worker_id != entry.worker_id
             if not is_other or worker.entry.address != entry.address:
                 continue
+            if not worker.revision:
+                # Which life is the later one only the look at them tells.
+                continue
             if worker.revision > revision:
                 ended = self.workers_by_id.get(entry.worker_id)
                 if ended is not None:
@@ -247,8 +250,14 @@
     def _attach_run(self, run):
         worker = self.workers_by_id.get(run.worker_id)
         if worker is None:
+            # It gets no starts, but is looked at: what runs there may have to stop.
             entry = messages.WorkerEntry(
-                run.worker_id, "", "", "", messages.WorkerState.DRAINING, run.demand
+                run.worker_id,
+                run.address,
+                "",
+                "",
+                messages.WorkerState.DRAINING,
+                run.demand,
             )
             worker = model.Worker(entry, self._earlier_over_at, is_listed=False)
             self.workers_by_id[run.worker_id] = worker
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -50,6 +50,7 @@
       stop_confirmed_at: A float, when the worker took the stop; None before.
       stop_due_at: A float, when the stop is to be sent (again).
       percent: An int, the progress last heard, at `percent_at`.
+      address: A str, the worker's; empty if it is not known.
     """
 
     key: messages.TaskKey
@@ -62,6 +63,7 @@
     stop_due_at: float = 0.0
     percent: int = 0
     percent_at: float = 0.0
+    address: str = ""
 
     @property
     def demand(self):
@@ -86,7 +88,8 @@
 
     Attributes:
       entry: Its messages.WorkerEntry.
-      revision: An int, the store's revision of the entry; 0 if there was none.
+      revision: An int, the store's revision of the entry; 0 if there was none and
+        all that is known of the worker is from the records of its runs.
       leaves_at: A float, when it leaves at the earliest; None if it did not say.
       is_listed: Whether the store lists it.
       unlisted_at: A float, when an entry that lapsed in an outage of the store counts
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -56,7 +56,7 @@
     if step.is_done and not step.live_by_index:
         return record.StepProgress(key.time, key.step, step.last_run, all_done=True)
     live = tuple(
-        record.LiveRun(index, run.run, run.worker_id)
+        record.LiveRun(index, run.run, run.worker_id, run.address)
         for index, run in step.live_by_index.items()
     )
     return record.StepProgress(
@@ -105,7 +105,12 @@
     for live in kept.live:
         key = messages.TaskKey(job.job_id, kept.time, kept.step, live.index)
         step.live_by_index[live.index] = model.Run(
-            key, live.run, live.worker_id, step.spec, model.RunState.UNHEARD
+            key,
+            live.run,
+            live.worker_id,
+            step.spec,
+            model.RunState.UNHEARD,
+            address=live.address,
         )
     if kept.all_done:
         step.waiting.clear()
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -82,15 +82,16 @@
             key = messages.TaskKey(
                 job.job_id, step.key.time, step.key.step, assignment.index
             )
+            worker = self.workers_by_id[assignment.worker_id]
             run = model.Run(
                 key,
                 step.last_run,
                 assignment.worker_id,
                 step.spec,
                 model.RunState.RECORDING,
+                address=worker.entry.address,
             )
             step.live_by_index[assignment.index] = run
-            worker = self.workers_by_id[assignment.worker_id]
             reserved.take_room(step, worker)
             worker.add_run(run)
             self._recording.append(run)
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -67,11 +67,20 @@
 
 
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that may be live: written before the worker is told to start it."""
+    """A run that may be live: written before the worker is told to start it.
+
+    Attributes:
+      index: An int, of its task.
+      run: An int.
+      worker_id: A str.
+      address: A str, the worker's: a successor may find the worker not listed, and has
+        to reach it nevertheless. Empty in records of earlier versions.
+    """
 
     index: int
     run: int
     worker_id: str
+    address: str = ""
 
 
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
