--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -62,7 +62,7 @@
         self.metrics = metrics
         self.config = None
         self.is_stopping = False
-        told = telling.PeerTelling(self)
+        told = telling.PeerTelling(reactor, self)
         job_intake = intake.Intake(reactor, self.relayed, metrics, told)
         self.serving = serving.Serving(reactor, self, job_intake)
         self.peers = peerlist.PeerList()
--- a/thornport/cell/peers/telling.py
+++ b/thornport/cell/peers/telling.py
@@ -11,12 +11,14 @@
 class PeerTelling(intake.Telling):
     """Tells the owner, which may be this process, and the peers."""
 
-    def __init__(self, daemon):
+    def __init__(self, reactor, daemon):
         """Take what is needed.
 
         Args:
+          reactor: Twisted's reactor.
           daemon: The daemon.SchedulerDaemon, which knows the peers and the owner.
         """
+        self._reactor = reactor
         self._daemon = daemon
 
     def tell_unresolved(self, job_id):
