Test cancels beside late starts and gone owners with real processes

Their entries can be gone while they live (unlisted). It tells what runs, which late starts are yet to come and which runs ended with their lease. The latter stands in for the bound: a run that nobody stops ends so, 6 s after the last renewal.

--- a/standins/leased_worker.py
+++ b/standins/leased_worker.py
@@ -37,6 +37,7 @@
       started: Triples of TaskKey, run and time, each start that was done.
       over_room: An int, starts that took it past its room.
       noted_done: TaskKeys of ends `done` that it was told are seen.
+      lapsed: TaskKeys of runs that ended with the lease.
       hung_at_ms: An int of its clock from when all its tasks stand still; None
         when they do not.
     """
@@ -61,6 +62,7 @@
         self.started = []
         self.over_room = 0
         self.noted_done = set()
+        self.lapsed = []
         self.hung_at_ms = None
 
     def read_clock_ms(self, now):
@@ -92,6 +94,8 @@
         del self.active_by_key[active.key]
         self._bar(active.key, active.run)
         self._number += 1
+        if kind is messages.EndKind.LAPSED:
+            self.lapsed.append(active.key)
         row = messages.EndRow(self._number, active.key, active.run, kind, "")
         self.ended.append(row)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,8 +4,11 @@
 address sets what goes wrong: `away` (silent to all; what came meanwhile is done
 once it is back), `lose_writes` (apply, then say nothing), `forgets` (the history
 goes), `revokes` (every lease ends at once, with its keys), `keeps_leases` (none runs
-out), `slow_ms` (each call waits that long). `POST /crash` replaces a worker by
-another life. `GET /seen` tells what the workers saw.
+out), `slow_ms` (each call waits that long), `late_starts_ms` (workers leave starts
+unanswered and carry them out that much later), `unlisted` (workers live, but their
+entries are gone while this is set). `POST /crash` replaces a worker by another life.
+`GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
+to be carried out.
 """
 
 import base64
@@ -54,6 +57,8 @@
         self.unknown = []
         self.after_done = []
         self.crashed = []
+        self.late_starts = 0
+        self.entries_by_key = {}
         self.numbers = itertools.count()
 
     def tick(self):
@@ -86,11 +91,23 @@
 
     def set_faults(self, faults):
         """Say what goes wrong from now on; what was held is done if it may."""
+        if faults.unlisted != self.faults.unlisted:
+            self.list_workers(not faults.unlisted)
         self.faults = faults
         held, self.held = self.held, []
         for waiter in held:
             call_once(waiter)
 
+    def list_workers(self, is_listed):
+        """Have the store list the workers, or not."""
+        keys = [workers.ENTRY_PREFIX + worker_id for worker_id in self.workers_by_id]
+        if is_listed:
+            puts = [(key, self.entries_by_key[key], 0) for key in keys]
+            self.store.commit([], puts, [])
+        else:
+            self.store.commit([], [], keys)
+        self.wake()
+
     async def wait_for(self, find, wait_ms):
         """Wait until `find` gives something, or for the time."""
         deadline = time.monotonic() + wait_ms / 1000
@@ -140,7 +157,9 @@
             "seq": 1,
         }
         value = base64.b64encode(msgspec.json.encode(entry)).decode()
-        self.store.commit([], [(workers.ENTRY_PREFIX + worker_id, value, 0)], [])
+        key = workers.ENTRY_PREFIX + worker_id
+        self.entries_by_key[key] = value
+        self.store.commit([], [(key, value, 0)], [])
 
 
 def call_once(waiter):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -21,6 +21,8 @@
     revokes: bool = False
     keeps_leases: bool = False
     slow_ms: int = 0
+    late_starts_ms: int = 0
+    unlisted: bool = False
 
 
 class StoreApp:
@@ -167,6 +169,17 @@
             "twice": self._platform.twice,
             "unknown": self._platform.unknown,
             "after_done": self._platform.after_done,
+            "late_starts": self._platform.late_starts,
+            "running": [
+                workers.format_task(key)
+                for worker in self._platform.workers_by_id.values()
+                for key in worker.active_by_key
+            ],
+            "lapsed": [
+                workers.format_task(key)
+                for worker in all_workers
+                for key in worker.lapsed
+            ],
         }
         return serve.reply(request, 200, body)
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -4,7 +4,7 @@
 
 import klein
 import msgspec
-from twisted.internet import defer
+from twisted.internet import defer, reactor
 
 from standins import serve
 from thornport.cell.decisions import messages
@@ -49,13 +49,36 @@
         if self._is_other(request):
             return serve.reply(request, 421, {})
         await self._keep_silent_if_crashed()
-        now = time.monotonic()
         wire = msgspec.json.decode(request.content.read(), type=workers.WireStart)
         key = workers.parse_task(wire.task)
         step = self._platform.find_step(key)
         if step is None:
             self._platform.unknown.append(wire.task)
             return serve.reply(request, 400, {})
+        late_ms = self._platform.faults.late_starts_ms
+        if late_ms:
+            self._platform.late_starts += 1
+            reactor.callLater(late_ms / 1000, self._start_late, wire, key, step)
+            await defer.Deferred()
+        return self._answer(request, self._start(wire, key, step))
+
+    def _start_late(self, wire, key, step):
+        """Carry out a start that was left unanswered."""
+        self._platform.late_starts -= 1
+        if self._worker.worker_id in self._platform.workers_by_id:
+            self._start(wire, key, step)
+
+    def _start(self, wire, key, step):
+        """Carry out a start.
+
+        Args:
+          wire: A workers.WireStart.
+          key: Its messages.TaskKey.
+          step: The spec.Step of the task.
+        Returns:
+          A messages.Done or Rejected.
+        """
+        now = time.monotonic()
         for other in self._platform.workers_by_id.values():
             other.advance(now)
         elsewhere = [
@@ -84,7 +107,7 @@
             ]
             if any(key in life.noted_done for life in every_life):
                 self._platform.after_done.append(wire.task)
-        return self._answer(request, outcome)
+        return outcome
 
     @app.route("/-/run-stop", methods=["POST"])
     async def stop(self, request):
