--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -155,9 +155,6 @@
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
             run.percent_at = now
-            job = self.jobs_by_id.get(run.key.job_id)
-            if job is not None and job.is_over():
-                self._stop_run(run, now)
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
@@ -189,8 +186,9 @@
 def has_left(worker, answer, now):
     """Tell whether a worker has ended as it said it would.
 
-    It was draining, answered a moment ago, its port refuses now, and the store
-    does not list it: an entry of a worker that is merely silent stays longer.
+    Its entry said that it was draining, it answered a moment ago, its port refuses
+    now, and the store does not list it: an entry of a worker that is merely silent
+    stays longer.
 
     Args:
       worker: A model.Worker.
@@ -203,6 +201,7 @@
         isinstance(answer, messages.NotReached)
         and answer.is_refused
         and worker.is_heard
+        and worker.revision > 0
         and not worker.is_listed
         and worker.entry.state is messages.WorkerState.DRAINING
         and now - worker.heard_at < LEFT_S
