--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -32,7 +32,7 @@
         self._reactor = reactor
         self.silent = silent
 
-    def call(self, address, method, path, body, timeout_s, silence_s):
+    def call(self, address, method, path, body, patience):
         """Lose the answer, or give that of a watch."""
         if not self.silent:
             events = store.WireEvents([CANCEL], CANCEL.rev)
@@ -41,7 +41,7 @@
         self.silent -= 1
         lost = defer.Deferred()
         failure = result.Failure(httpcalls.NoAnswer("silent"))
-        self._reactor.callLater(timeout_s, lost.callback, failure)
+        self._reactor.callLater(patience.begin_s, lost.callback, failure)
         return lost
 
 
