Test that whoever waits gets a slot, red

One request at entry-1 while 11 callers keep entry-2 and entry-3 busy (3 backend servers of 2 slots, real processes, no load beside): in 2 of 3 cells each of 12 requests waited out its 5 s and was told not-run, while about 15,000 others were answered; in the third none waited over 0.09 s. The addresses of the backend servers decide, for they set the offsets by which shares are rounded. So it is neither the stop nor the heartbeats of zmq: no message is lost and no connection closed. Red on the code as it is, by lenders and borrowers in simulated time: one request beside a full load, beside long queues, with slots free elsewhere, and with more entries than slots.

--- a/thornport/routing/loans_test.py
+++ b/thornport/routing/loans_test.py
@@ -205,6 +205,60 @@
         self.assertEqual(most_lent, dict.fromkeys(LISTED, SLOTS))
 
 
+class Waiting(unittest.TestCase):
+    """Whoever waits gets a slot in time, however little it asks for.
+
+    An entry with one request waited for slots until the request's deadline, while the
+    other entries had the demand of a full load: each backend server rounded its share
+    of half a slot by itself, and all of them to nothing.
+    """
+
+    seconds = 2.0  # less than the deadline of a request
+
+    def find_starved(self, addresses, slots, wanted_by_id):
+        """List who gets no slot at all while the demands stay as they are."""
+        me = record.Member("home", "home", "home", "home", "h0")
+        ring = record.add_member(record.NO_RING, me, 0, 10**9)
+        home = lender.Lender("home")
+        home.take_ring(ring, 0.0)
+        backends = [ledgers.Backend(a, SERVICE, slots, MAX_RUN_S) for a in addresses]
+        home.take_backends({b.address: b for b in backends}, 0.0)
+        listed = {a: vmlist.Listed(a, SERVICE, a, "h0", "", False) for a in addresses}
+        by_id = {name: borrower.Borrower("h0") for name in wanted_by_id}
+        starved = set(wanted_by_id)
+        known_homes = homes.Homes(ring)
+        for step in range(1, int(self.seconds / STEP_S)):
+            now = step * STEP_S
+            for name, one in by_id.items():
+                one.take_listed(listed)
+                demand = {SERVICE: {10: wanted_by_id[name]}}
+                said = one.make_demand(known_homes, "home", demand, now)
+                one.take_grants(home.take_demand(name, said, now))
+            for name, grants in home.rebalance(now).items():
+                by_id[name].take_grants(grants)
+            starved -= {n for n, b in by_id.items() if b.count_limits(SERVICE, now)}
+        return starved
+
+    def check(self, backends, slots, wanted_by_id):
+        """Nobody is starved, whatever the addresses are."""
+        for first in range(20):
+            addresses = [f"10.0.{first}.{n}:80" for n in range(backends)]
+            starved = self.find_starved(addresses, slots, wanted_by_id)
+            self.assertEqual(starved, set(), addresses)
+
+    def test_one_request_beside_a_full_load(self):
+        self.check(3, 2, {"e1": 1, "e2": 6, "e3": 5})
+
+    def test_one_request_beside_long_queues(self):
+        self.check(3, 2, {"e1": 400, "e2": 1, "e3": 500})
+
+    def test_slots_are_free_elsewhere(self):
+        self.check(3, 2, {"e1": 1, "e2": 1, "e3": 2})
+
+    def test_more_entries_than_slots(self):
+        self.check(1, 8, {f"e{n:02}": 30 for n in range(14)})
+
+
 class Shares(unittest.TestCase):
     """Shares of a service and their rounding to whole slots."""
 
