Send nothing to a backend server that cannot be reached, and try another

Cause: a backend server whose port is closed has every slot free, so whoever waits at a full load is sent there: a dead server was passed over only where another had a free slot. A request was sent there four times within milliseconds, or until the budget of retries was spent, and told not-run. In a planned stop that lasts until the entry hears that the server leaves; a stop of 50 ms is over before, where the machine is busy. Ruled out: a connection closed by the server after the request was sent (told as may have run, and repeated); the deadline (told within milliseconds, reason unreachable). Change: a server to which no connection can be made gets nothing until its health is answered again, which its home and whoever could not reach it ask each second; its slots are not lent meanwhile, or an entry could be left with these alone. A request that was refused, or for which no connection came about, has done no work anywhere: it goes to another server until its deadline, whatever its mark, and spends no retry and no attempt. What is cut after it was sent stays as it was. A check without an answer is now logged as backend-silent, since backend-unreachable tells a change. Conclusion: a planned stop showed what any death of a backend server did while the list of VMs lagged.

--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -3,6 +3,7 @@
 import treq
 from returns import result
 from twisted.internet import defer
+from twisted.internet import error as neterror
 from twisted.web import client as webclient
 
 from thornport.entry import callers, dispatch, front, keys, peering, sharing
@@ -145,21 +146,25 @@
     def _check_health(self):
         checks = [
             tasks.spawn(self._check_backend(address), "check-health")
-            for address in self.sharing.list_homed()
+            for address in self.sharing.list_to_check()
         ]
         return defer.gatherResults(checks)
 
     async def _check_backend(self, address):
-        """Ask a backend server that this process is the home of."""
+        """Ask a backend server how it is."""
         try:
             url = f"http://{address}/health"
             response = await self._http.get(url, timeout=HEALTH_TIMEOUT_S)
             await httpbody.read_body(self._reactor, response, HEALTH_TIMEOUT_S)
+        except neterror.ConnectionRefusedError:
+            self.sharing.take_unreachable(address)
+            return
         except Exception as error:
             # A server that does not answer is passed over for its failed
             # requests; only its own word makes it a leaving one.
-            logs.log("backend-unreachable", backend=address, reason=str(error))
+            logs.log("backend-silent", backend=address, reason=str(error))
             return
+        self.sharing.take_reachable(address)
         if response.code == HTTP_UNAVAILABLE:
             self.take_leaving(address)
 
@@ -170,8 +175,7 @@
           address: A str.
           is_from_peer: A bool; peers' news is not passed on.
         """
-        services = self._in_force.config.services_by_name
-        if self.sharing.take_leaving(address, services) and not is_from_peer:
+        if self.sharing.take_leaving(address) and not is_from_peer:
             for member_id in self.node.ring.member_ids:
                 self.node.send(member_id, loans.BackendNews(address))
 
--- a/thornport/entry/front.py
+++ b/thornport/entry/front.py
@@ -15,7 +15,9 @@
 # An entry that has held no slot for so long, though it is no home either, is
 # taken to be cut off from the others.
 CUT_OFF_S = 4.0
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 4  # that may have run
+# The backend server has done nothing for the request, and gets no other.
+NOT_ACCEPTED = (outcome.Reason.REFUSED, outcome.Reason.UNREACHABLE)
 
 
 class Service:
@@ -194,14 +196,14 @@
             self._metrics.count("requests.retried")
 
     def _may_retry(self, service, request, done):
-        if done.outcome is outcome.Outcome.MAY_HAVE_RUN and not request.repeatable:
+        if clock.read_monotonic() >= request.deadline:
             return False
-        if (
-            request.attempts >= MAX_ATTEMPTS
-            or clock.read_monotonic() >= request.deadline
-        ):
+        if done.reason in NOT_ACCEPTED:
+            # Budget and attempts bound the work of backend servers; this was none.
+            return True
+        if done.outcome is outcome.Outcome.MAY_HAVE_RUN and not request.repeatable:
             return False
-        return service.budget.spend()
+        return request.attempts < MAX_ATTEMPTS and service.budget.spend()
 
     def _find_service(self, name):
         service = self._services_by_name.get(name)
@@ -272,18 +274,21 @@
             # It waited, or a pause came between the choice and now.
             self._end_slot(service, target)
             return outcome.not_run(outcome.Reason.DEADLINE, "too late to start", 1)
-        request.attempts += 1
         service.running_by_price[request.price] += 1
         done = await self.dispatcher.send(request, target.address, timeout_s)
         service.running_by_price[request.price] -= 1
         ended_at = clock.read_monotonic()
         failed = isinstance(done, outcome.GivenUp)
+        may_have_run = failed and done.outcome is outcome.Outcome.MAY_HAVE_RUN
+        request.attempts += may_have_run
         if not failed:
             service.queue.note_run(ended_at - now)
         self._sharing.borrower.note_result(target, failed, ended_at)
         if failed and done.reason is outcome.Reason.REFUSED:
             self.on_leaving(target.address)
-        if failed and done.outcome is outcome.Outcome.MAY_HAVE_RUN:
+        if failed and done.reason is outcome.Reason.UNREACHABLE:
+            self._sharing.take_unreachable(target.address)
+        if may_have_run:
             # It may still be running there, so its slot is not free.
             left_s = max(0.0, now + max_run_s - ended_at)
             self._reactor.callLater(left_s, self._end_slot, service, target)
--- a/thornport/entry/sharing.py
+++ b/thornport/entry/sharing.py
@@ -30,6 +30,7 @@
         self._node = node
         self._read_demand = read_demand
         self._homes = homes.Homes()
+        self._services_by_name = {}
         self._backends_by_address = {}
         self._last_demand = {}
         self._demanded_at = 0.0
@@ -61,10 +62,12 @@
           listed_by_address: A dict of vmlist.Listed.
           services_by_name: A dict of schema.Service.
         """
+        self._services_by_name = services_by_name
         self.borrower.take_listed(listed_by_address)
-        self._refresh_backends(services_by_name)
+        self._refresh_backends()
 
-    def _refresh_backends(self, services_by_name):
+    def _refresh_backends(self):
+        services_by_name = self._services_by_name
         self._backends_by_address = {
             target.address: ledgers.Backend(
                 target.address,
@@ -78,7 +81,7 @@
         now = clock.read_monotonic()
         self.lender.take_backends(self._backends_by_address, now)
 
-    def take_leaving(self, address, services_by_name):
+    def take_leaving(self, address):
         """Believe that a backend server is leaving.
 
         Returns:
@@ -87,12 +90,33 @@
         if not self.borrower.take_leaving(address):
             return False
         logs.log("backend-leaving", backend=address)
-        self._refresh_backends(services_by_name)
+        self._refresh_backends()
         return True
 
-    def list_homed(self):
-        """List the backend servers that this process is the home of."""
-        return self.lender.list_addresses()
+    def take_unreachable(self, address):
+        """Believe that no connection to a backend server can be made.
+
+        Its slots are not lent either, or an entry could be left with these alone.
+        """
+        if self.borrower.take_unreachable(address):
+            logs.log("backend-unreachable", backend=address)
+            self._refresh_backends()
+
+    def take_reachable(self, address):
+        """Believe that a backend server can be reached."""
+        if self.borrower.take_reachable(address):
+            logs.log("backend-reachable", backend=address)
+            self._refresh_backends()
+
+    def list_to_check(self):
+        """List the backend servers to ask how they are.
+
+        Returns:
+          A set of addresses: of those that this process is the home of, and of those
+          that it could not reach.
+        """
+        unreachable = self.borrower.list_unreachable()
+        return {*self.lender.list_addresses(), *unreachable}
 
     def _tick(self):
         now = clock.read_monotonic()
--- a/thornport/routing/borrower.py
+++ b/thornport/routing/borrower.py
@@ -22,6 +22,7 @@
       failures: A float, rising with each failed dispatch, halved by success.
       ejected_until: A float; before it the server is used only if no other
         has a free slot.
+      unreachable: A bool, whether the last connection to it could not be made.
     """
 
     address: str
@@ -34,10 +35,16 @@
     failures: float = 0.0
     ejected_until: float = 0.0
     leaving: bool = False
+    unreachable: bool = False
+
+    @property
+    def is_usable(self):
+        """Whether requests may be sent there."""
+        return not self.leaving and not self.unreachable
 
     def count_free(self, now):
         """Count the slots that may be filled now."""
-        if self.leaving or now >= self.deadline:
+        if not self.is_usable or now >= self.deadline:
             return 0
         return self.limit - self.in_flight
 
@@ -102,13 +109,53 @@
             target.leaving = True
         return is_news
 
+    def take_unreachable(self, address):
+        """Believe that no connection to a backend server can be made.
+
+        It has every slot free, so each request that waits would be sent there in
+        vain; it gets none until a connection was made again.
+
+        Args:
+          address: A str.
+        Returns:
+          A bool, whether this is news.
+        """
+        target = self.targets_by_address.get(address)
+        if target is None or target.unreachable:
+            return False
+        target.unreachable = True
+        return True
+
+    def take_reachable(self, address):
+        """Believe that a backend server can be reached.
+
+        Args:
+          address: A str.
+        Returns:
+          A bool, whether this is news.
+        """
+        target = self.targets_by_address.get(address)
+        if target is None or not target.unreachable:
+            return False
+        target.unreachable = False
+        return True
+
+    def list_unreachable(self):
+        """List the backend servers to which a connection may be made again.
+
+        Returns:
+          A list of addresses.
+        """
+        targets = self.targets_by_address.values()
+        return [t.address for t in targets if t.unreachable and not t.leaving]
+
     def list_usable(self):
-        """List the backend servers that are not leaving.
+        """List the backend servers that are not leaving and can be reached.
 
         Returns:
           A list of Target.
         """
-        return [t for t in self.targets_by_address.values() if not t.leaving]
+        return [t for t in self.targets_by_address.values() if t.is_usable]
 
     def take_grants(self, grants):
         """Take the grants of a home.
--- a/thornport/routing/request.py
+++ b/thornport/routing/request.py
@@ -37,7 +37,7 @@
       path: A str, what follows the service in the URL.
       content_type: A str.
       body: Bytes.
-      attempts: An int, dispatches so far.
+      attempts: An int, dispatches so far that may have run.
     """
 
     request_id: str
