Test callers on open connections to an entry that stops, red

Twelve callers use their connections to an entry until these are closed: the entry has not ended 30 s after its SIGTERM. A request that comes on an idle connection while the entry hands over, and runs for longer than that (4 s beside 3 s): its connection ends without an answer.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -359,14 +359,16 @@
     # A request that crosses the end of its connection has not been read.
     CUT_SLACK_S = 0.2
 
-    def __init__(self, address, make_request):
+    def __init__(self, address, make_request, headers=None):
         """Begin.
 
         Args:
           address: A str, `IP:PORT`.
           make_request: A callable giving a name, a host, a path and a body; without
             a body the request is a read.
+          headers: A dict of what each request has beside its host.
         """
+        self._headers = headers or {}
         self.answered = []
         self.cut = []
         self._address = address
@@ -386,7 +388,8 @@
             sent_at = time.monotonic()
             try:
                 method = "GET" if body is None else "POST"
-                connection.request(method, path, body, {"Host": host})
+                headers = {"Host": host} | self._headers
+                connection.request(method, path, body, headers)
                 sent_at = time.monotonic()
                 answer = connection.getresponse()
                 answer.read()
--- a/tests/requests_test.py
+++ b/tests/requests_test.py
@@ -1,10 +1,13 @@
 """Requests under failure, by real processes: slots, outcomes, at most once."""
 
 import collections
+import http.client
 import signal
 import threading
 import unittest
 
+import msgspec
+
 from tests import harness
 
 DECLARATIONS = """
@@ -203,6 +206,57 @@
         self.cell.wait_slots(SLOTS * self.backends, "entry-2", "entry-3")
 
 
+class OpenConnections(Cell):
+    """Callers use their connections to an entry that stops until these are closed.
+
+    The entry waited until nothing was in flight, which callers on open connections put
+    off for ever; then it handed over, served what still came, and ended at a set time,
+    whatever was open.
+    """
+
+    run_ms = 4000  # longer than an entry hands over
+    declarations = DECLARATIONS.replace("max_run_ms = 1000", "max_run_ms = 8000")
+    path = "/v1/requests/press-desk"
+    headers = {"Thornport-Workspace": "press", "Thornport-Deadline-Ms": "20000"}
+
+    def make_request(self):
+        return "request", "entry", self.path, b"x"
+
+    def test_callers_that_never_pause(self):
+        for name in self.cell.count_runs():
+            changed = msgspec.json.encode({"run_ms": 300})
+            harness.call("POST", self.cell.url(name, "/set"), changed)
+        stopping = self.cell.by_name["entry-1"]
+        address = self.cell.http_by_name["entry-1"]
+        callers = [
+            harness.OpenCaller(address, self.make_request, self.headers)
+            for _ in range(12)
+        ]
+        for caller in callers:
+            caller.wait_for(2)
+        stopping.signal(signal.SIGTERM)
+        self.assertEqual(stopping.popen.wait(harness.PATIENCE_S), 0)
+        for caller in callers:
+            caller.stop()
+        self.assertEqual([c.cut for c in callers], [[]] * len(callers))
+        answered = [status for c in callers for _, status in c.answered]
+        self.assertEqual(set(answered), {200})
+
+    def test_request_while_it_hands_over(self):
+        stopping = self.cell.by_name["entry-1"]
+        address = self.cell.http_by_name["entry-1"]
+        connection = http.client.HTTPConnection(address, timeout=harness.PATIENCE_S)
+        self.addCleanup(connection.close)
+        connection.request("GET", "/health")
+        connection.getresponse().read()
+        stopping.signal(signal.SIGTERM)
+        self.cell.by_name["entry-2"].wait_for("members=3(.|\n)*members=2")
+        connection.request("POST", self.path, b"last", self.headers)
+        answer = connection.getresponse()
+        self.assertEqual((answer.status, answer.read()), (200, b"last"))
+        self.assertEqual(stopping.popen.wait(harness.PATIENCE_S), 0)
+
+
 class Gone(Cell):
     """A backend server ends without a word, and the list of VMs goes on naming it.
 
