Stop an entry only when the callers on its open connections are answered

Cause: an entry that stops closed its port and waited until nothing was in flight, but callers go on using open connections, so that never came; and after that it handed over for 3 s, still served what came, and ended at that time, whatever was open. Change: the entry's site is the draining one of the scheduler process: from the order to stop on each answer closes its connection, requests count from when they were read until answered, and the process waits for them before it leaves the ring and again before it ends, with 0.3 s for the last bytes. Connections grow fewer with each answer and no new ones come, so the wait ends. Unused connections are closed after 60 s, as before. Before: OpenConnections red, both. After: both green; 199 module tests, 20 of requests_test, 2 of path_test, 5 of settings_test pass on this code. Not changed: the placer answers its only read in the turn in which it was read, so nothing is open when it ends. Conclusion: an entry with busy callers now stops, and cuts nothing that it has read.

--- a/thornport/entry/callers.py
+++ b/thornport/entry/callers.py
@@ -6,13 +6,14 @@
 from twisted.internet import defer
 from twisted.web import resource, server
 
-from thornport.kernel import ids
+from thornport.kernel import draining, ids
 from thornport.routing import outcome
 from thornport.routing import request as requests
 
 REQUESTS_PATH = b"/v1/requests/"
 HTTP_NOT_ALLOWED = 405
 MAX_BODY_BYTES = 1_048_576
+IDLE_CONNECTION_S = 60  # as Twisted's sites have it; callers that vanished hold none
 PROBLEM_TYPE = "application/problem+json"
 
 STATUS_BY_REASON = {
@@ -183,7 +184,7 @@
     return msgspec.json.encode(body)
 
 
-def listen(reactor, front, ip, port):
+def listen(reactor, front, ip, port, open_requests):
     """Serve the callers' interface.
 
     Args:
@@ -191,10 +192,12 @@
       front: As in make_app.
       ip: A str.
       port: An int; 0 lets the kernel choose.
+      open_requests: A draining.OpenRequests.
     Returns:
       Twisted's IListeningPort.
     """
-    site = server.Site(Root(front, make_app(front).resource()))
+    root = Root(front, make_app(front).resource())
+    site = draining.DrainingSite(root, open_requests, IDLE_CONNECTION_S)
     return reactor.listenTCP(port, site, interface=ip, backlog=1024)
 
 
--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -8,7 +8,7 @@
 
 from thornport.entry import callers, dispatch, front, keys, peering, sharing
 from thornport.fleet import vmlist
-from thornport.kernel import clock, httpbody, logs, metrics, tasks
+from thornport.kernel import clock, draining, httpbody, logs, metrics, tasks
 from thornport.membership import node
 from thornport.peers import bus
 from thornport.routing import loans
@@ -22,6 +22,8 @@
 DRAIN_S = 2.0
 HAND_OVER_S = 3.0
 POLL_S = 0.05
+# The last answers leave their socket's buffer in milliseconds (as cell.serving.END_S).
+LAST_ANSWERS_S = 0.3
 
 
 class Entry:
@@ -53,6 +55,7 @@
         self._in_force = inforce.InForce()
         self._listed_by_address = {}
         self._bound = None
+        self._open_requests = draining.OpenRequests()
         self._bus = bus.Bus(reactor, peering.CODEC, self._metrics)
         self.node = node.Node(
             reactor, settings, self._store, self._bus, self._in_force, RING_NAME
@@ -107,7 +110,9 @@
         """Open the sockets, join the ring and start the periodic work."""
         listen = self._settings.listen
         self._bus.bind(listen.ip, listen.peer_port, listen.peer_address)
-        self._bound = callers.listen(self._reactor, self, listen.ip, listen.http_port)
+        self._bound = callers.listen(
+            self._reactor, self, listen.ip, listen.http_port, self._open_requests
+        )
         http = f"{listen.ip}:{self._bound.getHost().port}"
         self.node.start(http)
         self._bus.start(self._bus.member_id, self._take_message)
@@ -218,14 +223,29 @@
     async def _stop(self):
         logs.log("stopping", in_flight=self.front.in_flight)
         self.front.stop_being_ready()
+        # Callers would go on using open connections to the end.
+        self._open_requests.close_connections()
         # The balancer sees it late; what it still sends is served.
         await tasks.sleep(self._reactor, DRAIN_S)
         await self._bound.stopListening()
-        while self.front.in_flight:
-            await tasks.sleep(self._reactor, POLL_S)
+        await self._wait_for_answers()
         self.keys.holder.close()
         if await self.node.leave():
             # The others now ask for what this process lent and recorded.
             await tasks.sleep(self._reactor, HAND_OVER_S)
             await self.node.say_gone()
+        # Connections that were idle until now may have brought requests meanwhile.
+        await self._wait_for_answers()
         logs.log("stopped")
+
+    async def _wait_for_answers(self):
+        """Wait until every request has its answer, and the answers have left."""
+        while True:
+            while self._is_serving():
+                await tasks.sleep(self._reactor, POLL_S)
+            await tasks.sleep(self._reactor, LAST_ANSWERS_S)
+            if not self._is_serving():
+                return
+
+    def _is_serving(self):
+        return self.front.in_flight or self._open_requests.count
--- a/thornport/kernel/draining.py
+++ b/thornport/kernel/draining.py
@@ -110,12 +110,14 @@
 
     noisy = False
 
-    def __init__(self, root, open_requests):
+    def __init__(self, root, open_requests, idle_s=None):
         """Take what to serve.
 
         Args:
           root: A twisted resource.
           open_requests: An OpenRequests.
+          idle_s: A float, seconds until an unused connection is closed; None for
+            never.
         """
-        super().__init__(root, requestFactory=DrainingRequest, timeout=None)
+        super().__init__(root, requestFactory=DrainingRequest, timeout=idle_s)
         self.open_requests = open_requests
