--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -22,8 +22,9 @@
 store = {store}
 advice = {advice}
 [bounds]
-grace_s = 1.5
+grace_s = {grace_s}
 """
+GRACE_S = 1.5  # short, so that tests of planned stops take no longer than they must
 HOST = "press.example"
 CONFIG = {
     "version": 1,
@@ -55,15 +56,17 @@
 class Schedulers(harness.Cell):
     """Scheduler processes on a stand-in platform."""
 
-    def __init__(self, count, workers=3, has_proxies=False):
+    def __init__(self, count, workers=3, has_proxies=False, grace_s=GRACE_S):
         """Start a platform and schedulers.
 
         Args:
           count, workers: Ints, how many of each.
           has_proxies: Whether each scheduler reaches the store by a proxy of
             its own, named `store-of-NAME`.
+          grace_s: A float, from the order to stop until a process has to be gone.
         """
         super().__init__()
+        self.grace_s = grace_s
         self.has_proxies = has_proxies
         self.ids = (f"{number:016x}" for number in itertools.count(1))
         platform = self.start("platform", "standins.platform", f"workers={workers}")
@@ -83,7 +86,8 @@
         path = self.folder / f"{name}.ini"
         store = f"store-of-{name}" if self.has_proxies else "platform"
         values = {"name": name, "store": self.http_by_name[store]}
-        path.write_text(SETTINGS.format(advice=self.advice, **values))
+        values |= {"advice": self.advice, "grace_s": self.grace_s}
+        path.write_text(SETTINGS.format(**values))
         return self.start(name, "thornport.platform", str(path))
 
     def put_config(self, config):
--- a/thornport/cell/decisions/advising_test.py
+++ b/thornport/cell/decisions/advising_test.py
@@ -51,5 +51,46 @@
         self.assertNotIn("c", names)
 
 
+class Stopping(unittest.TestCase):
+    """Two processes of which one is told to stop."""
+
+    def setUp(self):
+        self.callers = advising.Callers()
+        self.greet("stays")
+        self.greet("stops")
+        self.greet("stops", is_stopping=True)
+
+    def greet(self, name, cores=1.0, **more):
+        """Let a process greet; its address is its name."""
+        return self.callers.greet(name, name, True, cores, 10.0, **more)
+
+    def choose(self):
+        """The name of the process that is given a short call, or None."""
+        given = self.callers.choose(SHORT_S, 10.0)
+        return given and given.caller.name
+
+    def test_process_that_stops_is_given_no_calls(self):
+        self.assertEqual([self.choose() for _ in range(4)], ["stays"] * 3 + [None])
+
+    def test_process_that_stops_calls_only_while_nobody_else_is_left(self):
+        self.greet("stays", is_stopping=True)
+        self.assertIsNotNone(self.choose())
+
+    def test_process_that_stops_is_left_out_of_the_lists(self):
+        self.greet("stops", cores=9.0, is_stopping=True)
+        self.assertEqual(self.callers.list_addresses(True, 10.0), ["stays"])
+        self.assertEqual(self.callers.list_addresses(False, 10.0), [])
+        self.assertEqual(self.callers.find_largest_cores(10.0), 1.0)
+        self.assertEqual(self.callers.list_stopping(10.0), ["stops"])
+
+    def test_first_word_of_a_stop_is_told_from_later_ones(self):
+        self.assertFalse(self.greet("stops", is_stopping=True))
+        self.assertTrue(self.greet("stays", is_stopping=True))
+
+    def test_next_life_is_given_calls_again(self):
+        self.greet("stops", up_s=0.1)
+        self.assertIn("stops", [self.choose() for _ in range(4)])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/offering_test.py
+++ b/thornport/cell/owner/offering_test.py
@@ -1,80 +1,114 @@
-"""To whom an owner offers its cell, and when."""
+"""When an owner offers its cell, and to whom."""
 
 import unittest
 from unittest import mock
 
 from thornport.cell.decisions import advising
-from thornport.cell.owner import offering
+from thornport.cell.owner import offering, succession
+from thornport.cell.peers import peering
 from thornport.kernel import clock
 
+LARGE = "10.0.0.2:1"
+SECOND = "10.0.0.3:1"
+LONG_UP_S = 600.0
 
-class ListLarger(unittest.TestCase):
-    """Whom an owner on a small VM hands its cell to."""
 
-    def setUp(self):
-        self.callers = advising.Callers()
-        self.callers.greet("small", "10.0.0.1:1", True, 0.5, 10.0)
-        self.callers.greet("large", "10.0.0.2:1", True, 2.0, 10.0)
-
-    def list_addresses(self, now=10.1):
-        """The addresses of those that are much larger than a small VM."""
-        larger = self.callers.list_larger(0.5 * offering.LARGER_TIMES, now)
-        return [caller.address for caller in larger]
-
-    def test_larger_vm_is_found(self):
-        self.callers.greet("medium", "10.0.0.3:1", True, 1.0, 10.0)
-        self.assertEqual(self.list_addresses(), ["10.0.0.2:1"])
-
-    def test_vm_that_the_store_does_not_answer_is_passed_over(self):
-        self.callers.greet("large", "10.0.0.2:1", False, 2.0, 10.0)
-        self.assertEqual(self.list_addresses(), [])
-
-    def test_vm_that_was_not_heard_for_long_is_passed_over(self):
-        self.assertEqual(self.list_addresses(now=20.0), [])
-
-    def test_slightly_larger_vm_is_not_worth_a_takeover(self):
-        self.callers.greet("large", "10.0.0.2:1", True, 0.6, 10.0)
-        self.assertEqual(self.list_addresses(), [])
-
-
-class Offers(unittest.TestCase):
+class OfferingCase(unittest.TestCase):
     """An owner on a small VM, with a large one beside it."""
 
     def setUp(self):
-        patched = mock.patch.object(clock, "read_monotonic", return_value=10.1)
+        self.now = 10.1
+        patched = mock.patch.object(clock, "read_monotonic", lambda: self.now)
         patched.start()
         self.addCleanup(patched.stop)
-        self.daemon = mock.Mock()
-        self.core = self.daemon.get_core.return_value
+        self.daemon = mock.Mock(is_stopping=False)
+        self.session = self.daemon.session
+        self.core = self.session.core
         self.core.callers = advising.Callers()
-        self.core.callers.greet("large", "10.0.0.2:1", True, 2.0, 10.0)
         self.core.token = 7
+        self.greet("large", LARGE, 2.0)
+        self.reactor = mock.Mock()
         self.offering = offering.Offering(self.daemon, 0.5)
+        with mock.patch.object(offering.tasks, "call_periodically"):
+            self.offering.start(self.reactor)
+
+    def greet(self, name, address, cores, **more):
+        """Let a process greet the owner."""
+        more = {"up_s": LONG_UP_S} | more
+        self.core.callers.greet(name, address, True, cores, self.now, **more)
 
     def read_offers(self, has_store):
-        """What is offered, to which addresses, at the next looks."""
+        """What was offered, to which addresses, after the next looks."""
         self.daemon.has_store.return_value = has_store
-        self.offering.offer()
+        self.offering.look()
         self.offering.hand_over()
+        return self.read_sent()
+
+    def read_sent(self):
+        """What was offered, to which addresses."""
         sent = [call.args for call in self.daemon.bus.send.call_args_list]
         return [(address, message.token) for address, _, message in sent]
 
+
+class Offers(OfferingCase):
+    """Whether an offer is made."""
+
     def test_cell_is_handed_to_a_larger_vm(self):
-        self.assertEqual(self.read_offers(has_store=True), [("10.0.0.2:1", 7)])
+        self.assertEqual(self.read_offers(has_store=True), [(LARGE, 7)])
 
     def test_cell_is_offered_while_the_store_is_away(self):
         self.assertEqual(self.read_offers(has_store=False), [])
-        self.assertEqual(self.read_offers(has_store=False), [("10.0.0.2:1", 7)])
+        self.assertEqual(self.read_offers(has_store=False), [(LARGE, 7)])
 
     def test_one_late_answer_of_the_store_makes_no_offer(self):
         # With nobody on a larger VM, the loss of the store alone makes an offer.
-        self.core.callers.greet("large", "10.0.0.2:1", True, 0.5, 10.0)
+        self.greet("large", LARGE, 0.5)
         for has_store in (False, True, False, True):
             self.assertEqual(self.read_offers(has_store), [])
 
-    def test_process_that_does_not_decide_offers_nothing(self):
-        self.daemon.get_core.return_value = None
-        self.assertEqual(self.read_offers(has_store=False), [])
+    def test_process_that_does_not_decide_offers_nothing_for_size(self):
+        self.session.is_deciding = False
+        self.assertEqual(self.read_offers(has_store=True), [])
+
+    def test_process_that_does_not_own_the_cell_offers_nothing(self):
+        self.daemon.session = None
+        for _ in range(3):
+            self.assertEqual(self.read_offers(has_store=False), [])
+
+    def test_process_that_is_becoming_the_owner_offers_what_it_cannot_read(self):
+        self.session.is_deciding = False
+        self.read_offers(has_store=False)
+        self.assertEqual(self.read_offers(has_store=False), [(LARGE, 7)])
+
+
+class Asking(OfferingCase):
+    """One process after the other, while the store is away."""
+
+    def setUp(self):
+        super().setUp()
+        self.greet("second", SECOND, 1.9)
+        self.read_offers(has_store=False)
+        self.assertEqual(self.read_offers(has_store=False), [(LARGE, 7)])
+
+    def answer(self, address, is_taken):
+        """Take an answer to the offer."""
+        self.offering.take_answer(address, peering.OfferAnswer(7, is_taken))
+
+    def test_next_one_is_asked_at_once_after_a_no(self):
+        self.answer(LARGE, is_taken=False)
+        self.assertEqual(self.read_sent(), [(LARGE, 7), (SECOND, 7)])
+
+    def test_next_one_is_asked_when_there_is_no_answer(self):
+        wait_s, look_again = self.reactor.callLater.call_args.args
+        self.assertEqual(wait_s, succession.ANSWER_S)
+        self.now += wait_s
+        look_again()
+        self.assertEqual(self.read_sent(), [(LARGE, 7), (SECOND, 7)])
+
+    def test_nobody_else_is_asked_while_one_claims(self):
+        self.answer(LARGE, is_taken=True)
+        self.now += succession.ANSWER_S
+        self.assertEqual(self.read_offers(has_store=False), [(LARGE, 7)])
 
 
 if __name__ == "__main__":
--- a/thornport/cell/peers/candidacy_test.py
+++ b/thornport/cell/peers/candidacy_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from thornport.cell.decisions import advising
 from thornport.cell.peers import candidacy
 
 
@@ -37,6 +38,37 @@
         wait_s = self.large.compute_wait_s(10.2, is_offered=False)
         self.assertLessEqual(wait_s, candidacy.CLAIM_SPREAD_S)
 
+    def test_process_that_was_offered_the_cell_does_not_wait_for_its_turn(self):
+        self.assertEqual(self.small.compute_wait_s(10.2, is_offered=True), 0.0)
+
+
+class Series(unittest.TestCase):
+    """Processes are told to stop one after the other."""
+
+    def setUp(self):
+        self.early = candidacy.Candidacy("early", 1.0, started_at=0.0)
+        self.restarted = candidacy.Candidacy("restarted", 1.0, started_at=99.0)
+
+    def hear_stop(self):
+        """Let both hear of a stop."""
+        for process in (self.early, self.restarted):
+            process.hear_stop(100.0)
+
+    def is_restarted_first(self, now):
+        """Whether the one that was restarted claims first, whatever the spread."""
+        early_s = self.early.compute_wait_s(now, is_offered=False)
+        restarted_s = self.restarted.compute_wait_s(now, is_offered=False)
+        return early_s > restarted_s + candidacy.CLAIM_SPREAD_S
+
+    def test_process_that_came_back_claims_first(self):
+        self.hear_stop()
+        self.assertTrue(self.is_restarted_first(100.5))
+
+    def test_nobody_waits_while_nothing_changes(self):
+        self.assertFalse(self.is_restarted_first(100.5))
+        self.hear_stop()
+        self.assertFalse(self.is_restarted_first(100.0 + advising.CHANGES_S))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/peers/receiving_test.py
+++ b/thornport/cell/peers/receiving_test.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from thornport.cell.decisions import core
-from thornport.cell.peers import peering, receiving
+from thornport.cell.peers import peering, peerlist, receiving
 
 ADDRESS = "10.0.0.2:1"
 
@@ -36,6 +36,45 @@
         receiving.take(peering.Hello("vm-2", True, 2.0), self.daemon, ADDRESS)
         self.daemon.bus.send.assert_not_called()
 
+    def test_process_that_stops_is_told_apart(self):
+        hello = peering.Hello("vm-2", True, 2.0, is_stopping=True)
+        receiving.take(hello, self.daemon, ADDRESS)
+        ((_, _, told),) = [c.args for c in self.daemon.bus.send.call_args_list]
+        self.assertEqual((told.with_store, told.others), ((), ()))
+        self.assertEqual(told.stopping, (ADDRESS,))
+
+
+class Offered(unittest.TestCase):
+    """A process that is offered the cell."""
+
+    def check_answer(self, is_taken):
+        """The owner is told whether the offer is taken."""
+        told = mock.Mock()
+        told.take_offer.return_value = is_taken
+        receiving.take(peering.Offer(7), told, ADDRESS)
+        told.bus.send.assert_called_once_with(
+            ADDRESS, "", peering.OfferAnswer(7, is_taken)
+        )
+
+    def test_yes_and_no_are_told(self):
+        self.check_answer(True)
+        self.check_answer(False)
+
+
+class Listed(unittest.TestCase):
+    """A process that the owner tells of its peers."""
+
+    def test_peers_that_stop_are_told_what_all_must_know_and_relay_nothing(self):
+        told = mock.Mock()
+        told.bus.address = "10.0.0.1:1"
+        told.peers = peerlist.PeerList()
+        message = peering.Peers((ADDRESS,), (), 1.0, ("10.0.0.3:1", "10.0.0.1:1"))
+        receiving.take(message, told, ADDRESS)
+        self.assertEqual(told.peers.addresses, {ADDRESS, "10.0.0.3:1"})
+        self.assertEqual(told.peers.stopping, {"10.0.0.3:1"})
+        self.assertEqual(told.relayed.peer_addresses, (ADDRESS,))
+        told.candidacy.hear_stop.assert_called_once()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/store/health_test.py
+++ b/thornport/store/health_test.py
@@ -98,6 +98,20 @@
         self.succeed()
         self.assertFalse(self.store.is_away())
 
+    def test_answer_is_recent_for_a_while_and_until_the_store_is_away(self):
+        self.assertFalse(self.store.has_answered_within(1.0))
+        self.call()
+        self.succeed()
+        self.assertTrue(self.store.has_answered_within(1.0))
+        self.call()
+        self.fail()
+        self.now += health.AWAY_S + 0.01
+        self.assertFalse(self.store.has_answered_within(1.0))
+        self.call()
+        self.succeed()
+        self.now += 1.0
+        self.assertFalse(self.store.has_answered_within(1.0))
+
 
 if __name__ == "__main__":
     unittest.main()
