Offer the cell by facts, to one process after the other, none that stops

Cause: an owner that has to be replaced drew its successor anew every 0.1 s among those on the largest VMs whose last greeting, up to 0.5 s old, said that the store answers them. A process that is told to stop ceased to greet, so it was drawn, given calls for advice and listed for 1.6 s more; one that could not claim said nothing, so the owner could not tell it from one that was claiming. Ruled out: that offers are lost on the way (each process that was asked had other messages of the owner at the time).

Change: greetings tell that a process stops, at once, and how long it is up; "the store answers" means within the last second. `owner/succession.py` (pure) chooses: not the owner itself, not one that stops, not a much smaller VM, in a series of stops one started lately, then the processor. `OfferAnswer` says yes or no; after a no the next is asked at once, without an answer after 50 ms, after a yes that came to nothing after 0.6 s; nobody twice within a second. Who was offered the cell claims without waiting for its turn. A process that stops gets no calls for advice (unless nobody else is left: in a series that lasts for seconds), relays nothing, is not polled; it stays among those that are told of jobs that may be kept, for its callers use it to its end and must not be refused them. When the key is free while processes stop, those started longer ago claim 0.1 s later. A process that is becoming the owner and has no store offers the cell too.

In a calm cell nothing is sent more often: two fields more in the greeting, one in its answer; offers and their answers come only when an owner is to be replaced.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -22,6 +22,9 @@
 # greetings has nobody to call for advice: the first answer came 0.04 s after a takeover
 # instead of 0.5 s.
 GREET_AGAIN_S = (0.01, 0.02, 0.04, 0.08, 0.16)
+# What is told of the store, and a claim, need an answer as recent as this; each process
+# asks three times a second.
+ANSWERED_S = 1.0
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
@@ -39,6 +42,7 @@
       relayed: The relaying.RelayedStore.
       asker: The asking.Asker of the owner.
       candidacy: The candidacy.Candidacy of this process for the cell.
+      offering: The offering.Offering of the cell to others.
       liveness: The liveness.Liveness of the cell's owner.
       peers: The peerlist.PeerList of the other processes.
       greeted_address: A str, of the owner that answered a greeting last.
@@ -70,7 +74,11 @@
         self.asker = asking.Asker(reactor, bus)
         cores = settings.process.cpu_share * settings.process.cores
         self._cores = cores
-        self.candidacy = candidacy.Candidacy(settings.process.name, cores)
+        self._started_at = clock.read_monotonic()
+        self.candidacy = candidacy.Candidacy(
+            settings.process.name, cores, self._started_at
+        )
+        self.offering = offering.Offering(self, cores)
         self.liveness = liveness.Liveness(reactor, bus, self)
         self._standing = ownership.Standing(self)
         self._claimer = None
@@ -103,7 +111,7 @@
         tasks.call_periodically(
             self._reactor, STORE_CHECK_PERIOD_S, self._check_store, "check-store"
         )
-        offering.Offering(self, self._cores).start(self._reactor)
+        self.offering.start(self._reactor)
         logs.log("started", peer=self.bus.address, **describe(self._settings))
 
     def stop(self):
@@ -115,6 +123,8 @@
         logs.log("stopping", grace_s=self._settings.bounds.grace_s)
         self.is_stopping = True
         end_at = clock.read_monotonic() + self._settings.bounds.grace_s
+        # At once, so that it is offered nothing and given no calls for advice.
+        self._greet()
         held = self.session is not None
         self._standing.leave()
         if held:
@@ -131,6 +141,10 @@
         """Whether the store answers this process."""
         return not self.ports.store.is_away()
 
+    def _is_answered(self):
+        """Whether the store answers this process, and did a moment ago."""
+        return self.ports.store.has_answered_within(ANSWERED_S)
+
     def _check_store(self):
         """Tell the owner at once whether the store answers us."""
         has_store = self.has_store()
@@ -172,7 +186,7 @@
             self.session is None
             and not self.is_stopping
             and self.config is not None
-            and self.has_store()
+            and self._is_answered()
         )
 
     def _take_owner(self, value, revision):
@@ -265,10 +279,16 @@
     # Messages between processes.
 
     def _greet(self):
-        if self._owner is not None and not self.is_stopping:
-            name = self._settings.process.name
-            hello = peering.Hello(name, self.has_store(), self._cores)
-            self.bus.send(self._owner.address, "", hello)
+        if self._owner is None:
+            return
+        hello = peering.Hello(
+            self._settings.process.name,
+            self._is_answered(),
+            self._cores,
+            self.is_stopping,
+            clock.read_monotonic() - self._started_at,
+        )
+        self.bus.send(self._owner.address, "", hello)
 
     async def _greet_new(self, owner):
         """Greet a new owner until it has answered."""
@@ -288,10 +308,14 @@
 
         Args:
           token: An int, the revision of the owner's key.
+        Returns:
+          A bool, whether this process tries to get the key.
         """
-        if self.may_claim():
-            self._offered_token = token
-            self._standing.key_is_offered()
+        if not self.may_claim():
+            return False
+        self._offered_token = token
+        self._standing.key_is_offered()
+        return True
 
     def get_core(self):
         """The core of the cell if this process decides, else None."""
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -7,6 +7,8 @@
 first, and the foremost step first.
 """
 
+import math
+
 import msgspec
 
 LONG_CALL_S = 0.15  # between the dear queue's 0.75 s and the others' 0.06 s
@@ -14,6 +16,9 @@
 QUEUE_S = 0.02
 SILENCE_S = 1.6  # three greetings missed: the process gets no calls
 ANSWER_SLACK_S = 0.5  # beyond the time that a call takes, for the way and a busy node
+# Stops and starts go on for this long after the last sign of one: VMs are told to stop
+# half a second after one another, and a process is there again within some seconds.
+CHANGES_S = 5.0
 
 
 class Caller(msgspec.Struct, eq=False):
@@ -24,6 +29,8 @@
       heard_at: A float, when it last greeted.
       has_store: Whether the store answers it.
       cores: A float, how much processor its VM has.
+      is_stopping: Whether it was told to stop.
+      started_at: A float, when it was started; minus infinity if it did not say.
       busy_until: A float, when it has made all calls given to it.
       open_count: An int, calls given to it that have no answer yet.
     """
@@ -33,6 +40,8 @@
     heard_at: float
     has_store: bool = True
     cores: float = 1.0
+    is_stopping: bool = False
+    started_at: float = -math.inf
     busy_until: float = 0.0
     open_count: int = 0
 
@@ -54,8 +63,11 @@
 
     def __init__(self):
         self._by_name = {}
+        self._stop_heard_at = -math.inf
 
-    def greet(self, name, address, has_store, cores, now):
+    def greet(
+        self, name, address, has_store, cores, now, is_stopping=False, up_s=math.inf
+    ):
         """Take a greeting.
 
         Args:
@@ -63,6 +75,10 @@
           has_store: A bool, whether the store answers the process.
           cores: A float, how much processor its VM has.
           now: A float.
+          is_stopping: A bool, whether the process was told to stop.
+          up_s: A float, how long ago it was started.
+        Returns:
+          A bool, whether this is the first word that it stops.
         """
         caller = self._by_name.get(name)
         if caller is None or caller.address != address:
@@ -70,6 +86,12 @@
         caller.heard_at = now
         caller.has_store = has_store
         caller.cores = cores
+        caller.started_at = now - up_s
+        is_news = is_stopping and not caller.is_stopping
+        caller.is_stopping = is_stopping
+        if is_stopping:
+            self._stop_heard_at = now
+        return is_news
 
     def forget(self, name):
         """Give no calls to a process until it greets again.
@@ -81,26 +103,31 @@
 
     def find_largest_cores(self, now):
         """The most processor that a VM of a process that is well has, a float."""
-        return max((caller.cores for caller in self._list_alive(now)), default=0.0)
+        return max((caller.cores for caller in self.list_staying(now)), default=0.0)
+
+    def is_series(self, now):
+        """Whether a process was told to stop lately, so that more may be."""
+        return now - self._stop_heard_at < CHANGES_S
+
+    def _list_alive(self, now):
+        return [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
 
-    def list_larger(self, cores, now):
-        """List the processes on the largest VMs of those that the store answers.
+    def list_staying(self, now):
+        """List the processes that are well and were not told to stop.
 
         Args:
-          cores: A float, how much processor is not enough.
           now: A float.
         Returns:
-          A list of Callers with more, all with the most that any has.
+          A list of Caller.
         """
-        fit = [c for c in self._list_alive(now) if c.has_store and c.cores > cores]
-        most = max((caller.cores for caller in fit), default=0.0)
-        return [caller for caller in fit if caller.cores == most]
+        return [caller for caller in self._list_alive(now) if not caller.is_stopping]
 
-    def _list_alive(self, now):
-        return [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
+    def list_stopping(self, now):
+        """The addresses of processes that were told to stop, a list of str."""
+        return [c.address for c in self._list_alive(now) if c.is_stopping]
 
     def list_addresses(self, has_store, now):
-        """The addresses of processes that are well.
+        """The addresses of processes that are well and were not told to stop.
 
         Args:
           has_store: A bool, of those that the store answers or of the others.
@@ -110,7 +137,7 @@
         """
         return [
             caller.address
-            for caller in self._list_alive(now)
+            for caller in self.list_staying(now)
             if caller.has_store is has_store
         ]
 
@@ -123,7 +150,10 @@
         Returns:
           A GivenCall, or None when no process can make it soon.
         """
-        alive = sorted(self._list_alive(now), key=lambda caller: caller.name)
+        # In a series of stops nobody else may be left for some seconds; a process that
+        # stops works on until the end of its grace.
+        fit = self.list_staying(now) or self._list_alive(now)
+        alive = sorted(fit, key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
         is_long = cost_s >= LONG_CALL_S
         group = alive[:half] if is_long else alive[half:] or alive
--- a/thornport/cell/owner/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -4,25 +4,21 @@
 until a worker or the store tells it of its successor.
 """
 
-import random
-
+from thornport.cell.owner import succession
 from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
-OFFER_PERIOD_S = 0.1  # offers of an owner that the store does not answer
+OFFER_PERIOD_S = 0.1  # looks whether the owner has to be replaced
 # Looks in a row that find the store away before the first offer: when the store turns
 # slow, its first late answers come a few hundredths of a second after it counts as
 # away, and a takeover by a slow store takes 2 s.
 AWAY_LOOKS = 2
-# An owner hands the cell to a VM with this many times its processor: a takeover costs
-# some tenths of a second, which a slightly larger VM does not make good.
-LARGER_TIMES = 1.5
 # Not at once, so that an owner's callers have greeted it, and not again and again.
 HAND_OVER_PERIOD_S = 3.0
 
 
 class Offering:
-    """Makes the offers while this process decides."""
+    """Makes the offers while this process is the owner."""
 
     def __init__(self, daemon, cores):
         """Take what is needed.
@@ -34,6 +30,8 @@
         self._daemon = daemon
         self._cores = cores
         self._away_looks = 0
+        self._succession = succession.Succession()
+        self._reactor = None
 
     def start(self, reactor):
         """Begin to make offers.
@@ -41,29 +39,61 @@
         Args:
           reactor: Twisted's reactor.
         """
-        tasks.call_periodically(reactor, OFFER_PERIOD_S, self.offer, "offer")
+        self._reactor = reactor
+        tasks.call_periodically(reactor, OFFER_PERIOD_S, self.look, "offer")
         tasks.call_periodically(
             reactor, HAND_OVER_PERIOD_S, self.hand_over, "hand-over"
         )
 
-    def offer(self):
-        """Offer the cell to a peer while the store does not answer us."""
+    def look(self):
+        """Look whether the owner has to be replaced, and offer the cell then."""
         self._away_looks = 0 if self._daemon.has_store() else self._away_looks + 1
-        if self._away_looks >= AWAY_LOOKS:
-            self._offer_to_larger(0.0, "the store is away")
+        self.offer()
+
+    def offer(self):
+        """Offer the cell to a peer if this process stops or lacks the store."""
+        if self._daemon.is_stopping:
+            self._offer("the process stops")
+        elif self._away_looks >= AWAY_LOOKS:
+            self._offer("the store is away")
 
     def hand_over(self):
         """Offer the cell to a process on a much larger VM."""
-        if self._daemon.has_store():
-            self._offer_to_larger(self._cores * LARGER_TIMES, "its VM is larger")
+        session = self._daemon.session
+        if session is None or not session.is_deciding or not self._daemon.has_store():
+            return
+        self._offer("its VM is larger", self._cores * succession.LARGER_TIMES)
 
-    def _offer_to_larger(self, cores, reason):
-        """Offer the cell to one of the largest VMs that has more than some cores."""
-        core = self._daemon.get_core()
-        if core is None:
+    def _offer(self, reason, least_cores=0.0):
+        """Offer the cell to the best process, unless an offer is open."""
+        session = self._daemon.session
+        if session is None:
+            return
+        now = clock.read_monotonic()
+        callers = session.core.callers
+        is_series = self._daemon.is_stopping or callers.is_series(now)
+        wanted = succession.Wanted(
+            self._daemon.bus.address, least_cores, is_series=is_series
+        )
+        chosen = self._succession.choose(callers, wanted, now)
+        if chosen is None:
             return
-        larger = core.callers.list_larger(cores, clock.read_monotonic())
-        if larger:
-            chosen = random.choice(larger)
-            logs.log("cell-offered", token=core.token, to=chosen.name, reason=reason)
-            self._daemon.bus.send(chosen.address, "", peering.Offer(core.token))
+        token = session.core.token
+        logs.log("cell-offered", token=token, to=chosen.name, reason=reason)
+        self._succession.note_offered(chosen.address, token, now)
+        self._daemon.bus.send(chosen.address, "", peering.Offer(token))
+        self._reactor.callLater(succession.ANSWER_S, self.offer)
+
+    def take_answer(self, address, message):
+        """Take the answer to an offer; after a no, the next process is asked.
+
+        Args:
+          address: A str, of the process that was asked.
+          message: A peering.OfferAnswer.
+        """
+        is_no = self._succession.take_answer(
+            address, message.token, message.is_taken, clock.read_monotonic()
+        )
+        if is_no:
+            logs.log("offer-refused", token=message.token, by=address)
+            self.offer()
--- a/thornport/cell/peers/candidacy.py
+++ b/thornport/cell/peers/candidacy.py
@@ -5,8 +5,12 @@
 ran out, without anything to be read anew, so it is given the first try.
 """
 
+import math
+
 import xxhash
 
+from thornport.cell.decisions import advising
+
 CLAIM_SPREAD_S = 0.02  # so that not all processes claim in the same instant
 # How much later the smallest VMs claim: processes learn that the key is free within
 # a try of their watch, 0.2 s, so that a larger one is first in most cases.
@@ -20,21 +24,35 @@
 OWNER_ALIVE_S = 0.35
 SHARES = 1000  # steps of the spread, each 0.02 ms
 REGAIN_WAIT_S = 0.15  # several tries of an owner that the store answers
+# While processes are stopped one after the other, one that was started longer ago than
+# this may be the next and claims later; one that just came back stays.
+STARTED_LATELY_S = 10.0
+SERIES_WAIT_S = 0.1  # how much later; more than the spread, and less than a lease
 
 
 class Candidacy:
     """What a process knows for its next claim."""
 
-    __slots__ = ("_cores", "_heard_at", "_largest_cores", "_share")
+    __slots__ = (
+        "_cores",
+        "_heard_at",
+        "_largest_cores",
+        "_share",
+        "_started_at",
+        "_stop_heard_at",
+    )
 
-    def __init__(self, name, cores):
+    def __init__(self, name, cores, started_at=-math.inf):
         """Begin.
 
         Args:
           name: A str, of the process; it spreads the claims.
           cores: A float, how much processor the VM has.
+          started_at: A float, when the process was started.
         """
         self._cores = cores
+        self._started_at = started_at
+        self._stop_heard_at = -math.inf
         self._largest_cores = LARGE_CORES
         self._share = xxhash.xxh3_64_intdigest(name.encode()) % SHARES / SHARES
         self._heard_at = None
@@ -56,6 +74,14 @@
         """
         self._heard_at = now
 
+    def hear_stop(self, now):
+        """Take that a process of the cell was told to stop.
+
+        Args:
+          now: A float.
+        """
+        self._stop_heard_at = now
+
     def forget_owner(self):
         """Take that the owner hands the cell over, or that it is another."""
         self._heard_at = None
@@ -68,21 +94,34 @@
         """Whether the owner was heard before, and is not any more."""
         return self._heard_at is not None and not self.is_owner_alive(now)
 
-    def compute_turn_s(self):
-        """Say how much later than the first this process claims, a float."""
+    def compute_turn_s(self, now):
+        """Say how much later than the first this process claims.
+
+        Args:
+          now: A float.
+        Returns:
+          A float, seconds.
+        """
         lack = max(0.0, 1.0 - self._cores / self._largest_cores)
-        return self._share * CLAIM_SPREAD_S + lack * SMALL_WAIT_S
+        turn_s = self._share * CLAIM_SPREAD_S + lack * SMALL_WAIT_S
+        is_series = now - self._stop_heard_at < advising.CHANGES_S
+        if is_series and now - self._started_at > STARTED_LATELY_S:
+            turn_s += SERIES_WAIT_S
+        return turn_s
 
     def compute_wait_s(self, now, is_offered):
         """Say how long to wait before a claim.
 
         Args:
           now: A float.
-          is_offered: A bool, whether the owner asked to be replaced.
+          is_offered: A bool, whether the owner chose this process, or the peers agree
+            on it after its turn.
         Returns:
           A float, seconds.
         """
-        wait_s = self.compute_turn_s()
-        if self.is_owner_alive(now) and not is_offered:
+        if is_offered:
+            return 0.0
+        wait_s = self.compute_turn_s(now)
+        if self.is_owner_alive(now):
             wait_s += REGAIN_WAIT_S
         return wait_s
--- a/thornport/cell/peers/liveness.py
+++ b/thornport/cell/peers/liveness.py
@@ -74,8 +74,10 @@
         if not self._candidacy.is_owner_silent(now):
             return
         if self._poll is None:
-            peers = self._daemon.peers.addresses - {self._owner_address}
-            ask_at = now + self._candidacy.compute_turn_s()
+            known = self._daemon.peers
+            # A process that stops may end before it answers.
+            peers = known.addresses - known.stopping - {self._owner_address}
+            ask_at = now + self._candidacy.compute_turn_s(now)
             self._poll = polling.Poll(self._revision, peers, ask_at)
             logs.log("owner-unheard", owner=self._owner_address, peers=len(peers))
         if self._poll.is_due(now):
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -1,5 +1,7 @@
 """Messages between the processes of a cell, over the bus."""
 
+import math
+
 from thornport.kernel import codec
 from thornport.store import transactions
 
@@ -8,13 +10,17 @@
     """To the owner, again and again: this process can call for advice.
 
     Attributes:
-      has_store: Whether the store answers it.
+      has_store: Whether the store answers it, and did within the last second.
       cores: How much processor its VM has.
+      is_stopping: Whether it was told to stop.
+      up_s: How long ago it was started.
     """
 
     name: str
     has_store: bool = True
     cores: float = 1.0
+    is_stopping: bool = False
+    up_s: float = math.inf
 
 
 class Peers(codec.Message, frozen=True):
@@ -24,11 +30,13 @@
       with_store: Those that the store answers.
       others: Those that it does not answer.
       largest_cores: The most processor that a VM among them has.
+      stopping: Those that were told to stop; they are in neither list.
     """
 
     with_store: tuple[str, ...]
     others: tuple[str, ...] = ()
     largest_cores: float = 0.0
+    stopping: tuple[str, ...] = ()
 
 
 class Alive(codec.Message, frozen=True):
@@ -84,7 +92,7 @@
 
 
 class Offer(codec.Message, frozen=True):
-    """From an owner that the store does not answer: become the owner.
+    """From an owner: become the owner.
 
     Attributes:
       token: The revision of the owner's key, to be overwritten.
@@ -93,6 +101,17 @@
     token: int
 
 
+class OfferAnswer(codec.Message, frozen=True):
+    """The answer to Offer.
+
+    Attributes:
+      is_taken: Whether the process tries to get the key.
+    """
+
+    token: int
+    is_taken: bool
+
+
 class AskCeased(codec.Message, frozen=True):
     """To an earlier owner: does it give orders yet?
 
@@ -218,6 +237,7 @@
     | OwnerHeard
     | Leaving
     | Offer
+    | OfferAnswer
     | AskCeased
     | Ceased
     | RelayRead
--- a/thornport/cell/peers/peerlist.py
+++ b/thornport/cell/peers/peerlist.py
@@ -6,14 +6,20 @@
 
 
 class PeerList:
-    """Addresses of peers; one is forgotten when owners list it no more."""
+    """Addresses of peers; one is forgotten when owners list it no more.
 
-    __slots__ = ("_listed_at_by_address",)
+    Attributes:
+      stopping: A frozenset of str, those of them that were told to stop. They go on
+        serving callers, so they are told what all have to know.
+    """
+
+    __slots__ = ("_listed_at_by_address", "stopping")
 
     def __init__(self):
         self._listed_at_by_address = {}
+        self.stopping = frozenset()
 
-    def take(self, addresses, now):
+    def take(self, addresses, now, stopping=()):
         """Take a list of an owner.
 
         While there is no owner nothing is forgotten: the peers are needed then.
@@ -21,8 +27,10 @@
         Args:
           addresses: An iterable of str.
           now: A float.
+          stopping: An iterable of str, of processes that were told to stop.
         """
-        for address in addresses:
+        self.stopping = frozenset(stopping)
+        for address in {*addresses, *stopping}:
             self._listed_at_by_address[address] = now
         self._listed_at_by_address = {
             address: listed_at
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -41,11 +41,22 @@
         return
     now = clock.read_monotonic()
     callers = daemon.session.core.callers
-    callers.greet(message.name, address, message.has_store, message.cores, now)
+    is_news = callers.greet(
+        message.name,
+        address,
+        message.has_store,
+        message.cores,
+        now,
+        message.is_stopping,
+        message.up_s,
+    )
+    if is_news:
+        logs.log("peer-stopping", peer=message.name)
     peers = peering.Peers(
         tuple(callers.list_addresses(True, now)),
         tuple(callers.list_addresses(False, now)),
         callers.find_largest_cores(now),
+        tuple(callers.list_stopping(now)),
     )
     if not daemon.bus.send(address, "", peers):
         callers.forget(message.name)
@@ -61,7 +72,10 @@
     daemon.relayed.peer_addresses = tuple(set(message.with_store) - own)
     listed = (set(message.with_store) | set(message.others)) - own
     known = daemon.peers.addresses
-    daemon.peers.take(listed, clock.read_monotonic())
+    now = clock.read_monotonic()
+    daemon.peers.take(listed, now, set(message.stopping) - own)
+    if message.stopping:
+        daemon.candidacy.hear_stop(now)
     if daemon.peers.addresses != known:
         logs.log("peers-listed", count=len(daemon.peers.addresses), owner=address)
 
@@ -118,8 +132,15 @@
 
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
-    """An owner offers the cell: it lacks the store, or its VM is smaller."""
-    daemon.take_offer(message.token)
+    """An owner offers the cell: it stops, lacks the store, or its VM is smaller."""
+    is_taken = daemon.take_offer(message.token)
+    daemon.bus.send(address, "", peering.OfferAnswer(message.token, is_taken))
+
+
+@take.register
+def take_offer_answer(message: peering.OfferAnswer, daemon, address):
+    """A process takes the cell that was offered to it, or does not."""
+    daemon.offering.take_answer(address, message)
 
 
 @take.register
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -56,6 +56,17 @@
         silent_s = max(SILENT_S, SILENT_TIMES * self._slowest_s)
         return now - max(oldest, self._answered_at) > silent_s and oldest < now
 
+    def has_answered_within(self, seconds):
+        """Tell whether the store answered a moment ago, and is not away since.
+
+        Args:
+          seconds: A float, how long ago counts.
+        Returns:
+          A bool.
+        """
+        since_s = clock.read_monotonic() - self._answered_at
+        return since_s < seconds and not self.is_away()
+
     @property
     def slowest_s(self):
         """How long the slowest answers of late took, a float in seconds."""
