Test that a process that is told to stop goes on until another has the key, red

`ownership_test` gives each input in each state, and after any two inputs: red, for the states are not there and the machine raises on some inputs.

--- /dev/null
+++ b/thornport/cell/owner/ownership_test.py
@@ -0,0 +1,124 @@
+"""The states of a process towards its cell."""
+
+import unittest
+from unittest import mock
+
+from thornport.cell.owner import ownership
+
+INPUTS = (
+    "key_is_free",
+    "key_is_offered",
+    "claim_failed",
+    "claim_won",
+    "rebuilt",
+    "key_is_lost",
+    "leave",
+    "time_is_over",
+)
+# How each state is reached.
+PATH_BY_STATE = {
+    "following": (),
+    "claiming": ("key_is_free",),
+    "rebuilding": ("key_is_free", "claim_won"),
+    "deciding": ("key_is_free", "claim_won", "rebuilt"),
+    "last-claiming": ("key_is_free", "leave"),
+    "last-rebuilding": ("key_is_free", "claim_won", "leave"),
+    "handing-over": ("key_is_free", "claim_won", "rebuilt", "leave"),
+    "leaving": ("leave",),
+}
+
+
+class StandingCase(unittest.TestCase):
+    """A process, and what its standing has it do."""
+
+    def setUp(self):
+        self.begin()
+
+    def begin(self, *inputs):
+        """Begin anew and give inputs; what they have done is forgotten."""
+        self.actions = mock.Mock()
+        self.standing = ownership.Standing(self.actions)
+        self.give(*inputs)
+        self.actions.reset_mock()
+
+    def give(self, *inputs):
+        """Give inputs."""
+        for name in inputs:
+            getattr(self.standing, name)()
+
+    def read_actions(self):
+        """The names of what was done, in order."""
+        return [call[0] for call in self.actions.method_calls]
+
+
+class EveryInput(StandingCase):
+    """No state raises on any input."""
+
+    def test_in_every_state(self):
+        for state, path in PATH_BY_STATE.items():
+            for name in INPUTS:
+                with self.subTest(state=state, input=name):
+                    self.begin(*path)
+                    self.give(name)
+
+    def test_after_any_two_inputs_of_one_that_stops(self):
+        for state, path in PATH_BY_STATE.items():
+            for first in INPUTS:
+                for second in INPUTS:
+                    with self.subTest(state=state, inputs=(first, second)):
+                        self.begin(*path, first)
+                        self.give("leave", second, "time_is_over", first)
+
+
+class ToldToStop(StandingCase):
+    """A process goes on with what it has begun, until another has the key."""
+
+    def test_owner_decides_on_until_another_has_the_key(self):
+        self.begin("key_is_free", "claim_won", "rebuilt")
+        self.give("leave")
+        self.assertEqual(self.read_actions(), [])
+        self.give("key_is_lost")
+        self.assertEqual(self.read_actions(), ["forget"])
+        self.give("time_is_over", "key_is_free", "key_is_offered")
+        self.assertEqual(self.read_actions(), ["forget"])
+
+    def test_owner_gives_the_key_up_when_its_time_is_over(self):
+        self.begin("key_is_free", "claim_won", "rebuilt", "leave")
+        self.give("time_is_over")
+        self.assertEqual(self.read_actions(), ["forget", "release"])
+        self.give("key_is_free", "key_is_offered", "key_is_lost")
+        self.assertEqual(self.read_actions(), ["forget", "release"])
+
+    def test_owner_that_stops_gets_back_a_key_that_ran_out(self):
+        self.begin("key_is_free", "claim_won", "rebuilt", "leave")
+        self.give("key_is_free")
+        self.assertEqual(self.read_actions(), ["confirm"])
+
+    def test_process_that_reads_goes_on_and_decides(self):
+        self.begin("key_is_free", "claim_won")
+        self.give("leave", "rebuilt")
+        self.assertEqual(self.read_actions(), ["decide"])
+        self.give("time_is_over")
+        self.assertEqual(self.read_actions(), ["decide", "forget", "release"])
+
+    def test_process_that_reads_ceases_when_another_has_the_key(self):
+        self.begin("key_is_free", "claim_won", "leave")
+        self.give("key_is_lost", "rebuilt")
+        self.assertEqual(self.read_actions(), ["forget"])
+
+    def test_claim_that_was_sent_is_used_or_given_up(self):
+        self.begin("key_is_free", "leave")
+        self.give("claim_won", "rebuilt")
+        self.assertEqual(self.read_actions(), ["rebuild", "decide"])
+        self.begin("key_is_free", "leave")
+        self.give("claim_failed", "key_is_free")
+        self.assertEqual(self.read_actions(), [])
+
+    def test_key_that_is_won_too_late_is_released_at_once(self):
+        self.begin("key_is_free", "leave", "time_is_over")
+        self.give("claim_won")
+        self.assertEqual(self.read_actions(), ["release"])
+
+
+if __name__ == "__main__":
+    unittest.main()
