Decide on until a successor has the key when told to stop

Cause: `SchedulerDaemon.stop` forgot the ownership at once, whether it decided, read the records or had a claim on its way, and ended the lease. In a series of stops the process that claims next is told to stop too, and throws away what it has read; once all are stopping nobody may claim, for as long as the grace: six processes told two at a time every 0.5 s had no owner for 3.15 s of a grace of 3 s and for 6.43 s of one of 6 s. Ruled out: slow claims (key to deciding 13 to 46 ms in the logs of these series).

Change: told to stop, a process goes on with what it has begun. `Standing` gets the states last claiming, last rebuilding and handing over; it decides, offers the cell every 0.1 s at most to one process at a time, and ceases when it loses the key, or 0.6 s before it would be killed, just before the last answers: then it forgets, says that it leaves, and ends its lease. It begins no claim. A claim that is won after that is released. Safety is as it was: each transaction names the key at our revision, orders carry the token, and the four ways to learn of a successor (a refused transaction, a worker, the store's watch, the successor's question) end the ownership in each of the new states; nothing is written after the release, for the session is stopped before it. The machine takes each input in each state now; it raised on some that were not expected.

Processes that stop are listed to relay while no other has the store.

--- a/tests/handover_test.py
+++ b/tests/handover_test.py
@@ -12,6 +12,10 @@
 CALLERS = 3
 SEED = 11
 FLAP_S = 0.5  # how long the store turns the same processes away
+# In a series of six: the owner that loses the store, those that are told to stop, and
+# as many again for a store that turns two away at a time all along.
+MOST_OWNERS = 12
+MOST_OFFERS = 24  # each owner asks one, and one that could not tell yet that it can't
 
 
 class HandOverCase(unittest.TestCase):
@@ -167,6 +171,10 @@
         self.assertTrue(log.list_lines("peer-stopping"))
         self.assertEqual(log.list_offers_to_stopping(), [])
         self.assertEqual(log.list_lines("task-failed"), [])
+        self.assertTrue(log.list_lines("handing-over"))
+        self.assertEqual(log.list_abandoned(), [])
+        self.assertLessEqual(len(log.list_spans()), MOST_OWNERS)
+        self.assertLessEqual(len(log.list_lines("cell-offered")), MOST_OFFERS)
 
 
 if __name__ == "__main__":
--- a/tests/restarts.py
+++ b/tests/restarts.py
@@ -112,6 +112,22 @@
                 spans.append(make_span(name, began, float("inf")))
         return sorted(spans, key=lambda span: span.began)
 
+    def list_abandoned(self):
+        """List the owners that stopped and left the cell to nobody.
+
+        Returns:
+          A list of lines.Line, `handing-over` of those whose key no other process got
+          before they ended, and that did not release it.
+        """
+        claims = self.list_lines("owner-key-claimed")
+        return [
+            line
+            for of_process in self.lines_by_name.values()
+            for number, line in enumerate(of_process)
+            if line.event == "handing-over"
+            and not is_left_well(of_process[number:], claims)
+        ]
+
     def list_offers_to_stopping(self):
         """List the offers to processes of which the owner knew that they stop.
 
@@ -155,6 +171,29 @@
     return [line for line in parsed if line is not None]
 
 
+def is_left_well(of_life, claims):
+    """Whether an owner that stops gave its key up, or lost it to another process.
+
+    Args:
+      of_life: A list of lines.Line, its own from `handing-over` on.
+      claims: A list of lines.Line, all claims of a key.
+    Returns:
+      A bool.
+    """
+    ended_at = float("inf")
+    for line in of_life:
+        if line.event == "owner-key-released":
+            return True
+        if line.event == "stopped":
+            ended_at = line.time
+            break
+    began = of_life[0]
+    return any(
+        claim.process != began.process and began.time < claim.time < ended_at
+        for claim in claims
+    )
+
+
 def make_span(name, began, ended):
     """Make the Span that a line began."""
     return Span(name, began.value_by_field["token"], began.time, ended)
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -28,6 +28,10 @@
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
+# An owner that stops gives the cell up so long before it would be killed: just before
+# the last answers, and the end of its lease has 0.3 s to reach the store, which takes
+# 0.24 s where it answers 60 times slower. Its key would go 0.7 s later at most.
+GIVE_UP_S = serving.LAST_ANSWERS_S + 0.1
 
 
 class SchedulerDaemon:
@@ -117,6 +121,9 @@
     def stop(self):
         """Stop in the planned way: hand the cell over, serve what comes.
 
+        An owner, or a process that is becoming it, goes on until another has the key:
+        in a series of stops its peers may be stopping too, and nobody would decide.
+
         Returns:
           A Deferred that fires when the process may end.
         """
@@ -125,14 +132,18 @@
         end_at = clock.read_monotonic() + self._settings.bounds.grace_s
         # At once, so that it is offered nothing and given no calls for advice.
         self._greet()
-        held = self.session is not None
+        if self.session is not None:
+            logs.log("handing-over", token=self.session.core.token)
         self._standing.leave()
-        if held:
-            for address in self.peers.addresses:
-                self.bus.send(address, "", peering.Leaving())
-            tasks.spawn(self._claimer.release(), "release")
+        self.offering.offer()
+        tasks.spawn(self._give_up(end_at - GIVE_UP_S), "give-up")
         return tasks.spawn(self.serving.stop(end_at), "serve-out")
 
+    async def _give_up(self, at):
+        """Give the cell up at a time, if it is still ours then."""
+        await tasks.sleep(self._reactor, max(0.0, at - clock.read_monotonic()))
+        self._standing.time_is_over()
+
     def is_ready(self):
         """Whether callers are to be sent here."""
         return self.config is not None and not self.is_stopping and self.has_store()
@@ -213,14 +224,15 @@
         tasks.spawn(self._claim(), "claim")
 
     async def _claim(self):
-        while self.config is None:
+        while self.config is None and not self.is_stopping:
             await tasks.sleep(self._reactor, ownership.RETRY_S)
         is_offered = self._offered_token != transactions.ABSENT_REVISION
         wait_s = self.candidacy.compute_wait_s(clock.read_monotonic(), is_offered)
         await tasks.sleep(self._reactor, wait_s)
         offered = self._offered_token
         self._offered_token = transactions.ABSENT_REVISION
-        if self._owner is not None and offered == transactions.ABSENT_REVISION:
+        is_taken = self._owner is not None and offered == transactions.ABSENT_REVISION
+        if is_taken or self.is_stopping:
             self._standing.claim_failed()
             return
         if await self._claimer.claim(offered):
@@ -272,6 +284,12 @@
         # The key may be free already, and its event be past.
         self._reactor.callLater(ownership.RETRY_S, self._claim_if_free)
 
+    def release(self):
+        """Let a successor have the key at once; nothing more is written under it."""
+        for address in self.peers.addresses:
+            self.bus.send(address, "", peering.Leaving())
+        tasks.spawn(self._claimer.release(), "release")
+
     def _claim_if_free(self):
         if self._owner is None:
             self._standing.key_is_free()
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -129,17 +129,17 @@
     def list_addresses(self, has_store, now):
         """The addresses of processes that are well and were not told to stop.
 
+        Those that stop are listed while there is no other: they relay until they end.
+
         Args:
           has_store: A bool, of those that the store answers or of the others.
           now: A float.
         Returns:
           A list of str.
         """
-        return [
-            caller.address
-            for caller in self.list_staying(now)
-            if caller.has_store is has_store
-        ]
+        alike = [c for c in self._list_alive(now) if c.has_store is has_store]
+        staying = [caller for caller in alike if not caller.is_stopping]
+        return [caller.address for caller in staying or alike]
 
     def choose(self, cost_s, now):
         """Choose the process for a call and give it the call.
@@ -150,8 +150,8 @@
         Returns:
           A GivenCall, or None when no process can make it soon.
         """
-        # In a series of stops nobody else may be left for some seconds; a process that
-        # stops works on until the end of its grace.
+        # In a series of stops nobody who stays may be left for some seconds; a process
+        # that stops works on until the end of its grace.
         fit = self.list_staying(now) or self._list_alive(now)
         alive = sorted(fit, key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
--- a/thornport/cell/decisions/advising_test.py
+++ b/thornport/cell/decisions/advising_test.py
@@ -60,9 +60,9 @@
         self.greet("stops")
         self.greet("stops", is_stopping=True)
 
-    def greet(self, name, cores=1.0, **more):
+    def greet(self, name, cores=1.0, has_store=True, **more):
         """Let a process greet; its address is its name."""
-        return self.callers.greet(name, name, True, cores, 10.0, **more)
+        return self.callers.greet(name, name, has_store, cores, 10.0, **more)
 
     def choose(self):
         """The name of the process that is given a short call, or None."""
@@ -83,6 +83,10 @@
         self.assertEqual(self.callers.find_largest_cores(10.0), 1.0)
         self.assertEqual(self.callers.list_stopping(10.0), ["stops"])
 
+    def test_processes_that_stop_relay_while_nobody_else_is_left(self):
+        self.greet("stays", has_store=False)
+        self.assertEqual(self.callers.list_addresses(True, 10.0), ["stops"])
+
     def test_first_word_of_a_stop_is_told_from_later_ones(self):
         self.assertFalse(self.greet("stops", is_stopping=True))
         self.assertTrue(self.greet("stays", is_stopping=True))
--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -34,6 +34,9 @@
     A process follows until the key is free, claims it, rebuilds what the
     earlier owner knew, decides, and follows again when it loses the key to
     another. A key that merely ran out it gets back, and decides on.
+
+    One that is told to stop goes on with what it has begun, for its peers may be
+    stopping too: it decides until a successor has the key, or its time is over.
     """
 
     machine = automat.MethodicalMachine()
@@ -43,7 +46,7 @@
 
         Args:
           actions: An object with `claim()`, `rebuild()`, `decide()`,
-            `confirm()` and `forget()`.
+            `confirm()`, `forget()` and `release()`.
         """
         self._actions = actions
 
@@ -63,6 +66,18 @@
     def deciding(self):
         """This process decides."""
 
+    @machine.state(serialized="last-claiming")
+    def last_claiming(self):
+        """This process stops; the key that it tries to write may become ours."""
+
+    @machine.state(serialized="last-rebuilding")
+    def last_rebuilding(self):
+        """This process stops; the key is ours, the records are being read."""
+
+    @machine.state(serialized="handing-over")
+    def handing_over(self):
+        """This process stops, and decides until another has the key."""
+
     @machine.state(serialized="leaving")
     def leaving(self):
         """This process stops and claims nothing any more."""
@@ -73,7 +88,7 @@
 
     @machine.input()
     def key_is_offered(self):
-        """The owner, which the store does not answer, wants to be replaced."""
+        """The owner wants to be replaced, or is silent."""
 
     @machine.input()
     def claim_failed(self):
@@ -93,7 +108,11 @@
 
     @machine.input()
     def leave(self):
-        """The process stops."""
+        """The process was told to stop."""
+
+    @machine.input()
+    def time_is_over(self):
+        """The process ends soon and gives the cell up."""
 
     @machine.output()
     def _claim(self):
@@ -115,32 +134,59 @@
     def _confirm(self):
         self._actions.confirm()
 
+    @machine.output()
+    def _release(self):
+        self._actions.release()
+
     following.upon(key_is_free, enter=claiming, outputs=[_claim])
     following.upon(key_is_offered, enter=claiming, outputs=[_claim])
-    following.upon(key_is_lost, enter=following, outputs=[])
     following.upon(leave, enter=leaving, outputs=[])
-    claiming.upon(key_is_offered, enter=claiming, outputs=[])
-    claiming.upon(key_is_free, enter=claiming, outputs=[])
+
     claiming.upon(claim_failed, enter=following, outputs=[])
     claiming.upon(claim_won, enter=rebuilding, outputs=[_rebuild])
-    claiming.upon(key_is_lost, enter=claiming, outputs=[])
-    claiming.upon(leave, enter=leaving, outputs=[])
-    rebuilding.upon(key_is_offered, enter=rebuilding, outputs=[])
-    deciding.upon(key_is_offered, enter=deciding, outputs=[])
-    leaving.upon(key_is_offered, enter=leaving, outputs=[])
+    claiming.upon(leave, enter=last_claiming, outputs=[])
+
     rebuilding.upon(rebuilt, enter=deciding, outputs=[_decide])
     rebuilding.upon(key_is_lost, enter=following, outputs=[_forget])
     rebuilding.upon(key_is_free, enter=following, outputs=[_forget])
-    rebuilding.upon(leave, enter=leaving, outputs=[_forget])
+    rebuilding.upon(leave, enter=last_rebuilding, outputs=[])
+
     deciding.upon(key_is_lost, enter=following, outputs=[_forget])
     deciding.upon(key_is_free, enter=deciding, outputs=[_confirm])
-    deciding.upon(leave, enter=leaving, outputs=[_forget])
-    leaving.upon(key_is_free, enter=leaving, outputs=[])
-    leaving.upon(key_is_lost, enter=leaving, outputs=[])
-    leaving.upon(claim_failed, enter=leaving, outputs=[])
-    leaving.upon(claim_won, enter=leaving, outputs=[_forget])
-    leaving.upon(rebuilt, enter=leaving, outputs=[])
-    leaving.upon(leave, enter=leaving, outputs=[])
+    deciding.upon(leave, enter=handing_over, outputs=[])
+
+    last_claiming.upon(claim_failed, enter=leaving, outputs=[])
+    last_claiming.upon(claim_won, enter=last_rebuilding, outputs=[_rebuild])
+    last_claiming.upon(time_is_over, enter=leaving, outputs=[])
+
+    last_rebuilding.upon(rebuilt, enter=handing_over, outputs=[_decide])
+    last_rebuilding.upon(key_is_lost, enter=leaving, outputs=[_forget])
+    last_rebuilding.upon(key_is_free, enter=leaving, outputs=[_forget])
+    last_rebuilding.upon(time_is_over, enter=leaving, outputs=[_forget, _release])
+
+    handing_over.upon(key_is_lost, enter=leaving, outputs=[_forget])
+    handing_over.upon(key_is_free, enter=handing_over, outputs=[_confirm])
+    handing_over.upon(time_is_over, enter=leaving, outputs=[_forget, _release])
+
+    # A claim that was on its way when the time was over: nobody waits for its lease.
+    leaving.upon(claim_won, enter=leaving, outputs=[_release])
+
+    # What says nothing new, or comes too late to matter: the machine raises on an
+    # input that a state does not take.
+    for state, inputs in (
+        (following, (claim_failed, claim_won, rebuilt, key_is_lost, time_is_over)),
+        (claiming, (key_is_free, key_is_offered, rebuilt, key_is_lost, time_is_over)),
+        (rebuilding, (key_is_offered, claim_failed, claim_won, time_is_over)),
+        (deciding, (key_is_offered, claim_failed, claim_won, rebuilt, time_is_over)),
+        (last_claiming, (key_is_free, key_is_offered, rebuilt, key_is_lost, leave)),
+        (last_rebuilding, (key_is_offered, claim_failed, claim_won, leave)),
+        (handing_over, (key_is_offered, claim_failed, claim_won, rebuilt, leave)),
+        (leaving, (key_is_free, key_is_offered, claim_failed, rebuilt, key_is_lost)),
+        (leaving, (leave, time_is_over)),
+    ):
+        for taken in inputs:
+            state.upon(taken, enter=state, outputs=[])
+    del state, inputs, taken
 
 
 class Claimer:
--- a/thornport/cell/peers/receiving_test.py
+++ b/thornport/cell/peers/receiving_test.py
@@ -37,10 +37,12 @@
         self.daemon.bus.send.assert_not_called()
 
     def test_process_that_stops_is_told_apart(self):
+        stays = peering.Hello("vm-3", True, 2.0)
+        receiving.take(stays, self.daemon, "10.0.0.3:1")
         hello = peering.Hello("vm-2", True, 2.0, is_stopping=True)
         receiving.take(hello, self.daemon, ADDRESS)
-        ((_, _, told),) = [c.args for c in self.daemon.bus.send.call_args_list]
-        self.assertEqual((told.with_store, told.others), ((), ()))
+        _, _, told = self.daemon.bus.send.call_args.args
+        self.assertEqual((told.with_store, told.others), (("10.0.0.3:1",), ()))
         self.assertEqual(told.stopping, (ADDRESS,))
 
 
