Hand over for size only while nothing changes

Ruled out: that it lacked the store; the line names the size.

Change: not within 5 s of a takeover, nor while a peer is known to stop, nor within 5 s of the last word of a stop or of a start (greetings tell both). A stop and a lost store are reasons at any time. A cell that starts anew on a small VM waits 5 s for its first hand-over in place of 3 s at most.

Tests: 4 of 4 of offering_test Calm; 235 of 235 module tests, 24 of 24 of tests.scheduler_test and tests.handover_test.

--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -109,6 +109,13 @@
         """Whether a process was told to stop lately, so that more may be."""
         return now - self._stop_heard_at < CHANGES_S
 
+    def is_changing(self, now):
+        """Whether processes are being stopped or started, a bool."""
+        started_at = max(
+            (caller.started_at for caller in self._list_alive(now)), default=-math.inf
+        )
+        return self.is_series(now) or now - started_at < CHANGES_S
+
     def _list_alive(self, now):
         return [c for c in self._by_name.values() if now - c.heard_at < SILENCE_S]
 
--- a/thornport/cell/owner/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -4,6 +4,7 @@
 until a worker or the store tells it of its successor.
 """
 
+from thornport.cell.decisions import advising
 from thornport.cell.owner import succession
 from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
@@ -58,11 +59,18 @@
             self._offer("the store is away")
 
     def hand_over(self):
-        """Offer the cell to a process on a much larger VM."""
+        """Offer the cell to a process on a much larger VM, while nothing changes.
+
+        In a series of stops the larger VM may be the next, and each takeover costs
+        some tenths of a second in which nobody decides.
+        """
         session = self._daemon.session
         if session is None or not session.is_deciding or not self._daemon.has_store():
             return
-        self._offer("its VM is larger", self._cores * succession.LARGER_TIMES)
+        now = clock.read_monotonic()
+        is_new = now - session.began_at < advising.CHANGES_S
+        if not is_new and not session.core.callers.is_changing(now):
+            self._offer("its VM is larger", self._cores * succession.LARGER_TIMES)
 
     def _offer(self, reason, least_cores=0.0):
         """Offer the cell to the best process, unless an offer is open."""
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -27,6 +27,7 @@
     Attributes:
       core: The core.CellCore.
       looks: The looks.Looks at workers.
+      began_at: A float, when the key became ours.
       is_active: Whether this ownership goes on.
       is_deciding: Whether the records have been read.
     """
@@ -52,7 +53,7 @@
         self._ledger = ledger.Ledger(
             reactor, ports.store, claimer.token, bus.address, metrics, self._regain
         )
-        now = clock.read_monotonic()
+        now = self.began_at = clock.read_monotonic()
         self.core = core.CellCore(
             claimer.token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
