Test that a key got back while the cell is given up is released, red

An owner whose key ran out writes it again; when the process gives the cell up meanwhile, the key came under a lease that nobody renews, and kept a successor waiting for it.

--- a/thornport/cell/owner/ownership_test.py
+++ b/thornport/cell/owner/ownership_test.py
@@ -3,7 +3,12 @@
 import unittest
 from unittest import mock
 
+from returns import result
+from twisted.internet import defer, task
+
 from thornport.cell.owner import ownership
+from thornport.kernel import tasks
+from thornport.store import transactions
 
 INPUTS = (
     "key_is_free",
@@ -120,5 +125,39 @@
         self.assertEqual(self.read_actions(), ["release"])
 
 
+class Regaining(unittest.TestCase):
+    """A key that ran out is written again while the process gives the cell up."""
+
+    def setUp(self):
+        self.store = mock.Mock()
+        self.store.grant_lease.return_value = defer.succeed(
+            result.Success(transactions.Lease(3, 1000))
+        )
+        self.commit = self.store.commit.return_value = defer.Deferred()
+        self.store.end_lease.return_value = defer.succeed(result.Success(None))
+        self.claimer = ownership.Claimer(task.Clock(), self.store, "vm-1", "10.0.0.1:1")
+        self.is_wanted = True
+
+    def regain(self):
+        """Begin; a list that gets the token, or None."""
+        tokens = []
+        regaining = self.claimer.regain([], lambda: self.is_wanted)
+        tasks.spawn(regaining, "regain").addCallback(tokens.append)
+        return tokens
+
+    def test_key_that_is_still_wanted_is_kept(self):
+        tokens = self.regain()
+        self.commit.callback(result.Success(9))
+        self.assertEqual(tokens, [9])
+        self.store.end_lease.assert_not_called()
+
+    def test_key_that_is_wanted_no_more_keeps_nobody_waiting(self):
+        tokens = self.regain()
+        self.is_wanted = False
+        self.commit.callback(result.Success(9))
+        self.assertEqual(tokens, [None])
+        self.store.end_lease.assert_called_once_with(3)
+
+
 if __name__ == "__main__":
     unittest.main()
