Release a key that was got back while the cell was given up

Cause: found by reading what may be written after the release: an owner whose key ran out writes it again under a new lease, and one that gives the cell up at that moment ended the old lease alone. Nobody renewed the new one, so a successor waited for it, up to 1 s. No transaction of records can follow: its session has been stopped. Change: `Claimer.regain` ends the lease of a key that it gets and nobody wants any more. Left: where the answer to that write is lost as well, the lease runs out by itself.

--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -257,13 +257,17 @@
             decided.
           is_current: A callable telling whether it is still wanted.
         Returns:
-          An int, the new token; None when the cell is another's.
+          An int, the new token; None when the cell is another's or not wanted.
         """
         free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
         while is_current():
             written = await self._write([free, *conditions])
             if isinstance(written, result.Success):
-                return self.token
+                if is_current():
+                    return self.token
+                # Given up meanwhile: no successor is to wait for the new lease.
+                await self.release()
+                return None
             if port.is_failure(written, transactions.Refused):
                 # It may be ours by an attempt whose answer was lost.
                 item = written.failure().by_key.get(OWNER_KEY)
