--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -22,6 +22,9 @@
 # greetings has nobody to call for advice: the first answer came 0.04 s after a takeover
 # instead of 0.5 s.
 GREET_AGAIN_S = (0.01, 0.02, 0.04, 0.08, 0.16)
+# What is told of the store, and a claim, need an answer as recent as this; each process
+# asks three times a second.
+ANSWERED_S = 1.0
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
@@ -29,6 +32,10 @@
 # watch waits for 2 s and is answered within 0.6 s more, but for one whose answer is a
 # new version on its way.
 CONFIRMED_S = 3.0
+# An owner that stops gives the cell up so long before it would be killed: just before
+# the last answers, and the end of its lease has 0.3 s to reach the store, which takes
+# 0.24 s where it answers 60 times slower. Its key would go 0.7 s later at most.
+GIVE_UP_S = serving.LAST_ANSWERS_S + 0.1
 
 
 class SchedulerDaemon:
@@ -43,6 +50,7 @@
       relayed: The relaying.RelayedStore.
       asker: The asking.Asker of the owner.
       candidacy: The candidacy.Candidacy of this process for the cell.
+      offering: The offering.Offering of the cell to others.
       liveness: The liveness.Liveness of the cell's owner.
       peers: The peerlist.PeerList of the other processes.
       greeted_address: A str, of the owner that answered a greeting last.
@@ -74,7 +82,11 @@
         self.asker = asking.Asker(reactor, bus)
         cores = settings.process.cpu_share * settings.process.cores
         self._cores = cores
-        self.candidacy = candidacy.Candidacy(settings.process.name, cores)
+        self._started_at = clock.read_monotonic()
+        self.candidacy = candidacy.Candidacy(
+            settings.process.name, cores, self._started_at
+        )
+        self.offering = offering.Offering(self, cores)
         self.liveness = liveness.Liveness(reactor, bus, self)
         self._standing = ownership.Standing(self)
         self._claimer = None
@@ -107,26 +119,35 @@
         tasks.call_periodically(
             self._reactor, STORE_CHECK_PERIOD_S, self._check_store, "check-store"
         )
-        offering.Offering(self, self._cores).start(self._reactor)
+        self.offering.start(self._reactor)
         logs.log("started", peer=self.bus.address, **describe(self._settings))
 
     def stop(self):
         """Stop in the planned way: hand the cell over, serve what comes.
 
+        An owner, or a process that is becoming it, goes on until another has the key:
+        in a series of stops its peers may be stopping too, and nobody would decide.
+
         Returns:
           A Deferred that fires when the process may end.
         """
         logs.log("stopping", grace_s=self._settings.bounds.grace_s)
         self.is_stopping = True
         end_at = clock.read_monotonic() + self._settings.bounds.grace_s
-        held = self.session is not None
+        # At once, so that it is offered nothing and given no calls for advice.
+        self._greet()
+        if self.session is not None:
+            logs.log("handing-over", token=self.session.core.token)
         self._standing.leave()
-        if held:
-            for address in self.peers.addresses:
-                self.bus.send(address, "", peering.Leaving())
-            tasks.spawn(self._claimer.release(), "release")
+        self.offering.offer()
+        tasks.spawn(self._give_up(end_at - GIVE_UP_S), "give-up")
         return tasks.spawn(self.serving.stop(end_at), "serve-out")
 
+    async def _give_up(self, at):
+        """Give the cell up at a time, if it is still ours then."""
+        await tasks.sleep(self._reactor, max(0.0, at - clock.read_monotonic()))
+        self._standing.time_is_over()
+
     def is_ready(self):
         """Whether callers are to be sent here."""
         return self.config is not None and not self.is_stopping and self.has_store()
@@ -135,6 +156,10 @@
         """Whether the store answers this process."""
         return not self.ports.store.is_away()
 
+    def _is_answered(self):
+        """Whether the store answers this process, and did a moment ago."""
+        return self.ports.store.has_answered_within(ANSWERED_S)
+
     def _check_store(self):
         """Tell the owner at once whether the store answers us."""
         has_store = self.has_store()
@@ -176,7 +201,7 @@
             self.session is None
             and not self.is_stopping
             and self.config is not None
-            and self.has_store()
+            and self._is_answered()
         )
 
     def _take_owner(self, value, revision):
@@ -203,14 +228,15 @@
         tasks.spawn(self._claim(), "claim")
 
     async def _claim(self):
-        while self.config is None:
+        while self.config is None and not self.is_stopping:
             await tasks.sleep(self._reactor, ownership.RETRY_S)
         is_offered = self._offered_token != transactions.ABSENT_REVISION
         wait_s = self.candidacy.compute_wait_s(clock.read_monotonic(), is_offered)
         await tasks.sleep(self._reactor, wait_s)
         offered = self._offered_token
         self._offered_token = transactions.ABSENT_REVISION
-        if self._owner is not None and offered == transactions.ABSENT_REVISION:
+        is_taken = self._owner is not None and offered == transactions.ABSENT_REVISION
+        if is_taken or self.is_stopping:
             self._standing.claim_failed()
             return
         if await self._claimer.claim(offered):
@@ -262,6 +288,12 @@
         # The key may be free already, and its event be past.
         self._reactor.callLater(ownership.RETRY_S, self._claim_if_free)
 
+    def release(self):
+        """Let a successor have the key at once; nothing more is written under it."""
+        for address in self.peers.addresses:
+            self.bus.send(address, "", peering.Leaving())
+        tasks.spawn(self._claimer.release(), "release")
+
     def _claim_if_free(self):
         if self._owner is None:
             self._standing.key_is_free()
@@ -269,10 +301,16 @@
     # Messages between processes.
 
     def _greet(self):
-        if self._owner is not None and not self.is_stopping:
-            name = self._settings.process.name
-            hello = peering.Hello(name, self.has_store(), self._cores)
-            self.bus.send(self._owner.address, "", hello)
+        if self._owner is None:
+            return
+        hello = peering.Hello(
+            self._settings.process.name,
+            self._is_answered(),
+            self._cores,
+            self.is_stopping,
+            clock.read_monotonic() - self._started_at,
+        )
+        self.bus.send(self._owner.address, "", hello)
 
     async def _greet_new(self, owner):
         """Greet a new owner until it has answered."""
@@ -292,10 +330,14 @@
 
         Args:
           token: An int, the revision of the owner's key.
+        Returns:
+          A bool, whether this process tries to get the key.
         """
-        if self.may_claim():
-            self._offered_token = token
-            self._standing.key_is_offered()
+        if not self.may_claim():
+            return False
+        self._offered_token = token
+        self._standing.key_is_offered()
+        return True
 
     def get_core(self):
         """The core of the cell if this process decides, else None."""
