--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -1,9 +1,10 @@
 """What a successor needs to read and rebuild the records of a cell.
 
 The records are as the owner writes them; a mix says how many of the jobs wait, run and
-are over. First the processor time of each part, then the whole over loopback: its
-processor time, its longest pause (callers wait so long), and how long it takes on a
-link as small VMs have it. Half a core takes at least twice the processor time.
+are over. First the processor time of each part, then the whole over loopback, by the
+records alone and by the owner's snapshot: its processor time, its longest pause (so
+long callers wait), and how long it takes on a link as small VMs have it. Half a core
+takes at least twice the processor time.
 """
 
 import base64
@@ -24,10 +25,11 @@
 
 from standins import transaction_store
 from thornport.cell.decisions import core
-from thornport.cell.owner import following
+from thornport.cell.owner import following, snapshot, snapshotting
 from thornport.jobs import queue, record, spec
 from thornport.kernel import httpcalls, logs, metrics, tasks
 from thornport.platform import store, workers
+from thornport.store import transactions
 
 WORKER_COUNT = 176
 REPEATS = 7
@@ -39,6 +41,9 @@
 SEND_PERIOD_S = 0.01
 TURN_PERIOD_S = 0.005  # between looks at how long the reactor was held up
 STORE_TIMEOUT_S = 0.6
+# What comes to the store while a snapshot ages: half of its period on the mean.
+JOBS_S = 30
+RECORDS_S = 45
 TEXT = "render edition 5c0e7a21 pages 1-48 from archive"
 QUEUES = tuple(
     queue.Queue(
@@ -165,13 +170,52 @@
     return kept_store
 
 
+def add_snapshot(kept_store):
+    """Add the owner's snapshot, and what comes to the store until it is read.
+
+    Args:
+      kept_store: A transaction_store.TransactionStore.
+    """
+    mirror = snapshot.Mirror()
+    mirror.note_inbox_at(kept_store.revision)
+    for prefix in snapshot.PREFIXES:
+        found = (i for i in kept_store.by_key.values() if i.key.startswith(prefix))
+        items = [
+            transactions.Item(i.key, base64.b64decode(i.value), i.rev) for i in found
+        ]
+        mirror.take_all(prefix, items)
+    _, spans = measure_cpu(lambda: pack(mirror))
+    value = pack(mirror)
+    print(f"takeover snapshot bytes={len(value)} write_cpu_ms={describe(spans)}")
+    kept_store.commit([], [(snapshot.KEY, encode_text(value), 0)], [])
+    rng = random.Random(SEED + 1)
+    for number in range(int(JOBS_S * snapshotting.PERIOD_S / 2)):
+        kept = make_job(rng, number)
+        value = encode_text(record.encode_record(kept))
+        kept_store.commit([], [(record.JOB_PREFIX + kept.job_id, value, 0)], [])
+    begun = [k for k in kept_store.by_key if k.startswith(record.PROGRESS_PREFIX)]
+    for key in rng.choices(begun, k=int(RECORDS_S * snapshotting.PERIOD_S / 2)):
+        kept_store.commit([], [(key, kept_store.by_key[key].value, 0)], [])
+
+
+def pack(mirror):
+    """Make the value of a snapshot as `snapshotting` does."""
+    rows = mirror.list_rows()
+    size = tasks.PART_ITEMS
+    parts = tuple(
+        snapshot.pack(rows[start : start + size]) for start in range(0, len(rows), size)
+    )
+    return snapshot.encode(snapshot.Snapshot(mirror.compute_at(), parts))
+
+
 class Pages:
-    """The answers of a store to ranges, made beforehand."""
+    """The answers of a store to ranges and watches, made beforehand."""
 
     def __init__(self, kept_store):
         self._items = sorted(kept_store.by_key.values(), key=lambda item: item.key)
         self._revision = kept_store.revision
         self._made = {}
+        self._list_events = kept_store.list_events
 
     def read(self, prefix, after):
         """The body of a page, bytes."""
@@ -190,6 +234,11 @@
         more = len(found) > len(items)
         return msgspec.json.encode({"items": items, "more": more, "at": self._revision})
 
+    def watch(self, prefix, after):
+        """The body of the answer to a watch, bytes."""
+        events = self._list_events(prefix, int(after))
+        return msgspec.json.encode({"events": events, "at": self._revision})
+
     def list_all(self, prefix):
         """List the bodies of all pages of a prefix."""
         bodies = []
@@ -241,9 +290,10 @@
         wbufsize = 0
 
         def do_GET(self):
-            query = urllib.parse.urlsplit(self.path).query
-            asked = dict(urllib.parse.parse_qsl(query))
-            body = pages.read(asked["path_prefix"], asked.get("after", ""))
+            parts = urllib.parse.urlsplit(self.path)
+            asked = dict(urllib.parse.parse_qsl(parts.query))
+            answer = pages.watch if parts.path.endswith("watch") else pages.read
+            body = answer(asked["path_prefix"], asked.get("after", ""))
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
             link.send(self.wfile, head.encode() + body)
 
@@ -270,7 +320,11 @@
     cell.take_config(queue.Config(1, QUEUES))
     cell.start_reading()
     return types.SimpleNamespace(
-        core=cell, ports=ports, is_active=True, pump=lambda: None
+        core=cell,
+        ports=ports,
+        mirror=snapshot.Mirror(),
+        is_active=True,
+        pump=lambda: None,
     )
 
 
@@ -357,8 +411,8 @@
     return *took, pause
 
 
-async def measure_whole(mix, pages, is_slow):
-    """Print what the whole takes over a connection."""
+async def measure_whole(mix, pages, is_slow, way):
+    """Print what the whole takes over a connection, in one way to read."""
     listening = socket.create_server(("127.0.0.1", 0), backlog=64)
     serving = multiprocessing.get_context("fork").Process(
         target=serve, args=(listening, pages, is_slow), daemon=True
@@ -372,7 +426,7 @@
     serving.join()
     cpu, took, pause = zip(*rows, strict=True)
     print(
-        f"takeover mix={mix.name} jobs={mix.count} "
+        f"takeover mix={mix.name} jobs={mix.count} by={way} "
         f"link={'10Mbit' if is_slow else 'loopback'} "
         f"cpu_ms={describe(cpu)} elapsed_ms={describe(took)} "
         f"longest_pause_ms={describe(pause)}"
@@ -382,10 +436,15 @@
 async def measure_all():
     """Print the rows of each mix."""
     for mix in MIXES:
-        pages = Pages(fill_store(mix))
+        kept_store = fill_store(mix)
+        pages = Pages(kept_store)
         measure_parts(mix, pages)
         for is_slow in (False, True):
-            await measure_whole(mix, pages, is_slow)
+            await measure_whole(mix, pages, is_slow, "records")
+        add_snapshot(kept_store)
+        pages = Pages(kept_store)
+        for is_slow in (False, True):
+            await measure_whole(mix, pages, is_slow, "snapshot")
 
 
 def main():
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from tests import harness, schedulers
+from thornport.cell.owner import snapshotting
 
 
 class SchedulerCase(unittest.TestCase):
@@ -158,6 +159,31 @@
             self.cell.wait_state(self.other, job_id, "succeeded")
             self.assertEqual(self.count_starts(job_id), 3)
 
+    def test_successor_reads_many_jobs_by_the_snapshot(self):
+        early, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=90_000))
+        self.cell.wait_state(self.other, early, "running")
+        # More than any worker has, so that they wait.
+        waiting = schedulers.make_job(cpu=1_000_000)
+        jobs = [
+            self.cell.submit(self.other, waiting)[0]
+            for _ in range(snapshotting.MIN_KEYS)
+        ]
+        owner = self.cell.by_name[self.owner]
+        owner.wait_for(r"event=snapshot-written")
+        late, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=4000))
+        self.cell.wait_state(self.other, late, "running")
+        owner.kill()
+        self.cell.names.remove(self.owner)
+        successor = self.cell.by_name[self.cell.find_owner()]
+        successor.wait_for(r"event=records-found by_snapshot=True")
+        successor.wait_for(rf"event=records-read .*jobs={len(jobs) + 2} ")
+        for job_id in (jobs[0], jobs[-1]):
+            self.cell.wait_state(self.other, job_id, "queued")
+        self.cell.wait_state(self.other, late, "succeeded")
+        self.assertEqual(self.count_starts(late), 3)
+        self.cell.wait_state(self.other, early, "running")
+        self.assertEqual(self.count_starts(early), 2)
+
     def test_stopped_owner_hands_over_and_ends_by_itself(self):
         job_id, _ = self.cell.submit(self.other, schedulers.make_job(run_ms=2000))
         stopped = self.cell.by_name[self.owner]
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -4,14 +4,14 @@
 this owner that writes it afterwards.
 """
 
-import msgspec
 from returns import result
 from twisted.internet import defer
 
 from thornport.cell.decisions import learning
+from thornport.cell.owner import snapshotting
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
-from thornport.store import transactions, watching
+from thornport.store import watching
 
 # Between answers of a watch: peers tell of jobs at once, so the watch is for
 # what they could not tell, and calls are priced.
@@ -19,18 +19,6 @@
 RETRY_S = 0.1  # after a read that the store did not answer
 
 
-class Kept(msgspec.Struct, frozen=True):
-    """What the store keeps under a prefix.
-
-    Attributes:
-      items: A list of transactions.Item.
-      at: An int, the store's revision from which a watch goes on.
-    """
-
-    items: list[transactions.Item]
-    at: int
-
-
 class Following:
     """Reads the keys of a cell, follows them, and tells the core of each."""
 
@@ -44,6 +32,7 @@
         self._reactor = reactor
         self._session = session
         self._core = session.core
+        self._mirror = session.mirror
         self._ports = session.ports
         self._followers = []
         self._kept_cancels = []
@@ -56,18 +45,19 @@
         All prefixes are read at once, for a slow store takes long for each. Earlier
         owners write nothing any more, so it does not matter which was read first.
         """
-        prefixes = (
-            self._ports.worker_prefix,
-            record.INBOX_PREFIX,
-            record.PROGRESS_PREFIX,
-        )
+        prefix = self._ports.worker_prefix
         reads = [
-            tasks.spawn(self._read(prefix), f"read {prefix}") for prefix in prefixes
+            tasks.spawn(self._read(prefix), f"read {prefix}"),
+            tasks.spawn(self._read_records(), "read records"),
         ]
-        workers, inbox, progress = await defer.gatherResults(reads)
+        workers, records = await defer.gatherResults(reads)
         if not self._session.is_active:
             return
+        inbox, progress = records.inbox, records.progress
         self._workers_at, self._inbox_at = workers.at, inbox.at
+        self._mirror.take_all(record.INBOX_PREFIX, inbox.items)
+        self._mirror.take_all(record.PROGRESS_PREFIX, progress.items)
+        self._mirror.note_inbox_at(inbox.at)
         self._take_workers(workers.items)
         await self._take_first_inbox(inbox.items)
         await tasks.act_in_parts(self._reactor, progress.items, self._take_progress)
@@ -86,6 +76,7 @@
             self._inbox_at,
             self._take_inbox,
             self._take_inbox_change,
+            self._mirror.note_inbox_at,
         )
 
     def stop(self):
@@ -93,16 +84,31 @@
         for follower in self._followers:
             follower.stop()
 
+    async def _read_records(self):
+        """Read what is kept of jobs; snapshotting.Records."""
+        # An error in this shorter way is logged, and the records are read in full.
+        by_snapshot = await tasks.spawn(
+            snapshotting.read_records(self._ports.store), "read snapshot"
+        )
+        logs.log("records-found", by_snapshot=by_snapshot is not None)
+        if by_snapshot is not None:
+            return by_snapshot
+        prefixes = (record.INBOX_PREFIX, record.PROGRESS_PREFIX)
+        reads = [
+            tasks.spawn(self._read(prefix), f"read {prefix}") for prefix in prefixes
+        ]
+        return snapshotting.Records(*await defer.gatherResults(reads))
+
     async def _read(self, prefix):
-        """Read a prefix; a Kept, or None when the ownership is lost."""
+        """Read a prefix; a snapshotting.Kept, or None when the ownership is lost."""
         while self._session.is_active:
             read = await watching.read_prefix(self._ports.store, prefix)
             if isinstance(read, result.Success):
-                return Kept(*read.unwrap())
+                return snapshotting.Kept(*read.unwrap())
             await tasks.sleep(self._reactor, RETRY_S)
         return None
 
-    def _follow(self, prefix, at, take_all, take_change):
+    def _follow(self, prefix, at, take_all, take_change, note_at=None):
         follower = watching.Follower(
             self._reactor,
             self._ports.store,
@@ -110,6 +116,7 @@
             take_all,
             take_change,
             WATCH_GAP_S,
+            note_at,
         )
         self._followers.append(follower)
         tasks.spawn(follower.follow(at), f"follow {prefix}")
@@ -171,6 +178,7 @@
 
     def _take_inbox(self, items):
         """Take all there is, read anew after the store forgot its history."""
+        self._mirror.take_all(record.INBOX_PREFIX, items)
         self._take_jobs(sorted(decode_jobs(items), key=read_acceptance))
         self._kept_cancels = list_cancels(items)
         self._cancel_kept()
@@ -185,6 +193,7 @@
             self._core.take_cancel(job_id, clock.read_monotonic())
 
     def _take_inbox_change(self, change):
+        self._mirror.take_change(change)
         if change.value is None:
             return
         now = clock.read_monotonic()
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -3,7 +3,14 @@
 import time
 
 from thornport.cell.decisions import core, leases
-from thornport.cell.owner import following, ledger, looks, orders
+from thornport.cell.owner import (
+    following,
+    ledger,
+    looks,
+    orders,
+    snapshot,
+    snapshotting,
+)
 from thornport.cell.peers import peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
@@ -27,6 +34,7 @@
     Attributes:
       core: The core.CellCore.
       looks: The looks.Looks at workers.
+      mirror: The snapshot.Mirror of what the store holds of jobs.
       is_active: Whether this ownership goes on.
       is_deciding: Whether the records have been read.
     """
@@ -56,6 +64,10 @@
         self.core = core.CellCore(
             claimer.token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
+        self.mirror = snapshot.Mirror()
+        self._snapshots = snapshotting.SnapshotWriter(
+            reactor, ports.store, self.mirror, lambda: self.core.token
+        )
         self._following = following.Following(reactor, self)
         self.looks = looks.Looks(reactor, self)
         self._tickers = []
@@ -156,6 +168,12 @@
             tasks.call_periodically(
                 self._reactor, LATE_CHECK_S, self._log_late, "log-late-steps"
             ),
+            tasks.call_periodically(
+                self._reactor,
+                snapshotting.PERIOD_S,
+                lambda: tasks.spawn(self._snapshots.write(), "write-snapshot"),
+                "write-snapshot",
+            ),
         ]
         tasks.spawn(self._write(), "write-records")
         tasks.spawn(self._ask_earlier(), "ask-earlier-owners")
@@ -202,10 +220,18 @@
         return token
 
     async def _write(self):
-        await self._ledger.write(self.core.make_batch, self._take_kept)
+        await self._ledger.write(self._make_batch, self._take_kept)
         self.lose("a transaction was refused")
 
+    def _make_batch(self):
+        batch = self.core.make_batch()
+        if batch is not None:
+            self.mirror.open_batch(batch)
+        return batch
+
     def _take_kept(self, batch, sent_at):
+        if batch is not None:
+            self.mirror.close_batch(batch)
         self.core.take_kept(batch, sent_at, clock.read_monotonic())
         for decided in batch.states if batch is not None else ():
             if decided.state in record.FINAL_STATES:
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -38,7 +38,16 @@
 class Follower:
     """Follows a prefix until it is stopped."""
 
-    def __init__(self, reactor, store, prefix, take_all, take_change, gap_s=0.0):
+    def __init__(
+        self,
+        reactor,
+        store,
+        prefix,
+        take_all,
+        take_change,
+        gap_s=0.0,
+        note_at=None,
+    ):
         """Take what is told of changes.
 
         Args:
@@ -49,6 +58,8 @@
           take_change: A callable of a transactions.Change.
           gap_s: A float, from one answer to the next watch, so that changes
             share an answer.
+          note_at: A callable of an int, told up to which revision all was taken;
+            None for none.
         """
         self._gap_s = gap_s
         self._reactor = reactor
@@ -56,6 +67,7 @@
         self._prefix = prefix
         self._take_all = take_all
         self._take_change = take_change
+        self._note_at = note_at
         self._is_stopped = False
         self._lost_at = None
         self._failures = 0
@@ -113,13 +125,20 @@
         self._regain()
         items, at = read.unwrap()
         self._take_all(items)
+        self._note(at)
         return at
 
     def _take(self, changes, at):
         for change in changes.changes:
             if not self._is_stopped:
                 self._take_change(change)
-        return max(at, changes.at)
+        at = max(at, changes.at)
+        self._note(at)
+        return at
+
+    def _note(self, at):
+        if self._note_at is not None and not self._is_stopped:
+            self._note_at(at)
 
     def _lose(self, reason):
         self._failures += 1
