--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,9 @@
 """`python -m bench` runs every measurement but the slopes of capacity."""
 
-from bench import cell, requests, tiers
+from bench import cell, requests, takeover, tiers
 
 if __name__ == "__main__":
     requests.main()
     tiers.main()
     cell.main()
+    takeover.main()
