--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -8,7 +8,7 @@
 import time
 
 from soak import plan
-from tests import harness, schedulers
+from tests import harness, opencaller, schedulers
 
 PROXY_DELAY_MS = 150
 PROXY_BYTES_PER_S = 200_000  # of a connection; a configuration takes up to a second
@@ -98,7 +98,8 @@
         """Tell a process to stop while callers use their connections to the end."""
         address = self._cell.http_by_name[name]
         callers = [
-            harness.OpenCaller(address, self._make_request) for _ in range(OPEN_CALLERS)
+            opencaller.OpenCaller(address, self._make_request)
+            for _ in range(OPEN_CALLERS)
         ]
         process = self._cell.by_name[name]
         process.signal(signal.SIGTERM)
--- a/tests/requests_test.py
+++ b/tests/requests_test.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tests import harness
+from tests import harness, opencaller
 
 DECLARATIONS = """
 [tiers/urgent]
@@ -229,7 +229,7 @@
         stopping = self.cell.by_name["entry-1"]
         address = self.cell.http_by_name["entry-1"]
         callers = [
-            harness.OpenCaller(address, self.make_request, self.headers)
+            opencaller.OpenCaller(address, self.make_request, self.headers)
             for _ in range(12)
         ]
         for caller in callers:
--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tests import harness, schedulers
+from tests import harness, opencaller, schedulers
 
 
 class SchedulerCase(unittest.TestCase):
@@ -304,7 +304,7 @@
         callers = []
         for _ in range(self.callers):
             callers.append(
-                harness.OpenCaller(
+                opencaller.OpenCaller(
                     self.cell.http_by_name[self.other], self.make_request
                 )
             )
