Hand over for size in a series too, by an owner that falls behind

An owner that stopped waited for any process that was restarted, and most of those are small; and size was no reason for an offer while processes stop and start. Ruled out: that large VMs were cut off or lacked the store; they were alive and had it. Change: who is waited for must be large; an owner whose timers fire 50 ms late on average offers the cell at any time; the largest VM is that of a process which has the store.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -15,7 +15,7 @@
     telling,
 )
 from thornport.jobs import intake, queue
-from thornport.kernel import clock, logs, tasks
+from thornport.kernel import clock, logs, looplag, tasks
 from thornport.store import probing, transactions, watching
 
 HELLO_PERIOD_S = 0.5  # greetings to the owner; see advising.SILENCE_S
@@ -58,6 +58,7 @@
       candidacy: The candidacy.Candidacy of this process for the cell.
       offering: The offering.Offering of the cell to others.
       liveness: The liveness.Liveness of the cell's owner.
+      lag: The looplag.LagMeter of this process.
       peers: The peerlist.PeerList of the other processes.
       greeted_address: A str, of the owner that answered a greeting last.
     """
@@ -95,6 +96,7 @@
         )
         self.offering = offering.Offering(self, cores)
         self.liveness = liveness.Liveness(reactor, bus, self)
+        self.lag = looplag.LagMeter(reactor)
         self._standing = ownership.Standing(self)
         self._claimer = None
         self._config_follower = None
@@ -122,6 +124,7 @@
         watching.follow_key(self._reactor, store, ownership.OWNER_KEY, self._take_owner)
         self._prober.start()
         self.liveness.start()
+        self.lag.start()
         tasks.call_periodically(self._reactor, HELLO_PERIOD_S, self._greet, "greet")
         tasks.call_periodically(
             self._reactor, STORE_CHECK_PERIOD_S, self._check_store, "check-store"
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -102,8 +102,9 @@
         self._by_name.pop(name, None)
 
     def find_largest_cores(self, now):
-        """The most processor that a VM of a process that is well has, a float."""
-        return max((caller.cores for caller in self.list_staying(now)), default=0.0)
+        """The most processor that a VM of a process that could decide has, a float."""
+        cores = (c.cores for c in self.list_staying(now) if c.has_store)
+        return max(cores, default=0.0)
 
     def is_series(self, now):
         """Whether a process was told to stop lately, so that more may be."""
--- a/thornport/cell/owner/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -14,8 +14,15 @@
 # slow, its first late answers come a few hundredths of a second after it counts as
 # away, and a takeover by a slow store takes 2 s.
 AWAY_LOOKS = 2
-# Not at once, so that an owner's callers have greeted it, and not again and again.
-HAND_OVER_PERIOD_S = 3.0
+# Between looks whether a larger VM should have the cell; an offer takes less.
+HAND_OVER_PERIOD_S = 1.0
+# An owner whose timers fire this late on average can't carry its cell. One that can is
+# late by some milliseconds; a VM of half a core with 270 workers took 0.66 s from a
+# ticket to the start, and of its urgent jobs 9 of 121 were in time.
+BEHIND_S = 0.05
+# By then the processes have greeted a new owner twice, and it has taken in what waited
+# while nobody decided.
+SETTLED_S = 1.5
 
 
 class Offering:
@@ -72,18 +79,24 @@
         return is_series and now < self._daemon.hand_over_by
 
     def hand_over(self):
-        """Offer the cell to a process on a much larger VM, while nothing changes.
+        """Offer the cell to a process on a much larger VM.
 
-        In a series of stops the larger VM may be the next, and each takeover costs
-        some tenths of a second in which nobody decides.
+        While processes stop and start the larger VM may be the next, and each takeover
+        costs some tenths of a second in which nobody decides; that is worth it then only
+        for an owner that can't carry the cell.
         """
         session = self._daemon.session
         if session is None or not session.is_deciding or not self._daemon.has_store():
             return
         now = clock.read_monotonic()
-        is_new = now - session.began_at < advising.CHANGES_S
-        if not is_new and not session.core.callers.is_changing(now):
-            self._offer("its VM is larger", self._cores * succession.LARGER_TIMES)
+        owned_s = now - session.began_at
+        least_cores = self._cores * succession.LARGER_TIMES
+        if owned_s >= SETTLED_S and self._daemon.lag.read_s() > BEHIND_S:
+            self._offer("it falls behind", least_cores)
+        elif owned_s >= advising.CHANGES_S and not session.core.callers.is_changing(
+            now
+        ):
+            self._offer("its VM is larger", least_cores)
 
     def _offer(self, reason, least_cores=0.0, is_restarted=False):
         """Offer the cell to the best process, unless an offer is open."""
--- a/thornport/cell/owner/succession.py
+++ b/thornport/cell/owner/succession.py
@@ -28,7 +28,8 @@
       own_address: A str, of the owner itself.
       least_cores: A float, how much processor is not enough.
       is_series: Whether processes are being stopped one after the other.
-      is_restarted: Whether only one that was started lately will do.
+      is_restarted: Whether only one that was started lately will do, and among those
+        only one whose VM is not much smaller than the largest.
     """
 
     own_address: str
@@ -79,9 +80,15 @@
             and caller.address != wanted.own_address
             and caller.cores > wanted.least_cores
             and now >= self._passed_over_until.get(caller.address, -math.inf)
-            and (not wanted.is_restarted or is_started_lately(caller, now))
         ]
         most_cores = max((caller.cores for caller in fit), default=0.0)
+        if wanted.is_restarted:
+            # Most that come back are small where most VMs are: a large one is waited for.
+            fit = [
+                caller
+                for caller in fit
+                if is_large(caller, most_cores) and is_started_lately(caller, now)
+            ]
         return max(
             fit,
             key=lambda caller: rank(caller, most_cores, wanted.is_series, now),
@@ -125,6 +132,18 @@
     return now - caller.started_at < candidacy.STARTED_LATELY_S
 
 
+def is_large(caller, most_cores):
+    """Tell whether a process' VM is not much smaller than the largest.
+
+    Args:
+      caller: An advising.Caller.
+      most_cores: A float, the most processor that any has.
+    Returns:
+      A bool.
+    """
+    return caller.cores * LARGER_TIMES >= most_cores
+
+
 def rank(caller, most_cores, is_series, now):
     """Rank a process as a successor.
 
@@ -139,7 +158,6 @@
     Returns:
       A tuple that is greater for a better one.
     """
-    is_large = caller.cores * LARGER_TIMES >= most_cores
     is_restarted = is_series and is_started_lately(caller, now)
     latest = caller.started_at if is_series else 0.0
-    return (is_large, is_restarted, caller.cores, latest)
+    return (is_large(caller, most_cores), is_restarted, caller.cores, latest)
