Have other processes call workers for the owner of a large cell

Cause: an owner of 270 workers makes some thousand calls a second of 0.3 to 0.5 ms each; 82 of 97 VMs have half a core. Weighed: several owners with a share of the workers each (docs/PLATFORM.md): gangs wider than a share, and a token a share in every rule. Left for a thousand workers and more. Change: from 100 workers on, processes in the workers' halls make the calls; messages hold those of 2 ms. The pure core is as it was: a dispatcher that is lost is a worker that does not answer, but that the owner then calls by itself.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -3,6 +3,7 @@
 import math
 
 from thornport.cell import serving
+from thornport.cell.dispatch import carrying
 from thornport.cell.owner import offering, owner, ownership
 from thornport.cell.peers import (
     asking,
@@ -57,6 +58,7 @@
       asker: The asking.Asker of the owner.
       candidacy: The candidacy.Candidacy of this process for the cell.
       offering: The offering.Offering of the cell to others.
+      carrier: The carrying.Carrier of calls to workers for the owner.
       liveness: The liveness.Liveness of the cell's owner.
       lag: The looplag.LagMeter of this process.
       peers: The peerlist.PeerList of the other processes.
@@ -95,6 +97,7 @@
             settings.process.name, cores, self._started_at
         )
         self.offering = offering.Offering(self, cores)
+        self.carrier = carrying.Carrier(reactor, bus, ports.workers)
         self.liveness = liveness.Liveness(reactor, bus, self)
         self.lag = looplag.LagMeter(reactor)
         self._standing = ownership.Standing(self)
@@ -125,6 +128,7 @@
         self._prober.start()
         self.liveness.start()
         self.lag.start()
+        self.carrier.start()
         tasks.call_periodically(self._reactor, HELLO_PERIOD_S, self._greet, "greet")
         tasks.call_periodically(
             self._reactor, STORE_CHECK_PERIOD_S, self._check_store, "check-store"
@@ -320,6 +324,7 @@
             self._cores,
             self.is_stopping,
             clock.read_monotonic() - self._started_at,
+            self._settings.process.hall,
         )
         self.bus.send(self._owner.address, "", hello)
 
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -31,6 +31,7 @@
       cores: A float, how much processor its VM has.
       is_stopping: Whether it was told to stop.
       started_at: A float, when it was started; minus infinity if it did not say.
+      hall: A str, its data hall; empty if it did not say.
       busy_until: A float, when it has made all calls given to it.
       open_count: An int, calls given to it that have no answer yet.
     """
@@ -42,6 +43,7 @@
     cores: float = 1.0
     is_stopping: bool = False
     started_at: float = -math.inf
+    hall: str = ""
     busy_until: float = 0.0
     open_count: int = 0
 
@@ -66,7 +68,15 @@
         self._stop_heard_at = -math.inf
 
     def greet(
-        self, name, address, has_store, cores, now, is_stopping=False, up_s=math.inf
+        self,
+        name,
+        address,
+        has_store,
+        cores,
+        now,
+        is_stopping=False,
+        up_s=math.inf,
+        hall="",
     ):
         """Take a greeting.
 
@@ -77,6 +87,7 @@
           now: A float.
           is_stopping: A bool, whether the process was told to stop.
           up_s: A float, how long ago it was started.
+          hall: A str, its data hall; empty if it did not say.
         Returns:
           A bool, whether this is the first word that it stops.
         """
@@ -87,6 +98,7 @@
         caller.has_store = has_store
         caller.cores = cores
         caller.started_at = now - up_s
+        caller.hall = hall
         is_news = is_stopping and not caller.is_stopping
         caller.is_stopping = is_stopping
         if is_stopping:
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -1,7 +1,8 @@
 """What passes between the decisions of a cell and the world around them.
 
 Requests and orders go out, answers come in. Every order names the life of
-the worker that it is meant for and carries the owner's fencing token.
+the worker that it is meant for and carries the owner's fencing token. What passes to
+and from workers may go by way of another process, so it can be told apart by a tag.
 """
 
 import enum
@@ -19,7 +20,7 @@
     step: int
 
 
-class TaskKey(msgspec.Struct, frozen=True):
+class TaskKey(msgspec.Struct, frozen=True, array_like=True):
     """Names a task."""
 
     job_id: str
@@ -65,7 +66,7 @@
     leaves_in_ms: int = 0
 
 
-class RunningRow(msgspec.Struct, frozen=True):
+class RunningRow(msgspec.Struct, frozen=True, array_like=True):
     """A run that is live at a worker, as the worker tells it.
 
     Attributes:
@@ -89,7 +90,7 @@
     ALONE = "alone"
 
 
-class EndRow(msgspec.Struct, frozen=True):
+class EndRow(msgspec.Struct, frozen=True, array_like=True):
     """The end of a run; `number` rises from 1 in each life of a worker."""
 
     number: int
@@ -99,7 +100,7 @@
     checkpoint: str
 
 
-class HoldRequest(msgspec.Struct, frozen=True):
+class HoldRequest(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Renew the lease of all that runs at a worker, and look.
 
     Attributes:
@@ -116,7 +117,7 @@
     wait_ms: int
 
 
-class HoldAnswer(msgspec.Struct, frozen=True):
+class HoldAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """What a worker tells of its runs, at `clock_ms` of its own clock."""
 
     clock_ms: int
@@ -124,7 +125,7 @@
     ended: list[EndRow]
 
 
-class StartOrder(msgspec.Struct, frozen=True):
+class StartOrder(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Start a run."""
 
     worker_id: str
@@ -138,7 +139,7 @@
     ticket: str = ""
 
 
-class StopOrder(msgspec.Struct, frozen=True):
+class StopOrder(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Stop a run; one that is not there yet is barred from starting."""
 
     worker_id: str
@@ -161,19 +162,19 @@
     INVALID = "invalid"
 
 
-class Done(msgspec.Struct, frozen=True):
+class Done(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """An order was carried out, at `clock_ms` of the worker's clock."""
 
     clock_ms: int
 
 
-class Rejected(msgspec.Struct, frozen=True):
+class Rejected(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """An order was not carried out, and will not be."""
 
     reason: Rejection
 
 
-class NotReached(msgspec.Struct, frozen=True):
+class NotReached(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """The worker was not reached: nothing was done.
 
     Attributes:
@@ -184,7 +185,7 @@
     is_refused: bool = False
 
 
-class Unanswered(msgspec.Struct, frozen=True):
+class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """No answer: the call may have been carried out, or may be later."""
 
     reason: str
--- /dev/null
+++ b/thornport/cell/dispatch/carrying_test.py
@@ -0,0 +1,110 @@
+"""A process that makes calls to workers for an owner."""
+
+import unittest
+from unittest import mock
+
+from twisted.internet import task
+
+from thornport.cell.decisions import messages
+from thornport.cell.dispatch import carrying, dispatching_test
+from thornport.cell.peers import peering, workercalls
+from thornport.kernel import clock
+
+OWNER = "h1:9"
+KEY = messages.TaskKey("a", 0, 0, 1)
+CALLS = (
+    messages.HoldRequest("w", "h1:w", 3, 1000, 4, 700),
+    messages.StartOrder("w", "h1:w", KEY, 1, "text", 900, 3, "c", "t"),
+    messages.StopOrder("w", "h1:w", KEY, 1, 3),
+)
+OUTCOMES = (
+    messages.HoldAnswer(
+        7,
+        [messages.RunningRow(KEY, 1, "", 40)],
+        [messages.EndRow(1, KEY, 1, messages.EndKind.DONE, "")],
+    ),
+    messages.Done(8),
+    messages.Rejected(messages.Rejection.TICKET),
+    messages.NotReached("refused", True),
+    messages.Unanswered("silent"),
+)
+
+
+class FakeWorkers(dispatching_test.FakeWorkers):
+    """Workers of which some are forgotten."""
+
+    def __init__(self):
+        super().__init__()
+        self.forgotten = []
+
+    def forget(self, address):
+        """Keep the address."""
+        self.forgotten.append(address)
+
+
+class Carry(unittest.TestCase):
+    """Calls of one owner."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.bus = dispatching_test.FakeBus()
+        self.workers = FakeWorkers()
+        self.carrier = carrying.Carrier(self.clock, self.bus, self.workers)
+        self.carrier.start()
+
+    def take(self, *calls):
+        """Let calls of the owner come, numbered from 1."""
+        numbered = [workercalls.NumberedCall(n, c) for n, c in enumerate(calls, 1)]
+        self.carrier.take_calls(OWNER, workercalls.WorkerCalls(tuple(numbered)))
+
+    def list_told(self):
+        """The numbers that each message to the owner answers."""
+        return [[one.number for one in told.outcomes] for _, told in self.bus.sent]
+
+    def test_outcomes_go_back_together_by_their_numbers(self):
+        self.take(*CALLS)
+        self.assertEqual([call for call, _ in self.workers.open], list(CALLS))
+        self.workers.open[2][1].callback(OUTCOMES[1])
+        self.workers.open[0][1].callback(OUTCOMES[0])
+        self.clock.advance(carrying.GATHER_S)
+        ((address, told),) = self.bus.sent
+        self.assertEqual(address, OWNER)
+        self.assertEqual(
+            told.outcomes,
+            (
+                workercalls.NumberedOutcome(3, OUTCOMES[1]),
+                workercalls.NumberedOutcome(1, OUTCOMES[0]),
+            ),
+        )
+
+    def test_owner_hears_that_it_lives_while_calls_are_open(self):
+        self.take(CALLS[0])
+        self.clock.pump([0.1] * 3)
+        self.assertEqual(self.list_told(), [[], [], []])
+        self.workers.open[0][1].callback(OUTCOMES[0])
+        self.clock.pump([0.1] * 5)
+        self.assertEqual(self.list_told(), [[], [], [], [1]])
+
+    def test_worker_that_is_not_called_any_more_is_forgotten(self):
+        self.take(CALLS[0])
+        self.clock.pump([1.0] * 5)
+        self.assertEqual(self.workers.forgotten, [])
+        self.clock.pump([1.0] * 12)
+        self.assertEqual(self.workers.forgotten, ["h1:w"])
+
+    def test_all_that_passes_is_the_same_on_the_other_side(self):
+        numbered = tuple(workercalls.NumberedCall(7, call) for call in CALLS)
+        ended = tuple(workercalls.NumberedOutcome(7, one) for one in OUTCOMES)
+        for message in (
+            workercalls.WorkerCalls(numbered),
+            workercalls.WorkerOutcomes(ended),
+        ):
+            encoded = peering.CODEC.encode(message)
+            self.assertEqual(peering.CODEC.decode(encoded), message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/thornport/cell/dispatch/dispatching.py
@@ -0,0 +1,294 @@
+"""An owner's calls to workers: by way of dispatchers where there are some.
+
+A call over HTTP takes 0.3 to 0.5 ms of the processor, most of it for headers, JSON and
+connections; an owner of 270 workers makes some thousand a second. Through a dispatcher
+the owner sends and gets messages that hold many calls.
+
+Nothing is decided here, and no rule rests on a dispatcher: orders carry the owner's
+token and absolute deadlines, and one that was sent and has no outcome counts as one
+that may have been carried out. So a dispatcher that is cut off, slow or frozen is a
+worker that does not answer, but that the owner then calls by itself.
+"""
+
+import itertools
+
+import msgspec
+from twisted.internet import defer
+
+from thornport.cell.decisions import messages
+from thornport.cell.dispatch import assignment
+from thornport.cell.peers import workercalls
+from thornport.kernel import clock, logs, tasks
+
+# Calls are gathered so long: urgent tasks are late after some tenths of a second.
+GATHER_S = 0.002
+SWEEP_PERIOD_S = 0.05  # between looks at what is open
+# A dispatcher with open calls that was not heard in so many looks is silent: 0.3 s,
+# three times as long as it is ever silent while it works. Looks are counted, not time,
+# so that an owner which falls behind takes what has arrived first.
+SILENT_LOOKS = 6
+# A silent one gets nothing for so long: a process that was killed is back after some
+# seconds, and one that is listed all that time is not well.
+SUSPECT_S = 2.0
+# How much longer than the worker's own answer that of a dispatcher may take.
+HOLD_SLACK_S = 0.6
+ORDER_S = 0.5  # for the 0.25 s that a worker has for an order, likewise
+
+
+class OpenCall(msgspec.Struct, eq=False):
+    """A call that a dispatcher makes.
+
+    Attributes:
+      waiting: A Deferred of an outcome; of None when it is given up.
+      give_up_at: A float.
+    """
+
+    waiting: defer.Deferred
+    give_up_at: float
+
+
+class Dispatcher(msgspec.Struct, eq=False):
+    """A process that calls workers for this owner.
+
+    Attributes:
+      address: A str, where it takes messages.
+      unsent: NumberedCalls that are being gathered.
+      open_by_number: Its OpenCalls.
+      unheard_looks: An int, how often in a row it was not heard with calls open.
+      silent_until: A float, until when it gets no calls.
+    """
+
+    address: str
+    unsent: list = msgspec.field(default_factory=list)
+    open_by_number: dict = msgspec.field(default_factory=dict)
+    unheard_looks: int = 0
+    silent_until: float = 0.0
+
+
+class DispatchedWorkers:
+    """Calls workers for one ownership, with the calls of a worker client."""
+
+    def __init__(self, reactor, bus, workers):
+        """Begin without dispatchers.
+
+        Args:
+          reactor: Twisted's reactor.
+          bus: A bus.Bus.
+          workers: The client of the workers, for what this process calls itself.
+        """
+        self._reactor = reactor
+        self._bus = bus
+        self._workers = workers
+        self._numbers = itertools.count(1)
+        self._assignment = assignment.NOBODY
+        self._assigned_for = None
+        self._dispatcher_by_address = {}
+        self._sweeping = tasks.call_periodically(
+            reactor, SWEEP_PERIOD_S, self._sweep, "sweep-dispatchers"
+        )
+        self._is_stopped = False
+
+    def close(self):
+        """Make no further call; what is open has no outcome."""
+        self._is_stopped = True
+        self._sweeping.stop()
+        for dispatcher in self._dispatcher_by_address.values():
+            end_all(dispatcher)
+
+    def assign(self, callers, entries, now):
+        """Choose the dispatchers anew if processes or workers have changed.
+
+        Args:
+          callers: A list of advising.Caller that are well.
+          entries: A list of messages.WorkerEntry.
+          now: A float.
+        """
+        fit = [caller for caller in callers if self._may_dispatch(caller.address, now)]
+        asked_for = (
+            frozenset((caller.address, caller.name) for caller in fit),
+            frozenset(entry.worker_id for entry in entries),
+        )
+        if asked_for == self._assigned_for:
+            return
+        self._assigned_for = asked_for
+        before = self._assignment.list_dispatchers()
+        self._assignment = assignment.assign(fit, entries)
+        chosen = self._assignment.list_dispatchers()
+        if chosen != before:
+            logs.log(
+                "dispatchers-chosen",
+                count=len(chosen),
+                new=",".join(sorted(chosen - before)),
+                workers=len(self._assignment.address_by_worker),
+                of=len(entries),
+            )
+
+    def _may_dispatch(self, address, now):
+        if address == self._bus.address:
+            return False
+        known = self._dispatcher_by_address.get(address)
+        return known is None or now >= known.silent_until
+
+    # The calls of a worker client.
+
+    async def hold(self, request):
+        """As the client's."""
+        patience_s = request.wait_ms / clock.MS_PER_S + HOLD_SLACK_S
+        asked = self._ask(request, patience_s)
+        if asked is None:
+            return await self._workers.hold(request)
+        outcome = await wait(asked)
+        if outcome is not None or self._is_stopped:
+            return outcome or STOPPED
+        return await self._workers.hold(request)
+
+    async def start(self, order):
+        """As the client's.
+
+        A worker takes the same start twice as one. But an answer to the second that
+        says that nothing was done may stand for a run that began and ended meanwhile.
+        """
+        asked = self._ask(order, ORDER_S)
+        if asked is None:
+            return await self._workers.start(order)
+        outcome = await wait(asked)
+        if outcome is not None or self._is_stopped:
+            return outcome or STOPPED
+        return keep_doubt(await self._workers.start(order))
+
+    async def stop(self, order):
+        """As the client's; the same stop twice is one."""
+        asked = self._ask(order, ORDER_S)
+        if asked is None:
+            return await self._workers.stop(order)
+        outcome = await wait(asked)
+        if outcome is not None or self._is_stopped:
+            return outcome or STOPPED
+        return await self._workers.stop(order)
+
+    def forget(self, address):
+        """As the client's."""
+        self._workers.forget(address)
+
+    # What passes to and from dispatchers.
+
+    def _ask(self, call, patience_s):
+        """Have a call made; a Deferred, or None when nobody is there to make it."""
+        address = self._assignment.address_by_worker.get(call.worker_id)
+        now = clock.read_monotonic()
+        if address is None or not self._may_dispatch(address, now):
+            return None
+        dispatcher = self._dispatcher_by_address.get(address)
+        if dispatcher is None:
+            dispatcher = self._dispatcher_by_address[address] = Dispatcher(address)
+        number = next(self._numbers)
+        waiting = defer.Deferred()
+        dispatcher.open_by_number[number] = OpenCall(waiting, now + patience_s)
+        if not dispatcher.unsent:
+            self._reactor.callLater(GATHER_S, self._send, dispatcher)
+        dispatcher.unsent.append(workercalls.NumberedCall(number, call))
+        return waiting
+
+    def _send(self, dispatcher):
+        calls, dispatcher.unsent = tuple(dispatcher.unsent), []
+        if self._is_stopped or not calls:
+            return
+        message = workercalls.WorkerCalls(calls)
+        if not self._bus.send(dispatcher.address, "", message):
+            self._suspect(dispatcher, "not connected")
+
+    def take_outcomes(self, address, message):
+        """Take what came of calls.
+
+        Args:
+          address: A str, of the dispatcher.
+          message: A workercalls.WorkerOutcomes.
+        """
+        dispatcher = self._dispatcher_by_address.get(address)
+        if dispatcher is None:
+            return
+        dispatcher.unheard_looks = 0
+        for numbered in message.outcomes:
+            end_call(dispatcher, numbered.number, numbered.outcome)
+
+    def _sweep(self):
+        """Give up what has been open for too long."""
+        now = clock.read_monotonic()
+        for dispatcher in list(self._dispatcher_by_address.values()):
+            if not dispatcher.open_by_number:
+                dispatcher.unheard_looks = 0
+                continue
+            dispatcher.unheard_looks += 1
+            if dispatcher.unheard_looks >= SILENT_LOOKS:
+                self._suspect(dispatcher, "silent")
+                continue
+            for number, open_call in list(dispatcher.open_by_number.items()):
+                if now > open_call.give_up_at:
+                    end_call(dispatcher, number, None)
+
+    def _suspect(self, dispatcher, reason):
+        """Give no calls to a dispatcher for a while; its open ones are made here."""
+        dispatcher.silent_until = clock.read_monotonic() + SUSPECT_S
+        dispatcher.unheard_looks = 0
+        logs.log(
+            "dispatcher-lost",
+            dispatcher=dispatcher.address,
+            reason=reason,
+            open_calls=len(dispatcher.open_by_number),
+        )
+        end_all(dispatcher)
+
+
+STOPPED = messages.Unanswered("the owner decides no more")
+
+
+async def wait(waiting):
+    """Wait for the outcome of a call.
+
+    Args:
+      waiting: A Deferred, which whoever looks again may cancel.
+    Returns:
+      An outcome; None when it was given up.
+    """
+    try:
+        return await waiting
+    except defer.CancelledError:
+        return messages.Unanswered("ended by a later look")
+
+
+def end_call(dispatcher, number, outcome):
+    """End an open call; one that has ended is passed over.
+
+    Args:
+      dispatcher: A Dispatcher.
+      number: An int.
+      outcome: An outcome, None to give it up.
+    """
+    open_call = dispatcher.open_by_number.pop(number, None)
+    if open_call is not None and not open_call.waiting.called:
+        open_call.waiting.callback(outcome)
+
+
+def end_all(dispatcher):
+    """Give up all calls of a dispatcher."""
+    dispatcher.unsent = []
+    for number in list(dispatcher.open_by_number):
+        end_call(dispatcher, number, None)
+
+
+def keep_doubt(outcome):
+    """Read the outcome of a start that an earlier copy may have carried out.
+
+    Args:
+      outcome: An outcome of the later copy.
+    Returns:
+      The outcome if it tells of both; else an Unanswered.
+    """
+    if isinstance(outcome, messages.Rejected):
+        tells_of_both = outcome.reason is messages.Rejection.REPLACED
+    else:
+        tells_of_both = not isinstance(outcome, messages.NotReached)
+    if tells_of_both:
+        return outcome
+    reason = getattr(outcome.reason, "value", outcome.reason)
+    return messages.Unanswered(f"sent twice, then: {reason}")
--- /dev/null
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -0,0 +1,206 @@
+"""An owner's calls to workers by way of a dispatcher that answers, or does not."""
+
+import unittest
+from unittest import mock
+
+from twisted.internet import defer, task
+
+from thornport.cell.decisions import advising, messages
+from thornport.cell.dispatch import assignment, assignment_test, dispatching
+from thornport.cell.peers import workercalls
+from thornport.kernel import clock, tasks
+
+DISPATCHER = "h1:0"
+KEY = messages.TaskKey("a", 0, 0, 1)
+DONE = messages.Done(5)
+LOOK = messages.HoldAnswer(7, [], [])
+
+
+class FakeWorkers:
+    """A client of workers whose calls stay open until they are answered here."""
+
+    def __init__(self):
+        self.open = []
+
+    def hold(self, call):
+        """Begin a call."""
+        self.open.append((call, defer.Deferred()))
+        return self.open[-1][1]
+
+    start = stop = hold
+
+
+class FakeBus:
+    """Keeps what is sent; whether its peers are connected is set."""
+
+    def __init__(self):
+        self.address = "h9:9"
+        self.sent = []
+        self.is_connected = True
+
+    def send(self, address, target, message):
+        """Keep a message."""
+        if self.is_connected:
+            self.sent.append((address, message))
+        return self.is_connected
+
+
+class DispatchingCase(unittest.TestCase):
+    """An owner of 100 workers with one process beside them."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.bus = FakeBus()
+        self.direct = FakeWorkers()
+        self.workers = dispatching.DispatchedWorkers(self.clock, self.bus, self.direct)
+        self.entries = assignment_test.make_entries(("h1",), assignment.DISPATCHED_FROM)
+        self.assign()
+        self.outcomes = []
+
+    def assign(self):
+        """Choose dispatchers, as the owner does ten times a second."""
+        callers = assignment_test.make_callers(("h1",), 1)
+        own = advising.Caller("own", self.bus.address, 0.0, hall="h1")
+        self.workers.assign([*callers, own], self.entries, self.clock.seconds())
+
+    def begin(self, call, *args):
+        """Begin a call; its outcome comes into `outcomes`."""
+        running = tasks.spawn(call(*args), "call")
+        running.addCallback(self.outcomes.append)
+        return running
+
+    def begin_look(self):
+        """Begin a look that may wait 0.7 s."""
+        request = messages.HoldRequest("w-h1-0", "h1:w0", 3, 1000, 4, 700)
+        return self.begin(self.workers.hold, request)
+
+    def begin_start(self):
+        """Begin a start."""
+        order = messages.StartOrder("w-h1-0", "h1:w0", KEY, 1, "text", 900, 3)
+        return self.begin(self.workers.start, order)
+
+    def begin_stop(self):
+        """Begin a stop."""
+        order = messages.StopOrder("w-h1-0", "h1:w0", KEY, 1, 3)
+        return self.begin(self.workers.stop, order)
+
+    def pass_time(self, seconds, is_heard=False):
+        """Let time pass; the dispatcher may tell that it lives."""
+        for _ in range(round(seconds / 0.05)):
+            if is_heard:
+                self.answer()
+            self.clock.advance(0.05)
+
+    def answer(self, *numbered):
+        """Let the dispatcher answer calls by their numbers."""
+        outcomes = tuple(workercalls.NumberedOutcome(*pair) for pair in numbered)
+        message = workercalls.WorkerOutcomes(outcomes)
+        self.workers.take_outcomes(DISPATCHER, message)
+
+
+class Answered(DispatchingCase):
+    """A dispatcher that works."""
+
+    def test_calls_are_gathered_and_matched_with_their_outcomes(self):
+        self.begin_look()
+        self.begin_start()
+        self.clock.advance(dispatching.GATHER_S)
+        ((address, message),) = self.bus.sent
+        self.assertEqual(address, DISPATCHER)
+        self.assertEqual([one.number for one in message.calls], [1, 2])
+        self.answer((2, DONE))
+        self.assertEqual(self.outcomes, [DONE])
+        self.answer((1, LOOK), (2, DONE))
+        self.assertEqual(self.outcomes, [DONE, LOOK])
+        self.assertEqual(self.direct.open, [])
+
+    def test_look_is_waited_for_while_the_dispatcher_lives(self):
+        self.begin_look()
+        self.pass_time(0.7, is_heard=True)
+        self.assertEqual(self.direct.open, [])
+        self.answer((1, LOOK))
+        self.assertEqual(self.outcomes, [LOOK])
+
+    def test_look_that_is_ended_leaves_the_next_one_alone(self):
+        self.begin_look().cancel()
+        self.begin_look()
+        self.answer((1, LOOK))
+        self.assertIsInstance(self.outcomes[0], messages.Unanswered)
+        self.answer((2, LOOK))
+        self.assertEqual(self.outcomes[1:], [LOOK])
+
+    def test_owner_itself_is_no_dispatcher(self):
+        callers = [advising.Caller("own", self.bus.address, 0.0, hall="h1")]
+        self.workers.assign(callers, self.entries, 0.0)
+        self.begin_look()
+        self.assertEqual(len(self.direct.open), 1)
+
+
+class Silent(DispatchingCase):
+    """A dispatcher that was killed, frozen or cut off."""
+
+    def test_owner_makes_its_calls_within_a_third_of_a_second(self):
+        self.begin_look()
+        self.begin_start()
+        self.begin_stop()
+        self.pass_time(0.35)
+        self.assertEqual(len(self.direct.open), 3)
+        for _, waiting in self.direct.open:
+            waiting.callback(DONE)
+        self.assertEqual(self.outcomes, [DONE] * 3)
+
+    def test_late_outcomes_of_it_are_dropped(self):
+        self.begin_start()
+        self.pass_time(0.35)
+        self.answer((1, DONE))
+        self.assertEqual(self.outcomes, [])
+
+    def test_start_that_was_not_taken_the_second_time_may_run_by_the_first(self):
+        for refused in (
+            messages.Rejected(messages.Rejection.OLD),
+            messages.Rejected(messages.Rejection.ROOM),
+            messages.Rejected(messages.Rejection.FENCED),
+            messages.NotReached("refused"),
+        ):
+            self.assertIsInstance(
+                dispatching.keep_doubt(refused), messages.Unanswered, refused
+            )
+
+    def test_start_at_a_worker_that_was_replaced_runs_nowhere(self):
+        gone = messages.Rejected(messages.Rejection.REPLACED)
+        self.assertIs(dispatching.keep_doubt(gone), gone)
+
+    def test_it_gets_no_calls_for_a_while_and_then_some_again(self):
+        self.begin_look()
+        self.pass_time(0.35)
+        self.assign()
+        self.begin_look()
+        self.assertEqual(len(self.direct.open), 2)
+        self.pass_time(dispatching.SUSPECT_S)
+        self.assign()
+        self.begin_look()
+        self.assertEqual(len(self.direct.open), 2)
+
+    def test_one_that_is_not_connected_costs_no_time(self):
+        self.bus.is_connected = False
+        self.begin_start()
+        self.clock.advance(dispatching.GATHER_S)
+        self.assertEqual(len(self.direct.open), 1)
+
+    def test_message_that_was_lost_costs_a_call_its_patience(self):
+        self.begin_start()
+        self.pass_time(dispatching.ORDER_S + 0.1, is_heard=True)
+        self.assertEqual(len(self.direct.open), 1)
+
+    def test_owner_that_stops_makes_no_call_itself(self):
+        self.begin_look()
+        self.workers.close()
+        self.assertEqual(self.direct.open, [])
+        self.assertEqual(self.outcomes, [dispatching.STOPPED])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/cell/owner/looks.py
+++ b/thornport/cell/owner/looks.py
@@ -34,7 +34,7 @@
         self._reactor = reactor
         self._session = session
         self._core = session.core
-        self._ports = session.ports
+        self._workers = session.workers
         self._hurried = set()
         self._resting_by_worker = {}
         self._look_by_worker = {}
@@ -63,7 +63,7 @@
                     break
                 await tasks.sleep(self._reactor, LOOK_RETRY_S)
                 continue
-            look = defer.ensureDeferred(self._ports.workers.hold(request))
+            look = defer.ensureDeferred(self._workers.hold(request))
             self._look_by_worker[worker_id] = look
             answer = await look
             if not self._session.is_active:
@@ -75,7 +75,7 @@
             is_answered = isinstance(answer, messages.HoldAnswer)
             retry_s = FIRST_RETRY_S if is_answered else LOOK_RETRY_S
         self._look_by_worker.pop(worker_id, None)
-        self._ports.workers.forget(address)
+        self._workers.forget(address)
 
     def look_again(self, worker_id):
         """End a look that waits, so that the next one is sent at once."""
--- a/thornport/cell/owner/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -82,8 +82,8 @@
         """Offer the cell to a process on a much larger VM.
 
         While processes stop and start the larger VM may be the next, and each takeover
-        costs some tenths of a second in which nobody decides; that is worth it then only
-        for an owner that can't carry the cell.
+        costs some tenths of a second in which nobody decides; that is worth it then
+        only for an owner that can't carry the cell.
         """
         session = self._daemon.session
         if session is None or not session.is_deciding or not self._daemon.has_store():
--- a/thornport/cell/owner/orders.py
+++ b/thornport/cell/owner/orders.py
@@ -28,7 +28,7 @@
 
 async def _start_run(order, session):
     sent_at = clock.read_monotonic()
-    outcome = await session.ports.workers.start(order)
+    outcome = await session.workers.start(order)
     now = clock.read_monotonic()
     session.metrics.observe("worker.start_ms", (now - sent_at) * 1000)
     log_order("run-start", order, outcome)
@@ -44,7 +44,7 @@
 
 
 async def _stop_run(order, session):
-    outcome = await session.ports.workers.stop(order)
+    outcome = await session.workers.stop(order)
     log_order("run-stop", order, outcome)
     if session.is_active:
         session.core.take_stop_outcome(order, outcome, clock.read_monotonic())
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -3,6 +3,7 @@
 import time
 
 from thornport.cell.decisions import core, leases
+from thornport.cell.dispatch import dispatching
 from thornport.cell.owner import following, ledger, looks, orders
 from thornport.cell.peers import peering
 from thornport.jobs import record
@@ -27,6 +28,7 @@
     Attributes:
       core: The core.CellCore.
       looks: The looks.Looks at workers.
+      workers: The dispatching.DispatchedWorkers that looks and orders go through.
       began_at: A float, when the key became ours.
       is_active: Whether this ownership goes on.
       is_deciding: Whether the records have been read.
@@ -58,6 +60,7 @@
             claimer.token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
         )
         self._following = following.Following(reactor, self)
+        self.workers = dispatching.DispatchedWorkers(reactor, bus, ports.workers)
         self.looks = looks.Looks(reactor, self)
         self._tickers = []
         self._round = None
@@ -70,6 +73,7 @@
         self.is_active = False
         self.is_deciding = False
         self.looks.end_pauses()
+        self.workers.close()
         self._ledger.stop()
         self._following.stop()
         tickers, self._tickers = self._tickers, []
@@ -214,7 +218,10 @@
         self.pump()
 
     def _tick(self):
-        self.core.tick(clock.read_monotonic(), int(time.time() * 1000))
+        now = clock.read_monotonic()
+        self.core.tick(now, int(time.time() * 1000))
+        entries = [worker.entry for worker in self.core.workers_by_id.values()]
+        self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.looks.look_at_new()
         self.pump()
 
--- a/thornport/cell/owner/succession.py
+++ b/thornport/cell/owner/succession.py
@@ -83,7 +83,8 @@
         ]
         most_cores = max((caller.cores for caller in fit), default=0.0)
         if wanted.is_restarted:
-            # Most that come back are small where most VMs are: a large one is waited for.
+            # Most that come back are small where most VMs are: a large one is waited
+            # for.
             fit = [
                 caller
                 for caller in fit
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -2,6 +2,7 @@
 
 import math
 
+from thornport.cell.peers import workercalls
 from thornport.kernel import codec
 from thornport.store import transactions
 
@@ -14,6 +15,7 @@
       cores: How much processor its VM has.
       is_stopping: Whether it was told to stop.
       up_s: How long ago it was started.
+      hall: Its data hall.
     """
 
     name: str
@@ -21,6 +23,7 @@
     cores: float = 1.0
     is_stopping: bool = False
     up_s: float = math.inf
+    hall: str = ""
 
 
 class Peers(codec.Message, frozen=True):
@@ -251,5 +254,7 @@
     | WaitingIs
     | Advise
     | Advised
+    | workercalls.WorkerCalls
+    | workercalls.WorkerOutcomes
 )
 CODEC = codec.Codec(AnyMessage)
--- a/thornport/cell/peers/peering_test.py
+++ b/thornport/cell/peers/peering_test.py
@@ -3,17 +3,17 @@
 import typing
 import unittest
 
-from thornport.cell.peers import peering, receiving
+from thornport.cell.peers import peering, receiving, workercalls
 from thornport.kernel import codec
 
 
 class Messages(unittest.TestCase):
-    """The messages of peering, one by one."""
+    """The messages between processes, one by one."""
 
     def setUp(self):
         self.kinds = {
             kind
-            for kind in vars(peering).values()
+            for kind in (*vars(peering).values(), *vars(workercalls).values())
             if isinstance(kind, type) and issubclass(kind, codec.Message)
         }
 
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -10,7 +10,7 @@
 from returns import result
 
 from thornport.cell.decisions import messages
-from thornport.cell.peers import peering
+from thornport.cell.peers import peering, workercalls
 from thornport.kernel import clock, logs, tasks
 
 
@@ -49,6 +49,7 @@
         now,
         message.is_stopping,
         message.up_s,
+        message.hall,
     )
     if is_news:
         logs.log("peer-stopping", peer=message.name)
@@ -180,6 +181,22 @@
     daemon.relayed.take_answer(message)
 
 
+# Calls to workers for the owner.
+
+
+@take.register
+def carry_calls(message: workercalls.WorkerCalls, daemon, address):
+    """The owner wants calls to workers made."""
+    daemon.carrier.take_calls(address, message)
+
+
+@take.register
+def take_outcomes(message: workercalls.WorkerOutcomes, daemon, address):
+    """A process has made calls to workers."""
+    if daemon.session is not None:
+        daemon.session.workers.take_outcomes(address, message)
+
+
 # Questions of callers, passed on to the owner.
 
 
