End the calls of an ownership once

A session that is lost ends itself, and its process ends it again: the second time the periodic look at dispatchers was stopped anew, which raised, so the process logged no `not-deciding` and did not claim a free key. Found by the test of a frozen owner, which failed twice; the module's test ends it twice now.

--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -90,6 +90,8 @@
 
     def close(self):
         """Make no further call; what is open has no outcome."""
+        if self._is_stopped:
+            return
         self._is_stopped = True
         self._sweeping.stop()
         for dispatcher in self._dispatcher_by_address.values():
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -200,6 +200,8 @@
         self.workers.close()
         self.assertEqual(self.direct.open, [])
         self.assertEqual(self.outcomes, [dispatching.STOPPED])
+        # An ownership that is lost is ended once by itself and once by its process.
+        self.workers.close()
 
 
 if __name__ == "__main__":
