End a stopped process without taking the interpreter down

Cause: of 36 planned stops on a half-core VM 21 to 30 were still there 0.3 s after their last line and were killed: sockets to a hundred peers are closed one by one, modules freed. Change: streams are flushed and the process ends.

--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -1,5 +1,6 @@
 """Starting the daemons. Kept apart from the command line's own packages."""
 
+import os
 import pathlib
 import signal
 import sys
@@ -66,6 +67,18 @@
     reactor.run()
 
 
+def end_process():
+    """End this process now, with nothing of the interpreter taken down first.
+
+    Its work is done: what it answered was written, and what lasts is in the store. To
+    close some hundred sockets between processes one by one and to free all modules took
+    more than the 0.3 s that a process has left on a VM of half a core, so it was killed.
+    """
+    for stream in (sys.stdout, sys.stderr):
+        stream.flush()
+    os._exit(0)
+
+
 def stop_on_term(reactor, daemon):
     """Stop in the planned way on SIGTERM: finish what is in flight first.
 
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -119,6 +119,7 @@
     reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     reactor.run()
+    daemons.end_process()
 
 
 if __name__ == "__main__":
