Make rounds of placement cheap, and ask for advice about fewer workers

Cause: by a profile of the pure core at 270 workers, 81% of their cores and advice for each queue, deciding took over one core: each step looked at all workers for its tickets, for what to ask and, once a task, for the best place. Ruled out: HTTP calls as the main cost (dispatchers took 0.22 of a core, not the wait). Change: a heap of places for each step; tickets by worker id; room told with an early end; rounds for urgent steps alone between those for all; calls name 20 workers for three tasks, spread by the step, and no further ones once enough are known to be good.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -214,8 +214,8 @@
         reserved = reserving.Reservations(now)
         for step in list(job.steps_by_key.values()):
             if not step.spec.after:
-                allowed = self._list_allowed(step, queue, now)
-                self._ask_advice(step, queue, allowed, reserved, now)
+                candidates = self._list_candidates(step, queue, now)
+                self._ask_advice(step, queue, candidates, reserved, now)
 
     def _begin_time(self, job, time):
         for number in range(len(job.record.job.steps)):
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -1,5 +1,7 @@
 """Where the tasks of a step go: pure, and without any order of steps."""
 
+import heapq
+
 import msgspec
 
 from thornport.jobs import spec
@@ -14,15 +16,32 @@
     worker_id: str
 
 
+class Place(msgspec.Struct, order=True):
+    """Room at a worker for a task; the lowest is the best.
+
+    Attributes:
+      preference: What `compute_preference` gives.
+      rank: What `Demand.rank_room` gives of the room.
+      worker_id: A str, which no other place of a heap has.
+      free: Demand, the room.
+    """
+
+    preference: tuple
+    rank: tuple
+    worker_id: str
+    free: spec.Demand
+
+
 class Candidates:
     """The workers that steps of one kind may use, and the most room of any.
 
     Attributes:
       workers: A list of model.Worker.
+      by_id: The same by worker id.
       usual_total: Demand, what the one in the middle has by its cores.
     """
 
-    __slots__ = ("_memory_mb", "_millicores", "usual_total", "workers")
+    __slots__ = ("_memory_mb", "_millicores", "by_id", "usual_total", "workers")
 
     def __init__(self, workers):
         """Look at the room of each once.
@@ -31,6 +50,7 @@
           workers: A list of model.Worker.
         """
         self.workers = workers
+        self.by_id = {worker.worker_id: worker for worker in workers}
         frees = [worker.compute_free() for worker in workers]
         self._millicores = max((free.millicores for free in frees), default=-1)
         self._memory_mb = max((free.memory_mb for free in frees), default=-1)
@@ -128,6 +148,36 @@
     return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
 
 
+def list_ticketed(step, candidates, now):
+    """List the workers that a step has tickets for.
+
+    Args:
+      step: A model.StepState.
+      candidates: A Candidates.
+      now: A float.
+    Returns:
+      A list of model.Worker.
+    """
+    return [
+        candidates.by_id[worker_id]
+        for worker_id, (_, deadline) in step.tickets_by_worker.items()
+        if deadline > now + TICKET_MARGIN_S and worker_id in candidates.by_id
+    ]
+
+
+def list_good(step, candidates):
+    """List the workers of which advice has said that they may run a step.
+
+    Args:
+      step: A model.StepState.
+      candidates: A Candidates.
+    Returns:
+      A list of model.Worker, in the order of their ids.
+    """
+    by_id = candidates.by_id
+    return [by_id[one] for one in sorted(step.good_ids) if one in by_id]
+
+
 def assign_step(step, workers, reserved, wants_fast=False):
     """Choose workers for the waiting tasks of a step.
 
@@ -165,35 +215,56 @@
       A list of Assignment.
     """
     demand = step.spec.demand
-    free_by_id = {}
+    limit = step.spec.max_per_worker or step.spec.count
+    held_by_id = count_held(step) if step.spec.max_per_worker else {}
+    places = []
     for worker in workers:
         free = reserved.limit_room(step, worker)
         # The workers were listed before others of this round were placed.
-        if demand.fits(free) and not disturbs(step, worker):
-            free_by_id[worker.worker_id] = free
-    held_by_id = count_held(step)
-    preference_by_id = {
-        worker.worker_id: compute_preference(step, worker, wants_fast)
-        for worker in workers
-    }
+        if not demand.fits(free) or disturbs(step, worker):
+            continue
+        if held_by_id.get(worker.worker_id, 0) < limit:
+            preference = compute_preference(step, worker, wants_fast)
+            places.append(Place(preference, free.rank_room(), worker.worker_id, free))
+    heapq.heapify(places)
     assigned = []
     for index in sorted(step.waiting):
-        avoided = step.avoided_by_index.get(step.index_for(index), ())
-        best = choose_best(step, free_by_id, held_by_id, preference_by_id, avoided)
+        best = take_best(places, step.avoided_by_index.get(step.index_for(index), ()))
         if best is None:
-            continue
-        assigned.append(Assignment(index, best))
-        held_by_id[best] = held_by_id.get(best, 0) + 1
-        left = free_by_id[best].subtract(demand)
-        if demand.fits(left):
-            free_by_id[best] = left
-        else:
-            del free_by_id[best]
-        if not free_by_id:
             break
+        assigned.append(Assignment(index, best.worker_id))
+        held = held_by_id[best.worker_id] = held_by_id.get(best.worker_id, 0) + 1
+        left = best.free.subtract(demand)
+        if held < limit and demand.fits(left):
+            place = Place(best.preference, left.rank_room(), best.worker_id, left)
+            heapq.heappush(places, place)
     return assigned
 
 
+def take_best(places, avoided):
+    """Take the best place for one task.
+
+    Args:
+      places: A heap of Place.
+      avoided: Ids of workers on which the task failed: only if no other is left.
+    Returns:
+      A Place, or None when there is none.
+    """
+    skipped = []
+    best = None
+    while places and best is None:
+        place = heapq.heappop(places)
+        if place.worker_id in avoided:
+            skipped.append(place)
+        else:
+            best = place
+    if best is None and skipped:
+        best = skipped.pop(0)
+    for place in skipped:
+        heapq.heappush(places, place)
+    return best
+
+
 def count_held(step):
     """Count the live runs of a step by worker id."""
     held_by_id = {}
@@ -218,31 +289,6 @@
     return is_away, grade if wants_fast else -grade
 
 
-def choose_best(step, free_by_id, held_by_id, preference_by_id, avoided):
-    """Choose the worker for one task.
-
-    Args:
-      step: A model.StepState.
-      free_by_id: Demands that are left, by worker id; the task fits each.
-      held_by_id: Tasks of the step there, by worker id.
-      preference_by_id: What `compute_preference` gives, by worker id.
-      avoided: Ids of workers on which the task failed: only if no other is left.
-    Returns:
-      A str, a worker id, or None.
-    """
-    limit = step.spec.max_per_worker
-    best = None
-    best_rank = None
-    for worker_id, free in free_by_id.items():
-        if limit and held_by_id.get(worker_id, 0) >= limit:
-            continue
-        is_avoided = worker_id in avoided
-        rank = (is_avoided, preference_by_id[worker_id], *free.rank_room(), worker_id)
-        if best_rank is None or rank < best_rank:
-            best, best_rank = worker_id, rank
-    return best
-
-
 def has_room(step, workers, reserved):
     """Tell whether the tasks of a step could start: all of a gang, or any.
 
@@ -253,28 +299,36 @@
     Returns:
       A bool.
     """
-    assigned = fill(step, workers, reserved)
-    return len(assigned) >= (step.spec.count if step.spec.gang else 1)
+    wanted = step.spec.count if step.spec.gang else 1
+    limit = step.spec.max_per_worker or step.spec.count
+    held_by_id = count_held(step) if step.spec.max_per_worker else {}
+    places = 0
+    for worker in workers:
+        if disturbs(step, worker):
+            continue
+        most = limit - held_by_id.get(worker.worker_id, 0)
+        free = reserved.limit_room(step, worker)
+        places += step.spec.demand.count_in(free, most)
+        if places >= wanted:
+            return True
+    return False
 
 
-def count_places(step, workers):
+def count_places(step, workers, times=1):
     """Count the tasks of a step that workers could hold if nothing else ran there.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
+      times: An int, how many times the tasks of the step count at most.
     Returns:
-      An int, at most the tasks of the step.
+      An int.
     """
+    wanted = times * step.spec.count
+    most = step.spec.max_per_worker or step.spec.count
     places = 0
     for worker in workers:
-        left = worker.entry.total
-        most = step.spec.max_per_worker or step.spec.count
-        held = 0
-        while held < most and step.spec.demand.fits(left):
-            left = left.subtract(step.spec.demand)
-            held += 1
-        places += held
-        if places >= step.spec.count:
-            return step.spec.count
+        places += step.spec.demand.count_in(worker.entry.total, most)
+        if places >= wanted:
+            return wanted
     return places
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -9,31 +9,38 @@
 class Rounds(ticketing.Ticketing):
     """Decides on starts; they go out once their records are kept."""
 
-    def place(self, now):
-        """Start what can start, the foremost steps first."""
+    def place(self, now, only_urgent=False):
+        """Start what can start, the foremost steps first.
+
+        Args:
+          now: A float.
+          only_urgent: Whether to leave out what is not of the first priority. What is
+            placed is the same then, for steps behind take no room from those before.
+        """
         self.needs_round = False
         candidates_by_kind = {}
         reserved = reserving.Reservations(now)
         tried = 0
-        for job, step in self._list_ready():
+        for job, step in self._list_ready(only_urgent):
             queue = self._queue_of(job)
             kind = (queue.service, placing.read_kind(step))
             if kind not in candidates_by_kind:
-                allowed = self._list_allowed(step, queue, now)
-                candidates_by_kind[kind] = placing.Candidates(allowed)
+                candidates_by_kind[kind] = self._list_candidates(step, queue, now)
             candidates = candidates_by_kind[kind]
             # What no worker has room for costs a comparison, and holds up nothing.
             if candidates.may_hold(step.spec.demand):
-                self._place_step(job, step, queue, candidates.workers, reserved, now)
+                self._place_step(job, step, queue, candidates, reserved, now)
                 tried += 1
             if step.waiting and reserved.may_reserve():
                 self._reserve(step, queue, candidates, reserved, now)
             if tried >= ROUND_STEPS:
                 return
 
-    def _list_ready(self):
+    def _list_ready(self, only_urgent):
         ready = []
         for job in self._unended_by_id.values():
+            if only_urgent and self._queue_of(job).priority > 0:
+                continue
             for step in job.steps_by_key.values():
                 if step.waiting and self._is_due(job, step):
                     ready.append((job, step))
@@ -53,23 +60,22 @@
         if not reserving.is_wide(step, candidates.usual_total):
             return
         reserved.note_try()
-        allowed = candidates.workers
         if queue.advice is None:
-            reserved.reserve(step, allowed)
+            reserved.reserve(step, candidates.workers)
             return
-        good = [worker for worker in allowed if worker.worker_id in step.good_ids]
+        good = placing.list_good(step, candidates)
         starts_at = reserved.reserve(step, good) if good else None
-        self._ask_early(step, queue, allowed, starts_at, now)
+        self._ask_early(step, queue, candidates, starts_at, now)
 
-    def _place_step(self, job, step, queue, allowed, reserved, now):
+    def _place_step(self, job, step, queue, candidates, reserved, now):
         if queue.advice is None:
-            self._start_step(job, step, allowed, reserved)
+            self._start_step(job, step, candidates.workers, reserved)
             return
-        ticketed = [w for w in allowed if placing.has_ticket(step, w, now)]
+        ticketed = placing.list_ticketed(step, candidates, now)
         if ticketed:
             self._start_step(job, step, ticketed, reserved)
-        if step.waiting and not step.is_advising:
-            self._ask_advice(step, queue, allowed, reserved, now)
+        if step.waiting and self._may_ask(step, now):
+            self._ask_advice(step, queue, candidates, reserved, now)
 
     def _start_step(self, job, step, workers, reserved):
         wants_fast = self._queue_of(job).priority == 0
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -5,11 +5,20 @@
 """
 
 import msgspec
+import xxhash
 
-from thornport.cell.decisions import cellstate, messages, placing
+from thornport.cell.decisions import advising, cellstate, messages, placing
+from thornport.kernel import clock
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
-ASKED_WORKERS = 100  # named in one call; each makes the call longer
+ASKED_WORKERS = 100  # named in one call at most, by the users' interface
+# Of those that have room, for a short call: a quarter of the workers may be good for a
+# step, and others take room meanwhile. To name a hundred for each urgent job of three
+# tasks made an answer of 4 KB, most of it never used.
+ASKED_A_TASK = 4
+ASKED_MORE = 8
+# Enough are known to be good once they would hold a step so many times, empty.
+GOOD_TIMES = 3
 # A ticket is there this long before its room is expected: runs end early too, and a
 # ticket holds for 2 s.
 TICKET_LEAD_S = 0.4
@@ -31,56 +40,74 @@
 class Ticketing(cellstate.CellState):
     """Has advice called for and takes the answers."""
 
-    def _ask_advice(self, step, queue, allowed, reserved, now):
-        """Ask about workers for a step that could start now."""
-        wanted = self._list_wanted(step, allowed, now)
-        # What is known to be good is worth a call only if it has room.
-        hopeful = [
-            worker
-            for worker in allowed
-            if worker.worker_id not in step.asked_ids
-            or worker.worker_id in step.good_ids
-        ]
-        if wanted and placing.has_room(step, hopeful, reserved):
-            self._call_advice(step, queue, wanted, now)
+    def _ask_advice(self, step, queue, candidates, reserved, now):
+        """Ask about workers for a step that could start now.
 
-    def _ask_early(self, step, queue, allowed, starts_at, now):
+        Tickets soon lapse, so only those that have room are of use; of a long call the
+        first part is the longest, so it may as well tell of others.
+        """
+        ticketed = placing.list_ticketed(step, candidates, now)
+        wanted = self._list_wanted(step, candidates, now)
+        demand = step.spec.demand
+        roomy = [w for w in wanted if demand.fits(reserved.limit_room(step, w))]
+        if not roomy or not placing.has_room(step, [*ticketed, *roomy], reserved):
+            return
+        asked = spread(step, roomy)[: count_asked(step)]
+        if queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S:
+            chosen = {worker.worker_id for worker in asked}
+            unknown = [w for w in wanted if w.worker_id not in step.asked_ids]
+            asked += [w for w in spread(step, unknown) if w.worker_id not in chosen]
+        self._call_advice(step, queue, asked, now)
+
+    def _ask_early(self, step, queue, candidates, starts_at, now):
         """Ask about workers for a step that can't start yet.
 
         Which are good never changes, and is asked at once: room is kept at those alone.
-        Their tickets are renewed so that they are there when the room comes.
+        Their tickets are renewed so that they are there when the room comes. In a cell
+        of hundreds of workers it is not asked of all: one call about a hundred takes as
+        long as its tickets hold, and steps waited 20 s for the others.
 
         Args:
           step: A model.StepState.
           queue: A queue.Queue with advice.
-          allowed: A list of model.Worker.
+          candidates: A placing.Candidates.
           starts_at: A float, when it is expected to start; None if that is not known.
           now: A float.
         """
-        wanted = self._list_wanted(step, allowed, now)
-        if not wanted:
+        if not self._may_ask(step, now):
             return
-        is_known = all(worker.worker_id in step.asked_ids for worker in wanted)
-        lead_s = compute_cost_s(queue.advice, wanted) + TICKET_LEAD_S
-        if is_known and (starts_at is None or starts_at - now > lead_s):
-            return
-        self._call_advice(step, queue, wanted, now)
-
-    def _list_wanted(self, step, allowed, now):
+        good = placing.list_good(step, candidates)
+        if placing.count_places(step, good, GOOD_TIMES) < GOOD_TIMES * step.spec.count:
+            unknown = [
+                worker
+                for worker in candidates.workers
+                if worker.worker_id not in step.asked_ids
+            ]
+            if unknown:
+                self._call_advice(step, queue, spread(step, unknown), now)
+                return
+        lapsed = [w for w in good if not placing.has_ticket(step, w, now)]
+        lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
+        if lapsed and starts_at is not None and starts_at - now <= lead_s:
+            self._call_advice(step, queue, lapsed, now)
+
+    def _may_ask(self, step, now):
+        """Whether no call for a step is open, nor failed a moment ago."""
+        return not step.is_advising and now >= step.retry_advice_at
+
+    def _list_wanted(self, step, candidates, now):
         """List the workers that advice or a ticket is to be had for."""
-        return [
+        good = placing.list_good(step, candidates)
+        lapsed = [w for w in good if not placing.has_ticket(step, w, now)]
+        if placing.count_places(step, good, GOOD_TIMES) >= GOOD_TIMES * step.spec.count:
+            return lapsed
+        return lapsed + [
             worker
-            for worker in allowed
+            for worker in candidates.workers
             if worker.worker_id not in step.asked_ids
-            or (
-                worker.worker_id in step.good_ids
-                and not placing.has_ticket(step, worker, now)
-            )
         ]
 
     def _call_advice(self, step, queue, wanted, now):
-        if step.is_advising or now < step.retry_advice_at:
-            return
         wanted = wanted[:ASKED_WORKERS]
         given = self.callers.choose(compute_cost_s(queue.advice, wanted), now)
         if given is None:
@@ -120,13 +147,39 @@
             step.tickets_by_worker[ticket.worker_id] = (ticket.text, deadline)
         self.needs_round = True
 
-    def _list_allowed(self, step, queue, now):
-        return [
+    def _list_candidates(self, step, queue, now):
+        allowed = [
             worker
             for worker in self.workers_by_id.values()
             if worker.entry.service == queue.service
             and placing.is_allowed(step, worker, now)
         ]
+        return placing.Candidates(allowed)
+
+
+def count_asked(step):
+    """Count the workers that a short call for a step names at most, an int."""
+    return min(ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
+
+
+def spread(step, workers):
+    """Put workers into an order of a step's own.
+
+    Steps that are asked for at the same time would else all get tickets for the same
+    workers, and the first would take the room of the others.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker.
+    Returns:
+      A list of them.
+    """
+    if not workers:
+        return []
+    key = step.key
+    drawn = xxhash.xxh3_64_intdigest(f"{key.job_id}.{key.step}".encode())
+    first = drawn % len(workers)
+    return workers[first:] + workers[:first]
 
 
 def compute_cost_s(advice, workers):
@@ -138,4 +191,4 @@
     Returns:
       A float, seconds.
     """
-    return (advice.base_ms + advice.worker_ms * len(workers)) / 1000
+    return (advice.base_ms + advice.worker_ms * len(workers)) / clock.MS_PER_S
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -14,6 +14,10 @@
 # has many of at first, and callers need the rest.
 ROUND_REST = 2.0
 MAX_ROUND_GAP_S = 0.1
+# Between rounds for all steps; those between are for urgent ones alone, which are late
+# after tenths of a second. Of 270 workers a round for all takes some milliseconds, most
+# of it for steps that wait for room, and those are late after seconds.
+FULL_ROUND_GAP_S = 0.02
 TICK_S = 0.1  # between searches for what is due
 RETRY_S = 0.1  # after a read that the store did not answer
 # An earlier owner renews this long without the store; then its leases lapse.
@@ -65,6 +69,8 @@
         self._tickers = []
         self._round = None
         self._round_gap_s = ROUND_GAP_S
+        self._full_round_at = now
+        self._needs_full_round = False
         self.is_active = True
         self.is_deciding = False
 
@@ -251,16 +257,30 @@
             orders.carry_out(order, self)
         if self.core.dirty or self.core.forgotten:
             self._ledger.wake()
-        if self.core.needs_round and self._round is None:
+        self._plan_round()
+
+    def _plan_round(self):
+        """See to the next round, if there is reason for one."""
+        if self._round is not None:
+            return
+        if self.core.needs_round:
             self._round = self._reactor.callLater(self._round_gap_s, self._place)
+        elif self._needs_full_round:
+            wait_s = self._full_round_at - clock.read_monotonic()
+            self._round = self._reactor.callLater(max(0.0, wait_s), self._place)
 
     def _place(self):
         self._round = None
-        if self.is_deciding:
-            began = clock.read_monotonic()
-            self.core.place(began)
-            took_s = clock.read_monotonic() - began
-            self.metrics.observe("placement.round_ms", took_s * 1000)
-            rest_s = min(MAX_ROUND_GAP_S, ROUND_REST * took_s)
-            self._round_gap_s = max(ROUND_GAP_S, rest_s)
-            self.pump()
+        if not self.is_deciding:
+            return
+        began = clock.read_monotonic()
+        is_full = began >= self._full_round_at
+        self.core.place(began, only_urgent=not is_full)
+        ended = clock.read_monotonic()
+        self.metrics.observe("placement.round_ms", (ended - began) * clock.MS_PER_S)
+        rest_s = min(MAX_ROUND_GAP_S, ROUND_REST * (ended - began))
+        self._round_gap_s = max(ROUND_GAP_S, rest_s)
+        self._needs_full_round = not is_full
+        if is_full:
+            self._full_round_at = ended + max(FULL_ROUND_GAP_S, rest_s)
+        self.pump()
--- a/thornport/jobs/spec.py
+++ b/thornport/jobs/spec.py
@@ -67,6 +67,24 @@
         """
         return self.accelerators, self.millicores
 
+    def count_in(self, room, most):
+        """Count how many times this fits into some room.
+
+        Args:
+          room: A Demand.
+          most: An int, the most that counts.
+        Returns:
+          An int.
+        """
+        pairs = (
+            (self.millicores, room.millicores),
+            (self.memory_mb, room.memory_mb),
+            (self.accelerators, room.accelerators),
+        )
+        if not self.fits(room):
+            return 0
+        return min([most, *(whole // part for part, whole in pairs if part)])
+
     def fits(self, room):
         """Tell whether this fits into some room, all resources at once."""
         return (
--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -72,7 +72,7 @@
 
     Its work is done: what it answered was written, and what lasts is in the store. To
     close some hundred sockets between processes one by one and to free all modules took
-    more than the 0.3 s that a process has left on a VM of half a core, so it was killed.
+    more than the 0.3 s that a process has left on a VM of half a core: it was killed.
     """
     for stream in (sys.stdout, sys.stderr):
         stream.flush()
