Let an urgent round come before a round for all that is planned

A change that needs an urgent round found the next round for all planned up to 20 ms later and waited for it. The sooner of the two counts now.

--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -261,13 +261,16 @@
 
     def _plan_round(self):
         """See to the next round, if there is reason for one."""
-        if self._round is not None:
-            return
         if self.core.needs_round:
-            self._round = self._reactor.callLater(self._round_gap_s, self._place)
+            wait_s = self._round_gap_s
         elif self._needs_full_round:
-            wait_s = self._full_round_at - clock.read_monotonic()
-            self._round = self._reactor.callLater(max(0.0, wait_s), self._place)
+            wait_s = max(0.0, self._full_round_at - clock.read_monotonic())
+        else:
+            return
+        if self._round is None:
+            self._round = self._reactor.callLater(wait_s, self._place)
+        elif self._round.getTime() > self._reactor.seconds() + wait_s:
+            self._round.reset(wait_s)
 
     def _place(self):
         self._round = None
