Let cheaper jobs give way to gangs that wait, while they have time to spare

Change: while a gang waits for room that will come, jobs of lower priority that have not begun wait, for a share of what they have to spare.

--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -1,6 +1,13 @@
 """Rounds of placement: what can start is started, the foremost steps first."""
 
-from thornport.cell.decisions import messages, model, placing, reserving, ticketing
+from thornport.cell.decisions import (
+    messages,
+    model,
+    placing,
+    reserving,
+    ticketing,
+    yielding,
+)
 from thornport.jobs import record
 
 ROUND_STEPS = 80  # steps tried in a round, to bound its processor time
@@ -20,9 +27,12 @@
         self.needs_round = False
         candidates_by_kind = {}
         reserved = reserving.Reservations(now)
+        yields = yielding.Yielding(now)
         tried = 0
         for job, step in self._list_ready(only_urgent):
             queue = self._queue_of(job)
+            if yields.gives_way(job, queue):
+                continue
             kind = (queue.service, placing.read_kind(step))
             if kind not in candidates_by_kind:
                 candidates_by_kind[kind] = self._list_candidates(step, queue, now)
@@ -32,7 +42,9 @@
                 self._place_step(job, step, queue, candidates, reserved, now)
                 tried += 1
             if step.waiting and reserved.may_reserve():
-                self._reserve(step, queue, candidates, reserved, now)
+                starts_at = self._reserve(step, queue, candidates, reserved, now)
+                if step.spec.gang and starts_at is not None:
+                    yields.note_waiting(queue)
             if tried >= ROUND_STEPS:
                 return
 
@@ -56,16 +68,20 @@
         )
 
     def _reserve(self, step, queue, candidates, reserved, now):
-        """Keep room for a wide step that waits."""
+        """Keep room for a wide step that waits.
+
+        Returns:
+          A float, when it is expected to start; None if that is not known.
+        """
         if not reserving.is_wide(step, candidates.usual_total):
-            return
+            return None
         reserved.note_try()
         if queue.advice is None:
-            reserved.reserve(step, candidates.workers)
-            return
+            return reserved.reserve(step, candidates.workers)
         good = placing.list_good(step, candidates)
         starts_at = reserved.reserve(step, good) if good else None
         self._ask_early(step, queue, candidates, starts_at, now)
+        return starts_at
 
     def _place_step(self, job, step, queue, candidates, reserved, now):
         if queue.advice is None:
--- /dev/null
+++ b/thornport/cell/decisions/yielding.py
@@ -0,0 +1,56 @@
+"""Steps that give way to gangs of a dearer queue: pure, made anew in each round.
+
+A gang starts when many workers have room at the same time. Small tasks of other queues
+take each piece of room as it comes, also where none is kept, so in a cell that is four
+fifths full gangs waited for 8 s at the median while cheaper work, which had 10 s to
+spare, began at once. So while a gang waits for room, jobs of lower priority that have
+not begun wait too, as long as they have time to spare.
+
+Measured with 270 workers, gangs of 24 tasks of 18 cores and a load of 81%: of the gangs
+86% instead of 70% were in time, of the jobs that gave way 99% instead of all.
+"""
+
+from thornport.kernel import clock
+
+# Of the time that a job has beyond its work. The other half is for its own waits, for
+# tasks that fail, and for the load of the next seconds.
+YIELD_SHARE = 0.5
+
+
+class Yielding:
+    """Who gives way in one round."""
+
+    __slots__ = ("_now", "_priority_by_service")
+
+    def __init__(self, now):
+        """Begin with nobody giving way.
+
+        Args:
+          now: A float.
+        """
+        self._now = now
+        self._priority_by_service = {}
+
+    def note_waiting(self, queue):
+        """Take that a gang waits for room that will come.
+
+        Args:
+          queue: Its queue.Queue.
+        """
+        foremost = self._priority_by_service.get(queue.service, queue.priority)
+        self._priority_by_service[queue.service] = min(foremost, queue.priority)
+
+    def gives_way(self, job, queue):
+        """Tell whether a job leaves its place to gangs that wait.
+
+        Args:
+          job: A model.JobEntry.
+          queue: Its queue.Queue.
+        Returns:
+          A bool; false of a job that has begun, for what it holds is free sooner then.
+        """
+        foremost = self._priority_by_service.get(queue.service, queue.priority)
+        if job.has_begun or queue.priority <= foremost:
+            return False
+        spare_s = job.record.compute_spare_ms() / clock.MS_PER_S
+        return self._now - job.arrived_at < YIELD_SHARE * spare_s
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -50,6 +50,11 @@
         chain_ms = spec.compute_chain_ms(self.job)
         return int(self.queue.target_ms + self.queue.stretch * chain_ms)
 
+    def compute_spare_ms(self):
+        """Compute how long it may wait in all and be in time, likewise; an int."""
+        chain_ms = spec.compute_chain_ms(self.job)
+        return max(0, self.compute_objective_ms() - chain_ms)
+
 
 def close_job(kept, state):
     """Make what stands for a job that is over.
