Give way for a quarter of what a job can spare, and know who serves from who is cut off

Cut-off processes: 98 answers 504 by way of peers as before the change, for processes that are cut off from the others hear one another, so that none took itself for cut off. Only an owner, or a peer that relays, counts as heard now. Test red first by hand, with the message that a cut-off process asks its neighbours.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -336,7 +336,6 @@
                 return
 
     def _take_message(self, sender, address, message):
-        self.relayed.hear_peer()
         receiving.take(message, self, address)
 
     def take_offer(self, token):
--- a/thornport/cell/decisions/yielding.py
+++ b/thornport/cell/decisions/yielding.py
@@ -6,15 +6,17 @@
 spare, began at once. So while a gang waits for room, jobs of lower priority that have
 not begun wait too, as long as they have time to spare.
 
-Measured with 270 workers, gangs of 24 tasks of 18 cores and a load of 81%: of the gangs
-86% instead of 70% were in time, of the jobs that gave way 99% instead of all.
+Measured in the pure core with 270 workers and gangs of 24 tasks of 18 cores at four
+fifths, two seeds: of the gangs 96.5% instead of 95.1% were in time, of urgent jobs
+99.2% instead of all, of the jobs that gave way all. With twice the share gangs came to
+98.6%, urgent jobs to 94%: what had waited took their room at once.
 """
 
 from thornport.kernel import clock
 
-# Of the time that a job has beyond its work. The other half is for its own waits, for
-# tasks that fail, and for the load of the next seconds.
-YIELD_SHARE = 0.5
+# Of the time that a job has beyond its work. The rest is for its own waits, for tasks
+# that fail, and for the load of the next seconds.
+YIELD_SHARE = 0.25
 
 
 class Yielding:
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -67,6 +67,7 @@
 def take_peers(message: peering.Peers, daemon, address):
     """The owner tells which peers the store answers."""
     daemon.greeted_address = address
+    daemon.relayed.hear_peer()
     daemon.liveness.hear(address)
     daemon.candidacy.take_largest(message.largest_cores)
     own = {daemon.bus.address}
@@ -116,6 +117,7 @@
 @take.register
 def take_alive(message: peering.Alive, daemon, address):
     """The owner lives."""
+    daemon.relayed.hear_peer()
     daemon.liveness.hear(address)
 
 
--- a/thornport/cell/peers/receiving_test.py
+++ b/thornport/cell/peers/receiving_test.py
@@ -46,6 +46,28 @@
         self.assertEqual(told.stopping, (ADDRESS,))
 
 
+class Heard(unittest.TestCase):
+    """Whom a process must hear to be within reach of those that serve.
+
+    Of 97 VMs a third were cut off from the others, but not from one another: they heard
+    one another ask for the owner, and took themselves for served.
+    """
+
+    def is_heard(self, message):
+        """Whether a message tells that someone who serves is within reach."""
+        daemon = mock.Mock()
+        receiving.take(message, daemon, ADDRESS)
+        return daemon.relayed.hear_peer.called
+
+    def test_owner_counts(self):
+        self.assertTrue(self.is_heard(peering.Alive()))
+        self.assertTrue(self.is_heard(peering.Peers((ADDRESS,))))
+
+    def test_those_that_miss_the_owner_too_do_not(self):
+        self.assertFalse(self.is_heard(peering.AskOwnerHeard(7)))
+        self.assertFalse(self.is_heard(peering.OwnerHeard(7, True)))
+
+
 class Offered(unittest.TestCase):
     """A process that is offered the cell."""
 
--- a/thornport/cell/peers/relaying.py
+++ b/thornport/cell/peers/relaying.py
@@ -23,9 +23,10 @@
 # Likewise, in times of the slowest answers of late: a peer that waits for a slow store
 # would be given up each time, and taken off the list.
 PEER_TIMES = 2.0
-# Whoever hears no process for so long is cut off from all: the owner alone tells each
-# ten times a second that it lives. To ask one peer after the other, 0.4 s each, told
-# callers of a VM cut off for 12 s after 1.4 s that nothing is known of their jobs.
+# Whoever hears neither an owner, which tells each ten times a second that it lives, nor
+# a peer that relays, is cut off from those that serve; it may hear others that are. To
+# ask one peer after the other, 0.4 s each, told callers of a VM cut off for 12 s after
+# 1.4 s that nothing is known of their jobs.
 CUT_OFF_S = 0.5
 
 
@@ -49,16 +50,16 @@
         self.peer_addresses = ()
 
     def hear_peer(self):
-        """Take that a message of another process has come."""
+        """Take that an owner, or a peer that made a call for this process, is heard."""
         self._heard_at = clock.read_monotonic()
 
     def is_cut_off(self):
-        """Whether this process alone is away: neither the store nor a peer is heard."""
+        """Whether neither the store nor whoever may reach it is heard."""
         is_unheard = clock.read_monotonic() - self._heard_at > CUT_OFF_S
         return is_unheard and self._store.is_away()
 
     def is_away(self):
-        """Whether the store answers neither this process nor a peer that it hears."""
+        """Whether the store answers neither this process nor a peer within reach."""
         if not self._store.is_away():
             return False
         return not self.peer_addresses or self.is_cut_off()
@@ -148,6 +149,7 @@
         Args:
           message: A peering.RelayedItem, RelayedRevision or RelayedFailure.
         """
+        self.hear_peer()
         self._questions.take_answer(message)
 
     async def serve(self, address, message):
