Number questions so that answers of an earlier life are never taken

Found on reading the change as a newcomer: an owner numbered its calls from 1 in each ownership, and so did a process its questions to peers in each life. Outcomes come up to 2 s later: a process that owned the cell again, or was started again at its address, could take the look at one worker for that at another. Change: counts begin at a random number of 62 bits (ids.count_anew), for calls and for questions. The test fails with counts from 1, as run. With it: one way for the three calls to a worker; the rendezvous hash that the project had in place of a second one.

--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -12,9 +12,9 @@
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
 ASKED_WORKERS = 100  # named in one call at most, by the users' interface
-# Of those that have room, for a short call: a quarter of the workers may be good for a
-# step, and others take room meanwhile. To name a hundred for each urgent job of three
-# tasks made an answer of 4 KB, most of it never used.
+# Named in a short call, by the tasks that wait: a quarter of the workers may be good
+# for a step, and others take room meanwhile. To name a hundred for each urgent job of
+# three tasks made an answer of 4 KB, most of it never used.
 ASKED_A_TASK = 4
 ASKED_MORE = 8
 # Enough are known to be good once they would hold a step so many times, empty.
--- a/thornport/cell/dispatch/assignment.py
+++ b/thornport/cell/dispatch/assignment.py
@@ -10,7 +10,8 @@
 import math
 
 import msgspec
-import xxhash
+
+from thornport.kernel import ids
 
 # A cell with fewer workers is called by its owner itself: 24 workers take a tenth of a
 # core there, and another process on the way costs a call a millisecond.
@@ -54,9 +55,10 @@
         entries_by_hall[entry.hall].append(entry)
     address_by_worker = {}
     for hall, within in entries_by_hall.items():
-        beside = [caller for caller in callers if caller.hall == hall]
+        by_name = {caller.name: caller for caller in callers if caller.hall == hall}
         count = math.ceil(len(within) / WORKERS_EACH)
-        chosen = sorted(beside, key=lambda caller: score(hall, caller.name))[:count]
+        names = ids.rank_by_rendezvous(hall, by_name)[:count]
+        chosen = [by_name[name] for name in names]
         if chosen:
             address_by_worker.update(share(within, chosen))
     return Assignment(address_by_worker)
@@ -71,20 +73,10 @@
     Returns:
       A dict of addresses by worker id.
     """
+    by_name = {caller.name: caller for caller in dispatchers}
     return {
-        entry.worker_id: min(
-            dispatchers, key=lambda caller: score(entry.worker_id, caller.name)
-        ).address
+        entry.worker_id: by_name[
+            ids.rank_by_rendezvous(entry.worker_id, by_name)[0]
+        ].address
         for entry in entries
     }
-
-
-def score(subject, name):
-    """Score a process for a data hall or a worker; the lowest is chosen.
-
-    Args:
-      subject, name: A str each.
-    Returns:
-      An int that is alike in each process, now and later.
-    """
-    return xxhash.xxh3_64_intdigest(f"{subject} {name}".encode())
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -10,15 +10,13 @@
 worker that does not answer, but that the owner then calls by itself.
 """
 
-import itertools
-
 import msgspec
 from twisted.internet import defer
 
 from thornport.cell.decisions import messages
 from thornport.cell.dispatch import assignment
 from thornport.cell.peers import workercalls
-from thornport.kernel import clock, logs, tasks
+from thornport.kernel import clock, ids, logs, tasks
 
 # Calls are gathered so long: urgent tasks are late after some tenths of a second.
 GATHER_S = 0.002
@@ -33,6 +31,7 @@
 # How much longer than the worker's own answer that of a dispatcher may take.
 HOLD_SLACK_S = 0.6
 ORDER_S = 0.5  # for the 0.25 s that a worker has for an order, likewise
+STOPPED = messages.Unanswered("the owner decides no more")
 
 
 class OpenCall(msgspec.Struct, eq=False):
@@ -79,7 +78,7 @@
         self._reactor = reactor
         self._bus = bus
         self._workers = workers
-        self._numbers = itertools.count(1)
+        self._numbers = ids.count_anew()
         self._assignment = assignment.NOBODY
         self._assigned_for = None
         self._dispatcher_by_address = {}
@@ -136,13 +135,7 @@
     async def hold(self, request):
         """As the client's."""
         patience_s = request.wait_ms / clock.MS_PER_S + HOLD_SLACK_S
-        asked = self._ask(request, patience_s)
-        if asked is None:
-            return await self._workers.hold(request)
-        outcome = await wait(asked)
-        if outcome is not None or self._is_stopped:
-            return outcome or STOPPED
-        return await self._workers.hold(request)
+        return await self._call(request, patience_s, self._workers.hold)
 
     async def start(self, order):
         """As the client's.
@@ -150,23 +143,31 @@
         A worker takes the same start twice as one. But an answer to the second that
         says that nothing was done may stand for a run that began and ended meanwhile.
         """
-        asked = self._ask(order, ORDER_S)
-        if asked is None:
-            return await self._workers.start(order)
-        outcome = await wait(asked)
-        if outcome is not None or self._is_stopped:
-            return outcome or STOPPED
-        return keep_doubt(await self._workers.start(order))
+        return await self._call(order, ORDER_S, self._workers.start, keep_doubt)
 
     async def stop(self, order):
         """As the client's; the same stop twice is one."""
-        asked = self._ask(order, ORDER_S)
+        return await self._call(order, ORDER_S, self._workers.stop)
+
+    async def _call(self, call, patience_s, call_directly, read_second=None):
+        """Make a call by way of a dispatcher; directly if there is none or it is lost.
+
+        Args:
+          call: A workercalls.Call.
+          patience_s: A float, how long a dispatcher may take.
+          call_directly: A callable of the call, giving an awaitable of an outcome.
+          read_second: A callable that reads the outcome of a call that was made twice.
+        Returns:
+          An outcome.
+        """
+        asked = self._ask(call, patience_s)
         if asked is None:
-            return await self._workers.stop(order)
+            return await call_directly(call)
         outcome = await wait(asked)
         if outcome is not None or self._is_stopped:
             return outcome or STOPPED
-        return await self._workers.stop(order)
+        second = await call_directly(call)
+        return read_second(second) if read_second is not None else second
 
     def forget(self, address):
         """As the client's."""
@@ -241,9 +242,6 @@
         end_all(dispatcher)
 
 
-STOPPED = messages.Unanswered("the owner decides no more")
-
-
 async def wait(waiting):
     """Wait for the outcome of a call.
 
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -94,6 +94,10 @@
                 self.answer()
             self.clock.advance(0.05)
 
+    def list_numbers(self):
+        """The numbers of the calls that were sent."""
+        return [call.number for _, sent in self.bus.sent for call in sent.calls]
+
     def answer(self, *numbered):
         """Let the dispatcher answer calls by their numbers."""
         outcomes = tuple(workercalls.NumberedOutcome(*pair) for pair in numbered)
@@ -108,12 +112,12 @@
         self.begin_look()
         self.begin_start()
         self.clock.advance(dispatching.GATHER_S)
-        ((address, message),) = self.bus.sent
+        ((address, _),) = self.bus.sent
         self.assertEqual(address, DISPATCHER)
-        self.assertEqual([one.number for one in message.calls], [1, 2])
-        self.answer((2, DONE))
+        look, start = self.list_numbers()
+        self.answer((start, DONE))
         self.assertEqual(self.outcomes, [DONE])
-        self.answer((1, LOOK), (2, DONE))
+        self.answer((look, LOOK), (start, DONE))
         self.assertEqual(self.outcomes, [DONE, LOOK])
         self.assertEqual(self.direct.open, [])
 
@@ -121,15 +125,17 @@
         self.begin_look()
         self.pass_time(0.7, is_heard=True)
         self.assertEqual(self.direct.open, [])
-        self.answer((1, LOOK))
+        self.answer((self.list_numbers()[0], LOOK))
         self.assertEqual(self.outcomes, [LOOK])
 
     def test_look_that_is_ended_leaves_the_next_one_alone(self):
         self.begin_look().cancel()
         self.begin_look()
-        self.answer((1, LOOK))
+        self.clock.advance(dispatching.GATHER_S)
+        ended, open_one = self.list_numbers()
+        self.answer((ended, LOOK))
         self.assertIsInstance(self.outcomes[0], messages.Unanswered)
-        self.answer((2, LOOK))
+        self.answer((open_one, LOOK))
         self.assertEqual(self.outcomes[1:], [LOOK])
 
     def test_owner_itself_is_no_dispatcher(self):
@@ -139,6 +145,22 @@
         self.assertEqual(len(self.direct.open), 1)
 
 
+class EarlierLife(DispatchingCase):
+    """A process that owned the cell before, or was started again at its address."""
+
+    def test_outcome_of_a_call_of_then_is_not_taken_for_one_of_now(self):
+        self.begin_look()
+        self.clock.advance(dispatching.GATHER_S)
+        earlier = self.list_numbers()
+        self.workers.close()
+        self.outcomes.clear()
+        self.workers = dispatching.DispatchedWorkers(self.clock, self.bus, self.direct)
+        self.assign()
+        self.begin_look()
+        self.answer((earlier[0], LOOK))
+        self.assertEqual(self.outcomes, [])
+
+
 class Silent(DispatchingCase):
     """A dispatcher that was killed, frozen or cut off."""
 
@@ -155,7 +177,7 @@
     def test_late_outcomes_of_it_are_dropped(self):
         self.begin_start()
         self.pass_time(0.35)
-        self.answer((1, DONE))
+        self.answer((self.list_numbers()[0], DONE))
         self.assertEqual(self.outcomes, [])
 
     def test_start_that_was_not_taken_the_second_time_may_run_by_the_first(self):
--- a/thornport/cell/owner/offering.py
+++ b/thornport/cell/owner/offering.py
@@ -90,12 +90,11 @@
             return
         now = clock.read_monotonic()
         owned_s = now - session.began_at
+        is_calm = not session.core.callers.is_changing(now)
         least_cores = self._cores * succession.LARGER_TIMES
         if owned_s >= SETTLED_S and self._daemon.lag.read_s() > BEHIND_S:
             self._offer("it falls behind", least_cores)
-        elif owned_s >= advising.CHANGES_S and not session.core.callers.is_changing(
-            now
-        ):
+        elif owned_s >= advising.CHANGES_S and is_calm:
             self._offer("its VM is larger", least_cores)
 
     def _offer(self, reason, least_cores=0.0, is_restarted=False):
--- a/thornport/cell/peers/questions.py
+++ b/thornport/cell/peers/questions.py
@@ -3,11 +3,9 @@
 Messages may be lost, so a question that is not answered in time is given up.
 """
 
-import itertools
-
 from twisted.internet import defer
 
-from thornport.kernel import tasks
+from thornport.kernel import ids, tasks
 
 
 class Questions:
@@ -24,7 +22,7 @@
         self._reactor = reactor
         self._bus = bus
         self._patience_s = patience_s
-        self._ids = itertools.count(1)
+        self._ids = ids.count_anew()
         self._waiting_by_id = {}
 
     async def ask(self, address, make_question, patience_s=0.0):
--- a/thornport/kernel/ids.py
+++ b/thornport/kernel/ids.py
@@ -1,10 +1,14 @@
 """Identifiers, and the stable hashing that spreads keys over members."""
 
+import itertools
 import secrets
 
 import xxhash
 
 INCARNATION_BYTES = 6
+# Of all 64: counts of two lives begin so far apart that they never meet, and none runs
+# over.
+FIRST_NUMBER_BITS = 62
 
 
 def make_incarnation():
@@ -16,6 +20,19 @@
     return secrets.token_hex(INCARNATION_BYTES)
 
 
+def count_anew():
+    """Count from a number that no other life of a process begins near.
+
+    Questions carry such numbers, and their answers may come when the process that asked
+    has been started again, or asks for another purpose: with numbers from 1 on, such an
+    answer was taken for that of another question.
+
+    Returns:
+      An iterator of ints that rise by one.
+    """
+    return itertools.count(secrets.randbits(FIRST_NUMBER_BITS))
+
+
 def rank_by_rendezvous(key, member_ids):
     """Order members by highest random weight for a key.
 
