--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -289,17 +289,18 @@
     return is_away, grade if wants_fast else -grade
 
 
-def has_room(step, workers, reserved):
-    """Tell whether the tasks of a step could start: all of a gang, or any.
+def has_room(step, workers, reserved, tasks=0):
+    """Tell whether tasks of a step could start: all of a gang, or any.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
       reserved: As for `assign_step`.
+      tasks: An int, how many of them; 0 for as many as must start together.
     Returns:
       A bool.
     """
-    wanted = step.spec.count if step.spec.gang else 1
+    wanted = tasks or (step.spec.count if step.spec.gang else 1)
     limit = step.spec.max_per_worker or step.spec.count
     held_by_id = count_held(step) if step.spec.max_per_worker else {}
     places = 0
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -46,15 +46,20 @@
         Of a long call the first part is the longest, so it may as well tell of more.
         """
         ticketed = placing.list_ticketed(step, candidates, now)
-        wanted = self._list_wanted(step, candidates, now)
-        demand = step.spec.demand
-        roomy = [w for w in wanted if demand.fits(reserved.limit_room(step, w))]
+        lapsed = self._list_lapsed(step, candidates, now)
+        unknown = list_unknown(step, candidates)
+        roomy = list_roomy(step, lapsed, reserved)
+        tasks = len(step.waiting)
+        if not placing.has_room(step, [*ticketed, *roomy], reserved, tasks):
+            # Those that are known to be good are full: of the others some may be good.
+            roomy += list_roomy(step, unknown, reserved)
         if not roomy or not placing.has_room(step, [*ticketed, *roomy], reserved):
             return
         is_long = queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S
         count = ASKED_WORKERS if is_long else count_asked(step)
+        others = lapsed if self._knows_enough(step, candidates) else lapsed + unknown
         roomy_ids = {worker.worker_id for worker in roomy}
-        others = [w for w in wanted if w.worker_id not in roomy_ids]
+        others = [w for w in others if w.worker_id not in roomy_ids]
         asked = spread(step, roomy) + spread(step, others)
         self._call_advice(step, queue, asked[:count], now)
 
@@ -75,17 +80,11 @@
         """
         if not self._may_ask(step, now):
             return
-        good = placing.list_good(step, candidates)
-        if placing.count_places(step, good, GOOD_TIMES) < GOOD_TIMES * step.spec.count:
-            unknown = [
-                worker
-                for worker in candidates.workers
-                if worker.worker_id not in step.asked_ids
-            ]
-            if unknown:
-                self._call_advice(step, queue, spread(step, unknown), now)
-                return
-        lapsed = [w for w in good if not placing.has_ticket(step, w, now)]
+        unknown = list_unknown(step, candidates)
+        if unknown and not self._knows_enough(step, candidates):
+            self._call_advice(step, queue, spread(step, unknown), now)
+            return
+        lapsed = self._list_lapsed(step, candidates, now)
         lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
         if lapsed and starts_at is not None and starts_at - now <= lead_s:
             self._call_advice(step, queue, lapsed, now)
@@ -94,17 +93,16 @@
         """Whether no call for a step is open, nor failed a moment ago."""
         return not step.is_advising and now >= step.retry_advice_at
 
-    def _list_wanted(self, step, candidates, now):
-        """List the workers that advice or a ticket is to be had for."""
+    def _knows_enough(self, step, candidates):
+        """Whether no further workers need be asked about before they have room."""
         good = placing.list_good(step, candidates)
-        lapsed = [w for w in good if not placing.has_ticket(step, w, now)]
-        if placing.count_places(step, good, GOOD_TIMES) >= GOOD_TIMES * step.spec.count:
-            return lapsed
-        return lapsed + [
-            worker
-            for worker in candidates.workers
-            if worker.worker_id not in step.asked_ids
-        ]
+        wanted = GOOD_TIMES * step.spec.count
+        return placing.count_places(step, good, GOOD_TIMES) >= wanted
+
+    def _list_lapsed(self, step, candidates, now):
+        """List the workers that are good for a step but need a ticket anew."""
+        good = placing.list_good(step, candidates)
+        return [worker for worker in good if not placing.has_ticket(step, worker, now)]
 
     def _call_advice(self, step, queue, wanted, now):
         wanted = wanted[:ASKED_WORKERS]
@@ -161,6 +159,25 @@
     return min(ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
 
 
+def list_unknown(step, candidates):
+    """List the workers that advice was not asked about for a step."""
+    return [w for w in candidates.workers if w.worker_id not in step.asked_ids]
+
+
+def list_roomy(step, workers, reserved):
+    """List the workers that have room for a task of a step.
+
+    Args:
+      step: A model.StepState.
+      workers: A list of model.Worker.
+      reserved: A reserving.Reservations.
+    Returns:
+      A list of them.
+    """
+    demand = step.spec.demand
+    return [w for w in workers if demand.fits(reserved.limit_room(step, w))]
+
+
 def spread(step, workers):
     """Put workers into an order of a step's own.
 
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -128,6 +128,21 @@
         starts = [o for o in self.place() if isinstance(o, messages.StartOrder)]
         self.assertEqual(len(starts), 3)
 
+    def test_others_are_asked_about_once_the_good_ones_are_full(self):
+        first = self.submit_some(1)
+        self.answer(first, lambda worker_id: True)
+        (asked,) = self.list_calls(first)
+        for worker_id in asked:
+            self.fill_worker(worker_id)
+        self.greet()
+        (more,) = self.list_calls(self.place())
+        self.assertEqual(more & asked, set())
+
+    def fill_worker(self, worker_id):
+        """Let a worker have no room."""
+        worker = self.core.workers_by_id[worker_id]
+        worker.used = worker.entry.total
+
 
 class Wide(LargeCell):
     """A gang that waits for room."""
