--- a/thornport/cell/decisions/yielding.py
+++ b/thornport/cell/decisions/yielding.py
@@ -8,8 +8,9 @@
 
 Measured in the pure core with 270 workers and gangs of 24 tasks of 18 cores at four
 fifths, two seeds: of the gangs 98.6% were in time, of urgent jobs and of those that
-gave way all; where nobody gave way, 95.1% of the gangs. With twice the share and no
-bounds it was 98.6% too, but 94% of the urgent jobs: what had waited took their room.
+gave way all. Before advice was asked about further workers once the good ones are full,
+95.1% of the gangs where nobody gave way; with twice the share and no bounds 98.6%, but
+94% of the urgent jobs.
 """
 
 from thornport.kernel import clock
