Tell of each run that is lost with its worker

Cause of the change: in the incident of repeated starts a run that ended with its worker left no line. The record could not tell whether its task waited again because nothing counted the crash, or because a count was forgotten by a successor: neither a release nor its reason was logged.

Change: the core notes each run that ends with its worker, with how that was known (replaced, left, lapsed), how long it had run by the first call that the worker did not answer, and what ran beside it; the owner logs run-lost. A start that a later life of the worker rejects never began and is released before, so that it is not told as lost. Decisions are as before.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -14,6 +14,7 @@
       confirmed_at: A float, when the last transaction that succeeded was sent.
       is_fenced: Whether a worker has seen a higher token: a successor decides.
       orders: Messages to carry out, emptied by `core.CellCore.take_orders`.
+      notes: What is to be logged, emptied by `core.CellCore.take_notes`.
       dirty: Ids of jobs whose record is out of date, in order.
       forgotten: Ids of jobs whose records are to be removed, in order.
       jobs_by_id, workers_by_id: The state.
@@ -37,6 +38,7 @@
         self.confirmed_at = now
         self.is_fenced = False
         self.orders = []
+        self.notes = []
         self.dirty = {}
         # Jobs whose records are being kept: each is in one batch at a time.
         self._in_flight = set()
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -13,6 +13,7 @@
     leaving,
     messages,
     model,
+    notes,
     outcomes,
     rounds,
 )
@@ -63,10 +64,9 @@
         self._move_from_leaving(worker, now)
         if now > worker.compute_lapse_at():
             if not worker.is_listed:
-                self.end_worker(worker, now)
+                self.end_worker(worker, now, notes.WorkerEnd.LAPSED)
                 return
-            for run in list(worker.runs_by_key.values()):
-                self._release_run(run, now)
+            self._lose_runs(worker, now, notes.WorkerEnd.LAPSED)
         for run in list(worker.runs_by_key.values()):
             is_stopping = run.state is model.RunState.STOPPING
             if is_stopping and run.stop_confirmed_at is None and now >= run.stop_due_at:
@@ -96,6 +96,11 @@
         orders, self.orders = self.orders, []
         return orders
 
+    def take_notes(self):
+        """Take what is to be logged, a list of messages of `notes`."""
+        taken, self.notes = self.notes, []
+        return taken
+
     def read_state(self, job_id):
         """The kept record.JobState of a job, or None if it is not known."""
         job = self.jobs_by_id.get(job_id)
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -3,8 +3,9 @@
 A run that may be live keeps its room and its task until it is surely over.
 """
 
-from thornport.cell.decisions import cellstate, messages, model
+from thornport.cell.decisions import cellstate, messages, model, notes
 from thornport.jobs import record
+from thornport.kernel import clock
 
 STOP_RETRY_S = 0.4  # an unanswered stop is sent again
 SUSPECT_FAILURES = 2  # failed runs in a row that make a worker suspect
@@ -170,10 +171,24 @@
 
     # Workers that end, or take no orders of ours.
 
-    def end_worker(self, worker, now):
-        """A worker's life is over: so is all that ran there."""
+    def end_worker(self, worker, now, how):
+        """A worker's life is over: so is all that ran there.
+
+        Args:
+          worker: A model.Worker.
+          now: A float.
+          how: A notes.WorkerEnd.
+        """
         self.workers_by_id.pop(worker.worker_id, None)
-        for run in list(worker.runs_by_key.values()):
+        self._lose_runs(worker, now, how)
+
+    def _lose_runs(self, worker, now, how):
+        """All that ran at a worker is over, and the worker does not tell of it."""
+        runs = list(worker.runs_by_key.values())
+        for run in runs:
+            if run.state is not model.RunState.RECORDING:
+                self.notes.append(make_note(worker, run, now, how, len(runs) - 1))
+        for run in runs:
             self._release_run(run, now)
 
     def _take_rejection(self, worker, order, answer, now):
@@ -189,6 +204,39 @@
             # The worker may have seen our own later token.
             self.is_fenced = self.is_fenced or order.token == self.token
         elif answer.reason is messages.Rejection.REPLACED:
-            self.end_worker(worker, now)
+            self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
             worker.avoid(now + AVOID_S)
+
+
+def make_note(worker, run, now, how, beside):
+    """Make the note of a run that ends with its worker.
+
+    Args:
+      worker: A model.Worker.
+      run: A model.Run.
+      now: A float.
+      how: A notes.WorkerEnd.
+      beside: An int, the other runs there.
+    Returns:
+      A notes.RunLost.
+    """
+    ran_s = compute_ran_s(worker, run, now)
+    ran_ms = None if ran_s is None else int(ran_s * clock.MS_PER_S)
+    return notes.RunLost(run.key, run.run, worker.worker_id, how, ran_ms, beside)
+
+
+def compute_ran_s(worker, run, now):
+    """Compute how long a run went on at a worker that is gone.
+
+    Args:
+      worker: A model.Worker.
+      run: A model.Run.
+      now: A float.
+    Returns:
+      A float, seconds; None when this owner did not start it.
+    """
+    if run.ordered_at is None:
+        return None
+    gone_at = now if worker.silent_since is None else worker.silent_since
+    return max(0.0, gone_at - run.ordered_at)
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -4,7 +4,7 @@
 all tasks stand still gets no starts for a while.
 """
 
-from thornport.cell.decisions import ending, leases, messages, model
+from thornport.cell.decisions import ending, leases, messages, model, notes
 from thornport.jobs import spec as specs
 
 # A look that waits: one whose answer is lost hides ends for this long and a
@@ -95,11 +95,13 @@
             # Orders would fail as this look did; the next look clears it.
             worker.avoid(now + ending.AVOID_S)
             worker.unanswered_at = now
+            worker.note_silence(now)
             if has_left(worker, answer, now):
-                self.end_worker(worker, now)
+                self.end_worker(worker, now, notes.WorkerEnd.LEFT)
             return
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
+        worker.silent_since = None
         self._judge_loss(worker, now)
         for end in sorted(answer.ended, key=lambda end: end.number):
             self._take_end(worker, end, now)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -10,6 +10,7 @@
     leaving,
     messages,
     model,
+    notes,
     progress,
     reserving,
     ticketing,
@@ -94,9 +95,9 @@
             if worker.revision > revision:
                 ended = self.workers_by_id.get(entry.worker_id)
                 if ended is not None:
-                    self.end_worker(ended, now)
+                    self.end_worker(ended, now, notes.WorkerEnd.REPLACED)
                 return True
-            self.end_worker(worker, now)
+            self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         return False
 
     def drop_worker(self, worker_id, now, may_come_back=False):
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -107,6 +107,8 @@
       stalls: An int, how often all its tasks stood still since any went on.
       avoid_until: A float; it gets no starts before.
       unanswered_at: A float, when the last look failed; None after an answer.
+      silent_since: A float, when the first call failed since the worker answered a
+        look; None after an answer.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
       pace_count, pace_log: Ends so far, and the mean logarithm of the time that
@@ -134,6 +136,7 @@
     stalls: int = 0
     avoid_until: float = 0.0
     unanswered_at: float | None = None
+    silent_since: float | None = None
     filling_count: int = 0
     serving_count: int = 0
     pace_count: int = 0
@@ -152,6 +155,11 @@
         sample = math.log(took_s * 1000 / estimate_ms)
         self.pace_log += (sample - self.pace_log) / self.pace_count
 
+    def note_silence(self, now):
+        """Take that a call failed: the worker may be gone since."""
+        if self.silent_since is None:
+            self.silent_since = now
+
     def avoid(self, until):
         """Give it no starts before a time, a float; a later one holds."""
         self.avoid_until = max(self.avoid_until, until)
--- /dev/null
+++ b/thornport/cell/decisions/notes.py
@@ -0,0 +1,42 @@
+"""What the decisions of an owner tell its log, where no order or answer shows it.
+
+A run that ends with its worker has no end that a worker could list, so this is all
+that tells why its task starts again.
+"""
+
+import enum
+
+import msgspec
+
+from thornport.cell.decisions import messages
+
+
+class WorkerEnd(enum.Enum):
+    """How it was known that all that ran at a worker is over.
+
+    REPLACED: another life of the worker has its address.
+    LEFT: it was draining, and its port refuses.
+    LAPSED: it is silent, and every lease that was sent to it is over.
+    """
+
+    REPLACED = "replaced"
+    LEFT = "left"
+    LAPSED = "lapsed"
+
+
+class RunLost(msgspec.Struct, frozen=True):
+    """A run that may have begun is over because its worker is.
+
+    Attributes:
+      how: A WorkerEnd.
+      ran_ms: An int, from its start to the first call that its worker did not answer;
+        None when an earlier owner started it.
+      beside: An int, the other runs at the worker.
+    """
+
+    key: messages.TaskKey
+    run: int
+    worker_id: str
+    how: WorkerEnd
+    ran_ms: int | None
+    beside: int
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -43,6 +43,7 @@
             if run.state is model.RunState.ORDERED:
                 run.state = model.RunState.RUNNING
         elif isinstance(outcome, messages.Unanswered):
+            worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
             self._stop_run(run, now)
         elif isinstance(outcome, messages.NotReached):
@@ -57,6 +58,9 @@
             if step is not None:
                 step.tickets_by_worker.pop(worker.worker_id, None)
         else:
+            if outcome.reason is messages.Rejection.REPLACED:
+                # It never began there, so it is not lost with what did.
+                self._release_run(run, now)
             self._take_rejection(worker, order, outcome, now)
         if not self.is_fenced:
             self._release_run(run, now)
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -4,7 +4,7 @@
 
 from thornport.cell.decisions import core, leases
 from thornport.cell.dispatch import dispatching
-from thornport.cell.owner import following, ledger, looks, orders
+from thornport.cell.owner import following, ledger, looks, noting, orders
 from thornport.cell.peers import peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
@@ -253,6 +253,8 @@
         if self.core.is_fenced:
             self.lose("a worker has seen a higher token")
             return
+        for note in self.core.take_notes():
+            noting.log_note(note)
         for order in self.core.take_orders():
             orders.carry_out(order, self)
         if self.core.dirty or self.core.forgotten:
