Incident: a task that crashes its workers, timeline and failing tests

Cause, by hypothesis 1 of three: the life of a worker ends, its runs are released, their tasks wait again, and nothing is counted. Ruled out: two owners beside one another (run numbers rise by one, one process starts all between takeovers); a count that a successor forgets as the whole cause (one owner goes on for tens of seconds).

Change: tests only. The world of the core's tests learns workers that a task crashes and that are back after 3 s as another life, and asserts that no sixth start comes after five crashes.

--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -21,6 +21,11 @@
 CANCEL_S = 3.0
 CONTACT_S = 3.0
 STOP_S = 0.2
+# A worker that a task has crashed is back after so long, as another life.
+BACK_S = 3.0
+# Starts of a task that crashes its workers: once three have crashed, two more are
+# allowed, by the users.
+MOST_CRASHES = 5
 
 
 def make_job(job_id, *steps):
@@ -72,6 +77,8 @@
       silenced: Ids of workers whose answers are lost, though they do as told.
       cut: Ids of workers that nothing reaches.
       unlisted: Ids of workers that the store does not list, though they live.
+      crashing: Pairs of job id and task index: tasks that crash their worker.
+      crashes_by_key: How many workers each of them has crashed, by TaskKey.
     """
 
     def __init__(self, faults, worker_count=3, clock_rate=1.0, looks_wait=False):
@@ -95,6 +102,11 @@
         self.cut = set()
         self.unlisted = set()
         self.looks_wait = looks_wait
+        self.crashing = set()
+        self.crashes_by_key = {}
+        self._doomed = []
+        self._returning = []
+        self._unlisted_lives = []
         self.open_looks = {}
         self.token = 0
         self.revision = 0
@@ -106,6 +118,7 @@
         self.noted_done = set()
         self.refusing = set()
         self.is_store_away = False
+        self.racks_by_worker = {}
         self.owner = None
         self.take_over()
 
@@ -134,13 +147,15 @@
 
     def list_worker(self, worker_id, state=messages.WorkerState.READY, leaves_in_ms=0):
         """Show a worker in the store."""
+        worker = self.workers_by_id.get(worker_id)
         entry = messages.WorkerEntry(
             worker_id,
-            f"10.0.0.{worker_id[1:]}:1",
+            make_address(worker_id),
             "press-desk",
             "h1",
             state,
-            ROOM,
+            ROOM if worker is None else worker.total,
+            rack=self.racks_by_worker.get(worker_id.partition("-")[0], ""),
             leaves_in_ms=leaves_in_ms,
         )
         self.revision += 1
@@ -161,6 +176,32 @@
         del self.workers_by_id[worker_id]
         self.owner.drop_worker(worker_id, self.now)
 
+    def crash_for_a_while(self, worker_id, back_s=BACK_S):
+        """A worker ends with all that ran there; another life takes its address.
+
+        Its entry stays until it lapses, here until the other life's is there.
+        """
+        self.workers_by_id.pop(worker_id)
+        self.open_looks.pop(worker_id, None)
+        self.refusing.add(worker_id)
+        self._returning.append((self.now + back_s, worker_id))
+
+    def _return_lives(self):
+        due = [entry for entry in self._returning if entry[0] <= self.now]
+        self._returning = [entry for entry in self._returning if entry[0] > self.now]
+        for _, worker_id in due:
+            place, _, life = worker_id.partition("-")
+            later = f"{place}-{int(life or 1) + 1}"
+            self.refusing.discard(worker_id)
+            self.workers_by_id[later] = leased_worker.LeasedWorker(later, ROOM, 1.0)
+            self._unlisted_lives.append(later)
+        if self.is_store_away:
+            return
+        for worker_id in self._unlisted_lives:
+            if worker_id in self.workers_by_id:
+                self.list_worker(worker_id)
+        self._unlisted_lives.clear()
+
     def unlist(self, worker_id):
         """The entry of a worker lapses, though the worker lives."""
         self.unlisted.add(worker_id)
@@ -200,6 +241,11 @@
         self.now += STEP_S
         for worker in self.workers_by_id.values():
             worker.advance(self.now)
+        doomed, self._doomed = self._doomed, []
+        for worker_id in doomed:
+            if worker_id in self.workers_by_id:
+                self.crash_for_a_while(worker_id)
+        self._return_lives()
         self._do_late_calls()
 
     def run_without_owner(self, seconds):
@@ -229,7 +275,9 @@
             if is_start:
                 self.check_recorded(order)
             worker = self.workers_by_id.get(order.worker_id)
-            if worker is None or order.worker_id in self.cut:
+            if order.worker_id in self.refusing:
+                outcome = messages.NotReached("refused", is_refused=True)
+            elif worker is None or order.worker_id in self.cut:
                 outcome = messages.Unanswered("silent")
             elif self.faults.draw(self.faults.late):
                 due = self.now + self.faults.rng.uniform(*self.faults.late_s)
@@ -257,8 +305,19 @@
         outcome = worker.start(order, step.demand, step.estimate_ms, fails, self.now)
         if len(worker.started) > count:
             self.check_start(order, worker)
+            self._doom(order, worker)
         return outcome
 
+    def _doom(self, order, worker):
+        """Have a worker crash a moment after the start of a task that crashes it."""
+        key = order.key
+        if (key.job_id, key.index) not in self.crashing:
+            return
+        crashes = self.crashes_by_key.get(key, 0)
+        assert crashes < MOST_CRASHES, f"{key} is started after {crashes} crashes"
+        self.crashes_by_key[key] = crashes + 1
+        self._doomed.append(worker.worker_id)
+
     def _do_late_calls(self):
         due = [call for call in self.late_calls if call[0] <= self.now]
         self.late_calls = [call for call in self.late_calls if call[0] > self.now]
@@ -276,12 +335,18 @@
         if look is None:
             return
         worker = self.workers_by_id.get(worker_id)
+        is_replaced = worker is None and any(
+            make_address(other) == make_address(worker_id)
+            for other in self.workers_by_id
+        )
         is_reached = worker is not None and worker_id not in self.cut
         if is_reached and self.now < look.due and not worker.ended:
             self.open_looks[worker_id] = look
             return
         if worker_id in self.refusing:
             answer = messages.NotReached("refused", is_refused=True)
+        elif is_replaced:
+            answer = messages.Rejected(messages.Rejection.REPLACED)
         elif not is_reached or self._loses_answer(worker_id):
             answer = messages.Unanswered("lost")
         else:
@@ -350,6 +415,11 @@
         }
 
 
+def make_address(worker_id):
+    """The address of a worker, which all its lives have."""
+    return f"10.0.0.{worker_id.partition('-')[0][1:]}:1"
+
+
 def make_step(count, cores, run_ms, **more):
     """Make a step of tasks of some cores."""
     demand = spec.Demand(cores * 1000, 1000, 0)
--- /dev/null
+++ b/thornport/cell/decisions/crashes_test.py
@@ -0,0 +1,166 @@
+"""Tasks that crash the worker that starts them.
+
+Two urgent jobs, accepted a second apart, each crashed a worker every 3.3 s for two
+minutes: a start, the worker gone 0.010 s later, a new life of it at the same address
+after 3.2 s, the next start 0.13 s after that, up to run 35 and through five owners.
+
+A run that ended with its worker went back to waiting and left no trace, for only an end
+`failed` that a worker lists counts as an attempt, and a worker that crashes lists none.
+Proved here: the sixth start comes, and would come for ever, with owners that stay as
+with owners that are replaced. The world asserts that none comes after five crashes.
+"""
+
+import itertools
+import random
+import unittest
+
+from tests import cellworld
+
+LONG_MS = 600_000  # longer than any test
+GIVEN_UP_S = 25.0  # some crashes, each with 3 s until the worker is back
+
+
+def make_world(worker_count=6, **faults):
+    """Make a world in which the owner has heard the workers."""
+    world = cellworld.World(
+        cellworld.Faults(random.Random(1), **faults), worker_count, looks_wait=True
+    )
+    world.run(0.2)
+    return world
+
+
+class Crashing(unittest.TestCase):
+    """A task that crashes each worker that starts it."""
+
+    def check_given_up(self, world, job_id="bad"):
+        """The job is shown as failed, and nothing of it runs or starts any more."""
+        self.assertEqual(world.read_states()[job_id], "failed")
+        crashes = dict(world.crashes_by_key)
+        world.run(10)
+        self.assertEqual(world.crashes_by_key, crashes)
+        for worker in world.workers_by_id.values():
+            self.assertFalse([k for k in worker.active_by_key if k.job_id == job_id])
+
+    def test_it_is_given_up_and_its_job_shown_as_failed(self):
+        world = make_world()
+        world.crashing = {("bad", 0)}
+        world.submit(cellworld.make_job("bad", cellworld.make_step(2, 4, 600)))
+        world.run(GIVEN_UP_S)
+        self.check_given_up(world)
+
+    def test_lasting_task(self):
+        world = make_world()
+        world.crashing = {("bad", 1)}
+        step = cellworld.make_step(3, 8, LONG_MS, lasting=True)
+        world.submit(cellworld.make_job("bad", step))
+        world.run(GIVEN_UP_S)
+        self.check_given_up(world)
+
+    def test_owners_are_replaced_after_each_crash(self):
+        # A successor comes before the crash is known, during it, or after it.
+        for gap_s in (0.1, 1.0, 3.5):
+            world = make_world()
+            world.crashing = {("bad", 0)}
+            world.submit(cellworld.make_job("bad", cellworld.make_step(1, 4, 600)))
+            for crashes in itertools.count(1):
+                world.run(0.1)
+                if world.read_states()["bad"] == "failed":
+                    break
+                if sum(world.crashes_by_key.values()) == crashes:
+                    world.run(gap_s)
+                    world.take_over()
+                self.assertLess(crashes, 1000)
+            self.check_given_up(world)
+
+
+class NotCondemned(unittest.TestCase):
+    """Workers crash, and none of the tasks there is the cause."""
+
+    def run_on(self, world, job_ids):
+        """Let the jobs go on until they end."""
+        world.run(60)
+        states = world.read_states()
+        self.assertEqual({states[job_id] for job_id in job_ids}, {"succeeded"})
+
+    def test_rack_loses_power_again_and_again(self):
+        world = make_world(worker_count=8)
+        world.racks_by_worker = {f"w{n}": f"r{n // 4}" for n in range(8)}
+        world.take_over()
+        job_ids = [f"j{number}" for number in range(16)]
+        for job_id in job_ids:
+            step = cellworld.make_step(2, 12, 2000)
+            world.submit(cellworld.make_job(job_id, step))
+        for _ in range(6):
+            world.run(0.15)
+            for worker_id in list(world.workers_by_id):
+                if world.racks_by_worker[worker_id.partition("-")[0]] == "r0":
+                    world.crash_for_a_while(worker_id)
+            world.run(4)
+        self.run_on(world, job_ids)
+
+    def test_long_task_sees_many_workers_crash_at_some_time_of_its_run(self):
+        world = make_world()
+        world.submit(cellworld.make_job("long", cellworld.make_step(1, 60, 8000)))
+        for _ in range(3):
+            world.run(4)
+            (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+            world.crash_for_a_while(place.worker_id)
+            world.run(4)
+        self.run_on(world, ["long"])
+
+    def test_lasting_task_outlives_any_number_of_workers(self):
+        world = make_world()
+        step = cellworld.make_step(1, 8, LONG_MS, lasting=True)
+        world.submit(cellworld.make_job("service", step))
+        for _ in range(8):
+            world.run(4)
+            (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+            world.crash_for_a_while(place.worker_id)
+            world.run(4)
+        self.assertEqual(world.read_states(), {"service": "running"})
+
+    def test_workers_that_leave_as_they_said_count_for_nothing(self):
+        world = make_world()
+        world.submit(cellworld.make_job("long", cellworld.make_step(1, 60, 8000)))
+        for _ in range(5):
+            world.run(0.2)
+            (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+            world.list_worker(place.worker_id, cellworld.messages.WorkerState.DRAINING)
+            world.run(0.1)
+            world.crash_for_a_while(place.worker_id)
+            world.run(4)
+        self.run_on(world, ["long"])
+
+
+class WhatIsTold(unittest.TestCase):
+    """The log tells which runs were lost with a worker, and why."""
+
+    def test_run_lost_with_its_worker(self):
+        world = make_world()
+        world.submit(cellworld.make_job("a", cellworld.make_step(1, 60, 8000)))
+        world.run(2)
+        (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+        world.owner.take_notes()
+        world.crash_for_a_while(place.worker_id)
+        world.run(4)
+        (note,) = world.owner.take_notes()
+        self.assertEqual(note.worker_id, place.worker_id)
+        self.assertEqual(note.how.value, "replaced")
+        self.assertAlmostEqual(note.ran_ms, 1900, delta=200)
+        self.assertEqual(note.beside, 0)
+
+    def test_successor_does_not_know_when_it_started(self):
+        world = make_world()
+        world.submit(cellworld.make_job("a", cellworld.make_step(1, 60, 8000)))
+        world.run(2)
+        (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+        world.crash_for_a_while(place.worker_id)
+        world.run(0.1)
+        world.take_over()
+        world.run(5)
+        (note,) = world.owner.take_notes()
+        self.assertIsNone(note.ran_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
