Give up a task that crashes the workers that start it

Cause: the life of a worker ended and its runs were released without a trace, so their tasks waited again for ever. Only an end that a worker lists counted against a task, and a worker that crashed lists none. The class: a belief about a task that rests on what its worker says is lost with the worker.

Ruled out: counting every crash against every task that was there.

Change: each crash is evidence, kept in the record of the job beside the runs that may be live, so a successor has it: two points for what had started there within 0.25 s, alone of its kind; one for what else it may have been; none for workers that leave as they said, racks that lose power, lasting tasks that had served. At four points the job is shown as failed, with its cause in the record and the log. A task with points goes before the others of its step, by itself, where least would be lost.

Conclusion: two to four crashes instead of any number; five are allowed.

--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -21,6 +21,7 @@
 
     job_id: str
     state: record.JobState
+    cause: record.FailureCause | None = None
 
 
 class Batch(msgspec.Struct, frozen=True):
@@ -62,7 +63,7 @@
         return Batch(
             encode_progress(jobs),
             self._take_recording(set(job_ids)),
-            [DecidedState(job.job_id, job.state) for job in jobs],
+            [DecidedState(job.job_id, job.state, job.cause) for job in jobs],
             self._take_forgotten((BATCH_JOBS - len(jobs)) // FORGOTTEN_KEYS),
             encode_closed(jobs),
         )
@@ -130,7 +131,7 @@
             self._release_run(run, now)
             return
         run.state = model.RunState.ORDERED
-        run.ordered_at = run.percent_at = now
+        run.ordered_at = run.known_since = run.percent_at = now
         self.orders.append(
             messages.StartOrder(
                 run.worker_id,
@@ -170,7 +171,9 @@
       A dict of bytes by job id.
     """
     return {
-        job.job_id: record.encode_record(record.close_job(job.record, job.state))
+        job.job_id: record.encode_record(
+            record.close_job(job.record, job.state, job.cause)
+        )
         for job in jobs
         if progress.is_closed(job)
     }
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -3,8 +3,14 @@
 Each part is a class over this state with one duty; `core.CellCore` joins them.
 """
 
+import collections
+
 from thornport.cell.decisions import advising, messages
 
+# Lost workers that are remembered, to tell a rack that lost its power: more than any
+# rack of the users has, 20 a rack.
+KEPT_LOSSES = 64
+
 
 class CellState:
     """All that an owner knows.
@@ -48,6 +54,7 @@
         self.callers = advising.Callers()
         self._queues_by_name = {}
         self._next_order = 0
+        self._recent_losses = collections.deque(maxlen=KEPT_LOSSES)
         self._lossy_until = now  # answers of workers are being lost until then
         # Runs whose starts wait until their records are kept.
         self._recording = []
--- /dev/null
+++ b/thornport/cell/decisions/crashes.py
@@ -0,0 +1,247 @@
+"""Which tasks the crash of a worker is put down to: pure.
+
+A task may crash each worker that starts it. Whose crash it was is known only from
+which runs were there when the worker's life ended, so each crash is evidence: two
+points against what had started there a moment before, alone of its kind, and one
+against what else it may have been. At four points a task is given up, with its job:
+after two to four crashes. The users allow five, and each takes a worker away for some
+seconds with all that runs there, some ten tasks in a cell of 24 workers.
+
+Not to be condemned beside it: a task that is only near, and one whose workers lose
+power with their rack, leave as they said, or serve for long before they end.
+"""
+
+import msgspec
+
+from thornport.cell.decisions import messages, model, notes
+
+# A worker is gone some hundredths of a second after the start that crashes it; where
+# urgent tasks start twice a second, few others have begun within this.
+YOUNG_S = 0.25
+# What has run for longer than this was not crashed by its start.
+FRESH_S = 2.0
+ALONE_POINTS = 2
+POINTS = 1
+GIVE_UP_POINTS = 4
+# Workers of a rack that are lost together have lost their power: at least so many,
+# and half of the rack, within this time of one another.
+OUTAGE_WORKERS = 3
+OUTAGE_S = 1.0
+# A task with points that has run for so long seems not to crash its worker this time,
+# and the others of its step follow.
+PROVEN_S = 0.5
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """A life of a worker that ended without having said so.
+
+    Attributes:
+      at: A float, when its first call failed.
+      rack: A str; empty if it is not known.
+      young: The messages.StepKeys of which tasks had begun there a moment before.
+    """
+
+    worker_id: str
+    at: float
+    rack: str
+    young: frozenset[messages.StepKey]
+
+
+class Blame(msgspec.Struct, frozen=True):
+    """What a crash says against the task of a run.
+
+    Attributes:
+      points: An int; 0 for a run that can't have caused it.
+    """
+
+    run: model.Run
+    points: int
+
+
+def compute_ran_s(worker, run, now):
+    """Compute how long a run went on at a worker that is gone.
+
+    Args:
+      worker: A model.Worker.
+      run: A model.Run.
+      now: A float.
+    Returns:
+      A float, seconds; None when this owner neither started it nor heard of it.
+    """
+    if run.known_since is None:
+        return None
+    return max(0.0, find_lost_at(worker, now) - run.known_since)
+
+
+def find_lost_at(worker, now):
+    """Say since when a worker has been gone, as far as is known.
+
+    Args:
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A float, when the first call to it failed.
+    """
+    return now if worker.silent_since is None else worker.silent_since
+
+
+def note_loss(worker, now):
+    """Note that the life of a worker has ended.
+
+    Args:
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A Loss.
+    """
+    young = frozenset(
+        read_step_key(run)
+        for run in list_begun(worker)
+        if is_within(compute_ran_s(worker, run, now), YOUNG_S)
+    )
+    lost_at = find_lost_at(worker, now)
+    return Loss(worker.worker_id, lost_at, worker.entry.rack, young)
+
+
+def is_crash(worker, how):
+    """Tell whether a worker's life ended unforeseen.
+
+    Args:
+      worker: A model.Worker.
+      how: A notes.WorkerEnd.
+    Returns:
+      A bool; false for one that was draining by its own entry.
+    """
+    is_draining = worker.entry.state is messages.WorkerState.DRAINING
+    # A worker that is known from records alone has no entry of its own.
+    said_so = is_draining and worker.revision > 0
+    return how is not notes.WorkerEnd.LEFT and not said_so
+
+
+def is_outage(loss, losses, rack_size):
+    """Tell whether a rack lost its power, so that nothing there is the cause.
+
+    A step whose tasks crash several workers of a rack at once is no outage.
+
+    Args:
+      loss: The Loss of the worker in question.
+      losses: Losses of others, a list.
+      rack_size: An int, how many workers its rack has.
+    Returns:
+      A bool.
+    """
+    if not loss.rack:
+        return False
+    together = [
+        other
+        for other in losses
+        if other.rack == loss.rack
+        and other.worker_id != loss.worker_id
+        and abs(other.at - loss.at) <= OUTAGE_S
+    ]
+    if any(loss.young & other.young for other in together):
+        return False
+    count = len(together) + 1
+    return count >= OUTAGE_WORKERS and 2 * count >= rack_size
+
+
+def judge_crash(worker, how, now):
+    """Say what a crash tells against each run at a worker.
+
+    Args:
+      worker: A model.Worker, lost with its runs.
+      how: A notes.WorkerEnd.
+      now: A float.
+    Returns:
+      A list of Blame, one for each run that may have begun.
+    """
+    begun = list_begun(worker)
+    ran_s_by_key = {run.key: compute_ran_s(worker, run, now) for run in begun}
+    # That a silent worker crashed is not certain, nor when.
+    is_timed = how is notes.WorkerEnd.REPLACED
+    young_steps = {
+        read_step_key(run)
+        for run in begun
+        if is_timed and is_within(ran_s_by_key[run.key], YOUNG_S)
+    }
+    alone = young_steps if len(young_steps) == 1 else set()
+    return [
+        Blame(run, count_points(run, ran_s_by_key[run.key], alone)) for run in begun
+    ]
+
+
+def count_points(run, ran_s, alone):
+    """Count the points that a crash gives the task of a run.
+
+    Args:
+      run: A model.Run.
+      ran_s: A float, how long it ran; None if that is not known.
+      alone: A set of the one messages.StepKey that had begun a moment before, or
+        empty when there was none or several.
+    Returns:
+      An int.
+    """
+    if is_within(ran_s, YOUNG_S) and read_step_key(run) in alone:
+        return ALONE_POINTS
+    if ran_s is None or ran_s <= FRESH_S:
+        return POINTS
+    # A lasting task sees workers crash in the course of time; so does any other, but
+    # few of them four.
+    return 0 if alone or run.step.lasting else POINTS
+
+
+def is_within(ran_s, limit_s):
+    """Whether a run is known to have lasted a limit at most."""
+    return ran_s is not None and ran_s <= limit_s
+
+
+def list_begun(worker):
+    """List the Runs at a worker that it may have been told to start."""
+    runs = worker.runs_by_key.values()
+    return [run for run in runs if run.state is not model.RunState.RECORDING]
+
+
+def read_step_key(run):
+    """The messages.StepKey of a run."""
+    return messages.StepKey(run.key.job_id, run.key.time, run.key.step)
+
+
+def list_startable(step, workers_by_id, now):
+    """List the waiting tasks of a step that may start now.
+
+    Tasks of a step are alike. Where one may have crashed its worker, it goes first and
+    by itself, so that a step of a hundred costs one more worker and not a hundred. A
+    gang works only whole.
+
+    Args:
+      step: A model.StepState.
+      workers_by_id: Model.Workers by id.
+      now: A float.
+    Returns:
+      A sorted list of task indexes.
+    """
+    waiting = sorted(step.waiting)
+    points_by_index = step.crash_points_by_index
+    if not points_by_index or step.spec.gang:
+        return waiting
+    for index, run in step.live_by_index.items():
+        if index in points_by_index and not is_proven(run, workers_by_id, now):
+            return []
+    suspects = [index for index in waiting if index in points_by_index]
+    return [max(suspects, key=points_by_index.get)] if suspects else waiting
+
+
+def is_proven(run, workers_by_id, now):
+    """Tell whether a run has gone on for a while at a worker that answers.
+
+    Args:
+      run: A model.Run.
+      workers_by_id: Model.Workers by id.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    worker = workers_by_id.get(run.worker_id)
+    if worker is None or worker.silent_since is not None or run.known_since is None:
+        return False
+    return now - run.known_since >= PROVEN_S
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -14,6 +14,9 @@
 import random
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from tests import cellworld
 
 LONG_MS = 600_000  # longer than any test
@@ -48,6 +51,22 @@
         world.run(GIVEN_UP_S)
         self.check_given_up(world)
 
+    def test_all_tasks_of_a_wide_step_crash(self):
+        world = make_world(worker_count=12)
+        world.crashing = {("bad", index) for index in range(10)}
+        step = cellworld.make_step(10, 20, 600, max_per_worker=1)
+        world.submit(cellworld.make_job("bad", step))
+        world.run(GIVEN_UP_S)
+        self.check_given_up(world)
+
+    def test_member_of_a_gang(self):
+        world = make_world()
+        world.crashing = {("bad", 3)}
+        step = cellworld.make_step(6, 18, LONG_MS, gang=True)
+        world.submit(cellworld.make_job("bad", step))
+        world.run(2 * GIVEN_UP_S)
+        self.check_given_up(world)
+
     def test_lasting_task(self):
         world = make_world()
         world.crashing = {("bad", 1)}
@@ -72,6 +91,50 @@
                 self.assertLess(crashes, 1000)
             self.check_given_up(world)
 
+    def test_answers_are_lost_and_the_store_is_away_in_between(self):
+        for seed in range(4):
+            world = make_world()
+            world.faults.rng.seed(seed)
+            world.crashing = {("bad", 0)}
+            world.submit(cellworld.make_job("bad", cellworld.make_step(1, 4, 600)))
+            for _ in range(4):
+                world.faults.lost = 0.5
+                world.run(2)
+                world.faults.lost = 0.0
+                world.is_store_away = True
+                world.run(4)
+                world.is_store_away = False
+                world.run(3)
+            world.run(GIVEN_UP_S)
+            self.check_given_up(world)
+
+    @settings(max_examples=25, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_beside_other_jobs_under_mixed_trouble(self, data):
+        draw = data.draw
+        world = make_world(worker_count=8)
+        world.faults.rng.seed(draw(st.integers(0, 1000)))
+        world.crashing = {("bad", index) for index in range(draw(st.integers(1, 3)))}
+        gang = draw(st.booleans())
+        world.submit(
+            cellworld.make_job("bad", cellworld.make_step(3, 6, 600, gang=gang))
+        )
+        others = [f"j{number}" for number in range(12)]
+        for job_id in others:
+            step = cellworld.make_step(draw(st.integers(1, 6)), 8, 1500)
+            world.submit(cellworld.make_job(job_id, step))
+        for _ in range(draw(st.integers(1, 5))):
+            world.faults.lost = draw(st.sampled_from((0.0, 0.3)))
+            world.is_store_away = draw(st.booleans())
+            world.run(draw(st.floats(0.1, 4.0)))
+            world.faults.lost, world.is_store_away = 0.0, False
+            if draw(st.booleans()):
+                world.take_over(is_known_gone=draw(st.booleans()))
+        world.run(60)
+        self.check_given_up(world)
+        states = world.read_states()
+        self.assertEqual({states[job_id] for job_id in others}, {"succeeded"})
+
 
 class NotCondemned(unittest.TestCase):
     """Workers crash, and none of the tasks there is the cause."""
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -3,7 +3,7 @@
 A run that may be live keeps its room and its task until it is surely over.
 """
 
-from thornport.cell.decisions import cellstate, messages, model, notes
+from thornport.cell.decisions import cellstate, crashes, messages, model, notes
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -107,7 +107,7 @@
             return False
         if step.failures_by_index.get(index, 0) < self._queue_of(job).max_attempts:
             return False
-        self._end_job(job, record.JobState.FAILED, now)
+        self._fail_job(job, record.FailureCause.ATTEMPTS, now)
         return True
 
     # Ends of jobs.
@@ -180,16 +180,83 @@
           how: A notes.WorkerEnd.
         """
         self.workers_by_id.pop(worker.worker_id, None)
+        loss = crashes.note_loss(worker, now)
         self._lose_runs(worker, now, how)
+        self._recent_losses.append(loss)
 
     def _lose_runs(self, worker, now, how):
         """All that ran at a worker is over, and the worker does not tell of it."""
         runs = list(worker.runs_by_key.values())
-        for run in runs:
-            if run.state is not model.RunState.RECORDING:
-                self.notes.append(make_note(worker, run, now, how, len(runs) - 1))
+        blames = self._judge_loss_of(worker, now, how)
+        for blame in blames:
+            self._note_lost(worker, blame, now, how)
         for run in runs:
             self._release_run(run, now)
+        for blame in blames:
+            self._give_up_crashing(blame.run, now)
+
+    def _judge_loss_of(self, worker, now, how):
+        """List the crashes.Blames of the runs at a worker that is lost."""
+        loss = crashes.note_loss(worker, now)
+        others = [
+            crashes.note_loss(other, now)
+            for other in self.workers_by_id.values()
+            if other.silent_since is not None
+        ]
+        losses = [*self._recent_losses, *others]
+        rack_size = sum(
+            other.entry.rack == loss.rack for other in self.workers_by_id.values()
+        )
+        if not crashes.is_crash(worker, how) or crashes.is_outage(
+            loss, losses, rack_size
+        ):
+            return [crashes.Blame(run, 0) for run in crashes.list_begun(worker)]
+        blames = crashes.judge_crash(worker, how, now)
+        for blame in blames:
+            self._take_blame(blame)
+        return blames
+
+    def _take_blame(self, blame):
+        """Count the points of a task whose run has not ended by then."""
+        run = blame.run
+        step = self._find_step(run.key)
+        if not blame.points or step is None:
+            return
+        if step.live_by_index.get(run.key.index) is not run:
+            return
+        points_by_index = step.crash_points_by_index
+        points = points_by_index.get(run.key.index, 0) + blame.points
+        points_by_index[run.key.index] = points
+
+    def _note_lost(self, worker, blame, now, how):
+        run = blame.run
+        step = self._find_step(run.key)
+        ran_s = crashes.compute_ran_s(worker, run, now)
+        note = notes.RunLost(
+            run.key,
+            run.run,
+            worker.worker_id,
+            how,
+            None if ran_s is None else int(ran_s * clock.MS_PER_S),
+            len(worker.runs_by_key) - 1,
+            blame.points,
+            step.crash_points_by_index.get(run.key.index, 0) if step else 0,
+        )
+        self.notes.append(note)
+
+    def _give_up_crashing(self, run, now):
+        """Give up a job of which a task crashes the workers that start it."""
+        job = self.jobs_by_id.get(run.key.job_id)
+        step = self._find_step(run.key)
+        if job is None or step is None or job.is_over():
+            return
+        points = step.crash_points_by_index.get(run.key.index, 0)
+        if points >= crashes.GIVE_UP_POINTS:
+            self._fail_job(job, record.FailureCause.CRASHES, now)
+
+    def _fail_job(self, job, cause, now):
+        job.cause = cause
+        self._end_job(job, record.JobState.FAILED, now)
 
     def _take_rejection(self, worker, order, answer, now):
         """Take that a worker did not do as told.
@@ -207,36 +274,3 @@
             self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
             worker.avoid(now + AVOID_S)
-
-
-def make_note(worker, run, now, how, beside):
-    """Make the note of a run that ends with its worker.
-
-    Args:
-      worker: A model.Worker.
-      run: A model.Run.
-      now: A float.
-      how: A notes.WorkerEnd.
-      beside: An int, the other runs there.
-    Returns:
-      A notes.RunLost.
-    """
-    ran_s = compute_ran_s(worker, run, now)
-    ran_ms = None if ran_s is None else int(ran_s * clock.MS_PER_S)
-    return notes.RunLost(run.key, run.run, worker.worker_id, how, ran_ms, beside)
-
-
-def compute_ran_s(worker, run, now):
-    """Compute how long a run went on at a worker that is gone.
-
-    Args:
-      worker: A model.Worker.
-      run: A model.Run.
-      now: A float.
-    Returns:
-      A float, seconds; None when this owner did not start it.
-    """
-    if run.ordered_at is None:
-        return None
-    gone_at = now if worker.silent_since is None else worker.silent_since
-    return max(0.0, gone_at - run.ordered_at)
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -157,6 +157,8 @@
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
             run.percent_at = now
+            if run.known_since is None:
+                run.known_since = now
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -157,6 +157,7 @@
         """Take a job that was over before this owner."""
         job = model.JobEntry(kept, self._next_order, now, kept.end_state)
         job.shown_state = kept.end_state
+        job.cause = kept.cause
         job.ended_at = now
         job.has_begun = True
         self.jobs_by_id[kept.job_id] = job
@@ -235,6 +236,7 @@
             return
         job.state = job.shown_state = kept.state
         job.times_done = kept.times_done
+        job.cause = kept.cause
         job.has_begun = kept.state is not record.JobState.QUEUED
         if job.is_over():
             job.ended_at = now
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -47,6 +47,7 @@
 
     Attributes:
       ordered_at: A float, when the worker was told; None before.
+      known_since: A float, when this owner ordered it, or first heard that it runs.
       stop_confirmed_at: A float, when the worker took the stop; None before.
       stop_due_at: A float, when the stop is to be sent (again).
       percent: An int, the progress last heard, at `percent_at`.
@@ -59,6 +60,7 @@
     step: spec.Step
     state: RunState
     ordered_at: float | None = None
+    known_since: float | None = None
     stop_confirmed_at: float | None = None
     stop_due_at: float = 0.0
     percent: int = 0
@@ -217,6 +219,8 @@
       live_by_index: Live Runs by task index.
       failures_by_index: Failed runs by task index; GANG_INDEX for a gang.
       checkpoints_by_index: The latest checkpoint, likewise.
+      crash_points_by_index: Evidence that a task crashes its workers, by task index,
+        also in a gang; see `crashes`.
       avoided_by_index: Ids of workers on which a task failed, likewise.
       last_run: An int, the highest run number given out.
       is_done: Whether every task is done.
@@ -236,6 +240,7 @@
     live_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
     failures_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = msgspec.field(default_factory=dict)
+    crash_points_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     avoided_by_index: dict[int, set[str]] = msgspec.field(default_factory=dict)
     last_run: int = 0
     is_done: bool = False
@@ -268,6 +273,7 @@
       order: An int that rises with acceptance.
       state: The record.JobState decided; shown to callers once kept.
       shown_state: The record.JobState that the store has.
+      cause: The record.FailureCause of a job that has failed; None else.
       steps_by_key: Its StepStates that have come into being, by StepKey.
       times_done: An int, how many of its times are over, from the first on.
       has_begun: Whether any task has been told to start.
@@ -280,6 +286,7 @@
     arrived_at: float
     state: record.JobState = record.JobState.QUEUED
     shown_state: record.JobState = record.JobState.QUEUED
+    cause: record.FailureCause | None = None
     steps_by_key: dict[messages.StepKey, StepState] = msgspec.field(
         default_factory=dict
     )
@@ -303,7 +310,7 @@
         Runs that are to end yet keep their room by their workers.
         """
         self.steps_by_key.clear()
-        self.record = record.close_job(self.record, self.state)
+        self.record = record.close_job(self.record, self.state, self.cause)
 
     def is_over(self):
         """Whether its end is decided."""
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -32,6 +32,8 @@
       ran_ms: An int, from its start to the first call that its worker did not answer;
         None when an earlier owner started it.
       beside: An int, the other runs at the worker.
+      points, points_in_all: Ints, what this says against its task, and all of that so
+        far; see `crashes`.
     """
 
     key: messages.TaskKey
@@ -40,3 +42,5 @@
     how: WorkerEnd
     ran_ms: int | None
     beside: int
+    points: int
+    points_in_all: int
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -178,7 +178,7 @@
     return [by_id[one] for one in sorted(step.good_ids) if one in by_id]
 
 
-def assign_step(step, workers, reserved, wants_fast=False):
+def assign_step(step, workers, reserved, wants_fast=False, indexes=None):
     """Choose workers for the waiting tasks of a step.
 
     Args:
@@ -187,11 +187,12 @@
       reserved: A reserving.Reservations of room that is kept for steps before it.
       wants_fast: Whether it is urgent, and gets the fastest that have room;
         others leave those free.
+      indexes: A sorted list of the waiting tasks that may start; None for all.
     Returns:
       A list of Assignment; for a gang, of all its tasks or of none.
     """
     if not step.spec.gang:
-        return fill(step, workers, reserved, wants_fast)
+        return fill(step, workers, reserved, wants_fast, indexes)
     if step.live_by_index:
         return []
     if step.spec.same_rack:
@@ -204,13 +205,13 @@
     return assigned if len(assigned) == step.spec.count else []
 
 
-def fill(step, workers, reserved, wants_fast=False):
+def fill(step, workers, reserved, wants_fast=False, indexes=None):
     """Assign waiting tasks, each to the best worker that has room.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
-      reserved, wants_fast: As for `assign_step`.
+      reserved, wants_fast, indexes: As for `assign_step`.
     Returns:
       A list of Assignment.
     """
@@ -228,7 +229,7 @@
             places.append(Place(preference, free.rank_room(), worker.worker_id, free))
     heapq.heapify(places)
     assigned = []
-    for index in sorted(step.waiting):
+    for index in sorted(step.waiting) if indexes is None else indexes:
         best = take_best(places, step.avoided_by_index.get(step.index_for(index), ()))
         if best is None:
             break
@@ -281,12 +282,13 @@
       worker: A model.Worker.
       wants_fast: As for `assign_step`.
     Returns:
-      A pair that is lower for a better worker: away from the step's data or
-      not, then its pace.
+      A triple that is lower for a better worker: what a crash of it would cost, if
+      the step may crash it; away from the step's data or not; then its pace.
     """
     is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
     grade = worker.grade_pace()
-    return is_away, grade if wants_fast else -grade
+    at_risk = worker.used.millicores if step.crash_points_by_index else 0
+    return at_risk, is_away, grade if wants_fast else -grade
 
 
 def has_room(step, workers, reserved, tasks=0):
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -18,7 +18,7 @@
         live = tuple(
             make_step(step) for step in job.steps_by_key.values() if step.live_by_index
         )
-        return record.Progress(job.state, live, job.times_done)
+        return record.Progress(job.state, live, job.times_done, job.cause)
     steps = (step for step in job.steps_by_key.values() if has_begun(step))
     return record.Progress(
         job.state, tuple(make_step(step) for step in steps), job.times_done
@@ -68,6 +68,7 @@
         tuple(step.failures_by_index.items()),
         live,
         tuple(step.checkpoints_by_index.items()),
+        tuple(step.crash_points_by_index.items()),
     )
 
 
@@ -102,6 +103,7 @@
     step.done = set(kept.done)
     step.failures_by_index = dict(kept.failures)
     step.checkpoints_by_index = dict(kept.checkpoints)
+    step.crash_points_by_index = dict(kept.crash_points)
     for live in kept.live:
         key = messages.TaskKey(job.job_id, kept.time, kept.step, live.index)
         step.live_by_index[live.index] = model.Run(
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -1,6 +1,7 @@
 """Rounds of placement: what can start is started, the foremost steps first."""
 
 from thornport.cell.decisions import (
+    crashes,
     messages,
     model,
     placing,
@@ -85,17 +86,18 @@
 
     def _place_step(self, job, step, queue, candidates, reserved, now):
         if queue.advice is None:
-            self._start_step(job, step, candidates.workers, reserved)
+            self._start_step(job, step, candidates.workers, reserved, now)
             return
         ticketed = placing.list_ticketed(step, candidates, now)
         if ticketed:
-            self._start_step(job, step, ticketed, reserved)
+            self._start_step(job, step, ticketed, reserved, now)
         if step.waiting and self._may_ask(step, now):
             self._ask_advice(step, queue, candidates, reserved, now)
 
-    def _start_step(self, job, step, workers, reserved):
+    def _start_step(self, job, step, workers, reserved, now):
         wants_fast = self._queue_of(job).priority == 0
-        assigned = placing.assign_step(step, workers, reserved, wants_fast)
+        startable = crashes.list_startable(step, self.workers_by_id, now)
+        assigned = placing.assign_step(step, workers, reserved, wants_fast, startable)
         if not assigned:
             return
         step.last_run += 1
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -28,4 +28,6 @@
         how=note.how.value,
         ran_ms="" if note.ran_ms is None else note.ran_ms,
         beside=note.beside,
+        points=note.points,
+        points_in_all=note.points_in_all,
     )
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -220,7 +220,12 @@
         self.core.take_kept(batch, sent_at, clock.read_monotonic())
         for decided in batch.states if batch is not None else ():
             if decided.state in record.FINAL_STATES:
-                logs.log("job-ended", job=decided.job_id, state=decided.state.value)
+                logs.log(
+                    "job-ended",
+                    job=decided.job_id,
+                    state=decided.state.value,
+                    cause=decided.cause.value if decided.cause else "",
+                )
         self.pump()
 
     def _tick(self):
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -31,12 +31,24 @@
 FINAL_STATES = frozenset({JobState.SUCCEEDED, JobState.FAILED, JobState.CANCELLED})
 
 
+class FailureCause(enum.Enum):
+    """Why a job is shown as failed.
+
+    ATTEMPTS: a task or a gang failed as often as its queue allows.
+    CRASHES: a task crashed the workers that started it.
+    """
+
+    ATTEMPTS = "attempts"
+    CRASHES = "crashes"
+
+
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """A job as it was accepted, with its queue as it was then.
 
     Attributes:
       accepted_at_ms: An int, milliseconds since 1970.
       end_state: The JobState of a job that is over; its progress is not kept then.
+      cause: The FailureCause, if it has failed.
     """
 
     job_id: str
@@ -44,6 +56,7 @@
     job: spec.Job
     accepted_at_ms: int
     end_state: JobState | None = None
+    cause: FailureCause | None = None
 
     def compute_objective_ms(self):
         """Compute within what time the job is in time, by its own estimates; an int."""
@@ -56,7 +69,7 @@
         return max(0, self.compute_objective_ms() - chain_ms)
 
 
-def close_job(kept, state):
+def close_job(kept, state, cause=None):
     """Make what stands for a job that is over.
 
     Its ID stays known, and a successor need not read what it was.
@@ -64,11 +77,12 @@
     Args:
       kept: A JobRecord.
       state: A JobState, its end.
+      cause: A FailureCause, if it has failed.
     Returns:
       A JobRecord without steps.
     """
     named = queue.Queue(kept.queue.name)
-    return JobRecord(kept.job_id, named, spec.Job(), kept.accepted_at_ms, state)
+    return JobRecord(kept.job_id, named, spec.Job(), kept.accepted_at_ms, state, cause)
 
 
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
@@ -100,6 +114,7 @@
       failures: Pairs of task index and failed runs; GANG_INDEX for a gang.
       live: The runs that may be live.
       checkpoints: Pairs of task index and the latest checkpoint known.
+      crash_points: Pairs of task index and the evidence that it crashes its workers.
     """
 
     time: int
@@ -110,6 +125,7 @@
     failures: tuple[tuple[int, int], ...] = ()
     live: tuple[LiveRun, ...] = ()
     checkpoints: tuple[tuple[int, str], ...] = ()
+    crash_points: tuple[tuple[int, int], ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -119,11 +135,13 @@
       state: A JobState.
       steps: The StepProgress of steps that have begun.
       times_done: An int, how many of the job's times are over.
+      cause: The FailureCause of a job that has failed.
     """
 
     state: JobState
     steps: tuple[StepProgress, ...] = ()
     times_done: int = 0
+    cause: FailureCause | None = None
 
 
 _ENCODER = msgspec.msgpack.Encoder()
