--- /dev/null
+++ b/thornport/kernel/clock_test.py
@@ -0,0 +1,97 @@
+"""The clock that rights are judged by, and VMs that are suspended."""
+
+import pathlib
+import time
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import defer
+
+from thornport.kernel import clock
+from thornport.store import health, transactions, watching
+
+SUSPENDED_S = 10.0
+PACKAGE = pathlib.Path(clock.__file__).parents[1]
+
+
+class Suspension:
+    """A VM whose steady clock stands still while it is suspended; others go on."""
+
+    def __init__(self):
+        self._suspended_s = 0.0
+        self._gettime = time.clock_gettime
+
+    def read(self, clock_id):
+        """Read a clock as the kernel would."""
+        now = self._gettime(clock_id)
+        if clock_id == time.CLOCK_MONOTONIC:
+            return now
+        return now + self._suspended_s
+
+    def suspend(self):
+        """Let the VM stand still for a while."""
+        self._suspended_s += SUSPENDED_S
+
+
+class FakeStore:
+    """A store that answers a read, and one watch."""
+
+    def __init__(self):
+        self._answers = [result.Success(transactions.Changes([], 2))]
+
+    async def read_key(self, key):
+        """Answer at once."""
+        return result.Success(transactions.Item(key, b"", 1))
+
+    async def watch(self, prefix, after_revision, wait_ms):
+        """Answer the first call at once, and no other."""
+        return self._answers.pop() if self._answers else await defer.Deferred()
+
+
+class SuspendedVm(unittest.TestCase):
+    """What was known before a suspension is old afterwards."""
+
+    def setUp(self):
+        self.vm = Suspension()
+        patch = mock.patch("time.clock_gettime", self.vm.read)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_deadline_passes_while_the_vm_is_suspended(self):
+        deadline = clock.compute_deadline(5000, clock.read_monotonic())
+        self.vm.suspend()
+        now = clock.read_monotonic()
+        self.assertEqual(clock.compute_remaining_ms(deadline, now), 0)
+
+    def test_configuration_counts_as_not_confirmed(self):
+        follower = watching.Follower(None, FakeStore(), "p", print, print)
+        defer.ensureDeferred(follower.follow(at=1))
+        self.assertLess(follower.read_age_s(), 1)
+        self.vm.suspend()
+        self.assertGreaterEqual(follower.read_age_s(), SUSPENDED_S)
+
+    def test_store_has_not_answered_lately(self):
+        store = health.CheckedStore(FakeStore())
+        defer.ensureDeferred(store.read_key("k"))
+        self.assertTrue(store.has_answered_within(1.0))
+        self.vm.suspend()
+        self.assertFalse(store.has_answered_within(1.0))
+
+
+class OneClock(unittest.TestCase):
+    """Every module reads the clock that counts suspension."""
+
+    def test_no_module_reads_another_steady_clock(self):
+        others = ("time.monotonic", "perf_counter", "CLOCK_MONOTONIC")
+        found = [
+            path.name
+            for path in PACKAGE.rglob("*.py")
+            if not path.name.endswith("_test.py")
+            and any(other in path.read_text(encoding="utf-8") for other in others)
+        ]
+        self.assertEqual(found, ["clock.py"])
+
+
+if __name__ == "__main__":
+    unittest.main()
