Take no worker from an entry that another writer made; check room at each start

Cause, entries: an entry with fields missing named a worker all the same (its room counted as nothing), and one of a service that nobody names could end a live worker, by its address: the later entry at an address takes the earlier one's place, and the task there would have run at two workers. An entry that can't be decoded stayed in the list of those that are there, was logged with each reading, and one nested 100,000 deep raised an error that nobody took; a value that is no base64 cost all that came in the same answer.

Cause, room: a start goes out once its record is kept, without a look at what room the worker has by then. Of a worker that shrank meanwhile it broke the promise that none is filled beyond what it has.

Ruled out: other starts beyond a room that shrank (each round reads the newest entry; what is being stopped counts).

Change: every field that workers always give is asked for, with its type; ids and addresses are checked before they go into a call; entries of services that no configuration names wait until one does; a worker whose own entry goes bad gets nothing until it is good again, and what runs there goes on. _send_start looks at the room anew.

--- a/bench/cell.py
+++ b/bench/cell.py
@@ -79,7 +79,7 @@
     def __init__(self, worker_count, mix):
         self.now = 0.0
         self.core = core.CellCore(1, self.now, self.now, 1.0)
-        self.core.take_config(queue.Config(1, (URGENT, LARGE)))
+        self.core.take_config(queue.Config(1, (URGENT, LARGE)), 0.0)
         self.due = []
         self.ended_by_worker = {}
         self.number_by_worker = {}
--- a/bench/gangs.py
+++ b/bench/gangs.py
@@ -164,7 +164,7 @@
     def __init__(self, seed):
         self.now = 0.0
         self.core = core.CellCore(1, self.now, self.now, 1e9)
-        self.core.take_config(queue.Config(1, tuple(kind.queue for kind in KINDS)))
+        self.core.take_config(queue.Config(1, tuple(kind.queue for kind in KINDS)), 0.0)
         self.rng_by_kind = {
             kind: random.Random(f"{seed} {kind.run_s}") for kind in KINDS
         }
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -267,7 +267,7 @@
         decode_errors=(msgspec.MsgspecError, ValueError),
     )
     cell = core.CellCore(1, 0.0, 0.0, 1.0)
-    cell.take_config(queue.Config(1, QUEUES))
+    cell.take_config(queue.Config(1, QUEUES), 0.0)
     cell.start_reading()
     return types.SimpleNamespace(
         core=cell, ports=ports, is_active=True, pump=lambda: None
--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -131,7 +131,7 @@
         self.token += 1
         self.open_looks.clear()
         self.owner = core.CellCore(self.token, self.now, self.now + 17.0, 120.0)
-        self.owner.take_config(CONFIG)
+        self.owner.take_config(CONFIG, self.now)
         for worker_id in sorted(self.workers_by_id.keys() - self.unlisted):
             self.list_worker(worker_id)
         for kept in self.jobs_by_id.values():
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -197,7 +197,7 @@
         self.config = config
         logs.log("config-in-force", version=config.version, queues=len(config.queues))
         if self.session is not None:
-            self.session.core.take_config(config)
+            self.session.core.take_config(config, clock.read_monotonic())
             self.session.pump()
 
     @property
@@ -290,7 +290,7 @@
     def decide(self):
         """Begin to decide."""
         logs.log("deciding", token=self._claimer.token)
-        self.session.core.take_config(self.config)
+        self.session.core.take_config(self.config, clock.read_monotonic())
         self.session.decide()
         self._greet()
 
--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -125,9 +125,11 @@
         step = self._find_step(run.key)
         ticket, deadline = step.tickets_by_worker.get(run.worker_id, ("", None))
         is_leaving = worker.entry.state is not messages.WorkerState.READY
-        if is_leaving or (deadline is not None and now > deadline):
+        is_overfull = not worker.used.fits(worker.entry.total)
+        is_late = deadline is not None and now > deadline
+        if is_leaving or is_overfull or is_late:
             # Keeping the record took longer than the ticket holds, or the worker has
-            # begun to leave meanwhile.
+            # begun to leave meanwhile, or has less room than it had.
             self._release_run(run, now)
             return
         run.state = model.RunState.ORDERED
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -53,6 +53,9 @@
         self.workers_by_id = {}
         self.callers = advising.Callers()
         self._queues_by_name = {}
+        self._services = frozenset()
+        # learning.ListedWorkers of services that no configuration names.
+        self._unnamed_by_id = {}
         self._next_order = 0
         self._recent_losses = collections.deque(maxlen=KEPT_LOSSES)
         self._lossy_until = now  # answers of workers are being lost until then
--- a/thornport/cell/decisions/explaining_test.py
+++ b/thornport/cell/decisions/explaining_test.py
@@ -17,7 +17,7 @@
 
     def setUp(self):
         self.core = core.CellCore(1, 0.0, 0.0, 120.0)
-        self.core.take_config(queue.Config(1, (QUEUE, ADVISED)))
+        self.core.take_config(queue.Config(1, (QUEUE, ADVISED)), 0.0)
         ready = messages.WorkerState.READY
         entry = messages.WorkerEntry("w1", "a:1", "press-desk", "h", ready, ROOM)
         self.core.take_worker(entry, 1, 0.0)
--- a/thornport/cell/decisions/holds_test.py
+++ b/thornport/cell/decisions/holds_test.py
@@ -16,7 +16,7 @@
     def setUp(self):
         self.now = 10.0
         self.core = core.CellCore(1, self.now, self.now, 120.0)
-        self.core.take_config(queue.Config(1, (URGENT, LARGE)))
+        self.core.take_config(queue.Config(1, (URGENT, LARGE)), 0.0)
         ready = messages.WorkerState.READY
         entry = messages.WorkerEntry("w1", "a:1", "press-desk", "h", ready, ROOM)
         self.core.take_worker(entry, 1, self.now)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -34,6 +34,18 @@
     subject: record.JobRecord | str
 
 
+class ListedWorker(msgspec.Struct, frozen=True):
+    """An entry whose service is in no configuration yet.
+
+    Attributes:
+      entry: A messages.WorkerEntry.
+      revision: An int, the store's.
+    """
+
+    entry: messages.WorkerEntry
+    revision: int
+
+
 class Learning(ending.Ending, ticketing.Ticketing):
     """Takes in what the store tells, at first and as it changes."""
 
@@ -52,10 +64,19 @@
         for worker in self.workers_by_id.values():
             worker.unheard_until = min(worker.unheard_until, over_at)
 
-    def take_config(self, config):
-        """Take a newer configuration."""
+    def take_config(self, config, now):
+        """Take a newer configuration.
+
+        Args:
+          config: A queue.Config.
+          now: A float.
+        """
         self._queues_by_name = {queue.name: queue for queue in config.queues}
+        self._services = config.list_services()
         self.needs_round = True
+        waiting, self._unnamed_by_id = self._unnamed_by_id, {}
+        for listed in waiting.values():
+            self.take_worker(listed.entry, listed.revision, now)
 
     def take_worker(self, entry, revision, now):
         """Take a worker's entry, new or changed.
@@ -66,6 +87,14 @@
           now: A float.
         """
         worker = self.workers_by_id.get(entry.worker_id)
+        if entry.service not in self._services:
+            # Another writer's, or of a service that a later configuration names: it
+            # must not take the place of a worker by its address either.
+            self._unnamed_by_id[entry.worker_id] = ListedWorker(entry, revision)
+            if worker is not None:
+                self._unlist(worker)
+            return
+        self._unnamed_by_id.pop(entry.worker_id, None)
         is_new = worker is None or worker.entry.address != entry.address
         if is_new and self._is_replaced(entry, revision, now):
             return
@@ -109,6 +138,7 @@
           may_come_back: A bool, whether the store was away, so that entries of
             workers that live have lapsed and come back within a while.
         """
+        self._unnamed_by_id.pop(worker_id, None)
         worker = self.workers_by_id.get(worker_id)
         if worker is None or not worker.is_listed:
             return
@@ -116,7 +146,12 @@
         if may_come_back and is_alive:
             worker.unlisted_at = worker.unlisted_at or now + RELIST_S
         else:
-            worker.is_listed = False
+            self._unlist(worker)
+
+    def _unlist(self, worker):
+        """Give a worker no starts any more; what runs there goes on."""
+        worker.is_listed = False
+        worker.unlisted_at = None
 
     def keep_listed(self, listed_ids, now, may_come_back=False):
         """Take a whole list of workers; the others are dropped likewise.
@@ -126,7 +161,8 @@
           now: A float.
           may_come_back: As for `drop_worker`.
         """
-        for worker_id in set(self.workers_by_id) - listed_ids:
+        known = self.workers_by_id.keys() | self._unnamed_by_id.keys()
+        for worker_id in known - listed_ids:
             self.drop_worker(worker_id, now, may_come_back)
 
     # Jobs.
--- a/thornport/cell/decisions/reserving_test.py
+++ b/thornport/cell/decisions/reserving_test.py
@@ -118,7 +118,7 @@
     def setUp(self):
         self.now = NOW
         self.core = core.CellCore(1, self.now, self.now, 120.0)
-        self.core.take_config(queue.Config(1, (WIDE_QUEUE, SMALL_QUEUE)))
+        self.core.take_config(queue.Config(1, (WIDE_QUEUE, SMALL_QUEUE)), 0.0)
         entry = messages.WorkerEntry("w1", "a:1", "solver", "h", READY, ROOM)
         self.core.take_worker(entry, 1, self.now)
         request = self.core.make_hold("w1", self.now)
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -31,7 +31,7 @@
     def setUp(self):
         self.now = 100.0
         self.core = core.CellCore(1, self.now, self.now, 120.0)
-        self.core.take_config(queue.Config(1, (URGENT, WIDE, FILLER)))
+        self.core.take_config(queue.Config(1, (URGENT, WIDE, FILLER)), 0.0)
         for number in range(WORKERS):
             self.add_worker(f"w{number:03}", number)
         self.greet()
--- a/thornport/cell/decisions/yielding_test.py
+++ b/thornport/cell/decisions/yielding_test.py
@@ -86,7 +86,7 @@
     def setUp(self):
         super().setUp()
         config = queue.Config(1, (URGENT, GANGS, CHEAP, ticketing_test.FILLER))
-        self.core.take_config(config)
+        self.core.take_config(config, 0.0)
         # 48 of 64 cores at each worker: 16 are left, too few for a gang's task of 18.
         step = spec.Step(
             ticketing_test.WORKERS,
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -47,6 +47,8 @@
         self._ports = session.ports
         self._followers = []
         self._kept_cancels = []
+        # Revisions of entries that no worker wrote, by the id that they are under.
+        self._left_out = {}
         self._workers_at = None
         self._inbox_at = None
 
@@ -119,19 +121,24 @@
     def _take_workers(self, items):
         listed = set()
         for item in items:
-            listed.add(item.key.removeprefix(self._ports.worker_prefix))
-            self._take_worker(item)
+            if self._take_worker(item):
+                listed.add(item.key.removeprefix(self._ports.worker_prefix))
         self._core.keep_listed(listed, clock.read_monotonic(), self._may_come_back())
         self._session.pump()
 
     def _take_worker(self, item):
-        """Take an entry; an item that was read, or a change that has a value."""
+        """Take an entry; an item that was read, or a change that has a value.
+
+        Returns:
+          A bool, whether it is the entry of a worker.
+        """
         worker_id = item.key.removeprefix(self._ports.worker_prefix)
         try:
             entry = self._ports.decode_worker(worker_id, item.value)
         except self._ports.decode_errors as error:
-            logs.log("worker-entry-undecodable", worker=worker_id, reason=str(error))
-            return
+            self._leave_out(worker_id, item.revision, str(error))
+            return False
+        self._left_out.pop(worker_id, None)
         known = self._core.workers_by_id.get(worker_id)
         if known is None or known.entry.state is not entry.state:
             logs.log(
@@ -141,6 +148,14 @@
                 labels=",".join(sorted(entry.labels)),
             )
         self._core.take_worker(entry, item.revision, clock.read_monotonic())
+        return True
+
+    def _leave_out(self, worker_id, revision, reason):
+        """Take no worker from an entry that some other writer has made."""
+        if self._left_out.get(worker_id) != revision:
+            self._left_out[worker_id] = revision
+            logs.log("worker-entry-undecodable", worker=worker_id, reason=reason)
+        self._core.drop_worker(worker_id, clock.read_monotonic())
 
     def _may_come_back(self):
         """Whether entries lapse because the store was away a moment ago."""
@@ -149,6 +164,7 @@
     def _take_worker_change(self, change):
         if change.value is None:
             worker_id = change.key.removeprefix(self._ports.worker_prefix)
+            self._left_out.pop(worker_id, None)
             logs.log("worker-unlisted", worker=worker_id, revision=change.revision)
             self._core.drop_worker(
                 worker_id, clock.read_monotonic(), self._may_come_back()
--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -1,20 +1,24 @@
-"""A cancel reaches the owner by the store alone, also when a watch falls silent.
+"""What the owner takes from the store alone: cancels, and the entries of workers.
 
-In simulated time: the word of the process that took the cancel is lost, and so is the
-answer to the watch that the owner has open just then.
+In simulated time: the word of the process that took a cancel is lost, and so is the
+answer to the watch that the owner has open just then. Among the entries of workers are
+some that other writers made.
 """
 
 import types
 import unittest
+from unittest import mock
 
 import msgspec
 from returns import result
 from twisted.internet import defer, task
 
+from thornport.cell.decisions import core
 from thornport.cell.owner import following
-from thornport.jobs import record
+from thornport.jobs import queue, record
 from thornport.kernel import httpcalls, metrics
-from thornport.platform import store
+from thornport.platform import entries_test, store, workers
+from thornport.store import transactions
 
 STEP_S = 0.01
 CANCEL_S = 3.0  # from the acknowledgement of a cancel on, the least of the users
@@ -80,5 +84,80 @@
         self.assertEqual(list(session.cancelled_at_by_id), ["a"])
 
 
+class CoreSession:
+    """An ownership with a core, which is told of workers."""
+
+    def __init__(self):
+        self.core = core.CellCore(1, 0.0, 17.0, 120.0)
+        press = queue.Queue("press", service="press-desk")
+        self.core.take_config(queue.Config(1, (press,)), 0.0)
+        self.ports = types.SimpleNamespace(
+            store=types.SimpleNamespace(was_away_within=lambda seconds: False),
+            worker_prefix=workers.ENTRY_PREFIX,
+            decode_worker=workers.decode_entry,
+            decode_errors=(workers.EntryError,),
+        )
+        self.is_active = True
+
+    def pump(self):
+        """Nothing is carried out."""
+
+
+class ForeignEntries(unittest.TestCase):
+    """Entries that can't be decoded cost nothing beside them, and one line each."""
+
+    def setUp(self):
+        self.session = CoreSession()
+        self.core = self.session.core
+        self.followed = following.Following(task.Clock(), self.session)
+        patch = mock.patch.object(following.logs, "log")
+        self.log = patch.start()
+        self.addCleanup(patch.stop)
+
+    def make_item(self, number, revision, **changes):
+        """Make the item of a worker's entry."""
+        entry = entries_test.ENTRY | {"address": f"10.0.0.{number}:80"} | changes
+        key = f"{workers.ENTRY_PREFIX}i-{number}"
+        return transactions.Item(key, msgspec.json.encode(entry), revision)
+
+    def count_lines(self):
+        """How many lines tell of an entry that was left out."""
+        events = [call.args[0] for call in self.log.call_args_list]
+        return events.count("worker-entry-undecodable")
+
+    def list_usable(self):
+        """The ids of workers that get starts, once they have answered."""
+        workers_by_id = self.core.workers_by_id
+        return sorted(w.worker_id for w in workers_by_id.values() if w.is_listed)
+
+    def test_page_with_entries_of_others(self):
+        garbage = transactions.Item("servers/x", b"\xff\xfe", 4)
+        items = [
+            self.make_item(1, 2),
+            garbage,
+            self.make_item(2, 5, state="resting"),
+            self.make_item(3, 6, service="elsewhere"),
+            self.make_item(4, 7),
+        ]
+        for _ in range(3):
+            self.followed._take_workers(items)
+        self.assertEqual(self.list_usable(), ["i-1", "i-4"])
+        self.assertEqual(self.count_lines(), 2)
+
+    def test_entry_of_a_worker_goes_bad_and_good_again(self):
+        self.followed._take_workers([self.make_item(1, 2), self.make_item(2, 3)])
+        bad = self.make_item(1, 4, slots="many")
+        change = transactions.Change(bad.key, bad.value, bad.revision)
+        self.followed._take_worker_change(change)
+        self.assertEqual(self.list_usable(), ["i-2"])
+        self.followed._take_workers([bad, self.make_item(2, 3)])
+        self.assertEqual(self.list_usable(), ["i-2"])
+        good = self.make_item(1, 5)
+        change = transactions.Change(good.key, good.value, good.revision)
+        self.followed._take_worker_change(change)
+        self.assertEqual(self.list_usable(), ["i-1", "i-2"])
+        self.assertEqual(self.count_lines(), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -104,7 +104,7 @@
           A bool, whether this ownership goes on.
         """
         began = clock.read_monotonic()
-        self.core.take_config(config)
+        self.core.take_config(config, began)
         self.core.start_reading()
         # Beside one another, for a slow store takes 0.4 s for each answer.
         registering = tasks.spawn(self._register(), "register")
--- a/thornport/jobs/queue.py
+++ b/thornport/jobs/queue.py
@@ -50,12 +50,18 @@
       queues: A tuple of Queue.
       guarded_services: Names of services whose workers refuse what does not fit.
       max_body_bytes: An int, the largest body taken from callers.
+      services: Names of the services there are.
     """
 
     version: int
     queues: tuple[Queue, ...]
     guarded_services: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
+    services: frozenset[str] = frozenset()
+
+    def list_services(self):
+        """The names of all services that it names, those of queues too; a frozenset."""
+        return self.services.union(queue.service for queue in self.queues)
 
 
 def find_queue(config, host, path):
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -57,7 +57,7 @@
         config.decode_config,
         workers.ENTRY_PREFIX,
         workers.decode_entry,
-        (msgspec.MsgspecError, ValueError),
+        (msgspec.MsgspecError, ValueError, workers.EntryError),
     )
 
 
--- a/thornport/platform/config.py
+++ b/thornport/platform/config.py
@@ -67,6 +67,7 @@
         tuple(decode_route(route) for route in wire.routes),
         frozenset(s.name for s in wire.services if s.rejects_overload),
         wire.limits.max_body_bytes,
+        frozenset(s.name for s in wire.services),
     )
 
 
--- /dev/null
+++ b/thornport/platform/entries_test.py
@@ -0,0 +1,106 @@
+"""Entries of workers that some other writer made: none names a worker to use."""
+
+import base64
+import unittest
+
+import msgspec
+from returns import result
+
+from thornport.kernel import httpcalls
+from thornport.platform import store, workers
+
+ENTRY = {
+    "service": "press-desk",
+    "address": "10.0.0.1:8080",
+    "zone": "h1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 2},
+    "labels": ["a", "r1"],
+    "seq": 4,
+}
+
+
+def decode(worker_id="i-1", **changes):
+    """Decode an entry with some fields changed; None takes one out."""
+    changed = {key: value for key, value in (ENTRY | changes).items() if value != ""}
+    return workers.decode_entry(worker_id, msgspec.json.encode(changed))
+
+
+class ForeignEntries(unittest.TestCase):
+    """What can't be the entry of a worker is told as such, whatever it is."""
+
+    def test_entry_of_a_worker(self):
+        entry = decode()
+        self.assertEqual(entry.total.accelerators, 2)
+        self.assertEqual((entry.rack, entry.labels), ("r1", {"a", "r1"}))
+        self.assertEqual(decode(more="unknown").total, entry.total)
+
+    def test_each_field_missing(self):
+        for name in ENTRY:
+            with self.subTest(name=name), self.assertRaises(workers.EntryError):
+                decode(**{name: ""})
+
+    def test_each_field_of_another_type(self):
+        for name in ENTRY:
+            for value in (None, 1.5, True, [1], {"a": 1}, -1 if name != "seq" else []):
+                with (
+                    self.subTest(name=name, value=value),
+                    self.assertRaises(workers.EntryError),
+                ):
+                    decode(**{name: value})
+
+    def test_state_that_is_not_known(self):
+        with self.assertRaises(workers.EntryError):
+            decode(state="resting")
+
+    def test_address_that_is_none(self):
+        for address in (
+            "nowhere",
+            "10.0.0.1",
+            "10.0.0.1:",
+            "10.0.0.1:0",
+            "host:80",
+            ":1",
+        ):
+            with self.subTest(address=address), self.assertRaises(workers.EntryError):
+                decode(address=address)
+
+    def test_id_that_can_not_go_into_a_call(self):
+        for worker_id in ("", "i-1\r\nHost: x", "a b", "i/1"):
+            with (
+                self.subTest(worker_id=worker_id),
+                self.assertRaises(workers.EntryError),
+            ):
+                decode(worker_id)
+
+    def test_bytes_that_can_not_be_read(self):
+        deep = b'{"service":' + b"[" * 100_000
+        for value in (b"", b"\xff\xfe", b"\x00", b"null", b"[]", b"{", b'"x"', deep):
+            with self.subTest(value=value[:12]), self.assertRaises(workers.EntryError):
+                workers.decode_entry("i-1", value)
+
+
+class ValuesBesideOneAnother(unittest.TestCase):
+    """A value that can't be decoded costs nothing beside it in an answer."""
+
+    def test_page_and_watch(self):
+        good = base64.b64encode(b"good").decode()
+        rows = [
+            {"key": "servers/a", "value": "%%%", "rev": 1},
+            {"key": "servers/b", "value": good, "rev": 2},
+        ]
+        answer = result.Success(
+            httpcalls.Answer(200, msgspec.json.encode({"items": rows, "at": 2}))
+        )
+        page = store.decode_body(answer, store.WirePage).map(store.decode_page).unwrap()
+        self.assertEqual([item.value for item in page.items], [b"%%%", b"good"])
+        events = store.WireEvents([store.WireItem(**row) for row in rows], 2)
+        changes = store.decode_events(events).changes
+        self.assertEqual([change.value for change in changes], [b"%%%", b"good"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from thornport.kernel import httpcalls
+from thornport.kernel import httpcalls, logs
 from thornport.store import port, transactions
 
 WATCH_SLACK_S = 0.6  # beyond the wait, for the way there and back
@@ -210,9 +210,24 @@
         return result.Failure(port.Unavailable(f"bad answer: {error}"))
 
 
+def decode_value(wire):
+    """Decode the value of an item; one that can't be is left to its reader as it is.
+
+    Args:
+      wire: A WireItem.
+    Returns:
+      Bytes.
+    """
+    try:
+        return base64.b64decode(wire.value, validate=True)
+    except ValueError as error:
+        logs.log("value-undecodable", key=wire.key, reason=str(error))
+        return wire.value.encode()
+
+
 def decode_item(wire):
     """Decode an item."""
-    return transactions.Item(wire.key, base64.b64decode(wire.value), wire.rev)
+    return transactions.Item(wire.key, decode_value(wire), wire.rev)
 
 
 def decode_page(wire):
@@ -226,7 +241,7 @@
     changes = [
         transactions.Change(
             event.key,
-            None if event.gone else base64.b64decode(event.value),
+            None if event.gone else decode_value(event),
             event.rev,
         )
         for event in wire.events
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -1,5 +1,9 @@
 """The platform's workers over HTTP, and their entries in the store."""
 
+import ipaddress
+import re
+from typing import Annotated
+
 import msgspec
 from returns import result
 
@@ -13,26 +17,43 @@
 # 100 KB, 0.4 s on a slow link; two holds fit into a lease of 6 s.
 HOLD_ANSWER_S = 1.3
 ENTRY_PREFIX = "servers/"
+WORKER_ID = re.compile(r"[\w.:-]+", re.ASCII)
+MAX_PORT = 65_535
+
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class WireRoom(msgspec.Struct, frozen=True):
     """`capacity` of a worker."""
 
-    cpu: int = 0  # thousandths of a core
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count  # thousandths of a core
+    mem_mb: Count
+    gpu: Count = 0
 
 
 class WireEntry(msgspec.Struct, frozen=True):
-    """The value under `servers/ID`."""
+    """The value under `servers/ID`.
+
+    Whoever else writes there leaves fields out, so those that workers always give are
+    asked for, also where nothing here uses them.
+    """
 
     service: str
     address: str
     zone: str
+    version: str  # of its software
+    slots: Count
     state: str
-    capacity: WireRoom = WireRoom()
-    labels: list[str] = []  # its kind, then its rack
-    remaining_ms: int = 0
+    cold_remaining_ms: Count
+    seq: int
+    capacity: WireRoom
+    labels: list[str]  # its kind, then its rack
+    remaining_ms: Count = 0
+
+
+class EntryError(Exception):
+    """A value in the store is no entry of a worker."""
 
 
 class WireHold(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -107,6 +128,22 @@
     return messages.TaskKey(job_id, int(time), int(step), int(index))
 
 
+def check_names(worker_id, address):
+    """Check what goes into a call: a worker's id is a header of it.
+
+    Args:
+      worker_id, address: A str each.
+    Raises:
+      ValueError: It can't be the id of a worker, or is not `IP:PORT`.
+    """
+    if not WORKER_ID.fullmatch(worker_id):
+        raise ValueError(f"no worker id: {worker_id!r}")
+    ip, _, port = address.rpartition(":")
+    ipaddress.ip_address(ip.strip("[]"))
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"no port: {port!r}")
+
+
 def decode_entry(worker_id, value):
     """Decode a worker's entry.
 
@@ -116,16 +153,21 @@
     Returns:
       A messages.WorkerEntry.
     Raises:
-      msgspec.MsgspecError: The bytes are no such entry.
+      EntryError: The bytes are no such entry.
     """
-    wire = msgspec.json.decode(value, type=WireEntry)
+    try:
+        wire = msgspec.json.decode(value, type=WireEntry)
+        check_names(worker_id, wire.address)
+        state = messages.WorkerState(wire.state)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise EntryError(str(error)) from error
     room = wire.capacity
     return messages.WorkerEntry(
         worker_id,
         wire.address,
         wire.service,
         wire.zone,
-        messages.WorkerState(wire.state),
+        state,
         spec.Demand(room.cpu, room.mem_mb, room.gpu),
         frozenset(wire.labels),
         wire.labels[1] if len(wire.labels) > 1 else "",
