Prove crashing tasks, changing rooms and foreign entries with real processes

Cause: the core's tests hold the decisions; that the watch, the records and the calls carry them was not shown.

Change: the stand-in platform has tasks that crash the worker that starts them (another life takes its address), and workers whose room changes while they run. The log lists a worker anew when its room changes, with its room; a job that has failed shows its cause in thornport jobs and in job-ended.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,7 +6,9 @@
 goes), `revokes` (every lease ends at once, with its keys), `keeps_leases` (none runs
 out), `slow_ms` (each call waits that long), `late_starts_ms` (workers leave starts
 unanswered and carry them out that much later), `unlisted` (workers live, but their
-entries are gone while this is set). `POST /crash` replaces a worker by another life.
+entries are gone while this is set). `POST /crash` replaces a worker by another life,
+`POST /room?cores=N` changes what each worker has while it runs. A task of a job whose
+text is `crash` crashes the worker that starts it; another life takes its address.
 `GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
 to be carried out.
 """
@@ -59,6 +61,7 @@
         self.crashed = []
         self.late_starts = 0
         self.entries_by_key = {}
+        self.addresses_by_id = {}
         self.numbers = itertools.count()
 
     def tick(self):
@@ -135,7 +138,13 @@
         return self.jobs_by_id[key.job_id].job.steps[key.step]
 
     def add_worker(self):
-        """Start a life of a worker and list it in the store."""
+        """Start a worker and list it in the store."""
+        worker = self.make_life()
+        address = serve.listen(platform_worker.WorkerApp(self, worker).app)
+        self.list_life(worker, address)
+
+    def make_life(self):
+        """Start a life of a worker; a leased_worker.LeasedWorker."""
         number = next(self.numbers)
         worker_id = f"i-{number:04x}"
         total = spec.Demand(self.options.cores * 1000, 131_072, 0)
@@ -143,7 +152,12 @@
         rate = SLOW_CLOCK if number % 2 else 1.0
         worker = leased_worker.LeasedWorker(worker_id, total, rate)
         self.workers_by_id[worker_id] = worker
-        address = serve.listen(platform_worker.WorkerApp(self, worker).app)
+        return worker
+
+    def list_life(self, worker, address):
+        """List a life of a worker in the store, anew if it changed."""
+        total = worker.total
+        self.addresses_by_id[worker.worker_id] = address
         entry = {
             "service": "press-desk",
             "address": address,
@@ -153,13 +167,35 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "capacity": {"cpu": total.millicores, "mem_mb": total.memory_mb},
-            "labels": ["a", f"r{number % 2}"],
+            "labels": ["a", f"r{int(worker.worker_id[2:], 16) % 2}"],
             "seq": 1,
         }
         value = base64.b64encode(msgspec.json.encode(entry)).decode()
-        key = workers.ENTRY_PREFIX + worker_id
+        key = workers.ENTRY_PREFIX + worker.worker_id
         self.entries_by_key[key] = value
         self.store.commit([], [(key, value, 0)], [])
+        self.wake()
+
+    def replace_life(self, worker):
+        """End a life without a word and start another at its address.
+
+        Args:
+          worker: A leased_worker.LeasedWorker.
+        Returns:
+          The other life.
+        """
+        del self.workers_by_id[worker.worker_id]
+        self.crashed.append(worker)
+        self.store.commit([], [], [workers.ENTRY_PREFIX + worker.worker_id])
+        later = self.make_life()
+        self.list_life(later, self.addresses_by_id[worker.worker_id])
+        return later
+
+    def change_room(self, cores):
+        """Change what each worker has; its entry tells."""
+        for worker in self.workers_by_id.values():
+            worker.total = spec.Demand(cores * 1000, worker.total.memory_mb, 0)
+            self.list_life(worker, self.addresses_by_id[worker.worker_id])
 
 
 def call_once(waiter):
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -155,6 +155,12 @@
         self._platform.wake()
         return b"{}"
 
+    @app.route("/room", methods=["POST"])
+    def change_room(self, request):
+        """Change what each worker has."""
+        self._platform.change_room(int(read_argument(request, "cores")))
+        return b"{}"
+
     @app.route("/seen", methods=["GET"])
     def seen(self, request):
         """Tell what the workers saw."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -10,6 +10,9 @@
 from thornport.cell.decisions import messages
 from thornport.platform import workers
 
+CRASHING_TEXT = "crash"  # of jobs whose tasks crash the worker that starts them
+CRASH_S = 0.01  # from the start to the end of the worker
+
 
 class WorkerApp:
     """The interface of one life of a worker."""
@@ -31,6 +34,11 @@
         expected = request.getHeader(workers.EXPECT_HEADER)
         return expected is not None and expected != self._worker.worker_id
 
+    def _crash(self, worker):
+        """End the life of a worker and what runs there; another has its address."""
+        if worker is self._worker:
+            self._worker = self._platform.replace_life(worker)
+
     async def _keep_silent_if_crashed(self):
         """Say nothing for ever once this life has crashed."""
         if self._worker.worker_id not in self._platform.workers_by_id:
@@ -99,6 +107,8 @@
         count = len(self._worker.started)
         outcome = self._worker.start(order, step.demand, run_ms, False, now)
         if len(self._worker.started) > count:
+            if wire.spec == CRASHING_TEXT:
+                reactor.callLater(CRASH_S, self._crash, self._worker)
             if elsewhere:
                 self._platform.twice.append(wire.task)
             every_life = [
@@ -130,6 +140,7 @@
         if self._is_other(request):
             return serve.reply(request, 421, {})
         await self._keep_silent_if_crashed()
+        worker = self._worker
         wire = msgspec.json.decode(request.content.read(), type=workers.WireHold)
         look = messages.HoldRequest(
             self._worker.worker_id,
@@ -142,7 +153,11 @@
         outcome = self._worker.hold(look, time.monotonic())
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
-        await self._platform.wait_for(lambda: self._worker.ended, wire.wait_ms)
+        await self._platform.wait_for(
+            lambda: worker is not self._worker or worker.ended, wire.wait_ms
+        )
+        if worker is not self._worker:
+            return serve.reply(request, 421, {})
         outcome = self._worker.hold(look, time.monotonic())
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -30,6 +30,7 @@
     Attributes:
       tasks, done, live: Ints; a live task is ordered, running or being stopped.
       failures: An int, failed runs.
+      crash_points: An int, the most evidence that a task of it crashes its workers.
       waits_for: A Waiting.
     """
 
@@ -39,6 +40,7 @@
     done: int
     live: int
     failures: int
+    crash_points: int
     waits_for: Waiting
 
 
@@ -47,6 +49,7 @@
 
     Attributes:
       state: The record.JobState that callers are shown.
+      cause: The record.FailureCause of a job that has failed; None else.
       steps: StepViews; none of a job that is over.
     """
 
@@ -55,6 +58,7 @@
     state: record.JobState
     accepted_at_ms: int
     steps: tuple[StepView, ...] = ()
+    cause: record.FailureCause | None = None
 
 
 class LateStep(msgspec.Struct, frozen=True):
@@ -150,7 +154,12 @@
     def _view_job(self, job, steps=()):
         kept = job.record
         return JobView(
-            job.job_id, kept.queue.name, job.shown_state, kept.accepted_at_ms, steps
+            job.job_id,
+            kept.queue.name,
+            job.shown_state,
+            kept.accepted_at_ms,
+            steps,
+            job.cause if job.shown_state is record.JobState.FAILED else None,
         )
 
     def _view_step(self, job, step, now):
@@ -161,6 +170,7 @@
             step.spec.count if step.is_done else len(step.done),
             len(step.live_by_index),
             sum(step.failures_by_index.values()),
+            max(step.crash_points_by_index.values(), default=0),
             self._find_waiting(job, step, now),
         )
 
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -140,11 +140,15 @@
             return False
         self._left_out.pop(worker_id, None)
         known = self._core.workers_by_id.get(worker_id)
-        if known is None or known.entry.state is not entry.state:
+        if known is None or has_changed(known.entry, entry):
             logs.log(
                 "worker-listed",
                 worker=worker_id,
                 state=entry.state.value,
+                millicores=entry.total.millicores,
+                memory_mb=entry.total.memory_mb,
+                accelerators=entry.total.accelerators,
+                revision=item.revision,
                 labels=",".join(sorted(entry.labels)),
             )
         self._core.take_worker(entry, item.revision, clock.read_monotonic())
@@ -227,6 +231,17 @@
             self._core.restore_progress(job_id, kept, now)
 
 
+def has_changed(known, entry):
+    """Tell whether an entry says something new of what a worker takes.
+
+    Args:
+      known, entry: A messages.WorkerEntry each.
+    Returns:
+      A bool.
+    """
+    return (known.state, known.total) != (entry.state, entry.total)
+
+
 def decode_jobs(items):
     """Decode the jobs among the items of the inbox.
 
