Stop the members of a gang that wait for one whose worker is gone

Cause: the release of a lost run waits until its worker has another life or its leases are over, 3.2 s after a crash at the soonest. The other members of a gang wait for it meanwhile and end as alone after 3 s, which is held against us where a job of ours crashed the worker.

Ruled out: taking a port that refuses for the end of the worker. A cut may refuse too while the worker runs on, so the lost member keeps its room.

Change: once a worker refuses a look, the members elsewhere of a gang that has made no progress are stopped. A gang at work is left to end by itself. Counters: runs.lost, jobs.failed.attempts and jobs.failed.crashes.

Before: the new test red (members still there 1 s after the crash). After: green, 117 of the decisions.

--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -136,6 +136,38 @@
         self.assertEqual({states[job_id] for job_id in others}, {"succeeded"})
 
 
+class WaitingGang(unittest.TestCase):
+    """A gang's members wait for one whose worker is gone.
+
+    They end as `alone` when they have waited for 3 s, and the users hold that against
+    us. Another life of the worker comes 3.2 s after a crash at the soonest.
+    """
+
+    def test_others_are_stopped_before_they_end_alone(self):
+        world = make_world()
+        world.crashing = {("bad", 3)}
+        step = cellworld.make_step(6, 40, LONG_MS, gang=True)
+        world.submit(cellworld.make_job("bad", step))
+        while not world.crashes_by_key:
+            world.step()
+        world.run(1.0)
+        active = [w.active_by_key for w in world.workers_by_id.values()]
+        self.assertFalse(any(active))
+        self.assertEqual(world.read_states(), {"bad": "running"})
+
+    def test_gang_at_work_is_left_alone(self):
+        # Its other members end by themselves, as broken, once one is missed.
+        world = make_world()
+        step = cellworld.make_step(6, 40, 20_000, gang=True)
+        world.submit(cellworld.make_job("a", step))
+        world.run(4)
+        world.crash_for_a_while("w0")
+        world.run(1.0)
+        active = [w.active_by_key for w in world.workers_by_id.values()]
+        self.assertEqual(len(active), 5)
+        self.assertTrue(all(active))
+
+
 class NotCondemned(unittest.TestCase):
     """Workers crash, and none of the tasks there is the cause."""
 
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -96,6 +96,8 @@
             worker.avoid(now + ending.AVOID_S)
             worker.unanswered_at = now
             worker.note_silence(now)
+            if isinstance(answer, messages.NotReached) and answer.is_refused:
+                self._stop_waiting_gangs(worker, now)
             if has_left(worker, answer, now):
                 self.end_worker(worker, now, notes.WorkerEnd.LEFT)
             return
@@ -111,6 +113,23 @@
             worker.granted_ms = max(worker.granted_ms, worker.clock_ms + leases.HOLD_MS)
         self.needs_round = True
 
+    def _stop_waiting_gangs(self, worker, now):
+        """Stop members of gangs that wait elsewhere for one at a worker that refuses.
+
+        They would end as alone 3 s after their start, with nothing gained: whether the
+        one that they wait for is over is known 3.2 s after a crash at the soonest.
+        """
+        for run in list(worker.runs_by_key.values()):
+            step = self._find_step(run.key)
+            if step is None or not step.spec.gang:
+                continue
+            members = list(step.live_by_index.values())
+            if run not in members or any(member.percent > 0 for member in members):
+                continue
+            for member in members:
+                if member.worker_id != worker.worker_id:
+                    self._stop_run(member, now)
+
     def _judge_loss(self, worker, now):
         """Tell answers that are lost from workers that are."""
         failed_at, worker.unanswered_at = worker.unanswered_at, None
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -219,6 +219,8 @@
     def _take_kept(self, batch, sent_at):
         self.core.take_kept(batch, sent_at, clock.read_monotonic())
         for decided in batch.states if batch is not None else ():
+            if decided.cause is not None:
+                self.metrics.count(f"jobs.failed.{decided.cause.value}")
             if decided.state in record.FINAL_STATES:
                 logs.log(
                     "job-ended",
@@ -259,6 +261,7 @@
             self.lose("a worker has seen a higher token")
             return
         for note in self.core.take_notes():
+            self.metrics.count("runs.lost")
             noting.log_note(note)
         for order in self.core.take_orders():
             orders.carry_out(order, self)
