Try a task that may have crashed its worker with nothing beginning beside it

Cause: all that a crash has ended is free at the same moment. Started again together it was crashed together once more, and each crash said as much against the innocent as against the cause.

Ruled out: a higher limit (the users allow five crashes); waiting until a worker is calm (in a busy cell it never is).

Before: red in the core for cells of 1, 2, 3 and 6 workers that are back at once or after 0.1 and 3 s.

Conclusion: whoever is crashed by chance is told from the cause after one more start.

--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -78,6 +78,7 @@
       cut: Ids of workers that nothing reaches.
       unlisted: Ids of workers that the store does not list, though they live.
       crashing: Pairs of job id and task index: tasks that crash their worker.
+      back_s: A float, after what time a worker that crashed has another life.
       crashes_by_key: How many workers each of them has crashed, by TaskKey.
     """
 
@@ -104,6 +105,7 @@
         self.looks_wait = looks_wait
         self.crashing = set()
         self.crashes_by_key = {}
+        self.back_s = BACK_S
         self._doomed = []
         self._returning = []
         self._unlisted_lives = []
@@ -176,7 +178,7 @@
         del self.workers_by_id[worker_id]
         self.owner.drop_worker(worker_id, self.now)
 
-    def crash_for_a_while(self, worker_id, back_s=BACK_S):
+    def crash_for_a_while(self, worker_id):
         """A worker ends with all that ran there; another life takes its address.
 
         Its entry stays until it lapses, here until the other life's is there.
@@ -184,7 +186,7 @@
         self.workers_by_id.pop(worker_id)
         self.open_looks.pop(worker_id, None)
         self.refusing.add(worker_id)
-        self._returning.append((self.now + back_s, worker_id))
+        self._returning.append((self.now + self.back_s, worker_id))
 
     def _return_lives(self):
         due = [entry for entry in self._returning if entry[0] <= self.now]
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -58,6 +58,8 @@
         self._unnamed_by_id = {}
         self._next_order = 0
         self._recent_losses = collections.deque(maxlen=KEPT_LOSSES)
+        # Workers to which a task that may crash them was sent; see `crashes`.
+        self._trial_ids = set()
         self._lossy_until = now  # answers of workers are being lost until then
         # Runs whose starts wait until their records are kept.
         self._recording = []
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -7,6 +7,9 @@
 after two to four crashes. The users allow five, and each takes a worker away for some
 seconds with all that runs there, some ten tasks in a cell of 24 workers.
 
+A task with points starts where least would be lost, and nothing else starts beside it
+until it has gone on for a while, so that a further crash tells more.
+
 Not to be condemned beside it: a task that is only near, and one whose workers lose
 power with their rack, leave as they said, or serve for long before they end.
 """
@@ -231,6 +234,23 @@
     return [max(suspects, key=points_by_index.get)] if suspects else waiting
 
 
+def is_on_trial(worker_id, workers_by_id, now):
+    """Tell whether a task that may crash a worker has just been sent there.
+
+    Args:
+      worker_id: A str.
+      workers_by_id: Model.Workers by id.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    worker = workers_by_id.get(worker_id)
+    run = worker and worker.trial
+    if run is None or worker.runs_by_key.get(run.key) is not run:
+        return False
+    return not is_proven(run, workers_by_id, now)
+
+
 def is_proven(run, workers_by_id, now):
     """Tell whether a run has gone on for a while at a worker that answers.
 
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -177,6 +177,23 @@
         states = world.read_states()
         self.assertEqual({states[job_id] for job_id in job_ids}, {"succeeded"})
 
+    def test_tasks_that_start_again_beside_the_one_that_crashes_the_worker(self):
+        # All that a crash has ended is free at the same moment, so it would start again
+        # together: on one worker, where it has room, and be crashed together.
+        for worker_count, back_s in itertools.product((1, 2, 3, 6), (0.0, 0.1, 3.0)):
+            world = make_world(worker_count)
+            world.back_s = back_s
+            world.crashing = {("bad", 0)}
+            world.submit(cellworld.make_job("bad", cellworld.make_step(1, 4, 200)))
+            job_ids = [f"j{number}" for number in range(6)]
+            for job_id in job_ids:
+                step = cellworld.make_step(2, 4, 200)
+                world.submit(cellworld.make_job(job_id, step))
+            world.run(60)
+            states = world.read_states()
+            self.assertEqual(states.pop("bad"), "failed")
+            self.assertEqual(set(states.values()), {"succeeded"})
+
     def test_rack_loses_power_again_and_again(self):
         world = make_world(worker_count=8)
         world.racks_by_worker = {f"w{n}": f"r{n // 4}" for n in range(8)}
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -113,6 +113,8 @@
         look; None after an answer.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
+      trial: The Run of a task that may crash it, started here last; None if there was
+        none. Nothing else starts until it has gone on for a while; see `crashes`.
       pace_count, pace_log: Ends so far, and the mean logarithm of the time that
         a task took against its estimate.
     """
@@ -141,6 +143,7 @@
     silent_since: float | None = None
     filling_count: int = 0
     serving_count: int = 0
+    trial: Run | None = None
     pace_count: int = 0
     pace_log: float = 0.0
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -94,8 +94,25 @@
         if step.waiting and self._may_ask(step, now):
             self._ask_advice(step, queue, candidates, reserved, now)
 
+    def _list_without_trial(self, workers, now):
+        """List the workers at which no task is on trial.
+
+        All that a crash has ended is free at the same moment. Started again together,
+        on a worker that has room for it, the tasks would be crashed together once more,
+        and the crash would again say as much against each.
+        """
+        if not self._trial_ids:
+            return workers
+        self._trial_ids = {
+            worker_id
+            for worker_id in self._trial_ids
+            if crashes.is_on_trial(worker_id, self.workers_by_id, now)
+        }
+        return [w for w in workers if w.worker_id not in self._trial_ids]
+
     def _start_step(self, job, step, workers, reserved, now):
         wants_fast = self._queue_of(job).priority == 0
+        workers = self._list_without_trial(workers, now)
         startable = crashes.list_startable(step, self.workers_by_id, now)
         assigned = placing.assign_step(step, workers, reserved, wants_fast, startable)
         if not assigned:
@@ -118,6 +135,9 @@
             step.live_by_index[assignment.index] = run
             reserved.take_room(step, worker)
             worker.add_run(run)
+            if assignment.index in step.crash_points_by_index:
+                worker.trial = run
+                self._trial_ids.add(worker.worker_id)
             self._recording.append(run)
         job.has_begun = True
         if job.state is record.JobState.QUEUED:
