Let an outage of a rack say little, and only against what had just begun

Cause: an outage excused all that ran there.

Tried and left: excusing the first start alone, with what is on trial counted from then on (an innocent task that starts a moment before each of six outages was given up; with workers that had nothing young beside, 16 crashing tasks still got a sixth start); excusing each suspect once (likewise).

Change: an outage gives one point to what had begun within 0.25 s and none to others, so no crash counts for nothing and four are the most.

Before: the new test with a rack of four workers red.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -54,11 +54,11 @@
     """What a crash says against the task of a run.
 
     Attributes:
-      points: An int; 0 for a run that can't have caused it.
+      points: An int; None for a run that can't have caused it.
     """
 
     run: model.Run
-    points: int
+    points: int | None
 
 
 def compute_ran_s(worker, run, now):
@@ -98,9 +98,7 @@
       A Loss.
     """
     young = frozenset(
-        read_step_key(run)
-        for run in list_begun(worker)
-        if is_within(compute_ran_s(worker, run, now), YOUNG_S)
+        read_step_key(run) for run in list_begun(worker) if is_young(worker, run, now)
     )
     lost_at = find_lost_at(worker, now)
     return Loss(worker.worker_id, lost_at, worker.entry.rack, young)
@@ -122,7 +120,7 @@
 
 
 def is_outage(loss, losses, rack_size):
-    """Tell whether a rack lost its power, so that nothing there is the cause.
+    """Tell whether a rack seems to have lost its power.
 
     A step whose tasks crash several workers of a rack at once is no outage.
 
@@ -135,16 +133,15 @@
     """
     if not loss.rack:
         return False
-    together = [
-        other
+    young_by_id = {
+        other.worker_id: other.young
         for other in losses
-        if other.rack == loss.rack
-        and other.worker_id != loss.worker_id
-        and abs(other.at - loss.at) <= OUTAGE_S
-    ]
-    if any(loss.young & other.young for other in together):
+        if other.rack == loss.rack and abs(other.at - loss.at) <= OUTAGE_S
+    }
+    young_by_id.pop(loss.worker_id, None)
+    if any(loss.young & young for young in young_by_id.values()):
         return False
-    count = len(together) + 1
+    count = len(young_by_id) + 1
     return count >= OUTAGE_WORKERS and 2 * count >= rack_size
 
 
@@ -173,6 +170,29 @@
     ]
 
 
+def judge_outage(worker, now):
+    """Say what an outage of its rack tells against each run at a worker.
+
+    Little, and that only against what had begun a moment before: several tasks that
+    crash three workers of a rack within a second look like an outage each time.
+
+    Args:
+      worker: A model.Worker, lost with its runs.
+      now: A float.
+    Returns:
+      A list of Blame, one for each run that may have begun.
+    """
+    return [
+        Blame(run, POINTS if is_young(worker, run, now) else None)
+        for run in list_begun(worker)
+    ]
+
+
+def is_young(worker, run, now):
+    """Tell whether a run had begun a moment before its worker was gone."""
+    return is_within(compute_ran_s(worker, run, now), YOUNG_S)
+
+
 def count_points(run, ran_s, alone):
     """Count the points that a crash gives the task of a run.
 
@@ -182,7 +202,7 @@
       alone: A set of the one messages.StepKey that had begun a moment before, or
         empty when there was none or several.
     Returns:
-      An int.
+      An int, or None where it says nothing.
     """
     if is_within(ran_s, YOUNG_S) and read_step_key(run) in alone:
         return ALONE_POINTS
@@ -190,7 +210,7 @@
         return POINTS
     # A lasting task sees workers crash in the course of time; so does any other, but
     # few of them four.
-    return 0 if alone or run.step.lasting else POINTS
+    return None if alone or run.step.lasting else POINTS
 
 
 def is_within(ran_s, limit_s):
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -75,6 +75,18 @@
         world.run(GIVEN_UP_S)
         self.check_given_up(world)
 
+    def test_several_at_once_on_one_rack(self):
+        # Three workers of a rack are lost within a second again and again.
+        world = make_world(worker_count=4)
+        world.racks_by_worker = {f"w{n}": "r0" for n in range(4)}
+        world.take_over()
+        world.crashing = {(f"bad{n}", 0) for n in range(4)}
+        for number in range(4):
+            step = cellworld.make_step(1, 40, 600)
+            world.submit(cellworld.make_job(f"bad{number}", step))
+        world.run(2 * GIVEN_UP_S)
+        self.assertEqual(set(world.read_states().values()), {"failed"})
+
     def test_owners_are_replaced_after_each_crash(self):
         # A successor comes before the crash is known, during it, or after it.
         for gap_s in (0.1, 1.0, 3.5):
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -207,11 +207,12 @@
         rack_size = sum(
             other.entry.rack == loss.rack for other in self.workers_by_id.values()
         )
-        if not crashes.is_crash(worker, how) or crashes.is_outage(
-            loss, losses, rack_size
-        ):
-            return [crashes.Blame(run, 0) for run in crashes.list_begun(worker)]
-        blames = crashes.judge_crash(worker, how, now)
+        if not crashes.is_crash(worker, how):
+            return [crashes.Blame(run, None) for run in crashes.list_begun(worker)]
+        if crashes.is_outage(loss, losses, rack_size):
+            blames = crashes.judge_outage(worker, now)
+        else:
+            blames = crashes.judge_crash(worker, how, now)
         for blame in blames:
             self._take_blame(blame)
         return blames
@@ -220,7 +221,7 @@
         """Count the points of a task whose run has not ended by then."""
         run = blame.run
         step = self._find_step(run.key)
-        if not blame.points or step is None:
+        if blame.points is None or step is None:
             return
         if step.live_by_index.get(run.key.index) is not run:
             return
@@ -239,7 +240,7 @@
             how,
             None if ran_s is None else int(ran_s * clock.MS_PER_S),
             len(worker.runs_by_key) - 1,
-            blame.points,
+            blame.points or 0,
             step.crash_points_by_index.get(run.key.index, 0) if step else 0,
         )
         self.notes.append(note)
