Judge a lost worker by its own rack, and only if something ran there

Cause: on reading the change. A worker that is listed and silent past its leases was judged ten times a second though nothing ran there any more, and each judgement looked at all workers: 270 times 270 in a large cell that its owner has lost sight of.

Change: nothing is judged where nothing ran, and only workers of the same rack are looked at, 20 of 270.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -187,7 +187,9 @@
     def _lose_runs(self, worker, now, how):
         """All that ran at a worker is over, and the worker does not tell of it."""
         runs = list(worker.runs_by_key.values())
-        blames = self._judge_loss_of(worker, now, how)
+        if not runs:
+            return
+        blames = self._judge_runs(worker, now, how)
         for blame in blames:
             self._note_lost(worker, blame, now, how)
         for run in runs:
@@ -195,21 +197,11 @@
         for blame in blames:
             self._give_up_crashing(blame.run, now)
 
-    def _judge_loss_of(self, worker, now, how):
-        """List the crashes.Blames of the runs at a worker that is lost."""
-        loss = crashes.note_loss(worker, now)
-        others = [
-            crashes.note_loss(other, now)
-            for other in self.workers_by_id.values()
-            if other.silent_since is not None
-        ]
-        losses = [*self._recent_losses, *others]
-        rack_size = sum(
-            other.entry.rack == loss.rack for other in self.workers_by_id.values()
-        )
+    def _judge_runs(self, worker, now, how):
+        """Judge the runs at a worker that is lost; a list of crashes.Blame."""
         if not crashes.is_crash(worker, how):
             return [crashes.Blame(run, None) for run in crashes.list_begun(worker)]
-        if crashes.is_outage(loss, losses, rack_size):
+        if self._is_outage(worker, now):
             blames = crashes.judge_outage(worker, now)
         else:
             blames = crashes.judge_crash(worker, how, now)
@@ -217,6 +209,21 @@
             self._take_blame(blame)
         return blames
 
+    def _is_outage(self, worker, now):
+        """Whether a worker seems to have been lost with its rack."""
+        rack = [
+            other
+            for other in self.workers_by_id.values()
+            if other.entry.rack == worker.entry.rack
+        ]
+        silent = [
+            crashes.note_loss(other, now)
+            for other in rack
+            if other.silent_since is not None
+        ]
+        loss = crashes.note_loss(worker, now)
+        return crashes.is_outage(loss, [*self._recent_losses, *silent], len(rack))
+
     def _take_blame(self, blame):
         """Count the points of a task whose run has not ended by then."""
         run = blame.run
