Tell the lives of workers apart in the log

The log could not show it: worker-listed had neither address nor start, and an end that is passed over looked like one that was taken. Change, no logic: the start is decoded from entries and answers to looks; worker-listed and look-failed name the address, worker-restarted tells of a look that another life answered, run-ended says whether the end was new. A start of another type makes an entry undecodable, like any other field.

--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -53,6 +53,8 @@
       labels: A frozenset of str, what steps may ask for.
       rack: A str.
       leaves_in_ms: An int, the least time until it leaves; 0 if unknown.
+      started_at_ms: An int, milliseconds since 1970, when this life of the worker
+        started; None if it does not say. A worker may start again under its id.
     """
 
     worker_id: str
@@ -64,6 +66,7 @@
     labels: frozenset[str] = frozenset()
     rack: str = ""
     leaves_in_ms: int = 0
+    started_at_ms: int | None = None
 
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
@@ -118,11 +121,16 @@
 
 
 class HoldAnswer(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """What a worker tells of its runs, at `clock_ms` of its own clock."""
+    """What a worker tells of its runs, at `clock_ms` of its own clock.
+
+    Attributes:
+      started_at_ms: As in WorkerEntry, of the life that answers.
+    """
 
     clock_ms: int
     running: list[RunningRow]
     ended: list[EndRow]
+    started_at_ms: int | None = None
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -144,6 +144,8 @@
             logs.log(
                 "worker-listed",
                 worker=worker_id,
+                address=entry.address,
+                started_at_ms=format_start(entry.started_at_ms),
                 state=entry.state.value,
                 millicores=entry.total.millicores,
                 memory_mb=entry.total.memory_mb,
@@ -239,7 +241,17 @@
     Returns:
       A bool.
     """
-    return (known.state, known.total) != (entry.state, entry.total)
+    return read_listed(known) != read_listed(entry)
+
+
+def read_listed(entry):
+    """What a change of the log line for an entry depends on: a tuple."""
+    return entry.state, entry.total, entry.address, entry.started_at_ms
+
+
+def format_start(started_at_ms):
+    """Format the start of a worker's life for the log: empty if it is not known."""
+    return "" if started_at_ms is None else started_at_ms
 
 
 def decode_jobs(items):
--- a/thornport/cell/owner/looks.py
+++ b/thornport/cell/owner/looks.py
@@ -38,6 +38,7 @@
         self._hurried = set()
         self._resting_by_worker = {}
         self._look_by_worker = {}
+        self._start_by_worker = {}
 
     def look_at_new(self):
         """Begin to look at the workers that are not looked at yet."""
@@ -86,19 +87,38 @@
 
     def _take_look(self, request, sent_at, answer):
         now = clock.read_monotonic()
+        worker = self._core.workers_by_id.get(request.worker_id)
+        seen_number = 0 if worker is None else worker.seen_number
         self._core.take_hold(request, sent_at, answer, now)
         if not isinstance(answer, messages.HoldAnswer):
             logs.log(
                 "look-failed",
                 worker=request.worker_id,
+                address=request.address,
                 outcome=type(answer).__name__,
                 reason=getattr(answer.reason, "value", answer.reason),
             )
         else:
             for end in answer.ended:
-                log_end(request.worker_id, end)
+                log_end(request.worker_id, end, end.number > seen_number)
+            self._log_life(request, answer)
         self._session.pump()
 
+    def _log_life(self, request, answer):
+        """Log that a look was answered by another life than the one before."""
+        worker_id, start = request.worker_id, answer.started_at_ms
+        before = self._start_by_worker.get(worker_id, start)
+        self._start_by_worker[worker_id] = start
+        if start != before:
+            logs.log(
+                "worker-restarted",
+                worker=worker_id,
+                address=request.address,
+                before=before,
+                started_at_ms=start,
+                last_seen=request.last_seen,
+            )
+
     async def _rest(self, worker_id, answer, retry_s):
         """Wait until the next look is due."""
         if worker_id in self._hurried:
@@ -135,8 +155,14 @@
             resting.callback(None)
 
 
-def log_end(worker_id, end):
-    """Log the end of a run."""
+def log_end(worker_id, end, is_new):
+    """Log the end of a run.
+
+    Args:
+      worker_id: A str.
+      end: A messages.EndRow.
+      is_new: Whether it was taken; one whose number was seen before is passed over.
+    """
     key = end.key
     logs.log(
         "run-ended",
@@ -145,5 +171,6 @@
         run=end.run,
         worker=worker_id,
         number=end.number,
+        new=is_new,
         how=end.kind.value,
     )
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -22,6 +22,9 @@
 
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
+# `born`: when a life of a worker started, in milliseconds since 1970. Workers that keep
+# to the earlier pages leave it out; null or a fraction is no worker's.
+Born = Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType
 
 
 class WireRoom(msgspec.Struct, frozen=True):
@@ -50,6 +53,7 @@
     capacity: WireRoom
     labels: list[str]  # its kind, then its rack
     remaining_ms: Count = 0
+    born: Born = msgspec.UNSET
 
 
 class EntryError(Exception):
@@ -71,6 +75,7 @@
     clock_ms: int
     running: list[list] = []
     ended: list[list] = []
+    born: Born = msgspec.UNSET
 
 
 class WireStart(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -172,9 +177,15 @@
         frozenset(wire.labels),
         wire.labels[1] if len(wire.labels) > 1 else "",
         wire.remaining_ms,
+        read_start(wire.born),
     )
 
 
+def read_start(born):
+    """Read when a life started: an int, or None when it was not said."""
+    return None if born is msgspec.UNSET else born
+
+
 def decode_hold(body):
     """Decode the answer to a hold.
 
@@ -196,7 +207,7 @@
         )
         for row in wire.ended
     ]
-    return messages.HoldAnswer(wire.clock_ms, running, ended)
+    return messages.HoldAnswer(wire.clock_ms, running, ended, read_start(wire.born))
 
 
 class WorkerClient:
