Incident: workers that restart under their id, timeline and failing tests

Three hypotheses, before any change of logic. Change: tests and stand-ins only. The world of the core's tests has lives that keep their id, with a clock and numbers of their own, and entries that the store lists apart from the lives themselves; it asserts also that no task starts after too many failed runs that were taken note of. Before: four cases red: a task that ran again after it was done (hypothesis 1); runs of an ended life held for ever, of a gang, of a lasting task and at a busy worker (hypothesis 2).

--- a/standins/leased_worker.py
+++ b/standins/leased_worker.py
@@ -34,25 +34,34 @@
     """One life of a worker.
 
     Attributes:
+      started_at_ms: An int that tells the lives under one id apart; None if it does not
+        say.
       started: Triples of TaskKey, run and time, each start that was done.
       over_room: An int, starts that took it past its room.
       noted_done: TaskKeys of ends `done` that it was told are seen.
+      noted_failed: TaskKeys of ends `failed`, likewise, one for each.
       lapsed: TaskKeys of runs that ended with the lease.
       hung_at_ms: An int of its clock from when all its tasks stand still; None
         when they do not.
     """
 
-    def __init__(self, worker_id, total, clock_rate=1.0):
+    def __init__(
+        self, worker_id, total, clock_rate=1.0, started_at_ms=None, began_at=0.0
+    ):
         """Begin.
 
         Args:
           worker_id: A str.
           total: A spec.Demand.
           clock_rate: A float, how fast its clock runs.
+          started_at_ms: An int, or None.
+          began_at: A float, when its clock began.
         """
         self.worker_id = worker_id
         self.total = total
+        self.started_at_ms = started_at_ms
         self._rate = clock_rate
+        self._began_at = began_at
         self._token = 0
         self._deadline_ms = 0
         self._barred_by_key = {}
@@ -62,12 +71,13 @@
         self.started = []
         self.over_room = 0
         self.noted_done = set()
+        self.noted_failed = []
         self.lapsed = []
         self.hung_at_ms = None
 
     def read_clock_ms(self, now):
         """The worker's clock at a time in seconds."""
-        return int(now * 1000 * self._rate)
+        return int((now - self._began_at) * 1000 * self._rate)
 
     def advance(self, now):
         """Let runs end that are due, and kill all when the lease is over."""
@@ -172,8 +182,12 @@
         if request.deadline_ms:
             self._grant(request.deadline_ms, clock_ms)
         for row in self.ended:
-            if row.number <= request.last_seen and row.kind is messages.EndKind.DONE:
+            if row.number > request.last_seen:
+                continue
+            if row.kind is messages.EndKind.DONE:
                 self.noted_done.add(row.key)
+            elif row.kind is messages.EndKind.FAILED:
+                self.noted_failed.append(row.key)
         self.ended = [row for row in self.ended if row.number > request.last_seen]
         running = [
             messages.RunningRow(
@@ -184,4 +198,6 @@
             )
             for active in self.active_by_key.values()
         ]
-        return messages.HoldAnswer(clock_ms, running, list(self.ended))
+        return messages.HoldAnswer(
+            clock_ms, running, list(self.ended), self.started_at_ms
+        )
--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -21,6 +21,8 @@
 CANCEL_S = 3.0
 CONTACT_S = 3.0
 STOP_S = 0.2
+# An entry goes after three heartbeats of silence, by the users.
+ENTRY_S = 4.5
 # A worker that a task has crashed is back after so long, as another life.
 BACK_S = 3.0
 # Starts of a task that crashes its workers: once three have crashed, two more are
@@ -79,6 +81,10 @@
       unlisted: Ids of workers that the store does not list, though they live.
       crashing: Pairs of job id and task index: tasks that crash their worker.
       back_s: A float, after what time a worker that crashed has another life.
+      keeps_id: A bool, whether that has the id of the life before.
+      entries_by_id: What the store lists of workers, also of lives that have ended, as
+        pairs of a messages.WorkerEntry and its revision.
+      ended_lives: Lives of workers that are over.
       crashes_by_key: How many workers each of them has crashed, by TaskKey.
     """
 
@@ -106,6 +112,10 @@
         self.crashing = set()
         self.crashes_by_key = {}
         self.back_s = BACK_S
+        self.keeps_id = False
+        self.entries_by_id = {}
+        self.ended_lives = []
+        self._lapsing = []
         self._doomed = []
         self._returning = []
         self._unlisted_lives = []
@@ -113,10 +123,10 @@
         self.token = 0
         self.revision = 0
         self.late_calls = []
-        self.workers_by_id = {
-            f"w{n}": leased_worker.LeasedWorker(f"w{n}", ROOM, clock_rate)
-            for n in range(worker_count)
-        }
+        self._clock_rate = clock_rate
+        self.workers_by_id = {}
+        for number in range(worker_count):
+            self._begin_life(f"w{number}", 0.0)
         self.noted_done = set()
         self.refusing = set()
         self.is_store_away = False
@@ -134,8 +144,11 @@
         self.open_looks.clear()
         self.owner = core.CellCore(self.token, self.now, self.now + 17.0, 120.0)
         self.owner.take_config(CONFIG, self.now)
-        for worker_id in sorted(self.workers_by_id.keys() - self.unlisted):
-            self.list_worker(worker_id)
+        for worker_id in sorted(self.workers_by_id.keys() - self.entries_by_id.keys()):
+            if worker_id not in self.unlisted | set(self._unlisted_lives):
+                self.list_worker(worker_id)
+        for _, (entry, revision) in sorted(self.entries_by_id.items()):
+            self.owner.take_worker(entry, revision, self.now)
         for kept in self.jobs_by_id.values():
             self.owner.take_job(kept, self.now)
         for job_id, value in self.progress_by_id.items():
@@ -147,6 +160,37 @@
         if is_known_gone:
             self.owner.end_earlier(self.now)
 
+    def _begin_life(self, worker_id, began_at):
+        """Start a life of a worker; nobody lists it yet."""
+        self.workers_by_id[worker_id] = leased_worker.LeasedWorker(
+            worker_id, ROOM, self._clock_rate, int(self.now * 1000), began_at
+        )
+
+    def _end_life(self, worker_id):
+        """End a life with all that runs there; looks that wait there are lost."""
+        life = self.workers_by_id.pop(worker_id)
+        self.noted_done |= life.noted_done
+        self.ended_lives.append(life)
+        self.open_looks.pop(worker_id, None)
+
+    def restart(self, worker_id, is_listed=True):
+        """A worker ends and is there again at once, under its id.
+
+        Args:
+          worker_id: A str.
+          is_listed: A bool, whether the store has the entry of the new life.
+        """
+        self._end_life(worker_id)
+        self._begin_life(worker_id, self.now)
+        if is_listed:
+            self.list_worker(worker_id)
+
+    def list_again(self, entry):
+        """Have a write come late: the store has an entry of a life that is over."""
+        self.revision += 1
+        self.entries_by_id[entry.worker_id] = (entry, self.revision)
+        self.owner.take_worker(entry, self.revision, self.now)
+
     def list_worker(self, worker_id, state=messages.WorkerState.READY, leaves_in_ms=0):
         """Show a worker in the store."""
         worker = self.workers_by_id.get(worker_id)
@@ -159,9 +203,9 @@
             ROOM if worker is None else worker.total,
             rack=self.racks_by_worker.get(worker_id.partition("-")[0], ""),
             leaves_in_ms=leaves_in_ms,
+            started_at_ms=None if worker is None else worker.started_at_ms,
         )
-        self.revision += 1
-        self.owner.take_worker(entry, self.revision, self.now)
+        self.list_again(entry)
 
     def submit(self, kept):
         """Keep a job and tell the owner."""
@@ -175,17 +219,23 @@
 
     def crash(self, worker_id):
         """A worker is lost with all that ran there."""
-        del self.workers_by_id[worker_id]
+        self._end_life(worker_id)
+        self._drop_entry(worker_id)
+
+    def _drop_entry(self, worker_id):
+        self.entries_by_id.pop(worker_id, None)
         self.owner.drop_worker(worker_id, self.now)
 
     def crash_for_a_while(self, worker_id):
         """A worker ends with all that ran there; another life takes its address.
 
-        Its entry stays until it lapses, here until the other life's is there.
+        Its entry stays until it lapses, or until the other life has written its own
+        under the same id.
         """
-        self.workers_by_id.pop(worker_id)
-        self.open_looks.pop(worker_id, None)
+        self._end_life(worker_id)
         self.refusing.add(worker_id)
+        entry, _ = self.entries_by_id.get(worker_id, (None, None))
+        self._lapsing.append((self.now + ENTRY_S, entry))
         self._returning.append((self.now + self.back_s, worker_id))
 
     def _return_lives(self):
@@ -193,21 +243,30 @@
         self._returning = [entry for entry in self._returning if entry[0] > self.now]
         for _, worker_id in due:
             place, _, life = worker_id.partition("-")
-            later = f"{place}-{int(life or 1) + 1}"
+            later = worker_id if self.keeps_id else f"{place}-{int(life or 1) + 1}"
             self.refusing.discard(worker_id)
-            self.workers_by_id[later] = leased_worker.LeasedWorker(later, ROOM, 1.0)
+            self._begin_life(later, self.now)
             self._unlisted_lives.append(later)
         if self.is_store_away:
             return
+        self._lapse_entries()
         for worker_id in self._unlisted_lives:
             if worker_id in self.workers_by_id:
                 self.list_worker(worker_id)
         self._unlisted_lives.clear()
 
+    def _lapse_entries(self):
+        """Drop the entries of ended lives, unless another was written over them."""
+        due = [entry for at, entry in self._lapsing if at <= self.now and entry]
+        self._lapsing = [pair for pair in self._lapsing if pair[0] > self.now]
+        for entry in due:
+            if self.entries_by_id.get(entry.worker_id, (None, 0))[0] == entry:
+                self._drop_entry(entry.worker_id)
+
     def unlist(self, worker_id):
         """The entry of a worker lapses, though the worker lives."""
         self.unlisted.add(worker_id)
-        self.owner.drop_worker(worker_id, self.now)
+        self._drop_entry(worker_id)
 
     def relist(self, worker_id):
         """A worker that lives has its entry back."""
@@ -276,10 +335,10 @@
             is_start = isinstance(order, messages.StartOrder)
             if is_start:
                 self.check_recorded(order)
-            worker = self.workers_by_id.get(order.worker_id)
+            worker = self._find_at(order.address)
             if order.worker_id in self.refusing:
                 outcome = messages.NotReached("refused", is_refused=True)
-            elif worker is None or order.worker_id in self.cut:
+            elif worker is None or worker.worker_id in self.cut:
                 outcome = messages.Unanswered("silent")
             elif self.faults.draw(self.faults.late):
                 due = self.now + self.faults.rng.uniform(*self.faults.late_s)
@@ -328,6 +387,13 @@
             if worker is not None:
                 self._do(worker, order)
 
+    def _find_at(self, address):
+        """The life of a worker that has an address; None if there is none."""
+        for worker in self.workers_by_id.values():
+            if make_address(worker.worker_id) == address:
+                return worker
+        return None
+
     def _loses_answer(self, worker_id):
         return worker_id in self.silenced or self.faults.draw(self.faults.lost)
 
@@ -336,19 +402,14 @@
         look = self.open_looks.pop(worker_id, None) or self._send_look(worker_id)
         if look is None:
             return
-        worker = self.workers_by_id.get(worker_id)
-        is_replaced = worker is None and any(
-            make_address(other) == make_address(worker_id)
-            for other in self.workers_by_id
-        )
-        is_reached = worker is not None and worker_id not in self.cut
-        if is_reached and self.now < look.due and not worker.ended:
+        worker = self._find_at(look.request.address)
+        is_reached = worker is not None and worker.worker_id not in self.cut
+        is_meant = is_reached and worker.worker_id == worker_id
+        if is_meant and self.now < look.due and not worker.ended:
             self.open_looks[worker_id] = look
             return
         if worker_id in self.refusing:
             answer = messages.NotReached("refused", is_refused=True)
-        elif is_replaced:
-            answer = messages.Rejected(messages.Rejection.REPLACED)
         elif not is_reached or self._loses_answer(worker_id):
             answer = messages.Unanswered("lost")
         else:
@@ -408,8 +469,17 @@
         assert worker.over_room == 0, f"{worker.worker_id} is over its room"
         for other in self.workers_by_id.values():
             self.noted_done |= other.noted_done
+        self.check_attempts(order)
         assert order.key not in self.noted_done, f"{order.key} was noted as done"
 
+    def check_attempts(self, order):
+        """No task starts once its failed runs that were taken note of are too many."""
+        lives = [*self.workers_by_id.values(), *self.ended_lives]
+        failed = sum(life.noted_failed.count(order.key) for life in lives)
+        assert failed < QUEUE.max_attempts, (
+            f"{order.key} starts after {failed} failures"
+        )
+
     def read_states(self):
         """The states that callers are shown, by job id."""
         return {
