Know each life of a worker by itself

Cause, shown by the timeline and the failing tests: what was known of a life was kept by the id of its worker, and a worker may start again under its id. Ends that counted from 1 again were passed over until they passed the numbers of the life before, while looks told the new life that they were seen; runs of the ended life were held to be on their way. Change: a life is an id and the time of its start. A look that another life answers makes the owner meet it as a successor would: nothing of clock, ends, leases, pace or suspicion is carried over, runs are in doubt until the next look, which has a higher fencing token than each call before. A look on a new connection, and each look after one that failed, tells a worker of no ends that were seen and does not wait. Nothing starts at a life whose own entry has not come, nor while the store tells of another one. Records name the life that a run was given to, so a successor that alone sees a restart counts the crash. The world: a check of one test was too early (a step that a crash has told against is tried one task after another for 0.5 s); it waits 3 s now instead of 1. Not held: a start without a ticket that comes seconds late to a life which has not been looked at yet runs there; where advice is asked, its ticket is of the life before.

--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from standins import leased_worker
-from thornport.cell.decisions import core, messages
+from thornport.cell.decisions import core, lives, messages
 from thornport.jobs import queue, record, spec
 
 ROOM = spec.Demand(64_000, 131_072, 0)
@@ -47,6 +47,20 @@
     due: float
 
 
+class LateCall(msgspec.Struct, frozen=True):
+    """An order that was left unanswered and is carried out later.
+
+    Attributes:
+      due: A float, when.
+      order: A messages.StartOrder or StopOrder.
+      life: The leased_worker.LeasedWorker that it was sent to.
+    """
+
+    due: float
+    order: messages.StartOrder | messages.StopOrder
+    life: leased_worker.LeasedWorker
+
+
 class Faults:
     """What goes wrong, by the chances of one world.
 
@@ -85,6 +99,8 @@
       entries_by_id: What the store lists of workers, also of lives that have ended, as
         pairs of a messages.WorkerEntry and its revision.
       ended_lives: Lives of workers that are over.
+      has_tickets: A bool, whether a start brings a ticket, as where advice is asked: it
+        holds at one life of a worker alone.
       crashes_by_key: How many workers each of them has crashed, by TaskKey.
     """
 
@@ -115,7 +131,9 @@
         self.keeps_id = False
         self.entries_by_id = {}
         self.ended_lives = []
+        self.has_tickets = True
         self._lapsing = []
+        self._connected = set()
         self._doomed = []
         self._returning = []
         self._unlisted_lives = []
@@ -332,6 +350,9 @@
 
     def _carry_out(self):
         for order in self.owner.take_orders():
+            if isinstance(order, messages.LookAgain):
+                self.open_looks.pop(order.worker_id, None)
+                continue
             is_start = isinstance(order, messages.StartOrder)
             if is_start:
                 self.check_recorded(order)
@@ -342,7 +363,7 @@
                 outcome = messages.Unanswered("silent")
             elif self.faults.draw(self.faults.late):
                 due = self.now + self.faults.rng.uniform(*self.faults.late_s)
-                self.late_calls.append((due, order))
+                self.late_calls.append(LateCall(due, order, worker))
                 outcome = messages.Unanswered("late")
             else:
                 outcome = self._do(worker, order)
@@ -380,12 +401,14 @@
         self._doomed.append(worker.worker_id)
 
     def _do_late_calls(self):
-        due = [call for call in self.late_calls if call[0] <= self.now]
-        self.late_calls = [call for call in self.late_calls if call[0] > self.now]
-        for _, order in due:
-            worker = self.workers_by_id.get(order.worker_id)
-            if worker is not None:
-                self._do(worker, order)
+        due = [call for call in self.late_calls if call.due <= self.now]
+        self.late_calls = [call for call in self.late_calls if call.due > self.now]
+        for call in due:
+            worker = self._find_at(call.order.address)
+            is_start = isinstance(call.order, messages.StartOrder)
+            is_barred = self.has_tickets and is_start and worker is not call.life
+            if worker is not None and not is_barred:
+                self._do(worker, call.order)
 
     def _find_at(self, address):
         """The life of a worker that has an address; None if there is none."""
@@ -414,6 +437,7 @@
             answer = messages.Unanswered("lost")
         else:
             answer = worker.hold(look.request, self.now)
+            self._connected.add(worker)
         self.owner.take_hold(look.request, look.sent_at, answer, self.now + 0.001)
 
     def _send_look(self, worker_id):
@@ -423,6 +447,9 @@
             return None
         wait_s = request.wait_ms / 1000 if self.looks_wait else 0.0
         worker = self.workers_by_id.get(worker_id)
+        if worker is not None and worker not in self._connected:
+            # On a new connection, as the processes do it.
+            request, wait_s = lives.trim_first_look(request), 0.0
         if wait_s and worker is not None and worker_id not in self.cut:
             worker.hold(request, self.now)
         return OpenLook(request, self.now, self.now + wait_s)
--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import ending, leases, messages, model, progress
+from thornport.cell.decisions import leases, lives, messages, model, progress
 from thornport.jobs import record
 
 # Of a transaction's 32 entries, two are conditions and one the head; a job that is
@@ -43,7 +43,7 @@
     closed_by_job: dict[str, bytes] = {}
 
 
-class Batches(ending.Ending):
+class Batches(lives.Lives):
     """Makes the batches and sends the starts that they keep."""
 
     def make_batch(self):
@@ -142,7 +142,7 @@
                 run.run,
                 job.record.job.text,
                 leases.extend(worker, now),
-                self.token,
+                self.make_token(worker),
                 step.checkpoints_by_index.get(step.index_for(run.key.index), ""),
                 ticket,
             )
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -54,9 +54,10 @@
         self.callers = advising.Callers()
         self._queues_by_name = {}
         self._services = frozenset()
-        # learning.ListedWorkers of services that no configuration names.
+        # model.ListedWorkers of services that no configuration names.
         self._unnamed_by_id = {}
         self._next_order = 0
+        self._last_fence = 0  # of the lives of workers that were met; see `lives`
         self._recent_losses = collections.deque(maxlen=KEPT_LOSSES)
         # Workers to which a task that may crash them was sent; see `crashes`.
         self._trial_ids = set()
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -67,6 +67,7 @@
                 self.end_worker(worker, now, notes.WorkerEnd.LAPSED)
                 return
             self._lose_runs(worker, now, notes.WorkerEnd.LAPSED)
+            self._move_on(worker, now)
         for run in list(worker.runs_by_key.values()):
             is_stopping = run.state is model.RunState.STOPPING
             if is_stopping and run.stop_confirmed_at is None and now >= run.stop_due_at:
--- a/thornport/cell/decisions/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -159,7 +159,9 @@
         owner.place(self.world.now + 1)
         owner.take_kept(owner.make_batch(), self.world.now, self.world.now)
         (again,) = owner.take_orders()
-        self.assertEqual((again.token, again.run), (owner.token, order.run + 1))
+        newest = owner.make_token(owner.workers_by_id[again.worker_id])
+        self.assertEqual((again.token, again.run), (newest, order.run + 1))
+        self.assertGreater(again.token, order.token)
         owner.take_start_outcome(again, fenced, self.world.now)
         self.assertTrue(owner.is_fenced)
 
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -163,7 +163,7 @@
     begun = list_begun(worker)
     ran_s_by_key = {run.key: compute_ran_s(worker, run, now) for run in begun}
     # That a silent worker crashed is not certain, nor when.
-    is_timed = how is notes.WorkerEnd.REPLACED
+    is_timed = how is not notes.WorkerEnd.LAPSED
     young_steps = {
         read_step_key(run)
         for run in begun
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -267,7 +267,9 @@
         world.owner.take_notes()
         world.crash_for_a_while(place.worker_id)
         world.run(4)
-        (note,) = world.owner.take_notes()
+        over, note = world.owner.take_notes()
+        self.assertIs(over.how, note.how)
+        self.assertEqual((over.worker_id, over.runs), (note.worker_id, 1))
         self.assertEqual(note.worker_id, place.worker_id)
         self.assertEqual(note.how.value, "replaced")
         self.assertAlmostEqual(note.ran_ms, 1900, delta=200)
@@ -282,7 +284,9 @@
         world.run(0.1)
         world.take_over()
         world.run(5)
-        (note,) = world.owner.take_notes()
+        over, note = world.owner.take_notes()
+        self.assertIs(over.how, note.how)
+        self.assertEqual((over.worker_id, over.runs), (note.worker_id, 1))
         self.assertIsNone(note.ran_ms)
 
 
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -164,8 +164,9 @@
         worker = self.workers_by_id.get(run.worker_id)
         if worker is None or not worker.entry.address:
             return
+        token = self.make_token(worker)
         order = messages.StopOrder(
-            run.worker_id, worker.entry.address, run.key, run.run, self.token
+            run.worker_id, worker.entry.address, run.key, run.run, token
         )
         self.orders.append(order)
 
@@ -180,10 +181,23 @@
           how: A notes.WorkerEnd.
         """
         self.workers_by_id.pop(worker.worker_id, None)
+        self._note_life_over(worker, how)
         loss = crashes.note_loss(worker, now)
         self._lose_runs(worker, now, how)
         self._recent_losses.append(loss)
 
+    def _note_life_over(self, worker, how, next_started_at_ms=None):
+        self.notes.append(
+            notes.LifeOver(
+                worker.worker_id,
+                worker.entry.address,
+                how,
+                worker.started_at_ms,
+                next_started_at_ms,
+                len(worker.runs_by_key),
+            )
+        )
+
     def _lose_runs(self, worker, now, how):
         """All that ran at a worker is over, and the worker does not tell of it."""
         runs = list(worker.runs_by_key.values())
@@ -277,7 +291,8 @@
         """
         if answer.reason is messages.Rejection.FENCED:
             # The worker may have seen our own later token.
-            self.is_fenced = self.is_fenced or order.token == self.token
+            is_newest = order.token == self.make_token(worker)
+            self.is_fenced = self.is_fenced or is_newest
         elif answer.reason is messages.Rejection.REPLACED:
             self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
--- a/thornport/cell/decisions/ending_test.py
+++ b/thornport/cell/decisions/ending_test.py
@@ -98,7 +98,7 @@
         world = make_world(late=1.0, late_s=(3.0, 3.0))
         self.submit(world)
         world.run(0.1)
-        places = {order.worker_id for _, order in world.late_calls}
+        places = {call.order.worker_id for call in world.late_calls}
         for worker_id in places:
             world.unlist(worker_id)
         world.run(1)
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -4,7 +4,7 @@
 all tasks stand still gets no starts for a while.
 """
 
-from thornport.cell.decisions import ending, leases, messages, model, notes
+from thornport.cell.decisions import ending, leases, lives, messages, model, notes
 from thornport.jobs import spec as specs
 
 # A look that waits: one whose answer is lost hides ends for this long and a
@@ -27,7 +27,7 @@
 MAX_STALL_AVOID_S = 6.0  # for a worker on which one task after the other stood still
 
 
-class Holds(ending.Ending):
+class Holds(lives.Lives):
     """Makes looks at workers and takes the answers."""
 
     def make_hold(self, worker_id, now):
@@ -44,17 +44,20 @@
             return None
         if now - self.confirmed_at > leases.UNCONFIRMED_LIMIT_S:
             return None
+        token = self.make_token(worker)
+        address = worker.entry.address
         if not worker.is_heard:
-            return messages.HoldRequest(
-                worker_id, worker.entry.address, self.token, 0, 0, 0
-            )
+            return messages.HoldRequest(worker_id, address, token, 0, 0, 0)
         deadline_ms = leases.extend(worker, now)
+        if worker.silent_since is not None or worker.doubted_at is not None:
+            # Another life may answer by now: that one has ends of its own to tell.
+            return messages.HoldRequest(worker_id, address, token, deadline_ms, 0, 0)
         is_acked = worker.acked_number >= worker.seen_number
         wait_ms = self._choose_wait_ms(worker, now)
         return messages.HoldRequest(
             worker_id,
-            worker.entry.address,
-            self.token,
+            address,
+            token,
             deadline_ms,
             worker.acked_number,
             wait_ms if is_acked else 0,
@@ -86,7 +89,8 @@
           now: A float.
         """
         worker = self.workers_by_id.get(request.worker_id)
-        if worker is None:
+        if worker is None or request.token != self.make_token(worker):
+            # What was asked of a life that is over says nothing of the next.
             return
         if isinstance(answer, messages.Rejected):
             self._take_rejection(worker, request, answer, now)
@@ -101,6 +105,13 @@
             if has_left(worker, answer, now):
                 self.end_worker(worker, now, notes.WorkerEnd.LEFT)
             return
+        if self._is_restart(worker, answer.started_at_ms):
+            self._meet_life(worker, answer.started_at_ms, now)
+            return
+        if not worker.is_heard:
+            self._confirm_life(worker, answer.started_at_ms, now)
+        if worker.doubted_at is not None and sent_at >= worker.doubted_at:
+            worker.doubted_at = None
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
         worker.silent_since = None
@@ -138,12 +149,17 @@
 
     def _take_running(self, worker, answer, sent_at, now):
         rows_by_key = {(row.key, row.run): row for row in answer.running}
+        absent = []
         for run in list(worker.runs_by_key.values()):
             row = rows_by_key.pop((run.key, run.run), None)
-            if row is None:
-                self._take_absent(run, sent_at, now)
+            if row is not None:
+                self._take_present(worker, run, row, now)
+            elif not worker.is_heard:
+                absent.append(run)
             else:
-                self._take_present(run, row, now)
+                self._take_absent(run, sent_at, now)
+        if not worker.is_heard:
+            self._lose_earlier(worker, absent, now)
         for row in rows_by_key.values():
             self._stop_unknown(worker, row, now)
         self._judge_progress(worker, now)
@@ -172,7 +188,11 @@
             if not run.step.gang:
                 self._stop_run(run, now)
 
-    def _take_present(self, run, row, now):
+    def _take_present(self, worker, run, row, now):
+        if lives.is_of_other_life(run, worker):
+            # Its order came after the restart; a successor has to know the same.
+            run.worker_started_at_ms = worker.started_at_ms
+            self._mark(self.jobs_by_id[run.key.job_id])
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
             run.percent_at = now
@@ -186,9 +206,7 @@
 
     def _take_absent(self, run, sent_at, now):
         """A live run that the worker does not list, nor its end."""
-        if run.state is model.RunState.UNHEARD or (
-            run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
-        ):
+        if run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at:
             self._release_run(run, now)
 
     def _stop_unknown(self, worker, row, now):
@@ -200,7 +218,12 @@
         if row.key in worker.runs_by_key:
             return
         run = model.Run(
-            row.key, row.run, worker.worker_id, spec, model.RunState.RUNNING
+            row.key,
+            row.run,
+            worker.worker_id,
+            spec,
+            model.RunState.RUNNING,
+            worker_started_at_ms=worker.started_at_ms,
         )
         worker.add_run(run)
         self._stop_run(run, now)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -5,9 +5,8 @@
 import msgspec
 
 from thornport.cell.decisions import (
-    ending,
     leases,
-    leaving,
+    lives,
     messages,
     model,
     notes,
@@ -34,19 +33,7 @@
     subject: record.JobRecord | str
 
 
-class ListedWorker(msgspec.Struct, frozen=True):
-    """An entry whose service is in no configuration yet.
-
-    Attributes:
-      entry: A messages.WorkerEntry.
-      revision: An int, the store's.
-    """
-
-    entry: messages.WorkerEntry
-    revision: int
-
-
-class Learning(ending.Ending, ticketing.Ticketing):
+class Learning(lives.Lives, ticketing.Ticketing):
     """Takes in what the store tells, at first and as it changes."""
 
     # Configuration and workers.
@@ -90,7 +77,7 @@
         if entry.service not in self._services:
             # Another writer's, or of a service that a later configuration names: it
             # must not take the place of a worker by its address either.
-            self._unnamed_by_id[entry.worker_id] = ListedWorker(entry, revision)
+            self._unnamed_by_id[entry.worker_id] = model.ListedWorker(entry, revision)
             if worker is not None:
                 self._unlist(worker)
             return
@@ -98,15 +85,14 @@
         is_new = worker is None or worker.entry.address != entry.address
         if is_new and self._is_replaced(entry, revision, now):
             return
+        listed = model.ListedWorker(entry, revision)
         if worker is None:
-            worker = model.Worker(entry, self._earlier_over_at)
+            worker = self._make_worker(entry)
+            worker.describe(listed, now)
             self.workers_by_id[entry.worker_id] = worker
-        worker.entry = entry
-        worker.leaves_at = leaving.read_leaves_at(entry, now)
-        worker.revision = revision
-        worker.is_listed = True
-        worker.unlisted_at = None
-        self.needs_round = True
+            self.needs_round = True
+        else:
+            self._take_entry(worker, listed, now)
 
     def _is_replaced(self, entry, revision, now):
         """Tell which life at an address is over: the one that wrote earlier.
@@ -140,7 +126,10 @@
         """
         self._unnamed_by_id.pop(worker_id, None)
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or not worker.is_listed:
+        if worker is None:
+            return
+        worker.other_listed = None
+        if not worker.is_listed:
             return
         is_alive = worker.is_heard and now - worker.heard_at < leases.GRANT_SILENCE_S
         if may_come_back and is_alive:
@@ -298,7 +287,7 @@
                 messages.WorkerState.DRAINING,
                 run.demand,
             )
-            worker = model.Worker(entry, self._earlier_over_at, is_listed=False)
+            worker = self._make_worker(entry, is_listed=False)
             self.workers_by_id[run.worker_id] = worker
         worker.add_run(run)
 
--- a/thornport/cell/decisions/leaving.py
+++ b/thornport/cell/decisions/leaving.py
@@ -5,7 +5,7 @@
 loses little.
 """
 
-from thornport.cell.decisions import ending, messages, model
+from thornport.cell.decisions import ending, model
 
 # Workers stay a little longer than they say; a task that would end within this is
 # left alone.
@@ -32,20 +32,6 @@
                 self._stop_run(run, now)
 
 
-def read_leaves_at(entry, now):
-    """Say when a worker leaves, by its entry.
-
-    Args:
-      entry: A messages.WorkerEntry.
-      now: A float.
-    Returns:
-      A float, or None when it does not leave, or does not say when.
-    """
-    if entry.state is not messages.WorkerState.DRAINING or not entry.leaves_in_ms:
-        return None
-    return now + entry.leaves_in_ms / 1000
-
-
 def estimate_left_s(run, now):
     """Estimate how long a run goes on, by its progress so far.
 
--- a/thornport/cell/decisions/lives_test.py
+++ b/thornport/cell/decisions/lives_test.py
@@ -1,11 +1,12 @@
 """Workers that start again, under their own id and under another.
 
-Two incidents. In one, tasks ran a second time after they had ended as done: a worker had
-restarted under its id, its ends counted from 1 again, and the owner passed them over as
-known while it told the worker that they were seen. A second and a half later the tasks
-counted as standing still, were stopped, and started elsewhere. In the other, tasks never
-started again: their worker had restarted under its id and did not list them, and a run
-that is neither listed nor ended, at a worker that answers, was held to be on its way.
+Two incidents. In one, tasks ran a second time after they had ended as done: a worker
+had restarted under its id, its ends counted from 1 again, and the owner passed them
+over as known while it told the worker that they were seen. A second and a half later
+the tasks counted as standing still, were stopped, and started elsewhere. In the other,
+tasks never started again: their worker had restarted under its id and did not list
+them, and a run that is neither listed nor ended, at a worker that answers, was held to
+be on its way.
 
 The cause of both: what was known of one life of a worker, by its id alone, was taken to
 hold for the next. The logs proved it: the same ends with numbers from 1 in one answer
@@ -18,7 +19,12 @@
 import random
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from tests import cellworld
+from thornport.cell.decisions import messages, notes
+from thornport.jobs import spec
 
 LONG_MS = 20_000
 
@@ -59,7 +65,8 @@
                 submit(world, "a", LONG_MS, count=2, **more)
                 world.run(1)
                 world.restart("w0")
-                world.run(1)
+                # A step that a crash has told against is tried one task after another.
+                world.run(3)
                 running = [
                     key.job_id for key in world.workers_by_id["w0"].active_by_key
                 ]
@@ -77,5 +84,236 @@
         self.assertIn("a", running)
 
 
+class EntriesOfLives(unittest.TestCase):
+    """The entry of the new life is late, lost, or written over by an earlier one's."""
+
+    def setUp(self):
+        self.world = make_world()
+        submit(self.world, "a", count=6)
+        self.world.run(2)
+        self.earlier, _ = self.world.entries_by_id["w0"]
+
+    def check_runs(self, job_id):
+        """A job runs to its end at the life that is there."""
+        submit(self.world, job_id, count=2)
+        self.world.run(3)
+        self.assertEqual(self.world.read_states()[job_id], "succeeded")
+
+    def test_nothing_starts_until_its_own_entry_has_come(self):
+        # Another life may be of another kind, with less room.
+        self.world.restart("w0", is_listed=False)
+        self.world.run(0.5)
+        submit(self.world, "b")
+        self.world.run(5)
+        self.assertEqual(self.world.read_states()["b"], "queued")
+        self.world.list_worker("w0")
+        self.check_runs("c")
+        self.assertEqual(self.world.read_states()["b"], "succeeded")
+
+    def test_late_write_of_the_ended_life_ends_nothing(self):
+        self.world.restart("w0")
+        self.world.run(0.5)
+        submit(self.world, "b", LONG_MS)
+        self.world.run(1)
+        self.world.list_again(self.earlier)
+        self.check_runs("c")
+        self.assertEqual(len(self.world.workers_by_id["w0"].started), 3)
+        self.assertEqual(self.world.read_states()["b"], "running")
+
+    def test_successor_finds_the_entry_of_the_ended_life(self):
+        self.world.restart("w0")
+        self.world.run(0.5)
+        submit(self.world, "b", 3000)
+        self.world.run(1)
+        self.world.list_again(self.earlier)
+        self.world.take_over()
+        self.world.run(4)
+        self.assertEqual(self.world.read_states()["b"], "succeeded")
+        self.assertEqual(len(self.world.workers_by_id["w0"].started), 1)
+        self.world.list_worker("w0")
+        self.check_runs("c")
+
+    def test_entry_of_another_kind_comes_before_the_restart_is_seen(self):
+        submit(self.world, "b", LONG_MS, cores=40)
+        self.world.run(0.5)
+        self.world.restart("w0", is_listed=False)
+        self.world.workers_by_id["w0"].total = spec.Demand(8_000, 131_072, 0)
+        self.world.list_worker("w0")
+        self.check_runs("c")
+        self.assertEqual(self.world.read_states()["b"], "running")
+        started = [key.job_id for key, _, _ in self.world.workers_by_id["w0"].started]
+        self.assertEqual(started, ["c", "c"])
+
+    def test_it_drains_and_comes_back(self):
+        self.world.list_worker("w0", messages.WorkerState.DRAINING, 3000)
+        self.world.run(1)
+        self.world.restart("w0")
+        self.check_runs("b")
+
+
+class OrdersAcrossARestart(unittest.TestCase):
+    """What was meant for the ended life comes to the new one."""
+
+    def test_late_start_runs_nothing_twice(self):
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.play_late_starts(random.Random(seed))
+
+    def play_late_starts(self, rng):
+        """Orders come late while their worker restarts."""
+        faults = cellworld.Faults(rng, late=0.5, late_s=(0.2, 2.0))
+        world = cellworld.World(faults, 3, looks_wait=rng.random() < 0.5)
+        world.run(0.2)
+        for number in range(6):
+            submit(world, f"j{number}", 800, count=3)
+        world.run(rng.uniform(0.1, 0.5))
+        world.restart("w0")
+        world.run(rng.uniform(0.0, 1.0))
+        world.faults.late = 0.0
+        world.run(15)
+        self.assertEqual(set(world.read_states().values()), {"succeeded"})
+
+    def test_stop_that_the_ended_life_took_does_not_count(self):
+        world = make_world(worker_count=2)
+        submit(world, "a", LONG_MS)
+        world.run(0.5)
+        owner = world.owner
+        (place,) = [w for w in world.workers_by_id.values() if w.active_by_key]
+        ((key, run, _),) = place.started
+        owner.take_cancel("a", world.now)
+        (stop,) = [
+            order
+            for order in owner.take_orders()
+            if isinstance(order, messages.StopOrder)
+        ]
+        world.restart(place.worker_id)
+        # The start comes a second time, to the life that has just begun.
+        start = messages.StartOrder(
+            place.worker_id, stop.address, key, run, "", 10**9, stop.token
+        )
+        later = world.workers_by_id[place.worker_id]
+        later.start(start, cellworld.make_step(1, 4, 1).demand, LONG_MS, 0, world.now)
+        world.run(0.1)
+        owner.take_stop_outcome(stop, messages.Done(0), world.now)
+        world.run(2)
+        self.assertFalse(later.active_by_key)
+
+    def test_restart_while_records_of_starts_are_being_kept(self):
+        for more in ({}, {"gang": True}):
+            world = make_world(worker_count=2)
+            world.is_store_away = True
+            submit(world, "a", count=4, cores=30, **more)
+            world.run(0.2)
+            world.restart("w0")
+            world.run(1)
+            world.is_store_away = False
+            world.run(4)
+            self.assertEqual(world.read_states(), {"a": "succeeded"})
+
+    def test_failed_runs_of_the_new_life_count(self):
+        world = make_world()
+        submit(world, "a", count=6)
+        world.run(2)
+        world.restart("w0")
+        world.run(0.5)
+        world.faults.failing = 1.0
+        submit(world, "bad", 100)
+        world.run(20)
+        self.assertEqual(world.read_states()["bad"], "failed")
+        self.assertEqual(len(world.workers_by_id["w0"].started), 3)
+
+
+class Crashes(unittest.TestCase):
+    """A crash is one whether or not the worker is back under its id."""
+
+    def test_task_that_crashes_its_workers_is_given_up(self):
+        for gap_s in (None, 0.1, 1.0, 3.5):
+            with self.subTest(gap_s=gap_s):
+                world = make_world(worker_count=6)
+                world.keeps_id = True
+                world.crashing = {("bad", 0)}
+                submit(world, "bad", 600)
+                for crashes in range(1, 8):
+                    world.run(3.5)
+                    if gap_s is not None and crashes > 1:
+                        world.run(gap_s)
+                        world.take_over()
+                world.run(10)
+                self.assertEqual(world.read_states()["bad"], "failed")
+
+    def test_successor_that_alone_sees_the_restart_counts_it(self):
+        world = make_world()
+        submit(world, "a", LONG_MS)
+        world.run(1)
+        world.restart("w0")
+        world.take_over()
+        world.run(1)
+        lost = [n for n in world.owner.take_notes() if isinstance(n, notes.RunLost)]
+        self.assertEqual([note.how.value for note in lost], ["restarted"])
+        self.assertEqual([note.points for note in lost], [1])
+
+
+class AnyRestarts(unittest.TestCase):
+    """Restarts among cuts, late writes, lost answers, owners that are replaced."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(
+        seed=st.integers(0, 2**32),
+        lost=st.sampled_from([0.0, 0.1, 0.4]),
+        late=st.sampled_from([0.0, 0.3]),
+        failing=st.sampled_from([0.0, 0.1]),
+        looks_wait=st.booleans(),
+        keeps_id=st.sampled_from([1.0]),
+    )
+    def test_promises(self, seed, lost, late, failing, looks_wait, keeps_id):
+        rng = random.Random(seed)
+        faults = cellworld.Faults(rng, lost, late, failing, late_s=(0.3, 1.5))
+        world = cellworld.World(faults, 4, rng.choice([1.0, 0.98]), looks_wait)
+        for number in range(8):
+            step = cellworld.make_step(
+                rng.randint(1, 4),
+                rng.choice([2, 10, 18]),
+                rng.choice([300, 1500]),
+                gang=rng.random() < 0.3,
+            )
+            world.submit(cellworld.make_job(f"j{number}", step))
+            world.run(rng.uniform(0.05, 1.5))
+            self.strike(world, rng, keeps_id)
+            world.is_store_away = rng.random() < 0.2
+            world.run(rng.uniform(0.0, 1.0))
+            world.is_store_away = False
+            if rng.random() < 0.3:
+                world.take_over()
+        faults.lost = faults.late = 0.0
+        world.run(6)
+        for worker_id in sorted(world.workers_by_id):
+            world.reach_again(worker_id)
+            world.list_worker(worker_id)
+        world.run(60)
+        finals = {"succeeded", "failed"}
+        self.assertLessEqual(set(world.read_states().values()), finals)
+
+    def strike(self, world, rng, keeps_id):
+        """Let one worker restart, be cut off, or have an entry that is late."""
+        worker_id = rng.choice(sorted(world.workers_by_id))
+        earlier, _ = world.entries_by_id.get(worker_id, (None, None))
+        kind = rng.choice(["at once", "for a while", "behind a cut", "none"])
+        if kind == "at once":
+            world.restart(worker_id, is_listed=rng.random() < 0.7)
+        elif kind == "for a while":
+            world.keeps_id = rng.random() < keeps_id
+            world.back_s = rng.choice([0.05, 0.5, 2.0])
+            world.crash_for_a_while(worker_id)
+        elif kind == "behind a cut":
+            world.cut.add(worker_id)
+            world.run(rng.uniform(0.1, 1.5))
+            world.restart(worker_id, is_listed=rng.random() < 0.5)
+            world.run(rng.uniform(0.0, 0.5))
+            world.reach_again(worker_id)
+        if earlier is not None and rng.random() < 0.5:
+            world.run(rng.uniform(0.0, 1.0))
+            world.list_again(earlier)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from thornport.jobs import spec
+from thornport.kernel import clock
 
 
 class StepKey(msgspec.Struct, frozen=True, order=True):
@@ -68,6 +69,24 @@
     leaves_in_ms: int = 0
     started_at_ms: int | None = None
 
+    def read_leaves_at(self, now):
+        """Say when the worker leaves.
+
+        Args:
+          now: A float, when the entry was read.
+        Returns:
+          A float, or None when it does not leave, or does not say when.
+        """
+        if self.state is not WorkerState.DRAINING or not self.leaves_in_ms:
+            return None
+        return now + self.leaves_in_ms / clock.MS_PER_S
+
+
+class LookAgain(msgspec.Struct, frozen=True):
+    """Look at a worker at once: end the look that waits there, if one does."""
+
+    worker_id: str
+
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
     """A run that is live at a worker, as the worker tells it.
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -52,6 +52,8 @@
       stop_due_at: A float, when the stop is to be sent (again).
       percent: An int, the progress last heard, at `percent_at`.
       address: A str, the worker's; empty if it is not known.
+      worker_started_at_ms: An int, of the life of the worker that it was given to; None
+        if that is not known.
     """
 
     key: messages.TaskKey
@@ -66,6 +68,7 @@
     percent: int = 0
     percent_at: float = 0.0
     address: str = ""
+    worker_started_at_ms: int | None = None
 
     @property
     def demand(self):
@@ -85,11 +88,31 @@
     job_id: str
 
 
+class ListedWorker(msgspec.Struct, frozen=True):
+    """An entry of a worker as the store has it.
+
+    Attributes:
+      entry: A messages.WorkerEntry.
+      revision: An int, the store's.
+    """
+
+    entry: messages.WorkerEntry
+    revision: int
+
+
 class Worker(msgspec.Struct, eq=False):
     """A life of a worker.
 
     Attributes:
-      entry: Its messages.WorkerEntry.
+      entry: Its messages.WorkerEntry; that of an earlier life until its own has come.
+      started_at_ms: An int, when it started, by its answers once it is heard; None if
+        it does not say.
+      fence: An int that is higher than that of each life met before; see `lives`.
+      other_listed: A ListedWorker of another life under this id; None if there is none.
+      doubted_at: A float, when the store told of another life than the one that
+        answers; None once a later look is answered.
+      earlier: The Worker of the life that ended unseen, until it is known what of its
+        runs is over; None else.
       revision: An int, the store's revision of the entry; 0 if there was none and
         all that is known of the worker is from the records of its runs.
       leaves_at: A float, when it leaves at the earliest; None if it did not say.
@@ -146,6 +169,29 @@
     trial: Run | None = None
     pace_count: int = 0
     pace_log: float = 0.0
+    started_at_ms: int | None = None
+    fence: int = 0
+    other_listed: ListedWorker | None = None
+    doubted_at: float | None = None
+    earlier: "Worker | None" = None
+
+    def describe(self, listed, now):
+        """Take its entry, new or changed.
+
+        Args:
+          listed: A ListedWorker.
+          now: A float.
+        """
+        self.entry = listed.entry
+        self.revision = listed.revision
+        self.leaves_at = listed.entry.read_leaves_at(now)
+        self.is_listed = True
+        self.unlisted_at = None
+
+    def is_described(self):
+        """Whether its entry is its own: another life may have another room."""
+        is_own = self.entry.started_at_ms == self.started_at_ms
+        return is_own and self.doubted_at is None
 
     def note_pace(self, took_s, estimate_ms):
         """Take the time that a task took here.
@@ -263,6 +309,14 @@
         self.asked_ids.clear()
         self.good_ids.clear()
 
+    def forget_worker(self, worker_id):
+        """Drop what advice and failed runs said of a worker, by its id, a str."""
+        self.tickets_by_worker.pop(worker_id, None)
+        self.asked_ids.discard(worker_id)
+        self.good_ids.discard(worker_id)
+        for avoided in self.avoided_by_index.values():
+            avoided.discard(worker_id)
+
     def index_for(self, index):
         """The index that failures and checkpoints of a task are kept under."""
         return GANG_INDEX if self.spec.gang else index
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -14,12 +14,15 @@
 class WorkerEnd(enum.Enum):
     """How it was known that all that ran at a worker is over.
 
-    REPLACED: another life of the worker has its address.
+    REPLACED: a worker with another id has its address, by the answer to a call.
+    RESTARTED: a worker with its id that started at another time has its address, by the
+      answer to a look.
     LEFT: it was draining, and its port refuses.
     LAPSED: it is silent, and every lease that was sent to it is over.
     """
 
     REPLACED = "replaced"
+    RESTARTED = "restarted"
     LEFT = "left"
     LAPSED = "lapsed"
 
@@ -44,3 +47,21 @@
     beside: int
     points: int
     points_in_all: int
+
+
+class LifeOver(msgspec.Struct, frozen=True):
+    """The life of a worker is over.
+
+    Attributes:
+      how: A WorkerEnd, which says what proved it.
+      started_at_ms: An int, when it had started; None if that is not known.
+      next_started_at_ms: An int, of the life that answers instead; None else.
+      runs: An int, how many runs it had by what was known.
+    """
+
+    worker_id: str
+    address: str
+    how: WorkerEnd
+    started_at_ms: int | None
+    next_started_at_ms: int | None
+    runs: int
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -19,7 +19,8 @@
           now: A float.
         """
         worker = self.workers_by_id.get(order.worker_id)
-        if worker is None:
+        if worker is None or order.token != self.make_token(worker):
+            # What a life that is over has stopped is not barred at the next.
             return
         run = worker.runs_by_key.get(order.key)
         if isinstance(outcome, messages.Rejected):
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -137,6 +137,7 @@
     return (
         worker.is_listed
         and worker.is_heard
+        and worker.is_described()
         and now >= worker.avoid_until
         and worker.entry.state.value == "ready"
     )
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -56,7 +56,9 @@
     if step.is_done and not step.live_by_index:
         return record.StepProgress(key.time, key.step, step.last_run, all_done=True)
     live = tuple(
-        record.LiveRun(index, run.run, run.worker_id, run.address)
+        record.LiveRun(
+            index, run.run, run.worker_id, run.address, run.worker_started_at_ms
+        )
         for index, run in step.live_by_index.items()
     )
     return record.StepProgress(
@@ -113,6 +115,7 @@
             step.spec,
             model.RunState.UNHEARD,
             address=live.address,
+            worker_started_at_ms=live.worker_started_at_ms,
         )
     if kept.all_done:
         step.waiting.clear()
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -131,6 +131,7 @@
                 step.spec,
                 model.RunState.RECORDING,
                 address=worker.entry.address,
+                worker_started_at_ms=worker.started_at_ms,
             )
             step.live_by_index[assignment.index] = run
             reserved.take_room(step, worker)
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -139,6 +139,8 @@
             return
         deadline = now + answer.valid_ms / 1000
         step.asked_ids.update(request.worker_ids)
+        # A worker that has started again may be of another kind.
+        step.good_ids.difference_update(request.worker_ids)
         for ticket in answer.good:
             step.good_ids.add(ticket.worker_id)
             step.tickets_by_worker[ticket.worker_id] = (ticket.text, deadline)
--- a/thornport/cell/dispatch/carrying.py
+++ b/thornport/cell/dispatch/carrying.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import messages
+from thornport.cell.decisions import lives, messages
 from thornport.cell.peers import workercalls
 from thornport.kernel import clock, tasks
 
@@ -124,7 +124,9 @@
 
 @make_call.register
 def hold(call: messages.HoldRequest, workers):
-    """Look at a worker."""
+    """Look at a worker, whichever life of it answers."""
+    if not workers.is_connected(call.address):
+        call = lives.trim_first_look(call)
     return workers.hold(call)
 
 
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -14,7 +14,7 @@
 from twisted.internet import defer
 
 from thornport.cell.decisions import messages
-from thornport.cell.dispatch import assignment
+from thornport.cell.dispatch import assignment, carrying
 from thornport.cell.peers import workercalls
 from thornport.kernel import clock, ids, logs, tasks
 
@@ -136,7 +136,7 @@
     async def hold(self, request):
         """As the client's."""
         patience_s = request.wait_ms / clock.MS_PER_S + HOLD_SLACK_S
-        return await self._call(request, patience_s, self._workers.hold)
+        return await self._call(request, patience_s)
 
     async def start(self, order):
         """As the client's.
@@ -144,30 +144,29 @@
         A worker takes the same start twice as one. But an answer to the second that
         says that nothing was done may stand for a run that began and ended meanwhile.
         """
-        return await self._call(order, ORDER_S, self._workers.start, keep_doubt)
+        return await self._call(order, ORDER_S, keep_doubt)
 
     async def stop(self, order):
         """As the client's; the same stop twice is one."""
-        return await self._call(order, ORDER_S, self._workers.stop)
+        return await self._call(order, ORDER_S)
 
-    async def _call(self, call, patience_s, call_directly, read_second=None):
+    async def _call(self, call, patience_s, read_second=None):
         """Make a call by way of a dispatcher; directly if there is none or it is lost.
 
         Args:
           call: A workercalls.Call.
           patience_s: A float, how long a dispatcher may take.
-          call_directly: A callable of the call, giving an awaitable of an outcome.
           read_second: A callable that reads the outcome of a call that was made twice.
         Returns:
           An outcome.
         """
         asked = self._ask(call, patience_s)
         if asked is None:
-            return await call_directly(call)
+            return await carrying.make_call(call, self._workers)
         outcome = await wait(asked)
         if outcome is not None or self._is_stopped:
             return outcome or STOPPED
-        second = await call_directly(call)
+        second = await carrying.make_call(call, self._workers)
         return read_second(second) if read_second is not None else second
 
     def forget(self, address):
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -29,6 +29,10 @@
 
     start = stop = hold
 
+    def is_connected(self, address):
+        """Each call goes by a kept connection."""
+        return bool(address)
+
 
 class FakeBus:
     """Keeps what is sent; whether its peers are connected is set."""
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from thornport.cell.decisions import learning
+from thornport.cell.owner import noting
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
@@ -145,7 +146,7 @@
                 "worker-listed",
                 worker=worker_id,
                 address=entry.address,
-                started_at_ms=format_start(entry.started_at_ms),
+                started_at_ms=noting.format_start(entry.started_at_ms),
                 state=entry.state.value,
                 millicores=entry.total.millicores,
                 memory_mb=entry.total.memory_mb,
@@ -249,11 +250,6 @@
     return entry.state, entry.total, entry.address, entry.started_at_ms
 
 
-def format_start(started_at_ms):
-    """Format the start of a worker's life for the log: empty if it is not known."""
-    return "" if started_at_ms is None else started_at_ms
-
-
 def decode_jobs(items):
     """Decode the jobs among the items of the inbox.
 
--- a/thornport/cell/owner/looks.py
+++ b/thornport/cell/owner/looks.py
@@ -38,7 +38,6 @@
         self._hurried = set()
         self._resting_by_worker = {}
         self._look_by_worker = {}
-        self._start_by_worker = {}
 
     def look_at_new(self):
         """Begin to look at the workers that are not looked at yet."""
@@ -101,24 +100,8 @@
         else:
             for end in answer.ended:
                 log_end(request.worker_id, end, end.number > seen_number)
-            self._log_life(request, answer)
         self._session.pump()
 
-    def _log_life(self, request, answer):
-        """Log that a look was answered by another life than the one before."""
-        worker_id, start = request.worker_id, answer.started_at_ms
-        before = self._start_by_worker.get(worker_id, start)
-        self._start_by_worker[worker_id] = start
-        if start != before:
-            logs.log(
-                "worker-restarted",
-                worker=worker_id,
-                address=request.address,
-                before=before,
-                started_at_ms=start,
-                last_seen=request.last_seen,
-            )
-
     async def _rest(self, worker_id, answer, retry_s):
         """Wait until the next look is due."""
         if worker_id in self._hurried:
@@ -127,6 +110,9 @@
         if not isinstance(answer, messages.HoldAnswer):
             await tasks.sleep(self._reactor, retry_s)
             return
+        if not self._core.is_met(worker_id):
+            # It has started again: what it runs now is to be told at once.
+            return
         if answer.ended:
             await self._pause(worker_id)
         is_urgent = self._core.is_urgent_at(worker_id)
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -5,6 +5,9 @@
 from thornport.cell.decisions import notes
 from thornport.kernel import logs
 
+# Counters of notes.
+NAME_BY_NOTE = {notes.RunLost: "runs.lost", notes.LifeOver: "workers.over"}
+
 
 @functools.singledispatch
 def log_note(note):
@@ -31,3 +34,22 @@
         points=note.points,
         points_in_all=note.points_in_all,
     )
+
+
+@log_note.register
+def log_life_over(note: notes.LifeOver):
+    """Log that the life of a worker is over, and what proved it."""
+    logs.log(
+        "worker-over",
+        worker=note.worker_id,
+        address=note.address,
+        how=note.how.value,
+        started_at_ms=format_start(note.started_at_ms),
+        next_started_at_ms=format_start(note.next_started_at_ms),
+        runs=note.runs,
+    )
+
+
+def format_start(started_at_ms):
+    """Format when a worker has started: empty if it is not known."""
+    return "" if started_at_ms is None else started_at_ms
--- a/thornport/cell/owner/orders.py
+++ b/thornport/cell/owner/orders.py
@@ -68,6 +68,12 @@
     )
 
 
+@carry_out.register
+def look_again(order: messages.LookAgain, session):
+    """Look at a worker at once."""
+    session.looks.look_again(order.worker_id)
+
+
 def log_order(event, order, outcome):
     """Log an order and what came of it."""
     key = order.key
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -261,7 +261,7 @@
             self.lose("a worker has seen a higher token")
             return
         for note in self.core.take_notes():
-            self.metrics.count("runs.lost")
+            self.metrics.count(noting.NAME_BY_NOTE[type(note)])
             noting.log_note(note)
         for order in self.core.take_orders():
             orders.carry_out(order, self)
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -94,12 +94,16 @@
       worker_id: A str.
       address: A str, the worker's: a successor may find the worker not listed, and has
         to reach it nevertheless. Empty in records of earlier versions.
+      worker_started_at_ms: An int, of the life of the worker that it was given to: what
+        that life's crash says against the task holds for a successor too. None if it is
+        not known.
     """
 
     index: int
     run: int
     worker_id: str
     address: str = ""
+    worker_started_at_ms: int | None = None
 
 
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -171,6 +171,10 @@
                 return connection
         return None
 
+    def is_empty(self):
+        """Whether a call would open a connection."""
+        return not any(connection.is_open for connection in self.idle)
+
     def put_back(self, connection):
         """Keep a connection for the next call."""
         connection.heard_at = self._reactor.seconds()
@@ -277,6 +281,19 @@
             return result.Failure(NotSent(f"not connected: {error}", is_refused))
         return result.Success(opened)
 
+    def is_connected(self, address):
+        """Tell whether the next call to an address has a kept connection.
+
+        What answered on a connection before answers on it again, or nothing does.
+
+        Args:
+          address: A str, `IP:PORT`.
+        Returns:
+          A bool.
+        """
+        pool = self._pool_by_address.get(address)
+        return pool is not None and not pool.is_empty()
+
     def forget(self, address):
         """Close the idle connections to an address that is not needed now.
 
--- a/thornport/platform/entries_test.py
+++ b/thornport/platform/entries_test.py
@@ -38,6 +38,20 @@
         self.assertEqual((entry.rack, entry.labels), ("r1", {"a", "r1"}))
         self.assertEqual(decode(more="unknown").total, entry.total)
 
+    def test_start_of_the_life_is_a_whole_number_or_is_not_said(self):
+        self.assertIsNone(decode().started_at_ms)
+        self.assertEqual(decode(born=1_785_945_137_905).started_at_ms, 1785945137905)
+        for value in (None, 1.5, 1.0, "1785945137905", True, -1, [1]):
+            with self.subTest(value=value), self.assertRaises(workers.EntryError):
+                decode(born=value)
+
+    def test_answer_to_a_look_says_which_life_answers(self):
+        self.assertIsNone(workers.decode_hold(b'{"clock_ms":1}').started_at_ms)
+        answer = workers.decode_hold(b'{"clock_ms":1,"born":7}')
+        self.assertEqual(answer.started_at_ms, 7)
+        with self.assertRaises(ValueError):
+            workers.decode_hold(b'{"clock_ms":1,"born":"7"}')
+
     def test_each_field_missing(self):
         for name in ENTRY:
             with self.subTest(name=name), self.assertRaises(workers.EntryError):
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -277,6 +277,10 @@
         patience = self._order_patience
         return await self._ask(order, "/-/run-stop", body, patience, decode_done)
 
+    def is_connected(self, address):
+        """Whether the next call to a worker has a connection that it answered on."""
+        return self._calls.is_connected(address)
+
     def forget(self, address):
         """Close the idle connections to a worker that is gone."""
         self._calls.forget(address)
--- a/thornport/report/report_test.py
+++ b/thornport/report/report_test.py
@@ -19,6 +19,7 @@
 time=101.100 event=run-start job=a task=0.0.0 run=1 outcome=Unanswered process=vm-1
 time=101.300 event=run-start job=a task=0.0.0 run=2 outcome=Done process=vm-1
 time=101.700 event=run-ended job=a task=0.0.0 run=2 how=done process=vm-1
+time=101.750 event=run-ended job=a task=0.0.0 run=2 new=False how=done process=vm-1
 time=101.800 event=job-ended job=a state=succeeded process=vm-1
 time=102.000 event=job-submitted job=b queue=press objective_ms=900 outcome=kept
 time=102.500 event=job-ended job=b state=succeeded process=vm-1
--- a/thornport/report/timelines.py
+++ b/thornport/report/timelines.py
@@ -118,7 +118,9 @@
 
 
 def take_end(timeline, line):
-    """A run ended."""
+    """A run ended; an end that its worker lists again is passed over."""
+    if line.value_by_field.get("new") == "False":
+        return
     kind = line.value_by_field.get("how", "")
     timeline.ends_by_kind[kind] = timeline.ends_by_kind.get(kind, 0) + 1
     timeline.ended_at = line.time
