Let no write to the store end the life of a worker

Cause: of two entries at one address the one with the higher revision was taken for the later life. Writes come late, so an entry of a life that was over ended the one that answered; its runs started elsewhere beside themselves, a failed run was not counted, and tasks got crash points though nothing had crashed. Ruled out: an answer of another life to a call (none in that millisecond), a lapsed lease (renewed 0.2 s before). Change: entries are taken as they come, each as a worker that has not answered; who has the address the worker there tells by its answer (421 to a call that means another id). An entry of a life that was over adds nothing to the losses of its rack. Before: three tests red. After: green, at an owner and at its successor, with workers that are silent for a moment, and among mixed trouble.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -178,13 +178,18 @@
         Args:
           worker: A model.Worker.
           now: A float.
-          how: A notes.WorkerEnd.
+          how: A notes.WorkerEnd, what proved it: never a write to the store, which
+            may come late and then tells of the life before the one that answers.
         """
         self.workers_by_id.pop(worker.worker_id, None)
         self._note_life_over(worker, how)
         loss = crashes.note_loss(worker, now)
+        had_life = worker.is_heard or worker.runs_by_key
         self._lose_runs(worker, now, how)
-        self._recent_losses.append(loss)
+        if had_life:
+            # Else an entry of a life that was over long before: several that come at
+            # once are no outage of a rack.
+            self._recent_losses.append(loss)
 
     def _note_life_over(self, worker, how, next_started_at_ms=None):
         self.notes.append(
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -9,7 +9,6 @@
     lives,
     messages,
     model,
-    notes,
     progress,
     reserving,
     ticketing,
@@ -82,9 +81,6 @@
                 self._unlist(worker)
             return
         self._unnamed_by_id.pop(entry.worker_id, None)
-        is_new = worker is None or worker.entry.address != entry.address
-        if is_new and self._is_replaced(entry, revision, now):
-            return
         listed = model.ListedWorker(entry, revision)
         if worker is None:
             worker = self._make_worker(entry)
@@ -94,27 +90,6 @@
         else:
             self._take_entry(worker, listed, now)
 
-    def _is_replaced(self, entry, revision, now):
-        """Tell which life at an address is over: the one that wrote earlier.
-
-        The entry of a life that has ended stays in the store until it lapses, so
-        reading all entries may show it after the one that took its place.
-        """
-        for worker in list(self.workers_by_id.values()):
-            is_other = worker.worker_id != entry.worker_id
-            if not is_other or worker.entry.address != entry.address:
-                continue
-            if not worker.revision:
-                # Which life is the later one only the look at them tells.
-                continue
-            if worker.revision > revision:
-                ended = self.workers_by_id.get(entry.worker_id)
-                if ended is not None:
-                    self.end_worker(ended, now, notes.WorkerEnd.REPLACED)
-                return True
-            self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
-        return False
-
     def drop_worker(self, worker_id, now, may_come_back=False):
         """Take that the store no longer lists a worker; it may still run.
 
