--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -5,12 +5,10 @@
 import msgspec
 
 from thornport.cell.decisions import (
-    ending,
     leases,
-    leaving,
+    lives,
     messages,
     model,
-    notes,
     progress,
     reserving,
     ticketing,
@@ -34,19 +32,7 @@
     subject: record.JobRecord | str
 
 
-class ListedWorker(msgspec.Struct, frozen=True):
-    """An entry whose service is in no configuration yet.
-
-    Attributes:
-      entry: A messages.WorkerEntry.
-      revision: An int, the store's.
-    """
-
-    entry: messages.WorkerEntry
-    revision: int
-
-
-class Learning(ending.Ending, ticketing.Ticketing):
+class Learning(lives.Lives, ticketing.Ticketing):
     """Takes in what the store tells, at first and as it changes."""
 
     # Configuration and workers.
@@ -90,44 +76,19 @@
         if entry.service not in self._services:
             # Another writer's, or of a service that a later configuration names: it
             # must not take the place of a worker by its address either.
-            self._unnamed_by_id[entry.worker_id] = ListedWorker(entry, revision)
+            self._unnamed_by_id[entry.worker_id] = model.ListedWorker(entry, revision)
             if worker is not None:
                 self._unlist(worker)
             return
         self._unnamed_by_id.pop(entry.worker_id, None)
-        is_new = worker is None or worker.entry.address != entry.address
-        if is_new and self._is_replaced(entry, revision, now):
-            return
+        listed = model.ListedWorker(entry, revision)
         if worker is None:
-            worker = model.Worker(entry, self._earlier_over_at)
+            worker = self._make_worker(entry)
+            worker.describe(listed, now)
             self.workers_by_id[entry.worker_id] = worker
-        worker.entry = entry
-        worker.leaves_at = leaving.read_leaves_at(entry, now)
-        worker.revision = revision
-        worker.is_listed = True
-        worker.unlisted_at = None
-        self.needs_round = True
-
-    def _is_replaced(self, entry, revision, now):
-        """Tell which life at an address is over: the one that wrote earlier.
-
-        The entry of a life that has ended stays in the store until it lapses, so
-        reading all entries may show it after the one that took its place.
-        """
-        for worker in list(self.workers_by_id.values()):
-            is_other = worker.worker_id != entry.worker_id
-            if not is_other or worker.entry.address != entry.address:
-                continue
-            if not worker.revision:
-                # Which life is the later one only the look at them tells.
-                continue
-            if worker.revision > revision:
-                ended = self.workers_by_id.get(entry.worker_id)
-                if ended is not None:
-                    self.end_worker(ended, now, notes.WorkerEnd.REPLACED)
-                return True
-            self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
-        return False
+            self.needs_round = True
+        else:
+            self._take_entry(worker, listed, now)
 
     def drop_worker(self, worker_id, now, may_come_back=False):
         """Take that the store no longer lists a worker; it may still run.
@@ -140,7 +101,10 @@
         """
         self._unnamed_by_id.pop(worker_id, None)
         worker = self.workers_by_id.get(worker_id)
-        if worker is None or not worker.is_listed:
+        if worker is None:
+            return
+        worker.other_listed = None
+        if not worker.is_listed:
             return
         is_alive = worker.is_heard and now - worker.heard_at < leases.GRANT_SILENCE_S
         if may_come_back and is_alive:
@@ -298,7 +262,7 @@
                 messages.WorkerState.DRAINING,
                 run.demand,
             )
-            worker = model.Worker(entry, self._earlier_over_at, is_listed=False)
+            worker = self._make_worker(entry, is_listed=False)
             self.workers_by_id[run.worker_id] = worker
         worker.add_run(run)
 
