Bound the count of stalls, which ended the looks at a worker

Cause: the time for which a worker with standing tasks is avoided doubles with each look at which all stand still, and a gang is not stopped for it. After some thousand looks the power of two fitted no float, and the error ended the looks at that worker for good: what ran there was never heard of again. Change: the count is bounded; the longest time is reached after two.

--- a/thornport/cell/decisions/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -242,6 +242,17 @@
             self.world.run(0.2)
         self.assertLess(len(hung.started), 2 + 10)
 
+    def test_gang_that_stands_still_for_long_keeps_no_worker_from_being_looked_at(self):
+        # A gang is not stopped for it: all its members would lose their work.
+        self.world.submit(
+            cellworld.make_job("g", cellworld.make_step(3, 60, 20_000, gang=True))
+        )
+        self.world.run(1)
+        for worker in self.world.workers_by_id.values():
+            worker.hang(self.world.now)
+        self.world.run(70)
+        self.assertEqual(self.world.read_states(), {"g": "running"})
+
     def test_successor_reads_little_of_jobs_that_are_over(self):
         step = cellworld.make_step(2, 4, 200, gang=True)
         kept = cellworld.make_job("m", step)
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -24,6 +24,7 @@
 # Tasks whose percent has not changed for so long stand still: the longest task of
 # the users changes every 0.2 s, and a look waits for 0.7 s at most.
 STALLED_S = 1.5
+MAX_STALLS = 8  # counted; two are enough for the longest time
 MAX_STALL_AVOID_S = 6.0  # for a worker on which one task after the other stood still
 
 
@@ -180,7 +181,9 @@
             return
         if not running:
             return
-        worker.stalls += 1
+        # Bounded: a gang may stand still for long, and a power of two that no float
+        # holds ended the looks at its worker with an error.
+        worker.stalls = min(MAX_STALLS, worker.stalls + 1)
         avoid_s = min(MAX_STALL_AVOID_S, STALLED_S * 2**worker.stalls)
         worker.avoid(now + avoid_s)
         for run in running:
