Look at a worker again after an error, and prove restarts with real processes

Cause: looks at a worker that ended with an error were never begun anew, so nothing that ran there ended for this owner; found with the count of stalls. Change: the search for workers that are not looked at finds it. The stand-in platform tells when its workers have started, starts them again under their ids and others with entries that come late, and breaks off their connections; the soak draws both.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,6 +27,8 @@
     KEYS_REVOKED = "revokes"
     STORE_SLOW = "slow_ms"
     WORKER_CRASH = "crash"
+    WORKER_RESTART = "restart"
+    WORKER_REPLACED = "replaced"
     CONFIG = "config"
 
 
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -17,6 +17,7 @@
 VERSION_STEP = 3  # of a config: any rise puts it in force
 ROUTES_STEP = 200  # more routes in each version
 OPEN_CALLERS = 2  # that use their connection to a process that is told to stop
+LATE_ENTRY_MS_A_SECOND = 400  # up to 2 s, as it was seen of the users' workers
 RESTART_S = 0.4  # from the end of a process to its next life
 
 
@@ -121,6 +122,12 @@
             self._put_config()
         elif fault.kind is plan.Kind.WORKER_CRASH:
             harness.call("POST", self._cell.url("platform", "/crash"))
+        elif fault.kind in (plan.Kind.WORKER_RESTART, plan.Kind.WORKER_REPLACED):
+            # Under its id or another, and an entry of the ended life comes late.
+            keeps_id = int(fault.kind is plan.Kind.WORKER_RESTART)
+            late_ms = int(fault.for_s * LATE_ENTRY_MS_A_SECOND)
+            query = f"/restart?keeps_id={keeps_id}&late_ms={late_ms}"
+            harness.call("POST", self._cell.url("platform", query))
         elif fault.kind is plan.Kind.WRITES_LOST:
             self._cell.set_platform_faults(lose_writes=LOST_WRITES)
         elif fault.kind in (plan.Kind.HISTORY_GONE, plan.Kind.KEYS_REVOKED):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,9 @@
 `POST /room?cores=N` changes what each worker has while it runs. A task of a job whose
 text is `crash` crashes the worker that starts it; another life takes its address.
 `GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
-to be carried out.
+to be carried out. `POST /restart?keeps_id=1&late_ms=N` ends a worker that runs
+something, if one does, and starts another life at its address, under its id or another;
+after N ms, if that is not 0, an entry of the ended life is written once more.
 """
 
 import base64
@@ -34,6 +36,7 @@
 TICK_S = 0.02
 ADVICE_VALID_MS = 1500
 SLOW_CLOCK = 0.98
+LATE_ENTRY_S = 1.0  # an entry that came late stands for so long
 
 
 class Options(msgspec.Struct):
@@ -44,6 +47,18 @@
     runtime_share: float = 1.0
 
 
+class Place(msgspec.Struct, frozen=True):
+    """Where a worker is reached, whichever life of it is there.
+
+    Attributes:
+      app: A platform_worker.WorkerApp.
+      site: The serve.BreakableSite that serves it.
+    """
+
+    app: platform_worker.WorkerApp
+    site: serve.BreakableSite
+
+
 class Platform:
     """The store, the workers and what was seen at them."""
 
@@ -62,6 +77,7 @@
         self.late_starts = 0
         self.entries_by_key = {}
         self.addresses_by_id = {}
+        self.places_by_address = {}
         self.numbers = itertools.count()
 
     def tick(self):
@@ -140,17 +156,27 @@
     def add_worker(self):
         """Start a worker and list it in the store."""
         worker = self.make_life()
-        address = serve.listen(platform_worker.WorkerApp(self, worker).app)
+        app = platform_worker.WorkerApp(self, worker)
+        site = serve.BreakableSite(app.app)
+        address = serve.listen_site(site)
+        self.places_by_address[address] = Place(app, site)
         self.list_life(worker, address)
 
-    def make_life(self):
-        """Start a life of a worker; a leased_worker.LeasedWorker."""
+    def make_life(self, worker_id=None):
+        """Start a life of a worker, under a new id if none is given.
+
+        Returns:
+          A leased_worker.LeasedWorker.
+        """
         number = next(self.numbers)
-        worker_id = f"i-{number:04x}"
+        worker_id = worker_id or f"i-{number:04x}"
         total = spec.Demand(self.options.cores * 1000, 131_072, 0)
         # Every other clock runs as slow as the users allow.
         rate = SLOW_CLOCK if number % 2 else 1.0
-        worker = leased_worker.LeasedWorker(worker_id, total, rate)
+        started_at_ms = int(time.time() * 1000)
+        worker = leased_worker.LeasedWorker(
+            worker_id, total, rate, started_at_ms, time.monotonic()
+        )
         self.workers_by_id[worker_id] = worker
         return worker
 
@@ -169,6 +195,7 @@
             "capacity": {"cpu": total.millicores, "mem_mb": total.memory_mb},
             "labels": ["a", f"r{int(worker.worker_id[2:], 16) % 2}"],
             "seq": 1,
+            "born": worker.started_at_ms,
         }
         value = base64.b64encode(msgspec.json.encode(entry)).decode()
         key = workers.ENTRY_PREFIX + worker.worker_id
@@ -176,20 +203,52 @@
         self.store.commit([], [(key, value, 0)], [])
         self.wake()
 
-    def replace_life(self, worker):
+    def replace_life(self, worker, keeps_id=False, late_ms=0):
         """End a life without a word and start another at its address.
 
         Args:
           worker: A leased_worker.LeasedWorker.
-        Returns:
-          The other life.
+          keeps_id: Whether the other has its id.
+          late_ms: An int, after what time an entry of the ended life is written once
+            more; 0 for never. What lives writes its own again a little later.
         """
-        del self.workers_by_id[worker.worker_id]
+        worker_id = worker.worker_id
+        key = workers.ENTRY_PREFIX + worker_id
+        address, entry = self.addresses_by_id[worker_id], self.entries_by_key[key]
+        del self.workers_by_id[worker_id]
         self.crashed.append(worker)
-        self.store.commit([], [], [workers.ENTRY_PREFIX + worker.worker_id])
-        later = self.make_life()
-        self.list_life(later, self.addresses_by_id[worker.worker_id])
-        return later
+        later = self.make_life(worker_id if keeps_id else None)
+        place = self.places_by_address[address]
+        place.app.worker = later
+        place.site.break_off()
+        if not keeps_id:
+            self.store.commit([], [], [key])
+        self.list_life(later, address)
+        if late_ms:
+            late_s = late_ms / 1000
+            reactor.callLater(late_s, self.write_entry, key, entry)
+            reactor.callLater(late_s + LATE_ENTRY_S, self.end_entry, key)
+
+    def write_entry(self, key, value):
+        """Write an entry, which may be of a life that is over."""
+        self.store.commit([], [(key, value, 0)], [])
+        self.wake()
+
+    def end_entry(self, key):
+        """Let an entry lapse, or be written anew by the life that has its id."""
+        worker = self.workers_by_id.get(key.removeprefix(workers.ENTRY_PREFIX))
+        if worker is not None:
+            self.list_life(worker, self.addresses_by_id[worker.worker_id])
+            return
+        self.store.commit([], [], [key])
+        self.wake()
+
+    def restart(self, keeps_id, late_ms):
+        """Replace the life of a worker that runs something, if one does."""
+        lives = sorted(
+            self.workers_by_id.values(), key=lambda life: -len(life.active_by_key)
+        )
+        self.replace_life(lives[0], keeps_id, late_ms)
 
     def change_room(self, cores):
         """Change what each worker has; its entry tells."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -155,6 +155,14 @@
         self._platform.wake()
         return b"{}"
 
+    @app.route("/restart", methods=["POST"])
+    def restart(self, request):
+        """Start a worker again, under its id or another."""
+        keeps_id = read_argument(request, "keeps_id", "0") == "1"
+        late_ms = int(read_argument(request, "late_ms", "0"))
+        self._platform.restart(keeps_id, late_ms)
+        return b"{}"
+
     @app.route("/room", methods=["POST"])
     def change_room(self, request):
         """Change what each worker has."""
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -15,7 +15,11 @@
 
 
 class WorkerApp:
-    """The interface of one life of a worker."""
+    """The interface of a worker, one life after the other.
+
+    Attributes:
+      worker: The leased_worker.LeasedWorker of the life that is there now.
+    """
 
     app = klein.Klein()
 
@@ -27,27 +31,27 @@
           worker: A leased_worker.LeasedWorker.
         """
         self._platform = platform
-        self._worker = worker
+        self.worker = worker
 
     def _is_other(self, request):
         """Whether the caller means another life."""
         expected = request.getHeader(workers.EXPECT_HEADER)
-        return expected is not None and expected != self._worker.worker_id
+        return expected is not None and expected != self.worker.worker_id
 
     def _crash(self, worker):
         """End the life of a worker and what runs there; another has its address."""
-        if worker is self._worker:
-            self._worker = self._platform.replace_life(worker)
+        if worker is self.worker:
+            self._platform.replace_life(worker)
 
     async def _keep_silent_if_crashed(self):
         """Say nothing for ever once this life has crashed."""
-        if self._worker.worker_id not in self._platform.workers_by_id:
+        if self.worker.worker_id not in self._platform.workers_by_id:
             await defer.Deferred()
 
     def _answer(self, request, outcome):
         """Answer with an outcome."""
         if isinstance(outcome, messages.Rejected):
-            body = {"clock_ms": self._worker.read_clock_ms(time.monotonic())}
+            body = {"clock_ms": self.worker.read_clock_ms(time.monotonic())}
             return serve.reply(request, 409, body | {"reason": outcome.reason.value})
         return serve.reply(request, 200, {"clock_ms": outcome.clock_ms})
 
@@ -66,14 +70,15 @@
         late_ms = self._platform.faults.late_starts_ms
         if late_ms:
             self._platform.late_starts += 1
-            reactor.callLater(late_ms / 1000, self._start_late, wire, key, step)
+            life = self.worker
+            reactor.callLater(late_ms / 1000, self._start_late, life, wire, key, step)
             await defer.Deferred()
         return self._answer(request, self._start(wire, key, step))
 
-    def _start_late(self, wire, key, step):
-        """Carry out a start that was left unanswered."""
+    def _start_late(self, life, wire, key, step):
+        """Carry out a start that was left unanswered; its ticket is of one life."""
         self._platform.late_starts -= 1
-        if self._worker.worker_id in self._platform.workers_by_id:
+        if self.worker is life:
             self._start(wire, key, step)
 
     def _start(self, wire, key, step):
@@ -92,10 +97,10 @@
         elsewhere = [
             other.worker_id
             for other in self._platform.workers_by_id.values()
-            if other is not self._worker and key in other.active_by_key
+            if other is not self.worker and key in other.active_by_key
         ]
         order = messages.StartOrder(
-            self._worker.worker_id,
+            self.worker.worker_id,
             "",
             key,
             wire.run,
@@ -104,11 +109,11 @@
             wire.fencing_token,
         )
         run_ms = int(step.estimate_ms * self._platform.options.runtime_share)
-        count = len(self._worker.started)
-        outcome = self._worker.start(order, step.demand, run_ms, False, now)
-        if len(self._worker.started) > count:
+        count = len(self.worker.started)
+        outcome = self.worker.start(order, step.demand, run_ms, False, now)
+        if len(self.worker.started) > count:
             if wire.spec == CRASHING_TEXT:
-                reactor.callLater(CRASH_S, self._crash, self._worker)
+                reactor.callLater(CRASH_S, self._crash, self.worker)
             if elsewhere:
                 self._platform.twice.append(wire.task)
             every_life = [
@@ -128,9 +133,9 @@
         wire = msgspec.json.decode(request.content.read(), type=workers.WireStop)
         key = workers.parse_task(wire.task)
         order = messages.StopOrder(
-            self._worker.worker_id, "", key, wire.run, wire.fencing_token
+            self.worker.worker_id, "", key, wire.run, wire.fencing_token
         )
-        outcome = self._worker.stop(order, time.monotonic())
+        outcome = self.worker.stop(order, time.monotonic())
         self._platform.wake()
         return self._answer(request, outcome)
 
@@ -140,25 +145,26 @@
         if self._is_other(request):
             return serve.reply(request, 421, {})
         await self._keep_silent_if_crashed()
-        worker = self._worker
+        worker = self.worker
         wire = msgspec.json.decode(request.content.read(), type=workers.WireHold)
         look = messages.HoldRequest(
-            self._worker.worker_id,
+            self.worker.worker_id,
             "",
             wire.fencing_token,
             wire.deadline_ms,
             wire.last_seen,
             wire.wait_ms,
         )
-        outcome = self._worker.hold(look, time.monotonic())
+        outcome = self.worker.hold(look, time.monotonic())
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
         await self._platform.wait_for(
-            lambda: worker is not self._worker or worker.ended, wire.wait_ms
+            lambda: worker is not self.worker or worker.ended, wire.wait_ms
         )
-        if worker is not self._worker:
-            return serve.reply(request, 421, {})
-        outcome = self._worker.hold(look, time.monotonic())
+        if worker is not self.worker:
+            # The connection went with the life.
+            await defer.Deferred()
+        outcome = self.worker.hold(look, time.monotonic())
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
         body = {
@@ -177,5 +183,6 @@
                 ]
                 for row in outcome.ended
             ],
+            "born": outcome.started_at_ms,
         }
         return serve.reply(request, 200, body)
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -5,11 +5,29 @@
 
 import msgspec
 from twisted.internet import reactor
+from twisted.protocols import policies
 from twisted.web import server
 
 HOST = "127.0.0.1"
 
 
+class BreakableSite(policies.WrappingFactory):
+    """Serves a klein app on connections that can be broken off as by a crash."""
+
+    def __init__(self, app):
+        """Take what is served.
+
+        Args:
+          app: A klein.Klein.
+        """
+        super().__init__(server.Site(app.resource(), timeout=None))
+
+    def break_off(self):
+        """Break off all connections."""
+        for connection in list(self.protocols):
+            connection.transport.abortConnection()
+
+
 def listen(app, port=0):
     """Serve a klein app.
 
@@ -19,7 +37,11 @@
     Returns:
       A str, `IP:PORT`.
     """
-    site = server.Site(app.resource(), timeout=None)
+    return listen_site(server.Site(app.resource(), timeout=None), port)
+
+
+def listen_site(site, port=0):
+    """Serve a site; a str, `IP:PORT`."""
     bound = reactor.listenTCP(port, site, interface=HOST, backlog=1024)
     return f"{HOST}:{bound.getHost().port}"
 
--- a/tests/workers_test.py
+++ b/tests/workers_test.py
@@ -110,3 +110,63 @@
         job_id, _ = self.cell.submit(self.other)
         self.cell.wait_state(self.other, job_id, "succeeded")
         self.check_promises()
+
+
+class RestartingWorkers(scheduler_test.SchedulerCase):
+    """Workers that start again under their ids or others, at an owner and after it."""
+
+    def restart(self, keeps_id, late_ms=0):
+        """Have a worker that runs something start again."""
+        query = f"/restart?keeps_id={int(keeps_id)}&late_ms={late_ms}"
+        harness.call("POST", self.cell.url("platform", query))
+
+    def submit_all(self, count, run_ms):
+        """Hand in some jobs; a list of their IDs."""
+        body = schedulers.make_job(run_ms=run_ms)
+        return [self.cell.submit(self.other, body)[0] for _ in range(count)]
+
+    def check_succeed(self, job_ids):
+        """All jobs end, and nothing ran that must not."""
+        for job_id in job_ids:
+            self.cell.wait_state(self.other, job_id, "succeeded")
+        self.assertEqual(self.check_promises()["after_done"], [])
+
+    def test_what_ran_starts_again_and_ends_are_taken(self):
+        self.check_succeed(self.submit_all(6, 100))
+        running = self.submit_all(3, 1500)
+        self.cell.wait_state(self.other, running[-1], "running")
+        for _ in range(3):
+            self.restart(keeps_id=True)
+        self.check_succeed([*running, *self.submit_all(6, 100)])
+        self.cell.by_name[self.owner].wait_for(r"event=worker-over .*how=restarted")
+
+    def test_entries_of_ended_lives_come_late(self):
+        for keeps_id in (True, False):
+            running = self.submit_all(3, 1500)
+            self.cell.wait_state(self.other, running[-1], "running")
+            self.restart(keeps_id, late_ms=300)
+            self.check_succeed([*running, *self.submit_all(12, 300)])
+
+    def test_owner_is_killed_as_workers_restart(self):
+        for keeps_id in (True, False):
+            running = self.submit_all(4, 1500)
+            self.cell.wait_state(self.other, running[-1], "running")
+            self.restart(keeps_id, late_ms=200)
+            owner = self.cell.find_owner()
+            self.cell.by_name[owner].kill()
+            self.cell.start_scheduler(owner)
+            self.restart(keeps_id)
+            self.check_succeed([*running, *self.submit_all(6, 100)])
+
+    def test_store_is_away_as_workers_restart(self):
+        running = self.submit_all(4, 1500)
+        self.cell.wait_state(self.other, running[-1], "running")
+        self.cell.set_platform_faults(away=True)
+        self.restart(keeps_id=True, late_ms=200)
+        self.restart(keeps_id=False, late_ms=200)
+        harness.wait_until(
+            lambda: "how=restarted" in self.cell.by_name[self.owner].read_log(),
+            "the owner sees the restart while the store is away",
+        )
+        self.cell.set_platform_faults()
+        self.check_succeed([*running, *self.submit_all(6, 100)])
--- a/thornport/cell/owner/looks.py
+++ b/thornport/cell/owner/looks.py
@@ -52,30 +52,40 @@
             self.end_pause(worker_id)
 
     async def _look_at(self, worker_id):
-        """Renew the leases of a worker and see what ended, again and again."""
+        """Look at a worker until it is gone or this ownership has ended.
+
+        After an error the next search for workers that are not looked at begins anew:
+        of a worker that is never looked at again nothing ends and nothing is freed.
+        """
         address = self._core.workers_by_id[worker_id].entry.address
+        try:
+            await self._keep_looking(worker_id)
+        finally:
+            self._look_by_worker.pop(worker_id, None)
+            self._workers.forget(address)
+
+    async def _keep_looking(self, worker_id):
+        """Renew the leases of a worker and see what ended, again and again."""
         retry_s = FIRST_RETRY_S
         while self._session.is_active:
             sent_at = clock.read_monotonic()
             request = self._core.make_hold(worker_id, sent_at)
             if request is None:
                 if worker_id not in self._core.workers_by_id:
-                    break
+                    return
                 await tasks.sleep(self._reactor, LOOK_RETRY_S)
                 continue
             look = defer.ensureDeferred(self._workers.hold(request))
             self._look_by_worker[worker_id] = look
             answer = await look
             if not self._session.is_active:
-                break
+                return
             self._session.metrics.count("worker.looks")
             if worker_id not in self._hurried:
                 self._take_look(request, sent_at, answer)
             await self._rest(worker_id, answer, retry_s)
             is_answered = isinstance(answer, messages.HoldAnswer)
             retry_s = FIRST_RETRY_S if is_answered else LOOK_RETRY_S
-        self._look_by_worker.pop(worker_id, None)
-        self._workers.forget(address)
 
     def look_again(self, worker_id):
         """End a look that waits, so that the next one is sent at once."""
