Take no answer that was meant for an earlier life, and no unknown job, for more

Found by reading the change: a run of a job that nobody knows and that a new life lists raised an error (its look was taken again and again); a 421 to a call of an earlier life ended the later one that had its id. Change: guards for both, and runs of earlier owners that come to be known late are released as before.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -294,11 +294,12 @@
           answer: A messages.Rejected.
           now: A float.
         """
+        # A call from before has come to another life, or under our own earlier token.
+        is_newest = order.token == self.make_token(worker)
         if answer.reason is messages.Rejection.FENCED:
-            # The worker may have seen our own later token.
-            is_newest = order.token == self.make_token(worker)
             self.is_fenced = self.is_fenced or is_newest
         elif answer.reason is messages.Rejection.REPLACED:
-            self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
+            if is_newest:
+                self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
             worker.avoid(now + AVOID_S)
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -195,7 +195,8 @@
         if lives.is_of_other_life(run, worker):
             # Its order came after the restart; a successor has to know the same.
             run.worker_started_at_ms = worker.started_at_ms
-            self._mark(self.jobs_by_id[run.key.job_id])
+            if run.key.job_id in self.jobs_by_id:
+                self._mark(self.jobs_by_id[run.key.job_id])
         if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
             run.state = model.RunState.RUNNING
             run.percent_at = now
@@ -209,7 +210,9 @@
 
     def _take_absent(self, run, sent_at, now):
         """A live run that the worker does not list, nor its end."""
-        if run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at:
+        if run.state is model.RunState.UNHEARD or (
+            run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
+        ):
             self._release_run(run, now)
 
     def _stop_unknown(self, worker, row, now):
--- a/thornport/cell/decisions/lives_test.py
+++ b/thornport/cell/decisions/lives_test.py
@@ -23,7 +23,7 @@
 from hypothesis import strategies as st
 
 from tests import cellworld
-from thornport.cell.decisions import messages, notes
+from thornport.cell.decisions import lives, messages, notes
 from thornport.jobs import spec
 
 LONG_MS = 20_000
@@ -198,6 +198,45 @@
         world.run(2)
         self.assertFalse(later.active_by_key)
 
+    def test_run_of_a_job_that_nobody_knows_comes_again_at_the_new_life(self):
+        world = make_world()
+        owner = world.owner
+        key = messages.TaskKey("unknown", 0, 0, 0)
+        rows = [messages.RunningRow(key, 1, "", 5)]
+        started_at_ms = world.workers_by_id["w0"].started_at_ms
+        for later_ms in (0, 1, 1):
+            request = owner.make_hold("w0", world.now)
+            answer = messages.HoldAnswer(9, rows, [], started_at_ms + later_ms)
+            owner.take_hold(request, world.now, answer, world.now)
+        self.assertTrue(owner.is_met("w0"))
+        stops = [o for o in owner.take_orders() if isinstance(o, messages.StopOrder)]
+        self.assertEqual({order.key for order in stops}, {key})
+
+    def test_call_that_was_meant_for_a_life_before_ends_no_later_one(self):
+        world = make_world()
+        owner = world.owner
+        request = owner.make_hold("w0", world.now)
+        world.restart("w0")
+        world.run(0.2)
+        replaced = messages.Rejected(messages.Rejection.REPLACED)
+        owner.take_hold(request, world.now, replaced, world.now)
+        key = messages.TaskKey("a", 0, 0, 0)
+        stop = messages.StopOrder("w0", request.address, key, 1, request.token)
+        owner.take_stop_outcome(stop, replaced, world.now)
+        self.assertTrue(owner.is_met("w0"))
+
+    def test_owner_that_has_met_too_many_lives_gives_the_cell_up(self):
+        world = make_world()
+        for _ in range(2**lives.FENCE_BITS):
+            world.owner.drop_worker("w0", world.now)
+            if world.owner.is_fenced:
+                break
+            world.owner.end_worker(
+                world.owner.workers_by_id["w0"], world.now, notes.WorkerEnd.LAPSED
+            )
+            world.list_worker("w0")
+        self.assertTrue(world.owner.is_fenced)
+
     def test_restart_while_records_of_starts_are_being_kept(self):
         for more in ({}, {"gang": True}):
             world = make_world(worker_count=2)
