--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,7 +10,8 @@
 `POST /room?cores=N` changes what each worker has while it runs. A task of a job whose
 text is `crash` crashes the worker that starts it; another life takes its address.
 `GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
-to be carried out. `POST /restart?keeps_id=1&late_ms=N` ends a worker that runs
+to be carried out, its `most_by_text` the most millicores that the jobs of one text had
+running at once. `POST /restart?keeps_id=1&late_ms=N` ends a worker that runs
 something, if one does, and starts another life at its address, under its id or another;
 after N ms, if that is not 0, an entry of the ended life is written once more.
 """
@@ -75,6 +76,7 @@
         self.after_done = []
         self.crashed = []
         self.late_starts = 0
+        self.most_by_text = {}
         self.entries_by_key = {}
         self.addresses_by_id = {}
         self.places_by_address = {}
@@ -153,6 +155,16 @@
             self.jobs_by_id[kept.job_id] = kept
         return self.jobs_by_id[key.job_id].job.steps[key.step]
 
+    def note_use(self, text):
+        """Note how many millicores the jobs of one text have running now."""
+        used = sum(
+            active.demand.millicores
+            for worker in self.workers_by_id.values()
+            for active in worker.active_by_key.values()
+            if self.jobs_by_id[active.key.job_id].job.text == text
+        )
+        self.most_by_text[text] = max(used, self.most_by_text.get(text, 0))
+
     def add_worker(self):
         """Start a worker and list it in the store."""
         worker = self.make_life()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -184,6 +184,7 @@
             "unknown": self._platform.unknown,
             "after_done": self._platform.after_done,
             "late_starts": self._platform.late_starts,
+            "most_by_text": self._platform.most_by_text,
             "running": [
                 workers.format_task(key)
                 for worker in self._platform.workers_by_id.values()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -122,6 +122,7 @@
             ]
             if any(key in life.noted_done for life in every_life):
                 self._platform.after_done.append(wire.task)
+            self._platform.note_use(wire.spec)
         return outcome
 
     @app.route("/-/run-stop", methods=["POST"])
--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -46,6 +46,16 @@
 }
 
 
+def make_workspace(name, *keys, cores=0, weight=10):
+    """Make a workspace of a configuration; its limit is some cores, 0 for none."""
+    return {
+        "name": name,
+        "api_keys": list(keys),
+        "weight": weight,
+        "max_items": {"cpu": cores * 1000, "mem_mb": 0, "gpu": 0},
+    }
+
+
 def make_job(count=2, run_ms=200, **more):
     """Make the body of a job: a step, and one that comes after it."""
     step = {"count": count, "cpu": 4000, "mem_mb": 100, "est_runtime_ms": run_ms}
@@ -95,32 +105,37 @@
         value = base64.b64encode(msgspec.json.encode(config))
         harness.call("PUT", self.url("platform", "/operator/op/config"), value)
 
-    def send(self, method, name, path, body=None, timeout_s=5.0):
-        """Call a scheduler as a caller does; None when there is no answer."""
+    def send(self, method, name, path, body=None, timeout_s=5.0, key=None):
+        """Call a scheduler as a caller does, with a key if one is given.
+
+        Returns:
+          The answer, None when there is none.
+        """
         data = msgspec.json.encode(body) if body is not None else None
-        headers = {"Host": HOST}
+        headers = {"Host": HOST} | ({"Api-Key": key} if key else {})
         try:
             return harness.call(method, self.url(name, path), data, headers, timeout_s)
         except urllib3.exceptions.HTTPError:
             return None
 
-    def submit(self, name, body=None, job_id=None):
+    def submit(self, name, body=None, job_id=None, key=None):
         """Hand in a job; returns its ID and the status, 0 for no answer."""
         job_id = job_id or next(self.ids)
-        answer = self.send("POST", name, f"/editions/{job_id}", body or make_job())
+        path = f"/editions/{job_id}"
+        answer = self.send("POST", name, path, body or make_job(), key=key)
         return job_id, answer.status if answer is not None else 0
 
-    def read_state(self, name, job_id):
+    def read_state(self, name, job_id, key=None):
         """Ask for a job's state; empty when there is no such answer."""
-        answer = self.send("GET", name, f"/editions/{job_id}")
+        answer = self.send("GET", name, f"/editions/{job_id}", key=key)
         if answer is None or answer.status != 200:
             return ""
         return msgspec.json.decode(answer.data)["state"]
 
-    def wait_state(self, name, job_id, state):
+    def wait_state(self, name, job_id, state, key=None):
         """Wait for a job's state."""
         harness.wait_until(
-            lambda: self.read_state(name, job_id) == state, f"{job_id} {state}"
+            lambda: self.read_state(name, job_id, key) == state, f"{job_id} {state}"
         )
 
     def find_owner(self):
