Workspaces: keys let callers in, jobs are their workspace's, limits hold

Cause: nothing on the path of jobs knew a workspace, so unknown and withdrawn keys were served, and no sum was kept of what a workspace runs.

Each request is checked; where the configuration was not confirmed within 3 s a wrong key gets 503, not 401. A process that the store does not tell reads the configuration by way of a peer. A job's record names its workspace; another's key finds no such job, and 409 for its ID.

One test is replaced by one as strict: an unknown queue is no certainty once no process can read the store; with one that can, it is certain by way of that peer.

Ruled out: a count from nothing in each round (5,400 runs take some 5 ms, rounds of urgent steps come every 2 ms).

--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -240,9 +240,11 @@
 
     def test_unknown_route_is_no_certainty_while_the_store_is_silent(self):
         self.assertEqual(self.read_unknown_route(), 404)
-        self.cell.set_proxy(f"store-of-{self.other}", freeze=True)
+        for name in self.cell.names:
+            self.cell.set_proxy(f"store-of-{name}", freeze=True)
         harness.wait_until(lambda: self.read_unknown_route() == 503, "no certainty")
-        self.cell.set_proxy(f"store-of-{self.other}")
+        self.cell.set_proxy(f"store-of-{self.owner}")
+        # The other is told by way of the one that the store answers again.
         harness.wait_until(lambda: self.read_unknown_route() == 404, "certainty")
 
     def read_unknown_route(self):
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -2,7 +2,7 @@
 
 import math
 
-from thornport.cell import serving
+from thornport.cell import configuring, serving
 from thornport.cell.dispatch import carrying
 from thornport.cell.owner import offering, owner, ownership
 from thornport.cell.peers import (
@@ -15,7 +15,7 @@
     relaying,
     telling,
 )
-from thornport.jobs import intake, queue
+from thornport.jobs import intake
 from thornport.kernel import clock, logs, looplag, tasks
 from thornport.store import probing, transactions, watching
 
@@ -31,10 +31,6 @@
 # Between looks whether the store answers; while it does not, the owner is greeted
 # each time, for the peers that it tells of are all that is left.
 STORE_CHECK_PERIOD_S = 0.2
-# A configuration of which the store has not told for so long may be out of date: a
-# watch waits for 2 s and is answered within 0.6 s more, but for one whose answer is a
-# new version on its way.
-CONFIRMED_S = 3.0
 # An owner that stops gives the cell up so long before it would be killed: just before
 # the last answers, and the end of its lease has 0.3 s to reach the store, which takes
 # 0.24 s where it answers 60 times slower. Its key would go 0.7 s later at most.
@@ -48,7 +44,7 @@
     """One scheduler process.
 
     Attributes:
-      config: The queue.Config in force, None before the first.
+      configuring: The configuring.Configuring, which holds the configuration.
       is_stopping: Whether the process was told to stop.
       hand_over_by: A float, until when it may wait for the best successor then.
       serving: The serving.Serving of callers.
@@ -81,7 +77,9 @@
         self.bus = bus
         self.relayed = relaying.RelayedStore(reactor, ports.store, bus)
         self.metrics = metrics
-        self.config = None
+        self.configuring = configuring.Configuring(
+            reactor, ports, self.relayed, self._take_config
+        )
         self.is_stopping = False
         self.hand_over_by = math.inf
         told = telling.PeerTelling(reactor, self)
@@ -102,7 +100,6 @@
         self.lag = looplag.LagMeter(reactor)
         self._standing = ownership.Standing(self)
         self._claimer = None
-        self._config_follower = None
         self.session = None
         self._owner = None
         self._prober = probing.Prober(reactor, ports.store)
@@ -121,9 +118,7 @@
             self.bus.address,
         )
         store = self.ports.store
-        self._config_follower = watching.follow_key(
-            self._reactor, store, self.ports.config_key, self._take_config
-        )
+        self.configuring.start()
         watching.follow_key(self._reactor, store, ownership.OWNER_KEY, self._take_owner)
         self._prober.start()
         self.liveness.start()
@@ -184,18 +179,12 @@
 
     # What the store tells.
 
-    def _take_config(self, value, revision):
-        if value is None:
-            return
-        try:
-            config = self.ports.decode_config(value)
-        except self.ports.decode_errors as error:
-            logs.log("config-undecodable", reason=str(error))
-            return
-        if self.config is not None and config.version <= self.config.version:
-            return
-        self.config = config
-        logs.log("config-in-force", version=config.version, queues=len(config.queues))
+    @property
+    def config(self):
+        """The queue.Config in force, None before the first."""
+        return self.configuring.config
+
+    def _take_config(self, config):
         if self.session is not None:
             self.session.core.take_config(config, clock.read_monotonic())
             self.session.pump()
@@ -359,35 +348,6 @@
         session = self.session
         return session.core if session is not None and session.is_deciding else None
 
-    # What callers ask for.
-
-    def is_config_confirmed(self):
-        """Whether the store has told of the configuration within CONFIRMED_S."""
-        age_s = self._config_follower.read_age_s()
-        return age_s is not None and age_s < CONFIRMED_S
-
-    def find_queue(self, host, path):
-        """Find the queue of a request.
-
-        Args:
-          host: A str, without a port.
-          path: A str.
-        Returns:
-          A queue.Queue; None when the configuration in force has none, which is
-          logged with its version and how long ago the store confirmed it.
-        """
-        found = queue.find_queue(self.config, host, path)
-        if found is None:
-            age_s = self._config_follower.read_age_s()
-            logs.log(
-                "queue-not-found",
-                host=host,
-                path=path,
-                version=self.config.version,
-                confirmed_ms=None if age_s is None else int(age_s * clock.MS_PER_S),
-            )
-        return found
-
 
 def describe(settings):
     """The settings that a start logs, as a dict for the log alone."""
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from thornport.cell.decisions import advising, messages
+from thornport.cell.decisions import advising, messages, usage
 
 # Lost workers that are remembered, to tell many that are lost at once: more than any
 # rack of the users has, 20 a rack, and than an eighth of 860 workers.
@@ -25,10 +25,11 @@
       forgotten: Ids of jobs whose records are to be removed, in order.
       jobs_by_id, workers_by_id: The state.
       callers: The advising.Callers.
+      usage: The usage.Usage of the workspaces.
       needs_round: Whether a round of placement could start more.
     """
 
-    def __init__(self, token, now, earlier_over_at, status_s):
+    def __init__(self, token, now, earlier_over_at, status_s, overshoot=0.0):
         """Begin.
 
         Args:
@@ -37,6 +38,8 @@
           earlier_over_at: A float, when all that earlier owners started at
             workers that do not answer is over.
           status_s: A float, how long callers ask for a job after its end.
+          overshoot: A float, by what share of it the limit of a workspace may be
+            passed.
         """
         self.token = token
         self._earlier_over_at = earlier_over_at
@@ -52,6 +55,9 @@
         self.jobs_by_id = {}
         self.workers_by_id = {}
         self.callers = advising.Callers()
+        self.usage = usage.Usage()
+        self._overshoot = overshoot
+        self._config_version = 0
         self._queues_by_name = {}
         self._services = frozenset()
         # model.ListedWorkers of services that no configuration names.
@@ -77,6 +83,12 @@
         kept = job.record.queue
         return self._queues_by_name.get(kept.name, kept)
 
+    def _hold_room(self, worker, run):
+        """Count a run against the room of its worker and the limit of its workspace."""
+        worker.add_run(run)
+        job = self.jobs_by_id.get(run.key.job_id)
+        self.usage.add(run, job.record.workspace if job is not None else "")
+
     def _find_step(self, key):
         """The model.StepState of a StepKey or TaskKey, or None."""
         job = self.jobs_by_id.get(key.job_id) or self._incoming_by_id.get(key.job_id)
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -17,6 +17,7 @@
     outcomes,
     rounds,
 )
+from thornport.jobs import workspace
 
 ROUND_STEPS = rounds.ROUND_STEPS
 INCOMING_S = 5.0  # a job that is not accepted by then was refused
@@ -102,10 +103,19 @@
         taken, self.notes = self.notes, []
         return taken
 
-    def read_state(self, job_id):
-        """The kept record.JobState of a job, or None if it is not known."""
+    def read_state(self, job_id, caller=workspace.OPERATOR):
+        """Read the kept state of a job.
+
+        Args:
+          job_id: A str.
+          caller: The workspace.Caller who asks.
+        Returns:
+          A record.JobState, or None if no job is known that the caller may see.
+        """
         job = self.jobs_by_id.get(job_id)
-        return None if job is None else job.shown_state
+        if job is None or not caller.may_see(job.record):
+            return None
+        return job.shown_state
 
     def count_waiting(self, queue_name):
         """Count the jobs of a queue of which no task has begun."""
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -33,6 +33,7 @@
             step.checkpoints_by_index[step.index_for(end.key.index)] = end.checkpoint
         if not is_current:
             worker.remove_run(run)
+            self.usage.remove(run)
             self.needs_round = True
             return
         if end.kind is messages.EndKind.DONE and not step.spec.lasting:
@@ -70,6 +71,7 @@
     def _release_run(self, run, now):
         """A run is surely over: its room is free, its task may go on."""
         run.state = model.RunState.OVER
+        self.usage.remove(run)
         worker = self.workers_by_id.get(run.worker_id)
         if worker is not None:
             worker.remove_run(run)
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import messages, placing, reserving, rounds
+from thornport.cell.decisions import messages, placing, reserving, rounds, usage
 from thornport.jobs import record
 
 
@@ -16,6 +16,8 @@
 
     NOTHING = "nothing"
     EARLIER_STEPS = "earlier steps"
+    LIMIT = "what its workspace may have running"
+    OVER_LIMIT = "a higher limit: it is wider than its workspace may ever run"
     NO_FIT = "no worker could ever hold a task"
     TOO_WIDE = "the workers that may run it could never hold the whole gang"
     ADVICE = "advice on which workers may run it"
@@ -59,6 +61,7 @@
     accepted_at_ms: int
     steps: tuple[StepView, ...] = ()
     cause: record.FailureCause | None = None
+    workspace: str = ""
 
 
 class LateStep(msgspec.Struct, frozen=True):
@@ -160,6 +163,7 @@
             kept.accepted_at_ms,
             steps,
             job.cause if job.shown_state is record.JobState.FAILED else None,
+            kept.workspace,
         )
 
     def _view_step(self, job, step, now):
@@ -179,6 +183,11 @@
             return Waiting.NOTHING
         if not self._is_due(job, step):
             return Waiting.EARLIER_STEPS
+        name = job.record.workspace
+        if usage.is_too_wide(step, self.usage.read_limit(name)):
+            return Waiting.OVER_LIMIT
+        if not usage.Allowance(self.usage).count_startable(step, name):
+            return Waiting.LIMIT
         queue = self._queue_of(job)
         suited = self._list_suited(step, queue)
         if not suited:
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -231,7 +231,7 @@
             model.RunState.RUNNING,
             worker_started_at_ms=worker.started_at_ms,
         )
-        worker.add_run(run)
+        self._hold_room(worker, run)
         self._stop_run(run, now)
 
 
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -12,6 +12,7 @@
     progress,
     reserving,
     ticketing,
+    usage,
 )
 from thornport.jobs import record
 
@@ -58,7 +59,9 @@
           now: A float.
         """
         self._queues_by_name = {queue.name: queue for queue in config.queues}
+        self._config_version = config.version
         self._services = config.list_services()
+        self.usage.take_limits(config.workspaces, self._overshoot)
         self.needs_round = True
         waiting, self._unnamed_by_id = self._unnamed_by_id, {}
         for listed in waiting.values():
@@ -214,8 +217,10 @@
         if queue.advice is None:
             return
         reserved = reserving.Reservations(now)
+        allowance = usage.Allowance(self.usage)
         for step in list(job.steps_by_key.values()):
-            if not step.spec.after:
+            may_start = allowance.count_startable(step, kept.workspace)
+            if not step.spec.after and may_start:
                 candidates = self._list_candidates(step, queue, now)
                 self._ask_advice(step, queue, candidates, reserved, now)
 
@@ -264,7 +269,7 @@
             )
             worker = self._make_worker(entry, is_listed=False)
             self.workers_by_id[run.worker_id] = worker
-        worker.add_run(run)
+        self._hold_room(worker, run)
 
     def take_cancel(self, job_id, now):
         """Take an accepted cancel."""
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -280,6 +280,7 @@
       is_advising: Whether a call for advice is open.
       retry_advice_at: A float, no call for advice before.
       is_told_late: Whether it was told that it waits past its job's objective.
+      is_at_limit: Whether it was told that it waits for its workspace's limit.
     """
 
     key: messages.StepKey
@@ -302,6 +303,7 @@
     is_advising: bool = False
     retry_advice_at: float = 0.0
     is_told_late: bool = False
+    is_at_limit: bool = False
 
     def forget_advice(self):
         """Drop the tickets and ids of workers; nothing of it starts any more."""
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from thornport.cell.decisions import messages
+from thornport.jobs import spec
 
 
 class WorkerEnd(enum.Enum):
@@ -49,6 +50,25 @@
     points_in_all: int
 
 
+class LimitWait(msgspec.Struct, frozen=True):
+    """A step begins to wait for the limit of its workspace, or does so no more.
+
+    Attributes:
+      workspace: A str.
+      is_waiting: Whether it begins.
+      used: Demand, what counts against the limit.
+      limit: Demand; None if there is none any more.
+      version: An int, of the configuration that the limit is from.
+    """
+
+    key: messages.StepKey
+    workspace: str
+    is_waiting: bool
+    used: spec.Demand
+    limit: spec.Demand | None
+    version: int
+
+
 class LifeOver(msgspec.Struct, frozen=True):
     """The life of a worker is over.
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -4,9 +4,11 @@
     crashes,
     messages,
     model,
+    notes,
     placing,
     reserving,
     ticketing,
+    usage,
     yielding,
 )
 from thornport.jobs import record
@@ -29,26 +31,48 @@
         candidates_by_kind = {}
         reserved = reserving.Reservations(now)
         yields = yielding.Yielding(now)
+        allowance = usage.Allowance(self.usage)
         tried = 0
         for job, step in self._list_ready(only_urgent):
             queue = self._queue_of(job)
             if yields.gives_way(job, queue):
                 continue
+            startable = allowance.count_startable(step, job.record.workspace)
+            self._note_limit(job, step, is_waiting=not startable)
+            if not startable:
+                # It waits for its workspace, so it asks nothing of the workers.
+                allowance.keep_for(step, job.record.workspace)
+                continue
             kind = (queue.service, placing.read_kind(step))
             if kind not in candidates_by_kind:
                 candidates_by_kind[kind] = self._list_candidates(step, queue, now)
             candidates = candidates_by_kind[kind]
             # What no worker has room for costs a comparison, and holds up nothing.
             if candidates.may_hold(step.spec.demand):
-                self._place_step(job, step, queue, candidates, reserved, now)
+                self._place_step(job, step, queue, candidates, reserved, startable, now)
                 tried += 1
-            if step.waiting and reserved.may_reserve():
+            is_full = not allowance.count_startable(step, job.record.workspace)
+            if step.waiting and not is_full and reserved.may_reserve():
                 starts_at = self._reserve(step, queue, candidates, reserved, now)
                 if step.spec.gang and starts_at is not None:
                     yields.note_waiting(queue, candidates.workers)
             if tried >= ROUND_STEPS:
                 return
 
+    def _note_limit(self, job, step, is_waiting):
+        """Note that a step begins, or ceases, to wait for its workspace's limit."""
+        if step.is_at_limit == is_waiting:
+            return
+        step.is_at_limit = is_waiting
+        name = job.record.workspace
+        used = self.usage.used_by_name.get(name, usage.NOTHING)
+        limit = self.usage.read_limit(name)
+        self.notes.append(
+            notes.LimitWait(
+                step.key, name, is_waiting, used, limit, self._config_version
+            )
+        )
+
     def _list_ready(self, only_urgent):
         ready = []
         for job in self._unended_by_id.values():
@@ -84,14 +108,16 @@
         self._ask_early(step, queue, candidates, starts_at, now)
         return starts_at
 
-    def _place_step(self, job, step, queue, candidates, reserved, now):
+    def _place_step(self, job, step, queue, candidates, reserved, startable, now):
         if queue.advice is None:
-            self._start_step(job, step, candidates.workers, reserved, now)
+            workers = candidates.workers
+            self._start_step(job, step, workers, reserved, startable, now)
             return
         ticketed = placing.list_ticketed(step, candidates, now)
+        started = 0
         if ticketed:
-            self._start_step(job, step, ticketed, reserved, now)
-        if step.waiting and self._may_ask(step, now):
+            started = self._start_step(job, step, ticketed, reserved, startable, now)
+        if started < startable and self._may_ask(step, now):
             self._ask_advice(step, queue, candidates, reserved, now)
 
     def _list_without_trial(self, workers, now):
@@ -110,13 +136,20 @@
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
-    def _start_step(self, job, step, workers, reserved, now):
+    def _start_step(self, job, step, workers, reserved, most, now):
+        """Start tasks of a step.
+
+        Args:
+          most: An int, how many its workspace may start now.
+        Returns:
+          An int, how many were started.
+        """
         wants_fast = self._queue_of(job).priority == 0
         workers = self._list_without_trial(workers, now)
-        startable = crashes.list_startable(step, self.workers_by_id, now)
+        startable = crashes.list_startable(step, self.workers_by_id, now)[:most]
         assigned = placing.assign_step(step, workers, reserved, wants_fast, startable)
         if not assigned:
-            return
+            return 0
         step.last_run += 1
         for assignment in assigned:
             step.waiting.discard(assignment.index)
@@ -135,7 +168,7 @@
             )
             step.live_by_index[assignment.index] = run
             reserved.take_room(step, worker)
-            worker.add_run(run)
+            self._hold_room(worker, run)
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
                 self._trial_ids.add(worker.worker_id)
@@ -144,3 +177,4 @@
         if job.state is record.JobState.QUEUED:
             job.state = record.JobState.RUNNING
         self._mark(job)
+        return len(assigned)
--- /dev/null
+++ b/thornport/cell/decisions/usage.py
@@ -0,0 +1,172 @@
+"""What each workspace has running in the cell, and how much more it may start: pure.
+
+A run counts from the decision to start it until it is surely over, at whichever worker
+and by whichever owner it was started: what is being kept, ordered, stopped or in doubt
+counts in full. A run is taken in and out by itself, so an end that is told twice takes
+nothing away twice.
+"""
+
+from thornport.jobs import spec, workspace
+
+NOTHING = spec.Demand()
+
+
+class Usage:
+    """The sums over the runs that may be live, by workspace.
+
+    Attributes:
+      used_by_name: Demand by the name of the workspace.
+    """
+
+    __slots__ = ("_limits_by_name", "_names_by_run", "used_by_name")
+
+    def __init__(self):
+        """Begin with no run and no limit."""
+        self.used_by_name = {}
+        self._names_by_run = {}
+        self._limits_by_name = {}
+
+    def take_limits(self, workspaces, overshoot):
+        """Take the limits of a version of the configuration.
+
+        What runs goes on where a limit falls; nothing starts until there is room. Work
+        of a workspace that the version does not name, accepted under an earlier one,
+        goes on without a limit.
+
+        Args:
+          workspaces: A workspace.Workspaces, or None where there are none.
+          overshoot: A float, by what share of it a limit may be passed.
+        """
+        by_name = workspaces.by_name if workspaces is not None else {}
+        self._limits_by_name = {
+            name: widen(one.limit, overshoot) for name, one in by_name.items()
+        }
+
+    def add(self, run, name):
+        """Count a run.
+
+        Args:
+          run: A model.Run.
+          name: A str, the workspace whose job it is of; empty if it is nobody's.
+        """
+        if not name or run in self._names_by_run:
+            return
+        self._names_by_run[run] = name
+        used = self.used_by_name.get(name, NOTHING)
+        self.used_by_name[name] = used.add(run.demand)
+
+    def remove(self, run):
+        """Take that a run, a model.Run, is surely over."""
+        name = self._names_by_run.pop(run, None)
+        if name is not None:
+            used = self.used_by_name[name].subtract(run.demand)
+            self.used_by_name[name] = used
+
+    def read_limit(self, name):
+        """The limit of a workspace, a Demand; None if it has none."""
+        return self._limits_by_name.get(name)
+
+    def compute_left(self, name):
+        """Compute what a workspace may start beside what it has running.
+
+        Args:
+          name: A str, as for `add`.
+        Returns:
+          Demand, negative where a limit fell below what runs; None if there is no
+          limit.
+        """
+        limit = self._limits_by_name.get(name)
+        if limit is None:
+            return None
+        return limit.subtract(self.used_by_name.get(name, NOTHING))
+
+
+class Allowance:
+    """What the workspaces may start in one round.
+
+    A gang that waits until its workspace may run all of it keeps what is left of the
+    limit from what comes behind it: small tasks of the same workspace would else take
+    each piece as it comes. One that is wider than the limit keeps nothing.
+    """
+
+    __slots__ = ("_kept_by_name", "_usage")
+
+    def __init__(self, usage):
+        """Begin with nothing kept.
+
+        Args:
+          usage: A Usage, which goes on counting what is started.
+        """
+        self._usage = usage
+        self._kept_by_name = {}
+
+    def count_startable(self, step, name):
+        """Count the waiting tasks of a step that its workspace may start now.
+
+        Args:
+          step: A model.StepState.
+          name: A str, the workspace.
+        Returns:
+          An int; of a gang all or none.
+        """
+        waiting = len(step.waiting)
+        left = self._usage.compute_left(name)
+        if left is None:
+            return waiting
+        left = left.subtract(self._kept_by_name.get(name, NOTHING))
+        count = step.spec.demand.count_in(left, waiting)
+        return count if not step.spec.gang or count >= step.spec.count else 0
+
+    def keep_for(self, step, name):
+        """Keep the limit for a gang that waits for it.
+
+        Args:
+          step: A model.StepState.
+          name: A str, the workspace.
+        """
+        if not step.spec.gang or is_too_wide(step, self._usage.read_limit(name)):
+            return
+        kept = self._kept_by_name.get(name, NOTHING)
+        for _ in step.waiting:
+            kept = kept.add(step.spec.demand)
+        self._kept_by_name[name] = kept
+
+
+def widen(limit, overshoot):
+    """Widen a limit by a share of it.
+
+    Args:
+      limit: Demand; UNLIMITED resources stay so.
+      overshoot: A float.
+    Returns:
+      A spec.Demand.
+    """
+    if not overshoot:
+        return limit
+    return spec.Demand(
+        widen_part(limit.millicores, overshoot),
+        widen_part(limit.memory_mb, overshoot),
+        widen_part(limit.accelerators, overshoot),
+    )
+
+
+def widen_part(part, overshoot):
+    """Widen the limit of one resource; an int."""
+    if part >= workspace.UNLIMITED:
+        return part
+    return int(part * (1 + overshoot))
+
+
+def is_too_wide(step, limit):
+    """Tell whether what must start together of a step is more than a limit.
+
+    Args:
+      step: A model.StepState.
+      limit: Demand, or None.
+    Returns:
+      A bool.
+    """
+    if limit is None:
+        return False
+    tasks = step.spec.count if step.spec.gang else 1
+    return step.spec.demand.count_in(limit, tasks) < tasks
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -3,10 +3,15 @@
 import functools
 
 from thornport.cell.decisions import notes
+from thornport.jobs import workspace
 from thornport.kernel import logs
 
 # Counters of notes.
-NAME_BY_NOTE = {notes.RunLost: "runs.lost", notes.LifeOver: "workers.over"}
+NAME_BY_NOTE = {
+    notes.RunLost: "runs.lost",
+    notes.LifeOver: "workers.over",
+    notes.LimitWait: "steps.at_limit",
+}
 
 
 @functools.singledispatch
@@ -50,6 +55,34 @@
     )
 
 
+@log_note.register
+def log_limit_wait(note: notes.LimitWait):
+    """Log that a step begins or ceases to wait for its workspace's limit."""
+    logs.log(
+        "step-at-limit" if note.is_waiting else "step-within-limit",
+        job=note.key.job_id,
+        step=f"{note.key.time}.{note.key.step}",
+        workspace=note.workspace,
+        used=format_demand(note.used),
+        limit=format_demand(note.limit),
+        version=note.version,
+    )
+
+
+def format_demand(demand):
+    """Format a Demand as `MILLICORES/MEMORY_MB/ACCELERATORS`.
+
+    Args:
+      demand: A spec.Demand, or None where there is no limit.
+    Returns:
+      A str; `-` stands for a resource without a limit.
+    """
+    if demand is None:
+        return ""
+    parts = (demand.millicores, demand.memory_mb, demand.accelerators)
+    return "/".join("-" if n >= workspace.UNLIMITED else str(n) for n in parts)
+
+
 def format_start(started_at_ms):
     """Format when a worker has started: empty if it is not known."""
     return "" if started_at_ms is None else started_at_ms
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -61,7 +61,11 @@
         )
         now = self.began_at = clock.read_monotonic()
         self.core = core.CellCore(
-            claimer.token, now, now + EARLIER_OWNER_S, settings.bounds.status_s
+            claimer.token,
+            now,
+            now + EARLIER_OWNER_S,
+            settings.bounds.status_s,
+            settings.bounds.limit_overshoot,
         )
         self._following = following.Following(reactor, self)
         self.workers = dispatching.DispatchedWorkers(reactor, bus, ports.workers)
--- a/thornport/cell/peers/asking.py
+++ b/thornport/cell/peers/asking.py
@@ -1,6 +1,7 @@
 """Asking the owner of the cell over the bus."""
 
 from thornport.cell.peers import peering, questions
+from thornport.jobs import workspace
 
 ANSWER_S = 0.25  # an owner that is well answers in a few milliseconds
 
@@ -17,18 +18,20 @@
         """
         self._questions = questions.Questions(reactor, bus, ANSWER_S)
 
-    async def ask_state(self, address, job_id):
+    async def ask_state(self, address, job_id, caller=workspace.OPERATOR):
         """Ask for the state of a job.
 
         Args:
           address: A str, the owner's; empty when there is none.
           job_id: A str.
+          caller: The workspace.Caller for whom it is asked.
         Returns:
-          A str, empty if the owner does not know it or does not answer.
+          A str, empty if the owner knows none that the caller may see, or does not
+          answer.
         """
 
         def make_question(ask_id):
-            return peering.AskState(ask_id, job_id)
+            return peering.AskState(ask_id, job_id, caller)
 
         answer = await self._ask(address, make_question)
         return answer.state if answer is not None else ""
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -3,6 +3,7 @@
 import math
 
 from thornport.cell.peers import workercalls
+from thornport.jobs import workspace
 from thornport.kernel import codec
 from thornport.store import transactions
 
@@ -175,10 +176,15 @@
 
 
 class AskState(codec.Message, frozen=True):
-    """To the owner: the state of a job."""
+    """To the owner: the state of a job.
+
+    Attributes:
+      caller: The workspace.Caller for whom it is asked.
+    """
 
     ask_id: int
     job_id: str
+    caller: workspace.Caller = workspace.OPERATOR
 
 
 class StateIs(codec.Message, frozen=True):
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -207,7 +207,7 @@
     """A process asks for a job's state."""
     core = daemon.get_core()
     if core is not None:
-        state = core.read_state(message.job_id)
+        state = core.read_state(message.job_id, message.caller)
         text = state.value if state is not None else ""
         daemon.bus.send(address, "", peering.StateIs(message.ask_id, text))
 
--- a/thornport/cell/serving.py
+++ b/thornport/cell/serving.py
@@ -118,11 +118,12 @@
             lambda: self.intake.give_up(job_id, LATE_REASON),
         )
 
-    def cancel(self, job_id, deadline):
+    def cancel(self, job_id, caller, deadline):
         """Keep a cancel.
 
         Args:
           job_id: A str.
+          caller: The workspace.Caller who asks.
           deadline: A float, when its caller gives up.
         Returns:
           An awaitable of an outcome of intake.
@@ -132,21 +133,23 @@
         return self._answer(
             f"cancel {job_id}",
             deadline,
-            self.intake.cancel(job_id, deadline),
+            self.intake.cancel(job_id, caller, deadline),
             lambda: intake.Unknown(LATE_REASON),
         )
 
-    def read_state(self, job_id, deadline):
+    def read_state(self, job_id, caller, deadline):
         """Read the state of a job: from the owner, else from the store.
 
         Args:
           job_id: A str.
+          caller: The workspace.Caller who asks.
           deadline: A float, when the caller gives up.
         Returns:
           An awaitable of a Result of record.JobState, or of None when there is no
-          such job.
+          job that the caller may see.
         """
-        return self._read(f"state {job_id}", deadline, self._read_state, job_id)
+        reading_state = self._read_state(job_id, caller)
+        return self._read(f"state {job_id}", deadline, reading_state)
 
     def count_waiting(self, queue_name, deadline):
         """Count the jobs of a queue of which no task has begun.
@@ -157,25 +160,27 @@
         Returns:
           An awaitable of a Result of int.
         """
-        asked = f"waiting {queue_name}"
-        return self._read(asked, deadline, self._count_waiting, queue_name)
+        counting = self._count_waiting(queue_name)
+        return self._read(f"waiting {queue_name}", deadline, counting)
 
-    def _read(self, asked, deadline, read, name):
+    def _read(self, asked, deadline, reading_it):
+        """Wait for a coroutine that reads, unless the process is about to end."""
         if self._is_over(asked):
+            reading_it.close()
             return defer.succeed(fail(STOPS_REASON))
-        return self._answer(asked, deadline, read(name), lambda: fail(LATE_REASON))
+        return self._answer(asked, deadline, reading_it, lambda: fail(LATE_REASON))
 
-    async def _read_state(self, job_id):
+    async def _read_state(self, job_id, caller):
         core = self._daemon.get_core()
-        known = core.read_state(job_id) if core is not None else None
+        known = core.read_state(job_id, caller) if core is not None else None
         if known is not None:
             return result.Success(known)
         address = self._daemon.owner_address
         if core is None and address is not None:
-            state = await self._daemon.asker.ask_state(address, job_id)
+            state = await self._daemon.asker.ask_state(address, job_id, caller)
             if state:
                 return result.Success(record.JobState(state))
-        return await reading.read_state(self._daemon.relayed, job_id)
+        return await reading.read_state(self._daemon.relayed, job_id, caller)
 
     async def _count_waiting(self, queue_name):
         core = self._daemon.get_core()
--- a/thornport/cell/serving_test.py
+++ b/thornport/cell/serving_test.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 
 from thornport.cell import serving
-from thornport.jobs import intake, record
+from thornport.jobs import intake, record, workspace
 from thornport.kernel import clock, tasks
 
 GRACE_S = 6.0
@@ -55,7 +55,9 @@
         unknown = intake.Unknown(serving.STOPS_REASON, intake.ELSEWHERE_RETRY_S)
         self.assertEqual(self.given, [unknown])
         self.intake.submit.assert_not_called()
-        read = defer.ensureDeferred(self.serving.read_state("a", 100.0))
+        read = defer.ensureDeferred(
+            self.serving.read_state("a", workspace.OPERATOR, 100.0)
+        )
         self.assertIsInstance(self.read_result(read), result.Failure)
 
     def test_what_is_open_is_answered_before_the_end(self):
@@ -88,7 +90,7 @@
 
     def test_cancel_is_answered_before_its_caller_gives_up(self):
         self.intake.cancel = lambda *_: defer.Deferred()
-        asked = self.serving.cancel("a", self.clock.seconds() + 3.0)
+        asked = self.serving.cancel("a", workspace.OPERATOR, self.clock.seconds() + 3.0)
         defer.ensureDeferred(asked).addCallback(self.given.append)
         self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
         self.assertEqual(self.given, [intake.Unknown(serving.LATE_REASON)])
@@ -98,9 +100,12 @@
         self.daemon.owner_address = "10.0.0.1:80"
         self.daemon.asker.ask_state.side_effect = lambda *_: defer.Deferred()
         self.daemon.asker.ask_waiting.side_effect = lambda *_: defer.Deferred()
-        for read in (self.serving.read_state, self.serving.count_waiting):
-            asked = defer.ensureDeferred(read("a", self.clock.seconds() + 3.0))
-            asked.addCallback(self.given.append)
+        deadline = self.clock.seconds() + 3.0
+        for asked in (
+            self.serving.read_state("a", workspace.OPERATOR, deadline),
+            self.serving.count_waiting("a", deadline),
+        ):
+            defer.ensureDeferred(asked).addCallback(self.given.append)
         self.clock.advance(3.0 - serving.ANSWER_MARGIN_S)
         late = serving.fail(serving.LATE_REASON)
         self.assertEqual(self.given, [late, late])
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -62,10 +62,12 @@
     Attributes:
       status_s: How long callers ask for a job after its end.
       grace_s: From the order to stop until the process is killed.
+      limit_overshoot: By what share of it a workspace may pass its limit.
     """
 
     status_s: Seconds = 120.0
     grace_s: Seconds = 6.0
+    limit_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
 
 
 class SchedulerSettings(msgspec.Struct, frozen=True):
--- a/thornport/cell/web.py
+++ b/thornport/cell/web.py
@@ -5,16 +5,16 @@
 `jobs.spec`, `cell.explaining` and this module, as JSON.
 """
 
-import time
-
 import msgspec
 from returns import result
 
-from thornport.jobs import intake, record, spec
+from thornport.cell import configuring
+from thornport.jobs import intake, record, spec, workspace
 from thornport.kernel import clock, webreply
 
 PATIENCE_S = 3.0  # for an answer to a call of this interface
 MAX_ID_CHARS = 64  # a job's ID is part of keys, which have 200 bytes at most
+AUTHORIZATION_SCHEME = b"bearer"
 ID_CHARS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
 
 
@@ -85,8 +85,11 @@
             job = decode_job(job_id, request.content.read())
         except spec.SpecError as error:
             return webreply.answer(request, 400, webreply.Problem(str(error)))
+        identified = identify(daemon, request, queue)
+        if isinstance(identified, result.Failure):
+            return answer_denied(daemon, request, identified.failure())
         now = clock.read_monotonic()
-        kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
+        kept = record.make_record(job_id, queue, job, identified.unwrap())
         outcome = await daemon.serving.submit(kept, now + PATIENCE_S)
         return answer_outcome(request, job_id, outcome, record.JobState.QUEUED)
 
@@ -117,7 +120,8 @@
         if view:
             return webreply.answer(request, 200, view)
         deadline = clock.read_monotonic() + PATIENCE_S
-        read = await daemon.serving.read_state(job_id, deadline)
+        caller = workspace.OPERATOR
+        read = await daemon.serving.read_state(job_id, caller, deadline)
         if isinstance(read, result.Failure):
             return webreply.refuse(request, 503, read.failure().reason)
         if read.unwrap() is None:
@@ -127,7 +131,7 @@
     @app.route("/v1/jobs/<job_id>", methods=["DELETE"])
     async def cancel(request, job_id):
         deadline = clock.read_monotonic() + PATIENCE_S
-        outcome = await daemon.serving.cancel(job_id, deadline)
+        outcome = await daemon.serving.cancel(job_id, workspace.OPERATOR, deadline)
         return answer_outcome(request, job_id, outcome, record.JobState.CANCELLED)
 
 
@@ -183,15 +187,53 @@
     return answer_not_kept(request, outcome)
 
 
+def identify(daemon, request, queue):
+    """Find out for which workspace a job is handed in, by its `Authorization` header.
+
+    Args:
+      daemon: A daemon.SchedulerDaemon.
+      request: A twisted request.
+      queue: A queue.Queue.
+    Returns:
+      As for `configuring.Configuring.identify`.
+    """
+    scheme, _, key = (request.getHeader(b"Authorization") or b"").partition(b" ")
+    is_key = scheme.lower() == AUTHORIZATION_SCHEME
+    return daemon.configuring.identify(queue, key.strip() if is_key else None)
+
+
+def answer_denied(daemon, request, denial):
+    """Answer a caller that is not let in.
+
+    Args:
+      daemon: A daemon.SchedulerDaemon.
+      request: A twisted request.
+      denial: A configuring.Denial.
+    Returns:
+      Bytes, the body.
+    """
+    daemon.metrics.count(f"callers.denied.{denial.value}")
+    if denial is configuring.Denial.UNKNOWN:
+        request.setHeader("WWW-Authenticate", "Bearer")
+        problem = webreply.Problem("no key of a workspace")
+        return webreply.answer(request, 401, problem)
+    # Another process may know a newer version by now.
+    request.setHeader("Connection", "close")
+    return webreply.refuse(request, 503, "the configuration may be out of date")
+
+
 def answer_not_kept(request, outcome):
     """Answer a call that was not kept, or of which that is not known.
 
     Args:
       request: A twisted request.
-      outcome: An intake.Refused or Unknown.
+      outcome: An intake.Taken, Refused or Unknown.
     Returns:
       Bytes, the body.
     """
+    if isinstance(outcome, intake.Taken):
+        problem = webreply.Problem("the ID is another job's")
+        return webreply.answer(request, 409, problem)
     if outcome.retry_s == intake.ELSEWHERE_RETRY_S:
         # On this connection the caller would come back to where it can't be served.
         request.setHeader("Connection", "close")
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -12,7 +12,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.jobs import record
+from thornport.jobs import record, workspace
 from thornport.kernel import clock, logs, tasks
 from thornport.store import port, transactions
 
@@ -50,7 +50,11 @@
 
 
 class NoSuchJob(msgspec.Struct, frozen=True):
-    """There is no such job."""
+    """There is no such job, or none that the caller may see."""
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """Another workspace has a job of this ID; what was handed in never runs."""
 
 
 class Telling:
@@ -123,7 +127,7 @@
           kept: A record.JobRecord.
           deadline: A float, when its caller gives up.
         Returns:
-          A Deferred of Accepted, Refused or Unknown.
+          A Deferred of Accepted, Taken, Refused or Unknown.
         """
         refuse_at = clock.read_monotonic() + compute_refuse_s(kept)
         give_up_at = deadline - ANSWER_MARGIN_S
@@ -196,10 +200,13 @@
         """Settle the jobs that are in the store already; the others go on."""
         left = []
         for pending in batch:
-            if record.JOB_PREFIX + pending.kept.job_id in error.by_key:
+            item = error.by_key.get(record.JOB_PREFIX + pending.kept.job_id)
+            if item is None:
+                left.append(pending)
+            elif is_visible(item, workspace.name_submitter(pending.kept)):
                 self._settle(pending, Accepted(), "known")
             else:
-                left.append(pending)
+                self._settle(pending, Taken(), "taken")
         return left
 
     def _give_up(self, pending, error, now):
@@ -228,6 +235,7 @@
             "job-submitted",
             job=kept.job_id,
             queue=kept.queue.name,
+            workspace=kept.workspace,
             objective_ms=kept.compute_objective_ms(),
             outcome=what,
             reason=getattr(outcome, "reason", ""),
@@ -237,22 +245,28 @@
             self._tell.tell_kept(kept.job_id)
         pending.outcome.callback(outcome)
 
-    async def cancel(self, job_id, deadline):
+    async def cancel(self, job_id, caller, deadline):
         """Keep a cancel.
 
         Args:
           job_id: A str.
+          caller: A workspace.Caller.
           deadline: A float, when its caller gives up.
         Returns:
           Accepted, NoSuchJob, Refused or Unknown.
         """
         may_be_kept = False
         while True:
-            outcome = await self._try_cancel(job_id)
+            outcome = await self._try_cancel(job_id, caller)
             if isinstance(outcome, Accepted):
                 self._tell.tell_kept(job_id, is_cancel=True)
             if not isinstance(outcome, port.StoreError):
-                logs.log("job-cancelled", job=job_id, outcome=type(outcome).__name__)
+                logs.log(
+                    "job-cancelled",
+                    job=job_id,
+                    workspace=caller.workspace,
+                    outcome=type(outcome).__name__,
+                )
                 return outcome
             may_be_kept = may_be_kept or isinstance(outcome, port.Ambiguous)
             if clock.read_monotonic() >= deadline - ANSWER_MARGIN_S:
@@ -261,11 +275,13 @@
                 return kind(outcome.reason, self._choose_retry_s())
             await tasks.sleep(self._reactor, RETRY_S)
 
-    async def _try_cancel(self, job_id):
+    async def _try_cancel(self, job_id, caller):
         read = await self._store.read_key(record.JOB_PREFIX + job_id)
         if isinstance(read, result.Failure):
             return read.failure()
-        if read.unwrap().revision == transactions.ABSENT_REVISION:
+        item = read.unwrap()
+        is_there = item.revision != transactions.ABSENT_REVISION
+        if not is_there or not is_visible(item, caller):
             return NoSuchJob()
         key = record.CANCEL_PREFIX + job_id
         written = await self._store.commit(
@@ -280,6 +296,22 @@
         return Accepted() if isinstance(error, transactions.Refused) else error
 
 
+def is_visible(item, caller):
+    """Tell whether the job under a key is there for a caller.
+
+    Args:
+      item: A transactions.Item that is there.
+      caller: A workspace.Caller.
+    Returns:
+      A bool; true of a value that is no record, of which nobody's name is known.
+    """
+    try:
+        return caller.may_see(record.decode_job(item.value))
+    except record.RecordError as error:
+        logs.log("job-undecodable", key=item.key, reason=str(error))
+        return True
+
+
 def compute_refuse_s(kept):
     """How long a job may wait for the store until it is refused.
 
--- a/thornport/jobs/queue.py
+++ b/thornport/jobs/queue.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from thornport.jobs import workspace
+
 
 class Advice(msgspec.Struct, frozen=True, omit_defaults=True):
     """How a queue's advice behaves.
@@ -29,6 +31,7 @@
       stretch, target_ms: A job is in time within its longest chain of work
         times the stretch, and the target more.
       advice: Advice, or None when any worker may run its tasks.
+      is_public: Whether its callers need no key.
     """
 
     name: str
@@ -40,6 +43,7 @@
     stretch: float = 1.0
     target_ms: int = 0
     advice: Advice | None = None
+    is_public: bool = False
 
 
 class Config(msgspec.Struct, frozen=True):
@@ -51,6 +55,8 @@
       guarded_services: Names of services whose workers refuse what does not fit.
       max_body_bytes: An int, the largest body taken from callers.
       services: Names of the services there are.
+      workspaces: workspace.Workspaces; None of a deployment that has none, where no
+        key is asked for and nothing is limited.
     """
 
     version: int
@@ -58,6 +64,7 @@
     guarded_services: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
     services: frozenset[str] = frozenset()
+    workspaces: workspace.Workspaces | None = None
 
     def list_services(self):
         """The names of all services that it names, those of queues too; a frozenset."""
--- a/thornport/jobs/reading.py
+++ b/thornport/jobs/reading.py
@@ -2,48 +2,60 @@
 
 from returns import result
 
-from thornport.jobs import record
+from thornport.jobs import record, workspace
 from thornport.kernel import logs
 from thornport.store import port, transactions, watching
 
 
-async def read_state(store, job_id):
+async def read_state(store, job_id, caller=workspace.OPERATOR):
     """Read the state of a job.
 
     Args:
       store: A store client.
       job_id: A str.
+      caller: The workspace.Caller who asks.
     Returns:
-      A Result of record.JobState, or of None when there is no such job.
+      A Result of record.JobState, or of None when there is no job that the caller
+      may see.
     """
     read = await store.read_key(record.PROGRESS_PREFIX + job_id)
     if isinstance(read, result.Failure):
         return read
-    if read.unwrap().revision != transactions.ABSENT_REVISION:
-        return decode_state(
-            read.unwrap(), lambda value: record.decode_progress(value).state
-        )
+    progress = read.unwrap()
+    if progress.revision == transactions.ABSENT_REVISION:
+        progress = None
+    elif caller.sees_all:
+        return decode_item(progress, read_progress)
+    # Read after the progress: an end is written here as the progress goes.
     read = await store.read_key(record.JOB_PREFIX + job_id)
     if isinstance(read, result.Failure):
         return read
     if read.unwrap().revision == transactions.ABSENT_REVISION:
         return result.Success(None)
-    return decode_state(read.unwrap(), read_end)
+    decoded = decode_item(read.unwrap(), record.decode_job)
+    if isinstance(decoded, result.Failure):
+        return decoded
+    kept = decoded.unwrap()
+    if not caller.may_see(kept):
+        return result.Success(None)
+    if progress is not None and kept.end_state is None:
+        return decode_item(progress, read_progress)
+    return result.Success(kept.end_state or record.JobState.QUEUED)
 
 
-def read_end(value):
-    """The state that the record of a job tells, of one without progress."""
-    return record.decode_job(value).end_state or record.JobState.QUEUED
+def read_progress(value):
+    """The record.JobState that the progress of a job tells; bytes come in."""
+    return record.decode_progress(value).state
 
 
-def decode_state(item, decode):
-    """Decode the state of a job.
+def decode_item(item, decode):
+    """Decode what the store keeps of a job.
 
     Args:
       item: A transactions.Item.
-      decode: A callable of its value that gives a record.JobState.
+      decode: A callable of its value.
     Returns:
-      A Result of record.JobState; a failure if the value is no record.
+      A Result of what it gives; a failure if the value is no record.
     """
     try:
         return result.Success(decode(item.value))
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import time
 
 import msgspec
 
@@ -49,6 +50,8 @@
       accepted_at_ms: An int, milliseconds since 1970.
       end_state: The JobState of a job that is over; its progress is not kept then.
       cause: The FailureCause, if it has failed.
+      workspace: A str, the name of the workspace whose job it is; empty where there
+        are none, in public queues, and in records of versions that knew none.
     """
 
     job_id: str
@@ -57,6 +60,7 @@
     accepted_at_ms: int
     end_state: JobState | None = None
     cause: FailureCause | None = None
+    workspace: str = ""
 
     def compute_objective_ms(self):
         """Compute within what time the job is in time, by its own estimates; an int."""
@@ -69,6 +73,21 @@
         return max(0, self.compute_objective_ms() - chain_ms)
 
 
+def make_record(job_id, of_queue, job, caller):
+    """Make the record of a job that is handed in now.
+
+    Args:
+      job_id: A str.
+      of_queue: A queue.Queue.
+      job: A spec.Job.
+      caller: The workspace.Caller who hands it in.
+    Returns:
+      A JobRecord.
+    """
+    now_ms = int(time.time() * 1000)
+    return JobRecord(job_id, of_queue, job, now_ms, workspace=caller.workspace)
+
+
 def close_job(kept, state, cause=None):
     """Make what stands for a job that is over.
 
@@ -82,7 +101,15 @@
       A JobRecord without steps.
     """
     named = queue.Queue(kept.queue.name)
-    return JobRecord(kept.job_id, named, spec.Job(), kept.accepted_at_ms, state, cause)
+    return JobRecord(
+        kept.job_id,
+        named,
+        spec.Job(),
+        kept.accepted_at_ms,
+        state,
+        cause,
+        kept.workspace,
+    )
 
 
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -1,7 +1,5 @@
 """The platform's callers over HTTP: jobs, their state, cancels and counts."""
 
-import time
-
 import klein
 import msgspec
 from returns import result
@@ -12,6 +10,7 @@
 from thornport.platform import jobs
 
 DEADLINE_HEADER = "Thornport-Deadline-Ms"
+KEY_HEADER = b"Api-Key"
 ID_DIGITS = 16  # hex digits of a job's ID, chosen by the caller
 DEFAULT_DEADLINE_MS = 3000  # the callers' usual deadline on these deployments
 
@@ -44,9 +43,14 @@
             return webreply.refuse(request, 503, "no configuration yet")
         host = request.getRequestHostname().decode("latin-1")
         path = request.path.decode("latin-1")
-        queue = daemon.find_queue(host, path)
+        queue = daemon.configuring.find_queue(host, path)
         if queue is None:
             return answer_no_queue(daemon, request)
+        key = request.getHeader(KEY_HEADER)
+        identified = daemon.configuring.identify(queue, key)
+        if isinstance(identified, result.Failure):
+            return web.answer_denied(daemon, request, identified.failure())
+        caller = identified.unwrap()
         rest = path.removeprefix(queue.path_prefix)
         if not daemon.is_ready():
             # So that the caller's next connection goes to another process.
@@ -56,11 +60,11 @@
         if not is_job_id(rest):
             return webreply.answer(request, 404, webreply.Problem("no such job"))
         if request.method == b"POST":
-            return await submit(daemon, request, queue, rest)
+            return await submit(daemon, request, queue, rest, caller)
         if request.method == b"GET":
-            return await read_state(daemon, request, rest)
+            return await read_state(daemon, request, rest, caller)
         if request.method == b"DELETE":
-            return await cancel(daemon, request, rest)
+            return await cancel(daemon, request, rest, caller)
         return webreply.answer(request, 405, webreply.Problem("GET, POST or DELETE"))
 
     return app
@@ -89,13 +93,13 @@
 
     A queue may have been added since the store last told of the configuration.
     """
-    if daemon.is_config_confirmed():
+    if daemon.configuring.is_confirmed():
         return webreply.answer(request, 404, webreply.Problem("no such queue"))
     request.setHeader("Connection", "close")
     return webreply.refuse(request, 503, "the configuration may be out of date")
 
 
-async def submit(daemon, request, queue, job_id):
+async def submit(daemon, request, queue, job_id, caller):
     """Take a job."""
     body = request.content.read()
     if len(body) > daemon.config.max_body_bytes:
@@ -105,17 +109,17 @@
     except spec.SpecError as error:
         return webreply.answer(request, 400, webreply.Problem(str(error)))
     now = clock.read_monotonic()
-    kept = record.JobRecord(job_id, queue, job, int(time.time() * 1000))
+    kept = record.make_record(job_id, queue, job, caller)
     outcome = await daemon.serving.submit(kept, read_deadline(request, now))
     if isinstance(outcome, intake.Accepted):
         return webreply.answer(request, 200, WireState(record.JobState.QUEUED.value))
     return web.answer_not_kept(request, outcome)
 
 
-async def read_state(daemon, request, job_id):
+async def read_state(daemon, request, job_id, caller):
     """Answer the state of a job."""
     deadline = read_deadline(request, clock.read_monotonic())
-    read = await daemon.serving.read_state(job_id, deadline)
+    read = await daemon.serving.read_state(job_id, caller, deadline)
     if isinstance(read, result.Failure):
         return webreply.refuse(request, 503, read.failure().reason)
     state = read.unwrap()
@@ -124,10 +128,10 @@
     return webreply.answer(request, 200, WireState(state.value))
 
 
-async def cancel(daemon, request, job_id):
+async def cancel(daemon, request, job_id, caller):
     """Cancel a job."""
     deadline = read_deadline(request, clock.read_monotonic())
-    outcome = await daemon.serving.cancel(job_id, deadline)
+    outcome = await daemon.serving.cancel(job_id, caller, deadline)
     if isinstance(outcome, intake.Accepted):
         return webreply.answer(request, 200, WireState(record.JobState.CANCELLED.value))
     if isinstance(outcome, intake.NoSuchJob):
