Shares: what a workspace sends beyond its weight goes behind what is owed

Hypothesis: order by priority, then age, lets a workspace that sends seven times its usual be served before the others' work.

Kept: owed first over all priorities; it needs no sums in the sort, and what is not owed pushes aside no work of another workspace whatever its queue.

--- a/bench/gangs.py
+++ b/bench/gangs.py
@@ -106,10 +106,37 @@
 )
 
 
+class Mix(msgspec.Struct, frozen=True):
+    """What comes to what cell.
+
+    Attributes:
+      kinds: A tuple of Kind.
+      workers, callers: Ints.
+      room: Demand, what each worker has.
+      config: The queue.Config.
+    """
+
+    kinds: tuple[Kind, ...]
+    workers: int
+    callers: int
+    room: spec.Demand
+    config: queue.Config
+
+
+LARGE = Mix(
+    KINDS,
+    WORKERS,
+    CALLERS,
+    ROOM,
+    queue.Config(1, tuple(kind.queue for kind in KINDS)),
+)
+
+
 class Job(msgspec.Struct):
     """A job as the simulation sees it.
 
     Attributes:
+      workspace: A str, whose it is; empty for nobody's.
       left: An int, tasks that are not done.
       started_at, ended_at: Floats; infinite before.
     """
@@ -119,6 +146,7 @@
     left: int
     started_at: float = math.inf
     ended_at: float = math.inf
+    workspace: str = ""
 
 
 class LiveTask(msgspec.Struct):
@@ -161,14 +189,15 @@
 class Simulation:
     """One owner, its workers, the jobs that come, and the time."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, mix=LARGE):
         self.now = 0.0
+        self.mix = mix
         self.core = core.CellCore(1, self.now, self.now, 1e9)
-        self.core.take_config(queue.Config(1, tuple(kind.queue for kind in KINDS)), 0.0)
+        self.core.take_config(mix.config, 0.0)
         self.rng_by_kind = {
-            kind: random.Random(f"{seed} {kind.run_s}") for kind in KINDS
+            kind: random.Random(f"{seed} {kind.run_s}") for kind in mix.kinds
         }
-        self.worker_by_id = {f"w{n:03}": Worker() for n in range(WORKERS)}
+        self.worker_by_id = {f"w{n:03}": Worker() for n in range(mix.workers)}
         self.job_by_id = {}
         self.due = []
         self.advice = []
@@ -177,7 +206,9 @@
         self.core_s = 0.0
         ready = messages.WorkerState.READY
         for number, worker_id in enumerate(self.worker_by_id):
-            entry = messages.WorkerEntry(worker_id, "a:1", "press", "h", ready, ROOM)
+            entry = messages.WorkerEntry(
+                worker_id, "a:1", "press", "h", ready, mix.room
+            )
             entry = msgspec.structs.replace(entry, address=f"a:{number}")
             self.core.take_worker(entry, number + 1, self.now)
 
@@ -197,10 +228,21 @@
         count = max(1, min(kind.most_tasks, round(drawn)))
         step = spec.Step(count, kind.demand, int(kind.run_s * 1000), gang=kind.gang)
         job_id = f"{len(self.job_by_id):016x}"
-        self.job_by_id[job_id] = Job(kind, self.now, count)
-        kept = record.JobRecord(job_id, kind.queue, spec.Job("text", (step,)), 0)
+        job = Job(kind, self.now, count, workspace=self.choose_workspace(rng))
+        self.job_by_id[job_id] = job
+        kept = record.JobRecord(
+            job_id,
+            kind.queue,
+            spec.Job("text", (step,)),
+            int(self.now * 1000),
+            workspace=job.workspace,
+        )
         self.core.take_job(kept, self.now)
 
+    def choose_workspace(self, rng):
+        """Choose whose job comes next; a str, empty for nobody's."""
+        return ""
+
     def end_due(self):
         """Let tasks end whose time is over; returns the ids of their workers."""
         touched = set()
@@ -285,7 +327,7 @@
         for number in range(round(SIMULATED_S / STEP_S)):
             self.now += STEP_S
             if number % 50 == 0:
-                for caller in range(CALLERS):
+                for caller in range(self.mix.callers):
                     name = f"p{caller}"
                     self.core.callers.greet(name, name, True, 1.0, self.now)
             self.arrive()
@@ -296,6 +338,7 @@
                 self.core.tick(self.now, 0)
             self.decide()
             self.core_s += time.perf_counter() - began
+            self.core.take_notes()
 
 
 def draw_share(subject):
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from thornport.cell.decisions import advising, messages, usage
+from thornport.cell.decisions import advising, messages, shares, usage
 
 # Lost workers that are remembered, to tell many that are lost at once: more than any
 # rack of the users has, 20 a rack, and than an eighth of 860 workers.
@@ -57,6 +57,7 @@
         self.callers = advising.Callers()
         self.usage = usage.Usage()
         self._overshoot = overshoot
+        self._shares = shares.Shares()
         self._config_version = 0
         self._queues_by_name = {}
         self._services = frozenset()
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -62,6 +62,7 @@
         self._config_version = config.version
         self._services = config.list_services()
         self.usage.take_limits(config.workspaces, self._overshoot)
+        self._shares.take_weights(config.workspaces)
         self.needs_round = True
         waiting, self._unnamed_by_id = self._unnamed_by_id, {}
         for listed in waiting.values():
@@ -159,6 +160,7 @@
     def _take_closed(self, kept, now):
         """Take a job that was over before this owner."""
         job = model.JobEntry(kept, self._next_order, now, kept.end_state)
+        self._shares.take_job(kept.workspace, kept.accepted_at_ms)
         job.shown_state = kept.end_state
         job.cause = kept.cause
         job.ended_at = now
@@ -168,6 +170,7 @@
     def _make_job(self, kept, now):
         self._next_order += 1
         job = model.JobEntry(kept, self._next_order, now)
+        job.is_owed = self._shares.take_job(kept.workspace, kept.accepted_at_ms)
         if not kept.job.repeats:
             self._begin_time(job, 0)
         return job
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -338,6 +338,7 @@
       has_begun: Whether any task has been told to start.
       ended_at: A float, when its end was kept; None before.
       arrived_at: A float, when this owner learned of it.
+      is_owed: Whether its workspace had not sent more than its share; see `shares`.
     """
 
     record: record.JobRecord
@@ -352,6 +353,7 @@
     times_done: int = 0
     has_begun: bool = False
     ended_at: float | None = None
+    is_owed: bool = True
 
     @property
     def job_id(self):
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -76,14 +76,21 @@
     def _list_ready(self, only_urgent):
         ready = []
         for job in self._unended_by_id.values():
-            if only_urgent and self._queue_of(job).priority > 0:
+            # What is not owed goes behind all that is, also where it is urgent.
+            is_first = job.is_owed and self._queue_of(job).priority == 0
+            if only_urgent and not is_first:
                 continue
             for step in job.steps_by_key.values():
                 if step.waiting and self._is_due(job, step):
                     ready.append((job, step))
-        ready.sort(key=lambda pair: (self._queue_of(pair[0]).priority, pair[0].order))
+        ready.sort(key=self._rank)
         return ready
 
+    def _rank(self, ready):
+        """Rank a pair of a job and a step: the lowest is placed first."""
+        job = ready[0]
+        return not job.is_owed, self._queue_of(job).priority, job.order
+
     def _is_due(self, job, step):
         return all(
             job.steps_by_key[
