--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -10,7 +10,7 @@
 
 from standins import leased_worker
 from thornport.cell.decisions import core, lives, messages
-from thornport.jobs import queue, record, spec
+from thornport.jobs import queue, record, spec, workspace
 
 ROOM = spec.Demand(64_000, 131_072, 0)
 QUEUE = queue.Queue("press", "h", "/p/", "press-desk", max_attempts=3)
@@ -30,9 +30,9 @@
 MOST_CRASHES = 5
 
 
-def make_job(job_id, *steps):
-    """Make the record of a job."""
-    return record.JobRecord(job_id, QUEUE, spec.Job("text", steps), 0)
+def make_job(job_id, *steps, of=""):
+    """Make the record of a job of a workspace."""
+    return record.JobRecord(job_id, QUEUE, spec.Job("text", steps), 0, workspace=of)
 
 
 class OpenLook(msgspec.Struct, frozen=True):
@@ -102,6 +102,8 @@
       has_tickets: A bool, whether a start brings a ticket, as where advice is asked: it
         holds at one life of a worker alone.
       crashes_by_key: How many workers each of them has crashed, by TaskKey.
+      config: The queue.Config in force.
+      limits: Pairs of a time and the limits from then on, in millicores by workspace.
     """
 
     def __init__(self, faults, worker_count=3, clock_rate=1.0, looks_wait=False):
@@ -115,6 +117,8 @@
             answered at once.
         """
         self.now = 100.0
+        self.config = CONFIG
+        self.limits = [(self.now, {})]
         self.faults = faults
         self.jobs_by_id = {}
         self.submitted_by_id = {}
@@ -161,7 +165,7 @@
         self.token += 1
         self.open_looks.clear()
         self.owner = core.CellCore(self.token, self.now, self.now + 17.0, 120.0)
-        self.owner.take_config(CONFIG, self.now)
+        self.owner.take_config(self.config, self.now)
         for worker_id in sorted(self.workers_by_id.keys() - self.entries_by_id.keys()):
             if worker_id not in self.unlisted | set(self._unlisted_lives):
                 self.list_worker(worker_id)
@@ -225,6 +229,20 @@
         )
         self.list_again(entry)
 
+    def put_limits(self, **cores_by_name):
+        """Put a version in force in which workspaces may have so many cores."""
+        limits = {name: cores * 1000 for name, cores in cores_by_name.items()}
+        self.limits.append((self.now, limits))
+        none = workspace.UNLIMITED
+        kept = [
+            workspace.Workspace(name, limit=spec.Demand(millicores, none, none))
+            for name, millicores in limits.items()
+        ]
+        self.config = queue.Config(
+            self.config.version + 1, (QUEUE,), workspaces=workspace.Workspaces(kept)
+        )
+        self.owner.take_config(self.config, self.now)
+
     def submit(self, kept):
         """Keep a job and tell the owner."""
         self.jobs_by_id[kept.job_id] = self.submitted_by_id[kept.job_id] = kept
@@ -315,6 +333,7 @@
         if self.faults.lost or self.faults.late or self.is_store_away:
             self.calm_from = self.now
         self.check_cancelled()
+        self.check_usage()
 
     def _pass_time(self):
         self.now += STEP_S
@@ -497,8 +516,46 @@
         for other in self.workers_by_id.values():
             self.noted_done |= other.noted_done
         self.check_attempts(order)
+        self.check_limit(order)
         assert order.key not in self.noted_done, f"{order.key} was noted as done"
 
+    def check_limit(self, order):
+        """No start takes a workspace past its limit, wherever its tasks run.
+
+        Where orders are carried out late, a limit counts that was in force when one
+        could have been sent.
+        """
+        of = self.submitted_by_id[order.key.job_id].workspace
+        longest_s = self.faults.late_s[1] if self.faults.late else 0.0
+        ended_at = [at for at, _ in self.limits[1:]] + [self.now + 1.0]
+        limits = [
+            limits.get(of, workspace.UNLIMITED)
+            for (_, limits), end in zip(self.limits, ended_at, strict=True)
+            if end > self.now - longest_s
+        ]
+        used = sum(
+            active.demand.millicores
+            for worker in self.workers_by_id.values()
+            for active in worker.active_by_key.values()
+            if self.submitted_by_id[active.key.job_id].workspace == of
+        )
+        assert not of or used <= max(limits), f"{of} has {used} of {max(limits)}"
+
+    def check_usage(self):
+        """What the owner has summed up is what a count from nothing gives."""
+        counted = {}
+        for worker in self.owner.workers_by_id.values():
+            for run in worker.runs_by_key.values():
+                of = self.submitted_by_id[run.key.job_id].workspace
+                counted[of] = counted.get(of, spec.Demand()).add(run.demand)
+        counted.pop("", None)
+        summed = {
+            name: used
+            for name, used in self.owner.usage.used_by_name.items()
+            if used != spec.Demand()
+        }
+        assert summed == counted, f"{summed} instead of {counted}"
+
     def check_attempts(self, order):
         """No task starts once its failed runs that were taken note of are too many."""
         lives = [*self.workers_by_id.values(), *self.ended_lives]
