--- /dev/null
+++ b/thornport/cell/configuring_test.py
@@ -0,0 +1,114 @@
+"""What a process knows of the configuration, and by whom it was told."""
+
+import unittest
+from unittest import mock
+
+from returns import result
+from twisted.internet import task
+
+from thornport.cell import configuring
+from thornport.jobs import queue, workspace
+from thornport.kernel import clock
+from thornport.platform import config
+from thornport.store import port, transactions
+
+QUEUE = queue.Queue("press")
+PUBLIC = queue.Queue("open", is_public=True)
+
+
+def make_value(version, *keys):
+    """Make a version in which a workspace has some keys, as it is on the wire."""
+    tenant = (
+        '{"name":"press","api_keys":['
+        + ",".join(f'"{key}"' for key in keys)
+        + '],"max_items":{"cpu":0,"mem_mb":0,"gpu":0}}'
+    )
+    return f'{{"version":{version},"tenants":[{tenant}]}}'.encode()
+
+
+class Told(unittest.TestCase):
+    """A process that the store tells, does not tell, or tells late."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        ports = mock.Mock(config_key=config.CONFIG_KEY)
+        ports.decode_config = config.decode_config
+        ports.decode_errors = (ValueError,)
+        ports.store.is_away.side_effect = lambda: self.is_away
+        self.is_away = False
+        self.is_relay_away = False
+        self.relayed_value = make_value(1, "k1")
+        relayed = mock.Mock()
+        relayed.read_key = self.read_by_peer
+        self.taken = []
+        self.told = configuring.Configuring(
+            self.clock, ports, relayed, self.taken.append
+        )
+        with mock.patch("thornport.store.watching.follow_key") as follow_key:
+            self.told.start()
+        self.age_s = 0.0
+        follow_key.return_value.read_age_s = lambda: self.age_s
+        self.told._take(make_value(1, "k1"), 1)
+
+    async def read_by_peer(self, key):
+        """Read the configuration as a peer of the process would."""
+        if self.is_relay_away:
+            return result.Failure(port.Unavailable("away"))
+        return result.Success(transactions.Item(key, self.relayed_value, 2))
+
+    def identify(self, key, called=QUEUE):
+        """The name that a key stands for, or why it stands for none."""
+        found = self.told.identify(called, key)
+        if isinstance(found, result.Failure):
+            return found.failure()
+        return found.unwrap().workspace
+
+    def test_key_in_force_names_its_workspace(self):
+        self.assertEqual(self.identify(b"k1"), "press")
+        for key in (b"k2", b"", None):
+            self.assertEqual(self.identify(key), configuring.Denial.UNKNOWN)
+
+    def test_public_queue_asks_for_none(self):
+        found = self.told.identify(PUBLIC, b"k2").unwrap()
+        self.assertEqual(found, workspace.Caller(queue="open"))
+
+    def test_wrong_key_is_no_certainty_where_nothing_was_told_lately(self):
+        self.age_s = configuring.CONFIRMED_S + 1
+        self.assertEqual(self.identify(b"k2"), configuring.Denial.UNCONFIRMED)
+        self.assertEqual(self.identify(b"k1"), "press")
+
+    def test_version_that_the_store_does_not_tell_comes_by_way_of_a_peer(self):
+        """A process was turned away while keys were taken away, and let them in."""
+        self.is_away = True
+        self.age_s = configuring.CONFIRMED_S + 1
+        self.relayed_value = make_value(2, "k2")
+        self.clock.advance(configuring.REFRESH_S)
+        self.assertEqual(self.identify(b"k1"), configuring.Denial.UNKNOWN)
+        self.assertEqual(self.identify(b"k2"), "press")
+        self.assertEqual([kept.version for kept in self.taken], [1, 2])
+
+    def test_older_version_of_a_peer_changes_nothing(self):
+        self.told._take(make_value(5, "k5"), 5)
+        self.is_away = True
+        self.clock.advance(configuring.REFRESH_S)
+        self.assertEqual(self.identify(b"k5"), "press")
+
+    def test_watch_that_is_silent_is_not_waited_for(self):
+        self.age_s = configuring.SILENT_S
+        self.relayed_value = make_value(2, "k2")
+        self.clock.advance(configuring.REFRESH_S)
+        self.assertEqual(self.told.config.version, 2)
+
+    def test_peer_that_cannot_read_confirms_nothing(self):
+        self.is_away = self.is_relay_away = True
+        self.age_s = configuring.CONFIRMED_S + 1
+        self.clock.advance(configuring.REFRESH_S)
+        self.assertFalse(self.told.is_confirmed())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/thornport/jobs/workspace_test.py
@@ -0,0 +1,77 @@
+"""Workspaces by key, and which jobs a caller may see."""
+
+import unittest
+
+from thornport.jobs import queue, record, spec, workspace
+
+QUEUE = queue.Queue("press")
+
+
+def make_record(name, of_queue=QUEUE):
+    """Make the record of a workspace's job."""
+    return record.JobRecord("a", of_queue, spec.Job(), 0, workspace=name)
+
+
+class Keys(unittest.TestCase):
+    """Which workspace a key lets in."""
+
+    def setUp(self):
+        self.found = workspace.Workspaces(
+            [
+                workspace.Workspace("press", ("k1", "k2", "shared")),
+                workspace.Workspace("photo", ("k3", "shared")),
+                workspace.Workspace("photo", ("k4",)),
+                workspace.Workspace("archive"),
+            ]
+        )
+
+    def find(self, key):
+        """The name of the workspace of a key, None if there is none."""
+        found = self.found.find_by_key(key)
+        return found.name if found is not None else None
+
+    def test_each_key_of_a_workspace_lets_it_in(self):
+        names = [self.find(key) for key in (b"k1", b"k2", b"k3")]
+        self.assertEqual(names, ["press", "press", "photo"])
+
+    def test_near_misses_let_nobody_in(self):
+        for key in (b"", b"k", b"k11", b"K1", b"k1\xff", b"\x00"):
+            self.assertIsNone(self.find(key), key)
+
+    def test_key_of_two_workspaces_lets_nobody_in_and_is_told_without_the_key(self):
+        self.assertIsNone(self.find(b"shared"))
+        self.assertIsNone(self.find(b"k4"))
+        places = [bad.place for bad in self.found.bad]
+        self.assertEqual(places, ["photo", "photo"])
+        self.assertNotIn("shared", str(self.found.bad))
+
+    def test_workspace_without_keys_stays_known(self):
+        self.assertIn("archive", self.found.by_name)
+
+
+class Sees(unittest.TestCase):
+    """Which jobs are there for whom."""
+
+    def test_workspace_sees_its_own_and_those_of_nobody(self):
+        caller = workspace.Caller("press")
+        self.assertTrue(caller.may_see(make_record("press")))
+        self.assertTrue(caller.may_see(make_record("")))
+        self.assertFalse(caller.may_see(make_record("photo")))
+
+    def test_caller_of_a_public_queue_sees_what_is_in_it(self):
+        caller = workspace.Caller(queue="press")
+        self.assertTrue(caller.may_see(make_record("photo")))
+        elsewhere = make_record("photo", queue.Queue("other"))
+        self.assertFalse(caller.may_see(elsewhere))
+
+    def test_operator_sees_all(self):
+        self.assertTrue(workspace.OPERATOR.may_see(make_record("photo")))
+
+    def test_job_that_is_over_stays_its_workspace_s(self):
+        closed = record.close_job(make_record("press"), record.JobState.SUCCEEDED)
+        decoded = record.decode_job(record.encode_record(closed))
+        self.assertEqual(decoded.workspace, "press")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -10,7 +10,7 @@
 
 from thornport.cell.decisions import leases, messages
 from thornport.cell.owner import ownership
-from thornport.jobs import spec
+from thornport.jobs import spec, workspace
 from thornport.kernel import httpcalls
 from thornport.platform import advice, config, jobs, store, workers
 from thornport.store import port, transactions
@@ -136,6 +136,57 @@
             return
 
 
+class Tenants(unittest.TestCase):
+    """Workspaces as the operator writes them."""
+
+    def decode(self, *tenants):
+        """Decode a configuration with some tenants."""
+        return config.decode_config(
+            msgspec.json.encode({"version": 3, "tenants": list(tenants)})
+        )
+
+    def make(self, **changes):
+        """Make a tenant."""
+        limit = {"cpu": 16_000, "mem_mb": 0, "gpu": 2}
+        usual = {"name": "press", "api_keys": ["k"], "weight": 28, "max_items": limit}
+        return usual | changes
+
+    def test_every_field_finds_its_name(self):
+        found = self.decode(self.make()).workspaces.find_by_key(b"k")
+        limit = spec.Demand(16_000, workspace.UNLIMITED, 2)
+        self.assertEqual(found, workspace.Workspace("press", ("k",), 28.0, limit))
+
+    def test_configuration_without_tenants_has_no_workspaces(self):
+        self.assertIsNone(config.decode_config(b'{"version":1}').workspaces)
+        self.assertIsNotNone(self.decode().workspaces)
+
+    def test_bad_one_lets_nobody_in_and_leaves_the_rest_in_force(self):
+        low = {"cpu": -1, "mem_mb": 0, "gpu": 0}
+        for bad in (
+            self.make(name=""),
+            self.make(name=7),
+            self.make(max_items=low),
+            self.make(max_items={"cpu": 1}),
+            self.make(weight="many"),
+            self.make(weight=-1),
+            self.make(api_keys=[""]),
+            self.make(api_keys=["k", 5]),
+            "press",
+            None,
+            {"name": "press", "api_keys": ["k"]},
+        ):
+            good = self.make(name="photo", api_keys=["other"])
+            found = self.decode(bad, good).workspaces
+            self.assertIsNone(found.find_by_key(b"k"), bad)
+            self.assertEqual(found.find_by_key(b"other").name, "photo")
+            self.assertEqual([one.place for one in found.bad], ["tenants[0]"])
+
+    @given(st.lists(st.binary(max_size=40), max_size=3))
+    def test_any_bytes_are_workspaces_or_faults(self, raws):
+        found = config.decode_workspaces([msgspec.Raw(raw) for raw in raws])
+        self.assertEqual(len(found.bad) + len(found.by_name), len(raws))
+
+
 class Workers(unittest.TestCase):
     """Workers' entries, orders and answers."""
 
