Workspaces in the report, on the command line and for operators

`thornport report` splits jobs by workspace and shows how long they waited for a limit; `thornport jobs submit` takes a key from a file or the environment; `thornport workspaces` shows share, limit, use and waiting jobs at the owner.

--- a/tests/jobs_test.py
+++ b/tests/jobs_test.py
@@ -30,12 +30,12 @@
         self.other = next(name for name in self.cell.names if name != self.owner)
         self.path = self.cell.folder / "job.json"
 
-    def run_command(self, name, *words):
-        """Run `thornport jobs` at a process; its exit code and its output."""
+    def run_command(self, name, *words, command=("jobs",)):
+        """Run a command at a process; its exit code and its output."""
         log = self.cell.by_name[name].wait_for(r"event=listening .*metrics=(\S+)")
-        command = [sys.executable, "-m", "thornport.commands.main", "jobs", *words]
+        arguments = [sys.executable, "-m", "thornport.commands.main", *command, *words]
         done = subprocess.run(
-            [*command, "--url", f"http://{log[1]}"],
+            [*arguments, "--url", f"http://{log[1]}"],
             capture_output=True,
             text=True,
             timeout=harness.PATIENCE_S,
@@ -75,6 +75,21 @@
         self.assertEqual(waiting["waiting"], 1)
         self.assertEqual(self.run_command(self.other, "cancel", "huge")[0], 0)
 
+    def test_workspace_hands_in_by_its_key_and_is_shown(self):
+        limited = schedulers.make_workspace("press", "key-1", cores=2, weight=7)
+        self.cell.put_config(schedulers.CONFIG | {"version": 2, "tenants": [limited]})
+        for name in self.cell.names:
+            self.cell.by_name[name].wait_for(r"event=config-in-force version=2 ")
+        self.assertEqual(self.submit(JOB, "--id", "first")[0], 1)
+        key_path = self.cell.folder / "key"
+        key_path.write_text("key-1\n")
+        key_words = ("--id", "first", "--key-file", str(key_path))
+        self.assertEqual(self.submit(JOB, *key_words)[0], 0)
+        shown = self.run_command(self.owner, command=("workspaces",))[1]
+        (press,) = msgspec.json.decode(shown)
+        self.assertEqual((press["name"], press["weight"]), ("press", 7.0))
+        self.assertEqual(press["limit"]["millicores"], 2000)
+
     def test_wrong_input_is_refused_with_its_place(self):
         wrong = {"text": "", "steps": [{"count": 0, "demand": {}}]}
         code, told = self.submit(wrong)
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -3,12 +3,13 @@
 For people who ask why their job does not run: nothing here changes anything.
 """
 
+import collections
 import enum
 
 import msgspec
 
 from thornport.cell.decisions import messages, placing, reserving, rounds, usage
-from thornport.jobs import record
+from thornport.jobs import record, spec
 
 
 class Waiting(enum.Enum):
@@ -87,8 +88,54 @@
     ticketed: int
 
 
+class WorkspaceView(msgspec.Struct, frozen=True):
+    """A workspace.
+
+    Attributes:
+      weight: A float, the jobs a second that are its share; 0 if it has none.
+      limit: Demand, None where nothing is limited.
+      used: Demand of what counts against the limit.
+      waiting: An int, its jobs of which no task has begun.
+      at_limit: An int, its steps that wait for the limit.
+    """
+
+    name: str
+    weight: float
+    limit: spec.Demand | None
+    used: spec.Demand
+    waiting: int
+    at_limit: int
+
+
 class Explaining(rounds.Rounds):
-    """Answers questions about jobs."""
+    """Answers questions about jobs and workspaces."""
+
+    def list_workspaces(self):
+        """List the workspaces that have a share, a limit or jobs.
+
+        Returns:
+          A list of WorkspaceView by name.
+        """
+        waiting = collections.Counter()
+        at_limit = collections.Counter()
+        for job in self._unended_by_id.values():
+            name = job.record.workspace
+            waiting[name] += not job.has_begun
+            steps = job.steps_by_key.values()
+            at_limit[name] += sum(s.is_at_limit for s in steps if s.waiting)
+        weight_by_name = self._shares.weight_by_name
+        names = {*weight_by_name, *self.usage.list_names(), *waiting} - {""}
+        return [
+            WorkspaceView(
+                name,
+                weight_by_name.get(name, 0.0),
+                self.usage.read_limit(name),
+                self.usage.used_by_name.get(name, usage.NOTHING),
+                waiting[name],
+                at_limit[name],
+            )
+            for name in sorted(names)
+        ]
 
     def take_late_steps(self, now):
         """Take the steps that wait past their job's objective, each once.
--- a/thornport/cell/decisions/shares.py
+++ b/thornport/cell/decisions/shares.py
@@ -23,13 +23,16 @@
 
     A job uses one part of its workspace's weight, which comes back with time; a
     workspace that is more than WINDOW_S ahead of it sends work that is not owed.
+
+    Attributes:
+      weight_by_name: Floats by the name of the workspace, of those that have one.
     """
 
-    __slots__ = ("_paid_until_by_name", "_weights_by_name")
+    __slots__ = ("_paid_until_by_name", "weight_by_name")
 
     def __init__(self):
         """Begin with no weights: all is owed."""
-        self._weights_by_name = {}
+        self.weight_by_name = {}
         self._paid_until_by_name = {}
 
     def take_weights(self, workspaces):
@@ -39,7 +42,7 @@
           workspaces: A workspace.Workspaces, or None where there are none.
         """
         by_name = workspaces.by_name if workspaces is not None else {}
-        self._weights_by_name = {
+        self.weight_by_name = {
             name: one.weight for name, one in by_name.items() if one.weight > 0
         }
 
@@ -55,7 +58,7 @@
         Returns:
           A bool; true where no weight is known.
         """
-        weight = self._weights_by_name.get(name)
+        weight = self.weight_by_name.get(name)
         if weight is None:
             return True
         at = accepted_at_ms / clock.MS_PER_S
--- a/thornport/cell/decisions/usage.py
+++ b/thornport/cell/decisions/usage.py
@@ -62,6 +62,10 @@
             used = self.used_by_name[name].subtract(run.demand)
             self.used_by_name[name] = used
 
+    def list_names(self):
+        """The names of workspaces with a limit or a run, a set of str."""
+        return self._limits_by_name.keys() | self.used_by_name.keys()
+
     def read_limit(self, name):
         """The limit of a workspace, a Demand; None if it has none."""
         return self._limits_by_name.get(name)
--- a/thornport/cell/web.py
+++ b/thornport/cell/web.py
@@ -49,6 +49,7 @@
     add_submit_route(app, daemon)
     add_list_route(app, daemon)
     add_job_routes(app, daemon)
+    add_workspaces_route(app, daemon)
 
 
 def add_queue_routes(app, daemon):
@@ -135,6 +136,17 @@
         return answer_outcome(request, job_id, outcome, record.JobState.CANCELLED)
 
 
+def add_workspaces_route(app, daemon):
+    """Add the workspaces, which the owner knows; arguments as for `add_routes`."""
+
+    @app.route("/v1/workspaces", methods=["GET"])
+    def list_workspaces(request):
+        core = daemon.get_core()
+        if core is None:
+            return not_owner(request, daemon)
+        return webreply.answer(request, 200, core.list_workspaces())
+
+
 def find_queue(daemon, name):
     """Find a queue by its name.
 
--- a/thornport/commands/jobs.py
+++ b/thornport/commands/jobs.py
@@ -1,9 +1,12 @@
 """`thornport jobs`: hand in, watch, cancel and explain jobs; prints JSON.
 
 It speaks the interface of `cell.web`, so that operators need no client of their
-platform's. The exit code tells a script whether a job may be kept.
+platform's. The exit code tells a script whether a job may be kept. A key of a workspace
+comes from a file or from the environment, never from an argument, which all users of a
+machine may see.
 """
 
+import os
 import pathlib
 import uuid
 from typing import Annotated
@@ -16,6 +19,7 @@
 from thornport.commands import exits, offline
 
 TIMEOUT_S = 10.0  # a process answers within its patience of 3 s
+KEY_VARIABLE = "THORNPORT_KEY"
 STATUS_OK = 200
 STATUS_UNKNOWN = 504  # the job or cancel may be kept
 STATUS_NO_ANSWER = 0  # of a call that changed nothing; no status of HTTP
@@ -38,10 +42,19 @@
     path: Annotated[pathlib.Path, typer.Argument(exists=True, dir_okay=False)],
     url: Url,
     job_id: Annotated[str, typer.Option("--id", help="The same ID is one job.")] = "",
+    key_file: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            exists=True,
+            dir_okay=False,
+            help=f"File with a key of the workspace; else {KEY_VARIABLE} has it.",
+        ),
+    ] = None,
 ):
     """Hand in a job that a JSON file describes."""
     chosen = job_id or uuid.uuid4().hex[:16]
-    call("PUT", f"{url}/v1/queues/{queue}/jobs/{chosen}", path.read_bytes())
+    target = f"{url}/v1/queues/{queue}/jobs/{chosen}"
+    call("PUT", target, path.read_bytes(), read_key(key_file))
 
 
 @app.command()
@@ -72,16 +85,35 @@
     call("GET", f"{url}/v1/queues" + (f"/{name}" if name else ""))
 
 
-def call(method, url, body=None):
+def workspaces(url: Url):
+    """Show each workspace's share, limit, use and waiting jobs, at the owner."""
+    call("GET", f"{url}/v1/workspaces")
+
+
+def read_key(path):
+    """Read the key of a workspace.
+
+    Args:
+      path: A pathlib.Path of a file that holds it; None to look at the environment.
+    Returns:
+      A str, empty when there is none.
+    """
+    if path is not None:
+        return path.read_text(encoding="utf-8").strip()
+    return os.environ.get(KEY_VARIABLE, "")
+
+
+def call(method, url, body=None, key=""):
     """Call a process, print its answer and exit by its status.
 
     Args:
       method, url: A str each.
       body: Bytes or None.
+      key: A str, of a workspace; empty for none.
     Raises:
       typer.Exit: The answer is no success.
     """
-    status, text = offline.run_in_reactor(lambda reactor: ask(method, url, body))
+    status, text = offline.run_in_reactor(lambda reactor: ask(method, url, body, key))
     typer.echo(text, err=status != STATUS_OK)
     if status == STATUS_UNKNOWN:
         raise typer.Exit(exits.UNKNOWN)
@@ -89,17 +121,20 @@
         raise typer.Exit(exits.REFUSED)
 
 
-async def ask(method, url, body):
+async def ask(method, url, body, key=""):
     """Call a process.
 
     Args:
-      method, url, body: As for `call`.
+      method, url, body, key: As for `call`.
     Returns:
       A pair of the status and the answer's text. Without an answer the status is
       STATUS_UNKNOWN if the call may have changed something, else STATUS_NO_ANSWER.
     """
     try:
-        response = await treq.request(method, url, data=body, timeout=TIMEOUT_S)
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        response = await treq.request(
+            method, url, data=body, headers=headers, timeout=TIMEOUT_S
+        )
         return response.code, await response.text()
     except neterror.ConnectError as failure:
         return STATUS_NO_ANSWER, f"{url}: not connected: {failure}"
--- a/thornport/commands/main.py
+++ b/thornport/commands/main.py
@@ -17,6 +17,7 @@
 settings_app = typer.Typer(no_args_is_help=True, help="Edit the tree of settings.")
 app.add_typer(settings_app, name="settings")
 app.add_typer(jobs.app, name="jobs")
+app.command(name="workspaces")(jobs.workspaces)
 
 StoreOption = Annotated[str, typer.Option(help="URL of the key-value service.")]
 Files = Annotated[list[pathlib.Path], typer.Argument(exists=True, dir_okay=False)]
@@ -104,17 +105,21 @@
     window_s: Annotated[float, typer.Option(min=0.1, help="Of the burn.")] = 60.0,
     json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ):
-    """Report on the logs of processes: time by stage, and burn, of each queue."""
+    """Report on logs: time by stage, by queue and by workspace, and burn."""
     made = logfiles.read_files(files, warn)
     if job:
         typer.echo(logfiles.explain_job(made, job))
         return
-    rows = stages.compute_queues(made.jobs)
+    queues = stages.compute_queues(made.jobs)
+    workspaces = stages.compute_workspaces(made.jobs)
     windows = burn.compute_windows(made.jobs, level, window_s)
     if json:
-        typer.echo(msgspec.json.encode(logfiles.Report(rows, windows, made.left_out)))
+        told = logfiles.Report(queues, workspaces, windows, made.left_out)
+        typer.echo(msgspec.json.encode(told))
         return
-    typer.echo(stages.format_queues(rows))
+    typer.echo(stages.format_rows("queue", queues))
+    if workspaces:
+        typer.echo(stages.format_rows("workspace", workspaces))
     typer.echo(f"\nburn of a level of {level:g}, windows of {window_s:g} s")
     typer.echo(burn.format_windows(windows))
     if made.left_out:
--- a/thornport/report/logfiles.py
+++ b/thornport/report/logfiles.py
@@ -16,7 +16,8 @@
       left_out: An int, lines that the processes left out to stay in their bound.
     """
 
-    queues: list[stages.QueueRow]
+    queues: list[stages.JobsRow]
+    workspaces: list[stages.JobsRow]
     burn: list[burn.Window]
     left_out: int
 
--- a/thornport/report/report_test.py
+++ b/thornport/report/report_test.py
@@ -94,7 +94,23 @@
         runs = next(stage for stage in row.stages if stage.name == "runs")
         self.assertEqual(runs.count, 1)
         self.assertAlmostEqual(runs.ms_by_percentile[50.0], 400, delta=1)
-        self.assertIn("queue press", stages.format_queues([row]))
+        self.assertIn("queue press", stages.format_rows("queue", [row]))
+
+    def test_workspaces_are_told_apart_with_the_time_at_their_limit(self):
+        log = "\n".join(
+            (
+                "time=1.0 event=job-submitted job=a queue=q workspace=w outcome=kept",
+                "time=1.1 event=step-at-limit job=a step=0.0 workspace=w",
+                "time=1.6 event=step-within-limit job=a step=0.0 workspace=w",
+                "time=1.7 event=run-start job=a task=0.0.0 run=1 outcome=Done",
+                "time=2.0 event=job-submitted job=b queue=q workspace= outcome=kept",
+            )
+        )
+        (row,) = stages.compute_workspaces(collect(log).by_id.values())
+        self.assertEqual((row.name, row.count_by_state), ("w", {"": 1}))
+        limited = next(stage for stage in row.stages if stage.name == "at its limit")
+        self.assertEqual(limited.count, 1)
+        self.assertAlmostEqual(limited.ms_by_percentile[50.0], 500, delta=1)
 
     def test_burn_counts_what_is_late_or_lost_and_not_what_was_cancelled(self):
         jobs = self.collector.by_id.values()
--- a/thornport/report/stages.py
+++ b/thornport/report/stages.py
@@ -1,7 +1,7 @@
-"""Where the time of jobs goes, by queue: a table of stages.
+"""Where the time of jobs goes, by queue and by workspace: a table of stages.
 
-It tells whether late jobs waited for the store, for the owner, for advice and room,
-or ran for long, before anyone looks at single jobs.
+It tells whether late jobs waited for the store, for the owner, for their workspace's
+limit, for advice and room, or ran for long, before anyone looks at single jobs.
 """
 
 import msgspec
@@ -29,6 +29,7 @@
     Stage("kept", "submitted_at", "kept_at"),
     Stage("known to the owner", "kept_at", "taken_at"),
     Stage("advice and room", "taken_at", "started_at"),
+    Stage("at its limit", "limited_at", "released_at"),
     Stage("runs", "started_at", "ended_at"),
     Stage("end kept", "ended_at", "shown_at"),
     Stage("all", "submitted_at", "shown_at"),
@@ -48,10 +49,11 @@
     ms_by_percentile: dict[float, float]
 
 
-class QueueRow(msgspec.Struct, frozen=True):
-    """A queue: what became of its jobs, and its stages.
+class JobsRow(msgspec.Struct, frozen=True):
+    """Jobs of a queue, or of a workspace: what became of them, and their stages.
 
     Attributes:
+      name: A str, of the queue or the workspace.
       count_by_state: Jobs by the state shown; an empty state has no end logged.
       tries_refused, tries_unknown: Tries of callers.
       starts, unanswered: Orders to start.
@@ -59,7 +61,7 @@
       stages: StageRows.
     """
 
-    queue: str
+    name: str
     count_by_state: dict[str, int]
     tries_refused: int
     tries_unknown: int
@@ -75,24 +77,43 @@
     Args:
       jobs: An iterable of timelines.Timeline.
     Returns:
-      A list of QueueRow, by name.
+      A list of JobsRow, by name.
+    """
+    return compute_rows(jobs, lambda job: job.queue)
+
+
+def compute_workspaces(jobs):
+    """Compute the rows of all workspaces; as `compute_queues`, none for nobody's."""
+    return compute_rows(
+        (job for job in jobs if job.workspace), lambda job: job.workspace
+    )
+
+
+def compute_rows(jobs, read_name):
+    """Compute a row for the jobs of each name.
+
+    Args:
+      jobs: An iterable of timelines.Timeline.
+      read_name: A callable from a job to a str.
+    Returns:
+      A list of JobsRow, by name.
     """
-    by_queue = {}
+    by_name = {}
     for job in jobs:
-        by_queue.setdefault(job.queue, []).append(job)
-    return [compute_queue(name, by_queue[name]) for name in sorted(by_queue)]
+        by_name.setdefault(read_name(job), []).append(job)
+    return [compute_row(name, by_name[name]) for name in sorted(by_name)]
 
 
-def compute_queue(name, jobs):
-    """Compute the row of a queue.
+def compute_row(name, jobs):
+    """Compute a row.
 
     Args:
       name: A str.
       jobs: A list of timelines.Timeline.
     Returns:
-      A QueueRow.
+      A JobsRow.
     """
-    return QueueRow(
+    return JobsRow(
         name,
         count_by([job.state for job in jobs]),
         sum(job.refusals for job in jobs),
@@ -152,17 +173,18 @@
     return dict(sorted(total.items()))
 
 
-def format_queues(rows):
+def format_rows(kind, rows):
     """Format rows for people.
 
     Args:
-      rows: A list of QueueRow.
+      kind: A str, what the rows are of: `queue` or `workspace`.
+      rows: A list of JobsRow.
     Returns:
       A str of lines.
     """
     lines = []
     for row in rows:
-        lines.append(f"queue {row.queue or '(not logged)'}")
+        lines.append(f"{kind} {row.name or '(not logged)'}")
         lines.append(f"  jobs: {format_counts(row.count_by_state)}")
         lines.append(
             f"  tries refused {row.tries_refused}, unknown {row.tries_unknown}; "
--- a/thornport/report/timelines.py
+++ b/thornport/report/timelines.py
@@ -15,10 +15,13 @@
 
     Attributes:
       queue: A str.
+      workspace: A str, whose job it is; empty if it is nobody's.
       objective_ms: An int, within which it is in time; 0 if not known.
       submitted_at: When the first try of its caller was answered.
       kept_at: When it was in the store.
       taken_at: When an owner knew it.
+      limited_at: When a step of it first waited for its workspace's limit.
+      released_at: When a step last ceased to.
       started_at: When the first order of it was answered.
       ended_at: When its last run ended.
       shown_at: When its end was kept, and shown to callers.
@@ -30,10 +33,13 @@
 
     job_id: str
     queue: str = ""
+    workspace: str = ""
     objective_ms: int = 0
     submitted_at: float | None = None
     kept_at: float | None = None
     taken_at: float | None = None
+    limited_at: float | None = None
+    released_at: float | None = None
     started_at: float | None = None
     ended_at: float | None = None
     shown_at: float | None = None
@@ -91,6 +97,7 @@
 def take_submitted(timeline, line):
     """A try of the caller was answered."""
     timeline.queue = line.value_by_field.get("queue", timeline.queue)
+    timeline.workspace = line.value_by_field.get("workspace", timeline.workspace)
     timeline.objective_ms = lines.read_count(line, "objective_ms")
     note_first(timeline, "submitted_at", line.time)
     outcome = line.value_by_field.get("outcome")
@@ -107,6 +114,16 @@
     note_first(timeline, "taken_at", line.time)
 
 
+def take_limited(timeline, line):
+    """A step waits for its workspace's limit."""
+    note_first(timeline, "limited_at", line.time)
+
+
+def take_released(timeline, line):
+    """A step waits for its workspace's limit no more."""
+    timeline.released_at = line.time
+
+
 def take_start(timeline, line):
     """An order to start was answered, or not."""
     timeline.starts += 1
@@ -148,6 +165,8 @@
 _TAKERS_BY_EVENT = {
     "job-submitted": take_submitted,
     "job-taken": take_known,
+    "step-at-limit": take_limited,
+    "step-within-limit": take_released,
     "run-start": take_start,
     "run-ended": take_end,
     "job-ended": take_shown,
