Stand-in platform: wake what waits for a change, not all

Cause of two known reds (dispatchers beside load): each change of the store and each tick with an unkept end at any of 120 workers woke every look that waits and every watch, and each searched the whole history. The one process was busy with that alone.

Change: waits are kept by their subject, the store or one worker; the history is searched by bisection.

Ruled out: parting the stand-in into processes, which the issue proposed; it is not short of processors.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,6 +17,7 @@
 """
 
 import base64
+import collections
 import itertools
 import time
 
@@ -67,7 +68,7 @@
         self.options = options
         self.store = transaction_store.TransactionStore()
         self.faults = platform_store.Faults()
-        self.changed = []
+        self.waiting_by_subject = collections.defaultdict(list)
         self.held = []
         self.jobs_by_id = {}
         self.workers_by_id = {}
@@ -91,14 +92,17 @@
         for worker in self.workers_by_id.values():
             worker.advance(now)
             if worker.ended:
-                self.wake()
+                self.wake(worker)
         if self.store.revision != before:
-            self.wake()
+            self.wake(self.store)
 
-    def wake(self):
-        """Wake what waits for a change."""
-        waiting, self.changed = self.changed, []
-        for waiter in waiting:
+    def wake(self, subject):
+        """Wake what waits for a change of the store, or for an end at a worker.
+
+        With 120 workers each change that woke all looks too had the process busy with
+        nothing else, and looks timed out beside other load.
+        """
+        for waiter in self.waiting_by_subject.pop(subject, ()):
             call_once(waiter)
 
     async def wait_back(self):
@@ -127,10 +131,10 @@
             self.store.commit([], puts, [])
         else:
             self.store.commit([], [], keys)
-        self.wake()
+        self.wake(self.store)
 
-    async def wait_for(self, find, wait_ms):
-        """Wait until `find` gives something, or for the time."""
+    async def wait_for(self, subject, find, wait_ms):
+        """Wait until `find` gives something of a subject, or for the time."""
         deadline = time.monotonic() + wait_ms / 1000
         while True:
             found = find()
@@ -138,11 +142,14 @@
             if found or found is None or left_s <= 0:
                 return found
             waiter = defer.Deferred()
-            self.changed.append(waiter)
+            waiting = self.waiting_by_subject[subject]
+            waiting.append(waiter)
             timer = reactor.callLater(left_s, call_once, waiter)
             await waiter
             if timer.active():
                 timer.cancel()
+            elif waiter in waiting:
+                waiting.remove(waiter)
 
     def find_step(self, key):
         """Find the step of a task in the jobs that the store keeps."""
@@ -213,7 +220,7 @@
         key = workers.ENTRY_PREFIX + worker.worker_id
         self.entries_by_key[key] = value
         self.store.commit([], [(key, value, 0)], [])
-        self.wake()
+        self.wake(self.store)
 
     def replace_life(self, worker, keeps_id=False, late_ms=0):
         """End a life without a word and start another at its address.
@@ -229,6 +236,7 @@
         address, entry = self.addresses_by_id[worker_id], self.entries_by_key[key]
         del self.workers_by_id[worker_id]
         self.crashed.append(worker)
+        self.wake(worker)
         later = self.make_life(worker_id if keeps_id else None)
         place = self.places_by_address[address]
         place.app.worker = later
@@ -244,7 +252,7 @@
     def write_entry(self, key, value):
         """Write an entry, which may be of a life that is over."""
         self.store.commit([], [(key, value, 0)], [])
-        self.wake()
+        self.wake(self.store)
 
     def end_entry(self, key):
         """Let an entry lapse, or be written anew by the life that has its id."""
@@ -253,7 +261,7 @@
             self.list_life(worker, self.addresses_by_id[worker.worker_id])
             return
         self.store.commit([], [], [key])
-        self.wake()
+        self.wake(self.store)
 
     def restart(self, keeps_id, late_ms):
         """Replace the life of a worker that runs something, if one does."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -72,7 +72,7 @@
         after = int(read_argument(request, "after"))
         wait_ms = int(read_argument(request, "wait_ms"))
         events = await self._platform.wait_for(
-            lambda: self._store.list_events(prefix, after), wait_ms
+            self._store, lambda: self._store.list_events(prefix, after), wait_ms
         )
         await self._hold()
         if events is None:
@@ -90,7 +90,7 @@
         conditions = [(row["key"], row["rev"]) for row in body["expected_rev"]]
         puts = [(row["key"], row["value"], row.get("lease", 0)) for row in body["put"]]
         revision = self._store.commit(conditions, puts, body["remove"])
-        self._platform.wake()
+        self._platform.wake(self._store)
         if self._platform.faults.lose_writes:
             self._platform.faults.lose_writes -= 1
             await defer.Deferred()
@@ -123,14 +123,14 @@
         """End a lease."""
         await self._hold()
         self._store.end_lease(lease)
-        self._platform.wake()
+        self._platform.wake(self._store)
         return serve.reply(request, 200, {})
 
     @app.route("/operator/<path:key>", methods=["PUT"])
     def put(self, request, key):
         """Write a key as the operator does."""
         self._store.commit([], [(key, request.content.read().decode(), 0)], [])
-        self._platform.wake()
+        self._platform.wake(self._store)
         return b"{}"
 
     @app.route("/faults", methods=["POST"])
@@ -142,7 +142,7 @@
             self._store.forget_history()
         if faults.revokes:
             self._store.end_all_leases()
-            self._platform.wake()
+            self._platform.wake(self._store)
         return b"{}"
 
     @app.route("/crash", methods=["POST"])
@@ -152,7 +152,7 @@
         self._platform.crashed.append(self._platform.workers_by_id.pop(worker_id))
         self._store.commit([], [], [workers.ENTRY_PREFIX + worker_id])
         self._platform.add_worker()
-        self._platform.wake()
+        self._platform.wake(self._store)
         return b"{}"
 
     @app.route("/restart", methods=["POST"])
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -137,7 +137,7 @@
             self.worker.worker_id, "", key, wire.run, wire.fencing_token
         )
         outcome = self.worker.stop(order, time.monotonic())
-        self._platform.wake()
+        self._platform.wake(self.worker)
         return self._answer(request, outcome)
 
     @app.route("/-/hold", methods=["POST"])
@@ -160,7 +160,7 @@
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
         await self._platform.wait_for(
-            lambda: worker is not self.worker or worker.ended, wire.wait_ms
+            worker, lambda: worker is not self.worker or worker.ended, wire.wait_ms
         )
         if worker is not self.worker:
             # The connection went with the life.
--- a/standins/transaction_store.py
+++ b/standins/transaction_store.py
@@ -4,6 +4,7 @@
 changes that can be forgotten.
 """
 
+import bisect
 import itertools
 
 import msgspec
@@ -118,7 +119,8 @@
         """The events after a revision, or None when history is gone."""
         if after < self._forgotten_to:
             return None
-        return [e for e in self._events if e.rev > after and e.key.startswith(prefix)]
+        first = bisect.bisect_right(self._events, after, key=lambda event: event.rev)
+        return [e for e in self._events[first:] if e.key.startswith(prefix)]
 
     def forget_history(self):
         """Forget all events."""
