--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,9 +31,11 @@
     is_kept = False
     try:
         cell.find_owner()
+        striker = strikes.Striker(cell)
+        for name in cell.names:
+            cell.by_name[name].wait_for(rf"config-in-force version={striker.version} ")
         for thread in threads:
             thread.start()
-        striker = strikes.Striker(cell)
         striker.run(plan.make_plan(seed, seconds, cell.names))
         for thread in threads:
             thread.stopping.set()
@@ -42,6 +44,7 @@
         broken = checks.check_jobs(cell, book)
         broken += checks.check_workers(cell.read_seen(), book)
         broken += checks.check_configs(cell, striker.version)
+        broken += checks.check_workspace(cell, striker.withdrawn, strikes.LIMITS)
         broken += striker.cut
         is_kept = not broken
     finally:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -80,7 +80,7 @@
         """Call any scheduler; returns the status, 0 for no answer."""
         url = self._cell.url(self._rng.choice(self._cell.names), f"/editions/{job_id}")
         data = msgspec.json.encode(body) if body is not None else None
-        headers = {"Host": schedulers.HOST}
+        headers = schedulers.make_headers(self._cell.key)
         try:
             return self._pool.request(
                 method, url, body=data, headers=headers, timeout=3.0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,28 @@
     return broken
 
 
+def check_workspace(cell, withdrawn, limits):
+    """Check a workspace's limit, and that keys which were taken away let nobody in.
+
+    Args:
+      cell: A schedulers.Schedulers of which nothing is struck any more.
+      withdrawn: A list of str, the keys.
+      limits: The limits that were in force, in cores.
+    Returns:
+      A list of str, a line for each broken promise.
+    """
+    most = max(cell.read_seen()["most_by_text"].values(), default=0)
+    broken = []
+    if most > max(limits) * 1000:
+        broken.append(f"{most} millicores at once, with limits of {limits} cores")
+    for name in cell.names:
+        for key in withdrawn:
+            answer = cell.send("GET", name, "/editions/", key=key)
+            if answer is None or answer.status != 401:
+                broken.append(f"{name} lets {key} in: {answer and answer.status}")
+    return broken
+
+
 def check_jobs(cell, book):
     """Wait for the accepted jobs to end, and check how.
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -30,6 +30,8 @@
     WORKER_RESTART = "restart"
     WORKER_REPLACED = "replaced"
     CONFIG = "config"
+    KEY = "key"
+    LIMIT = "limit"
 
 
 # Faults of one scheduler; the others are of the platform.
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -18,6 +18,8 @@
 ROUTES_STEP = 200  # more routes in each version
 OPEN_CALLERS = 2  # that use their connection to a process that is told to stop
 LATE_ENTRY_MS_A_SECOND = 400  # up to 2 s, as it was seen of the users' workers
+LIMITS = (160, 80, 120)  # cores, one version after the other, of 192 that there are
+KEY_S = 1.0  # from a new key's version until callers use it, and the old one goes
 RESTART_S = 0.4  # from the end of a process to its next life
 
 
@@ -33,6 +35,7 @@
     Attributes:
       cut: A list of str, requests that a planned stop cut.
       version: An int, of the configuration that was written last.
+      withdrawn: A list of str, keys that are in force no more.
     """
 
     def __init__(self, cell):
@@ -49,6 +52,12 @@
         self._routes = list(schedulers.CONFIG["routes"])
         self.version = schedulers.CONFIG["version"]
         self.cut = []
+        self.withdrawn = []
+        self._limits = itertools.cycle(LIMITS)
+        self._limit = next(self._limits)
+        self._keys = ["key-0"]
+        cell.key = self._keys[0]
+        self._put_config()
 
     def run(self, faults):
         """Carry out a plan; it is over when all is mended.
@@ -119,7 +128,12 @@
 
     def _strike_platform(self, fault):
         if fault.kind is plan.Kind.CONFIG:
+            self._add_routes()
+        elif fault.kind is plan.Kind.LIMIT:
+            self._limit = next(self._limits)
             self._put_config()
+        elif fault.kind is plan.Kind.KEY:
+            self._rotate_key()
         elif fault.kind is plan.Kind.WORKER_CRASH:
             harness.call("POST", self._cell.url("platform", "/crash"))
         elif fault.kind in (plan.Kind.WORKER_RESTART, plan.Kind.WORKER_REPLACED):
@@ -136,15 +150,37 @@
             value = STORE_SLOW_MS if fault.kind is plan.Kind.STORE_SLOW else True
             self._set_for_a_while(fault, value)
 
-    def _put_config(self):
+    def _add_routes(self):
         """Write a version with more routes than the one before."""
+        first = self._routes[0]
+        for _ in range(ROUTES_STEP):
+            name = f"route-{len(self._routes)}"
+            self._routes.append(first | {"name": name, "path_prefix": f"/{name}/"})
+        self._put_config()
+
+    def _rotate_key(self):
+        """Bring a key, have callers use it, and take the one before away."""
+        key = f"key-{next(self._ids)}"
+        self._keys.append(key)
+        self._put_config()
+        time.sleep(KEY_S)
+        self._cell.key = key
+        self.withdrawn += [old for old in self._keys if old != key]
+        self._keys = [key]
+        self._put_config()
+
+    def _put_config(self):
+        """Write a version with the routes, keys and limit as they are now."""
         with self._config_lock:
             self.version += VERSION_STEP
-            first = self._routes[0]
-            for _ in range(ROUTES_STEP):
-                name = f"route-{len(self._routes)}"
-                self._routes.append(first | {"name": name, "path_prefix": f"/{name}/"})
-            more = {"version": self.version, "routes": self._routes}
+            workspace = schedulers.make_workspace(
+                "press", *self._keys, cores=self._limit
+            )
+            more = {
+                "version": self.version,
+                "routes": self._routes,
+                "tenants": [workspace],
+            }
             self._cell.put_config(schedulers.CONFIG | more)
 
     def _set_for_a_while(self, fault, value):
