--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,6 @@
 """`python -m bench` runs every measurement but the slopes of capacity."""
 
-from bench import cell, gangs, requests, takeover, tiers
+from bench import cell, gangs, requests, sizes, takeover, tiers, workspaces
 
 if __name__ == "__main__":
     requests.main()
@@ -8,3 +8,5 @@
     cell.main()
     gangs.main()
     takeover.main()
+    workspaces.main()
+    sizes.main()
