Walk on where a step found no worker with room

Test first (one of 270 has accelerators, 20 looked at in a round: never asked about), then the place it goes on from. No cell of up to 400 workers is concerned.

--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -283,6 +283,8 @@
       tickets_by_worker: Pairs of ticket text and its deadline.
       asked_ids: Ids of workers that advice was asked about.
       good_ids: Those of them that may run the step.
+      walked: An int, how far the workers were walked in vain for one with room that
+        advice may be asked about.
       is_advising: Whether a call for advice is open.
       retry_advice_at: A float, no call for advice before.
       is_told_late: Whether it was told that it waits past its job's objective.
@@ -306,6 +308,7 @@
     )
     asked_ids: set[str] = msgspec.field(default_factory=set)
     good_ids: set[str] = msgspec.field(default_factory=set)
+    walked: int = 0
     is_advising: bool = False
     retry_advice_at: float = 0.0
     is_told_late: bool = False
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -65,7 +65,11 @@
         if not placing.has_room(step, [*ticketed, *roomy], reserved, tasks):
             # Those that are known to be good are full: of the others some may be good.
             unknown = itertools.islice(walk_unknown(step, candidates), WALKED_WORKERS)
-            roomy += take_roomy(step, unknown, reserved, count)
+            found = take_roomy(step, unknown, reserved, count)
+            if not found:
+                # Few may be large enough for it: the next round goes on from here.
+                step.walked += WALKED_WORKERS
+            roomy += found
         if not roomy or not placing.has_room(step, [*ticketed, *roomy], reserved):
             return
         roomy_ids = {worker.worker_id for worker in roomy}
@@ -218,7 +222,7 @@
         return
     key = step.key
     drawn = xxhash.xxh3_64_intdigest(f"{key.job_id}.{key.step}".encode())
-    first = drawn % len(workers)
+    first = (drawn + step.walked) % len(workers)
     for number in range(first, first + len(workers)):
         worker = workers[number % len(workers)]
         if worker.worker_id not in step.asked_ids:
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -143,6 +143,23 @@
         self.assertFalse({order.worker_id for order in starts} & set(gone))
 
 
+class FewSuited(LargeCell):
+    """A step that fewer workers suit than are looked at in a round."""
+
+    def test_each_worker_is_looked_at_in_its_turn(self):
+        """One of 270 has accelerators, and 20 are looked at in a round."""
+        ready = messages.WorkerState.READY
+        room = spec.Demand(64_000, 262_144, 8)
+        entry = messages.WorkerEntry("w077", "a:77", "press", "h", ready, room)
+        self.core.take_worker(entry, WORKERS + 1, self.now)
+        self.submit("a", URGENT, spec.Step(1, spec.Demand(1000, 10, 8), 800))
+        with mock.patch.object(ticketing, "WALKED_WORKERS", 20):
+            calls = []
+            for _ in range(WORKERS // 20 + 1):
+                calls += self.list_calls(self.place())
+        self.assertIn("w077", set().union(*calls))
+
+
 class Urgent(LargeCell):
     """Jobs of three tasks, several at the same time."""
 
