Test: an owner that is killed right after a limit fell

Real processes: 12 cores run, the limit falls to 4, the owner is killed at once. What ran goes on, and at the successor one task at a time starts.

--- a/tests/workspaces_test.py
+++ b/tests/workspaces_test.py
@@ -148,3 +148,18 @@
         self.cell.by_name[self.owner].kill()
         self.cell.wait_state(self.other, job_id, "succeeded", key=PRESS_KEY)
         self.assertEqual(self.cell.read_seen()["most_by_text"], {"press": 12_000})
+
+    def test_owner_that_is_killed_right_after_a_limit_fell(self):
+        body = schedulers.make_job(count=3, run_ms=1500) | {"spec": "before"}
+        first, _ = self.cell.submit(self.other, body, key=PRESS_KEY)
+        self.cell.wait_state(self.other, first, "running", key=PRESS_KEY)
+        self.put(3, schedulers.make_workspace("press", PRESS_KEY, cores=4), self.photo)
+        self.cell.by_name[self.owner].kill()
+        later = schedulers.make_job(count=4, run_ms=200) | {"spec": "later"}
+        second, status = self.cell.submit(self.other, later, key=PRESS_KEY)
+        self.assertEqual(status, 200)
+        for job_id in (first, second):
+            self.cell.wait_state(self.other, job_id, "succeeded", key=PRESS_KEY)
+        # One task of 4 cores at a time, and nothing that ran before was stopped.
+        most = {"before": 12_000, "later": 4_000}
+        self.assertEqual(self.cell.read_seen()["most_by_text"], most)
