Soak: change what a version is made of under its lock; bench: a hook for jobs

Routes were added outside the lock that they had been under, and of two key rotations at once each would have taken the other's new key for withdrawn, so that a soak could have told of a broken promise that was none.

No product code is touched.

--- a/bench/gangs.py
+++ b/bench/gangs.py
@@ -237,6 +237,10 @@
             int(self.now * 1000),
             workspace=job.workspace,
         )
+        self.hand_in(kept)
+
+    def hand_in(self, kept):
+        """Have the core take an accepted job, a record.JobRecord."""
         self.core.take_job(kept, self.now)
 
     def choose_workspace(self, rng):
--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -23,19 +23,10 @@
 class Simulation(gangs.Simulation):
     """A cell whose jobs are told of before they are accepted."""
 
-    def take_job(self, kind, rng):
-        """Take one job, incoming first."""
-        take = self.core.take_job
-
-        def take_both(kept, now):
-            self.core.take_incoming(kept, now)
-            take(kept, now)
-
-        self.core.take_job = take_both
-        try:
-            super().take_job(kind, rng)
-        finally:
-            del self.core.take_job
+    def hand_in(self, kept):
+        """Have the core take a job, incoming first."""
+        self.core.take_incoming(kept, self.now)
+        super().hand_in(kept)
 
     def choose_workspace(self, rng):
         """Choose any workspace."""
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -48,7 +48,10 @@
         self._lock_by_name = {name: threading.Lock() for name in cell.names}
         self._threads = []
         self._ids = itertools.count(1)
-        self._config_lock = threading.Lock()
+        # Reentrant: what a version is made of changes under it too.
+        self._config_lock = threading.RLock()
+        # Of two rotations at once, each would take the other's new key away.
+        self._key_lock = threading.Lock()
         self._routes = list(schedulers.CONFIG["routes"])
         self.version = schedulers.CONFIG["version"]
         self.cut = []
@@ -133,7 +136,8 @@
             self._limit = next(self._limits)
             self._put_config()
         elif fault.kind is plan.Kind.KEY:
-            self._rotate_key()
+            with self._key_lock:
+                self._rotate_key()
         elif fault.kind is plan.Kind.WORKER_CRASH:
             harness.call("POST", self._cell.url("platform", "/crash"))
         elif fault.kind in (plan.Kind.WORKER_RESTART, plan.Kind.WORKER_REPLACED):
@@ -152,11 +156,12 @@
 
     def _add_routes(self):
         """Write a version with more routes than the one before."""
-        first = self._routes[0]
-        for _ in range(ROUTES_STEP):
-            name = f"route-{len(self._routes)}"
-            self._routes.append(first | {"name": name, "path_prefix": f"/{name}/"})
-        self._put_config()
+        with self._config_lock:
+            first = self._routes[0]
+            for _ in range(ROUTES_STEP):
+                name = f"route-{len(self._routes)}"
+                self._routes.append(first | {"name": name, "path_prefix": f"/{name}/"})
+            self._put_config()
 
     def _rotate_key(self):
         """Bring a key, have callers use it, and take the one before away."""
