--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -88,6 +88,8 @@
         # Whether waits under owners before are restored: the first tick tells the date.
         self._has_ticked = False
         self.needs_round = False
+        # The reserving.Reservations of the last round for all; None before the first.
+        self._last_reserved = None
         # Rank and step to which the last round for all did not come first, or None.
         self._resume_at = None
 
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -8,8 +8,17 @@
 
 import msgspec
 
-from thornport.cell.decisions import messages, placing, reserving, rounds, usage
+from thornport.cell.decisions import (
+    crashes,
+    messages,
+    placing,
+    reserving,
+    rounds,
+    stalls,
+    usage,
+)
 from thornport.jobs import record, spec
+from thornport.kernel import clock
 
 
 class Waiting(enum.Enum):
@@ -172,6 +181,85 @@
             sum(placing.has_ticket(step, worker, now) for worker in suited),
         )
 
+    def take_stalls(self, now):
+        """Take the steps that stand still, each once for the reasons that it has.
+
+        Args:
+          now: A float.
+        Returns:
+          A list of stalls.Stall.
+        """
+        taken = []
+        for job in self._unended_by_id.values():
+            is_at_work = any(
+                stalls.is_at_work(run, self.workers_by_id)
+                for step in job.steps_by_key.values()
+                for run in step.live_by_index.values()
+            )
+            for step in job.steps_by_key.values():
+                stall = self._find_stall(job, step, is_at_work, now)
+                if stall is None:
+                    step.told_stall = frozenset()
+                elif stall.reasons != step.told_stall:
+                    step.told_stall = stall.reasons
+                    taken.append(stall)
+        return taken
+
+    def _find_stall(self, job, step, is_at_work, now):
+        """Find what holds a step that has stood still; None if it has not for long."""
+        has_begun = is_at_work and not step.spec.lasting
+        if step.is_done or has_begun or not step.waiting or not self._is_due(job, step):
+            step.stalled_since = None
+            return None
+        if step.stalled_since is None:
+            step.stalled_since = now
+        stalled_s = now - step.stalled_since
+        if stalled_s < stalls.TOLD_AFTER_S:
+            return None
+        queue = self._queue_of(job)
+        return stalls.Stall(
+            step.key,
+            int(stalled_s * clock.MS_PER_S),
+            len(step.waiting),
+            stalls.count_live(job),
+            tuple(self._list_job_holds(job, step, now)),
+            self._count_worker_holds(step, queue, now),
+            stalls.read_shares(self._find_listed(queue.service)),
+        )
+
+    def _list_job_holds(self, job, step, now):
+        """List the stalls.JobHolds of a step."""
+        if not self.usage.count_startable(step, job.record.workspace):
+            yield stalls.JobHold.LIMIT
+        if (
+            self._resume_at is not None
+            and self._rank((job, step)) >= self._resume_at[0]
+        ):
+            yield stalls.JobHold.PASSED_OVER
+        if not crashes.list_startable(step, self.workers_by_id, now):
+            yield stalls.JobHold.TRIAL
+        if step.is_advising:
+            yield stalls.JobHold.ADVICE_OPEN
+        if now < step.retry_advice_at:
+            yield stalls.JobHold.ADVICE_FAILED
+
+    def _count_worker_holds(self, step, queue, now):
+        """Count the workers that may run a step by what keeps it from them.
+
+        Of those that advice was asked about, the others may not.
+        """
+        needs_ticket = queue.advice is not None
+        barred_ids = step.asked_ids - step.good_ids if needs_ticket else ()
+        return dict(
+            collections.Counter(
+                stalls.find_worker_hold(
+                    step, worker, self._last_reserved, needs_ticket, now
+                )
+                for worker in self._list_suited(step, queue)
+                if worker.worker_id not in barred_ids
+            )
+        )
+
     def explain_job(self, job_id, now):
         """Say how far a job has come and what it waits for.
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -313,6 +313,9 @@
       idle_since: A float, since when it may start and no run of its job is known to
         have begun, or, if its tasks last, since when any of them waits; None while that
         is not so.
+      stalled_since: A float, when it was first seen due with nothing of its job at
+        work; None while that is not so.
+      told_stall: The reasons told of its present stall; empty before.
       is_told_late: Whether it was told that it waits past its job's objective.
       is_at_limit: Whether it was told that it waits for its workspace's limit.
     """
@@ -338,6 +341,8 @@
     is_advising: bool = False
     retry_advice_at: float = 0.0
     idle_since: float | None = None
+    stalled_since: float | None = None
+    told_stall: frozenset = frozenset()
     is_told_late: bool = False
     is_at_limit: bool = False
 
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -84,13 +84,22 @@
     def used_share(self):
         """A float, the share that is in use of the resource that has least left."""
         if self._used_share is None:
-            total = used = spec.Demand()
-            for worker in self.workers:
-                total = total.add(worker.entry.total)
-                used = used.add(worker.used)
+            total, used = self.sum_room()
             self._used_share = used.share_of(total)
         return self._used_share
 
+    def sum_room(self):
+        """Sum the room of all workers.
+
+        Returns:
+          A pair of spec.Demand: what they have, and what of it is in use.
+        """
+        total = used = spec.Demand()
+        for worker in self.workers:
+            total = total.add(worker.entry.total)
+            used = used.add(worker.used)
+        return total, used
+
     def may_hold(self, demand):
         """Tell whether a task could fit, by the most room that there was.
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -40,6 +40,7 @@
         tried = 0
         ready = self._list_ready(only_urgent, now)
         if not only_urgent:
+            self._last_reserved = reserved
             resumed_at, self._resume_at = self._resume_at, None
             ready = take_turns(ready, resumed_at, self._rank)
         for job, step in ready:
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -256,7 +256,20 @@
         self.pump()
 
     def _log_late(self):
-        for late in self.core.take_late_steps(clock.read_monotonic()):
+        now = clock.read_monotonic()
+        for stall in self.core.take_stalls(now):
+            logs.log(
+                "step-stalled",
+                job=stall.key.job_id,
+                step=f"{stall.key.time}.{stall.key.step}",
+                stalled_ms=stall.stalled_ms,
+                tasks=stall.waiting,
+                live=format_counts(stall.live),
+                holds=",".join(hold.value for hold in stall.holds),
+                workers=format_counts(stall.workers),
+                used="/".join(str(share) for share in stall.used),
+            )
+        for late in self.core.take_late_steps(now):
             logs.log(
                 "step-late",
                 job=late.key.job_id,
@@ -314,3 +327,14 @@
         if is_full:
             self._full_round_at = ended + max(FULL_ROUND_GAP_S, rest_s)
         self.pump()
+
+
+def format_counts(count_by_kind):
+    """Format counts by members of an enum as `NAME:COUNT`, separated by commas.
+
+    Args:
+      count_by_kind: A dict of int by enum.Enum.
+    Returns:
+      A str.
+    """
+    return ",".join(f"{kind.value}:{n}" for kind, n in count_by_kind.items())
