Make calls for advice by what they bring, and share processes among queues

Cause: the calls of a round were given to processes in the order of the steps, by priority and age. Calls about gangs last half a second, and a gang that waits asks again and again: at first, about each worker that comes back, and for tickets that lapse before its room comes. Some twenty waiting gangs kept all processes that make long calls busy, so steps of cheaper queues, also of another service, were not asked about at all.

Change: a round notes the calls that it wants and makes them at its end: first for steps that have stood still beside room and for urgent ones that have room, then for others that have room, last for those that wait for room. Calls of one kind share the processes by queue, by the time that they take.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -1,8 +1,8 @@
 """A step that has room starts in time, whatever else wants advice.
 
-The advice service works on one call at a time for each process, and calls for wide steps
-take half a second. In each case below a job stood still beside idle workers because such
-calls, for steps that had no room, took all processes that make long calls.
+The advice service works on one call at a time for each process, and calls for wide
+steps take half a second. In each case below a job stood still beside idle workers
+because such calls, for steps that had no room, took all processes that make long calls.
 """
 
 import random
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -5,7 +5,7 @@
 
 import collections
 
-from thornport.cell.decisions import advising, messages, shares, usage
+from thornport.cell.decisions import advising, asking, messages, shares, usage
 
 # Lost workers that are remembered, to tell many that are lost at once: more than a rack
 # has, and than an eighth of a large cell.
@@ -80,6 +80,8 @@
         # Runs whose records are kept and whose tickets have lapsed meanwhile, by step.
         self._unticketed = {}
         self._open_advice_by_step = {}
+        self._wanted_calls = asking.WantedCalls()
+        self._advice_shares = asking.FairShares()
         # Jobs that are being kept, and jobs whose end is not decided.
         self._incoming_by_id = {}
         # learning.EarlyWords while the records are read, in order; None else.
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from thornport.cell.decisions import (
+    asking,
     leases,
     lives,
     messages,
@@ -255,7 +256,9 @@
             may_start = self.usage.count_startable(step, kept.workspace)
             if not step.spec.after and may_start:
                 candidates = self._find_candidates(step, queue, now)
-                self._ask_advice(step, queue, candidates, reserved, now)
+                need = asking.find_need(queue, is_overdue=False)
+                self._ask_advice(step, queue, candidates, reserved, need, now)
+        self._make_wanted_calls(now)
 
     def _begin_time(self, job, time):
         for number in range(len(job.record.job.steps)):
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -3,6 +3,7 @@
 import bisect
 
 from thornport.cell.decisions import (
+    asking,
     crashes,
     messages,
     model,
@@ -33,6 +34,11 @@
             placed is the same then, for steps behind take no room from those before.
         """
         self.needs_round = False
+        self._try_steps(now, only_urgent)
+        self._make_wanted_calls(now)
+
+    def _try_steps(self, now, only_urgent):
+        """Start what can start, and note which advice is wanted."""
         self._renew_lists(now, ticketing.LISTED_S if only_urgent else 0.0)
         self._renew_late(now)
         reserved = reserving.Reservations(now)
@@ -57,7 +63,8 @@
                 # It waits for its workspace, so it asks nothing of the workers.
                 continue
             candidates = self._find_candidates(step, queue, now)
-            if self._may_pass(job, step, now):
+            is_overdue = self._may_pass(job, step, now)
+            if is_overdue:
                 reserved.let_pass(step)
                 candidates = self._find_candidates(step, queue, now, with_suspects=True)
                 if not step.spec.gang and not step.spec.lasting:
@@ -65,7 +72,12 @@
                     startable = 1
             # What no worker has room for costs a comparison, and holds up nothing.
             if self._listed_at < now or candidates.may_hold(step.spec.demand):
-                self._place_step(job, step, queue, candidates, reserved, startable, now)
+                started = self._place_step(
+                    job, step, queue, candidates, reserved, startable, now
+                )
+                if started < startable:
+                    need = asking.find_need(queue, is_overdue)
+                    self._ask_to_start(step, queue, candidates, reserved, need, now)
                 tried += 1
             is_full = not self.usage.count_startable(step, job.record.workspace)
             if step.waiting and not is_full and reserved.may_reserve():
@@ -157,18 +169,20 @@
         return starts_at
 
     def _place_step(self, job, step, queue, candidates, reserved, startable, now):
+        """Start tasks of a step where it may run; an int, how many were started."""
         if queue.advice is None:
-            listed = candidates.workers
-            workers = [w for w in listed if self._is_there(w, candidates, now)]
-            self._start_step(job, step, workers, reserved, startable, now)
-            return
-        ticketed = placing.list_ticketed(step, candidates, now)
-        ticketed = [w for w in ticketed if self._is_there(w, candidates, now)]
-        started = 0
-        if ticketed:
-            started = self._start_step(job, step, ticketed, reserved, startable, now)
-        if started < startable and self._may_ask(step, now):
-            self._ask_advice(step, queue, candidates, reserved, now)
+            workers = candidates.workers
+        else:
+            workers = placing.list_ticketed(step, candidates, now)
+        workers = [w for w in workers if self._is_there(w, candidates, now)]
+        if not workers:
+            return 0
+        return self._start_step(job, step, workers, reserved, startable, now)
+
+    def _ask_to_start(self, step, queue, candidates, reserved, need, now):
+        """Ask where a step may run that has room, if its queue has advice."""
+        if queue.advice is not None and self._may_ask(step, now):
+            self._ask_advice(step, queue, candidates, reserved, need, now)
 
     def _list_without_trial(self, workers, now):
         """List the workers at which no task is on trial.
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -9,7 +9,14 @@
 import msgspec
 import xxhash
 
-from thornport.cell.decisions import advising, cellstate, messages, model, placing
+from thornport.cell.decisions import (
+    advising,
+    asking,
+    cellstate,
+    messages,
+    model,
+    placing,
+)
 from thornport.kernel import clock
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
@@ -54,10 +61,18 @@
 class Ticketing(cellstate.CellState):
     """Has advice called for and takes the answers."""
 
-    def _ask_advice(self, step, queue, candidates, reserved, now):
+    def _ask_advice(self, step, queue, candidates, reserved, need, now):
         """Ask about workers for a step that could start now, first those with room.
 
         Of a long call the first part is the longest, so it may as well tell of more.
+
+        Args:
+          step: A model.StepState.
+          queue: A queue.Queue with advice.
+          candidates: A placing.Candidates.
+          reserved: A reserving.Reservations.
+          need: An asking.Need.
+          now: A float.
         """
         ticketed = placing.list_ticketed(step, candidates, now)
         lapsed = self._list_lapsed(step, candidates, now)
@@ -81,7 +96,7 @@
             unknown = walk_unknown(step, candidates)
             others = lapsed + list(itertools.islice(unknown, count))
         others = [w for w in others if w.worker_id not in roomy_ids]
-        self._call_advice(step, queue, [*roomy, *others][:count], now)
+        self._want_advice(step, queue, [*roomy, *others][:count], need)
 
     def _ask_early(self, step, queue, candidates, starts_at, now):
         """Ask about workers for a step that can't start yet.
@@ -104,12 +119,12 @@
             unknown = itertools.islice(walk_unknown(step, candidates), ASKED_WORKERS)
             asked = list(unknown)
             if asked:
-                self._call_advice(step, queue, asked, now)
+                self._want_advice(step, queue, asked, asking.Need.EARLY)
                 return
         lapsed = self._list_lapsed(step, candidates, now)
         lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
         if lapsed and starts_at is not None and starts_at - now <= lead_s:
-            self._call_advice(step, queue, lapsed, now)
+            self._want_advice(step, queue, lapsed, asking.Need.EARLY)
 
     def _renew_late(self, now):
         """Ask for the tickets that starts wait for whose records are kept.
@@ -129,11 +144,12 @@
             lapsed_first = sorted(sorted(worker_ids), key=step.read_ticket_deadline)
             workers = [self.workers_by_id[worker_id] for worker_id in lapsed_first]
             queue = self._queue_of(self.jobs_by_id[key.job_id])
-            self._call_advice(step, queue, workers, now)
+            self._want_advice(step, queue, workers, asking.Need.NOW)
 
     def _may_ask(self, step, now):
-        """Whether no call for a step is open, nor failed a moment ago."""
-        return not step.is_advising and now >= step.retry_advice_at
+        """Whether no call for a step is open or wanted, nor failed a moment ago."""
+        is_asked = step.is_advising or self._wanted_calls.has_step(step.key)
+        return not is_asked and now >= step.retry_advice_at
 
     def _knows_enough(self, step, candidates):
         """Whether no further workers need be asked about before they have room."""
@@ -146,18 +162,46 @@
         good = placing.list_good(step, candidates)
         return [worker for worker in good if not placing.has_ticket(step, worker, now)]
 
-    def _call_advice(self, step, queue, wanted, now):
-        wanted = wanted[:ASKED_WORKERS]
-        given = self.callers.choose(compute_cost_s(queue.advice, wanted), now)
+    def _want_advice(self, step, queue, workers, need):
+        """Have advice called for at the end of the round, if a process is free."""
+        workers = workers[:ASKED_WORKERS]
+        self._wanted_calls.add(asking.WantedCall(step, queue, workers, need))
+
+    def _make_wanted_calls(self, now):
+        """Make the wanted calls for which there are processes, the neediest first."""
+        wanted, self._wanted_calls = self._wanted_calls, asking.WantedCalls()
+        for need in asking.Need:
+            calls_by_queue = wanted.list_by_queue(need)
+            while calls_by_queue:
+                name = self._advice_shares.choose(calls_by_queue)
+                calls = calls_by_queue[name]
+                # Calls of a queue take about as long, so others find no process either.
+                if not self._call_advice(calls.popleft(), now) or not calls:
+                    del calls_by_queue[name]
+
+    def _call_advice(self, wanted, now):
+        """Have a process make a call.
+
+        Args:
+          wanted: An asking.WantedCall.
+          now: A float.
+        Returns:
+          A bool, whether a process can make it soon.
+        """
+        step, workers = wanted.step, wanted.workers
+        cost_s = compute_cost_s(wanted.queue.advice, workers)
+        given = self.callers.choose(cost_s, now)
         if given is None:
-            return
+            return False
+        self._advice_shares.charge(wanted.queue.name, cost_s)
         step.is_advising = True
-        request = messages.AdviceRequest(step.key, tuple(w.worker_id for w in wanted))
+        request = messages.AdviceRequest(step.key, tuple(w.worker_id for w in workers))
         caller = given.caller
-        fences = tuple(worker.fence for worker in wanted)
+        fences = tuple(worker.fence for worker in workers)
         call = CallAdvice(caller.name, caller.address, request, given.deadline, fences)
         self._open_advice_by_step[step.key] = call
         self.orders.append(call)
+        return True
 
     def take_advice(self, request, answer, now):
         """Take the answer to a call for advice.
