Count by one clock for how long a job stands still

Cause: the clock after which a job may use suspect workers and kept room was stopped by any run that was being stopped or that a lost worker might still have, and it began anew when such a run was over. So holds that are short enough by themselves added up. While a task might live on at a lost worker, the others of its step had no clock at all. And the clock left 1.2 s for advice, whose longest calls take more beside the wait for a process.

Change: only work that is known to go on at a worker that answers stops the clock. It counts from when a run was last known to go on, by the last answer of its worker. A step whose advice takes long leaves its room for less long. A job that is overdue is tried the usual way first, with all its tasks, before it may use suspect workers with one.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -9,6 +9,7 @@
 import unittest
 
 from tests import advisedplays, advisedworld, cellworld
+from thornport.cell.decisions import leases
 from thornport.jobs import record, spec
 
 STUCK_S = advisedplays.STUCK_S
@@ -18,16 +19,14 @@
 GANGS = 30
 
 
-class WaitingGangs(unittest.TestCase):
-    """Gangs wait for one worker that is in use for long; the others are idle."""
+class IdleCell(unittest.TestCase):
+    """Eight workers of which most are idle."""
 
     def setUp(self):
         self.world = advisedworld.AdvisedWorld(
             cellworld.Faults(random.Random(1)), 8, sizes=(2.0,), gpus=(8,)
         )
         self.world.run(0.5)
-        self.submit("long", "dear", spec.Step(1, WHOLE, LONG_MS, gang=True), ["w0"])
-        self.world.run(1)
 
     def submit(self, job_id, queue, step, good):
         """Hand in a job of one step that may run at some workers."""
@@ -40,23 +39,37 @@
         )
         self.world.submit(kept)
 
-    def submit_gangs(self):
-        """Hand in gangs that wait for the one worker in use."""
-        for number in range(GANGS):
-            gang = spec.Step(1, WHOLE, 3000, gang=True)
-            self.submit(f"gang{number}", "dear", gang, ["w0"])
+    def list_places(self, job_id):
+        """List the workers that run tasks of a job, one for each task."""
+        return [
+            worker_id
+            for worker_id, worker in sorted(self.world.workers_by_id.items())
+            for key in worker.active_by_key
+            if key.job_id == job_id
+        ]
 
     def check_starts(self, job_id):
         """A task of a job is at work in the time that users allow."""
         began_at = self.world.now
-        while not any(
-            key.job_id == job_id
-            for worker in self.world.workers_by_id.values()
-            for key in worker.active_by_key
-        ):
+        while not self.list_places(job_id):
             self.assertLess(self.world.now - began_at, STUCK_S)
             self.world.step()
 
+
+class WaitingGangs(IdleCell):
+    """Gangs wait for one worker that is in use for long."""
+
+    def setUp(self):
+        super().setUp()
+        self.submit("long", "dear", spec.Step(1, WHOLE, LONG_MS, gang=True), ["w0"])
+        self.world.run(1)
+
+    def submit_gangs(self):
+        """Hand in gangs that wait for the one worker in use."""
+        for number in range(GANGS):
+            gang = spec.Step(1, WHOLE, 3000, gang=True)
+            self.submit(f"gang{number}", "dear", gang, ["w0"])
+
     def test_burst_of_gangs_does_not_keep_a_cheaper_job_from_its_advice(self):
         self.submit_gangs()
         self.submit("job", "usual", spec.Step(2, SMALL, 4000), ["w2", "w3"])
@@ -78,5 +91,29 @@
         self.check_starts("job")
 
 
+class LostWorkers(IdleCell):
+    """A worker falls silent, and the other that a job may use is suspect."""
+
+    def begin(self, step):
+        """Have a job run at one worker alone; tell when the worker is lost."""
+        suspect_until = self.world.now + 20
+        self.world.owner.workers_by_id["w1"].suspect(suspect_until)
+        self.submit("job", "usual", step, ["w0", "w1"])
+        self.world.run(1)
+        self.assertEqual(self.list_places("job"), ["w0"] * len(self.list_places("job")))
+        self.world.crash("w0")
+
+    # While a task may live on at the lost worker, the others of its step waited too.
+    def test_tasks_beside_one_that_may_live_at_a_lost_worker_start_in_time(self):
+        self.begin(spec.Step(2, SMALL, LONG_MS, max_per_worker=1))
+        self.check_starts("job")
+
+    # The wait for suspect workers began only once the lost runs were over.
+    def test_job_of_a_lost_worker_waits_for_its_lease_alone(self):
+        self.begin(spec.Step(2, SMALL, LONG_MS))
+        self.world.run(leases.HOLD_MS / 1000 + 1)
+        self.assertEqual(self.list_places("job"), ["w1"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -15,8 +15,8 @@
     model,
     notes,
     outcomes,
-    reserving,
     rounds,
+    stalls,
 )
 from thornport.jobs import workspace
 from thornport.kernel import clock
@@ -89,7 +89,7 @@
             waited_s = (wall_ms - job.record.accepted_at_ms) / clock.MS_PER_S
             for step in job.steps_by_key.values():
                 if self._is_due(job, step):
-                    reserving.restore_idle(step, waited_s, now)
+                    stalls.restore_idle(step, waited_s, now)
 
     def _tick_worker(self, worker, now):
         if worker.unlisted_at is not None and now >= worker.unlisted_at:
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -3,7 +3,14 @@
 A run that may be live keeps its room and its task until it is surely over.
 """
 
-from thornport.cell.decisions import cellstate, crashes, messages, model, notes
+from thornport.cell.decisions import (
+    cellstate,
+    crashes,
+    messages,
+    model,
+    notes,
+    stalls,
+)
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -32,6 +39,7 @@
         step = self._find_step(end.key)
         is_current = step is not None and step.live_by_index.get(end.key.index) is run
         self._judge_worker(worker, end, now)
+        self._note_work(worker, run, now)
         if step is not None and end.checkpoint:
             step.checkpoints_by_index[step.index_for(end.key.index)] = end.checkpoint
         if not is_current:
@@ -47,6 +55,12 @@
             self._take_failed(step, run)
         self._release_run(run, now)
 
+    def _note_work(self, worker, run, now):
+        """Note until when a run that goes on no more was at work."""
+        job = self.jobs_by_id.get(run.key.job_id)
+        if job is not None:
+            stalls.note_work(job, worker, now)
+
     def _judge_worker(self, worker, end, now):
         """Tell workers that fail all they start from tasks that fail anywhere."""
         if end.kind is messages.EndKind.DONE:
@@ -192,6 +206,9 @@
             # No order went out, and none will: only RECORDING runs are ordered.
             self._release_run(run, now)
             return
+        worker = self.workers_by_id.get(run.worker_id)
+        if run.state is model.RunState.RUNNING and worker is not None:
+            self._note_work(worker, run, now)
         run.state = model.RunState.STOPPING
         self._send_stop(run, now)
 
@@ -255,6 +272,8 @@
         for blame in blames:
             self._note_lost(worker, blame, now, how)
         for run in runs:
+            if run.state is model.RunState.RUNNING:
+                self._note_work(worker, run, now)
             self._release_run(run, now)
         for blame in blames:
             self._give_up_crashing(blame.run, now)
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -191,13 +191,8 @@
         """
         taken = []
         for job in self._unended_by_id.values():
-            is_at_work = any(
-                stalls.is_at_work(run, self.workers_by_id)
-                for step in job.steps_by_key.values()
-                for run in step.live_by_index.values()
-            )
             for step in job.steps_by_key.values():
-                stall = self._find_stall(job, step, is_at_work, now)
+                stall = self._find_stall(job, step, now)
                 if stall is None:
                     step.told_stall = frozenset()
                 elif stall.reasons != step.told_stall:
@@ -205,15 +200,11 @@
                     taken.append(stall)
         return taken
 
-    def _find_stall(self, job, step, is_at_work, now):
+    def _find_stall(self, job, step, now):
         """Find what holds a step that has stood still; None if it has not for long."""
-        has_begun = is_at_work and not step.spec.lasting
-        if step.is_done or has_begun or not step.waiting or not self._is_due(job, step):
-            step.stalled_since = None
+        if not step.waiting or step.idle_since is None or not self._is_due(job, step):
             return None
-        if step.stalled_since is None:
-            step.stalled_since = now
-        stalled_s = now - step.stalled_since
+        stalled_s = now - step.idle_since
         if stalled_s < stalls.TOLD_AFTER_S:
             return None
         queue = self._queue_of(job)
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -200,7 +200,7 @@
 
     def _make_job(self, kept, now):
         self._next_order += 1
-        job = model.JobEntry(kept, self._next_order, now)
+        job = model.JobEntry(kept, self._next_order, now, worked_until=now)
         job.is_owed = self._shares.take_job(kept.workspace, kept.accepted_at_ms)
         if not kept.job.repeats:
             self._begin_time(job, 0)
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -310,11 +310,9 @@
         advice may be asked about.
       is_advising: Whether a call for advice is open.
       retry_advice_at: A float, no call for advice before.
-      idle_since: A float, since when it may start and no run of its job is known to
-        have begun, or, if its tasks last, since when any of them waits; None while that
-        is not so.
-      stalled_since: A float, when it was first seen due with nothing of its job at
-        work; None while that is not so.
+      idle_since: A float, since when it may start and no run of its job is known to go
+        on, or, if its tasks last, since when any of them waits; None while that is not
+        so.
       told_stall: The reasons told of its present stall; empty before.
       is_told_late: Whether it was told that it waits past its job's objective.
       is_at_limit: Whether it was told that it waits for its workspace's limit.
@@ -341,7 +339,6 @@
     is_advising: bool = False
     retry_advice_at: float = 0.0
     idle_since: float | None = None
-    stalled_since: float | None = None
     told_stall: frozenset = frozenset()
     is_told_late: bool = False
     is_at_limit: bool = False
@@ -385,6 +382,8 @@
       ended_at: A float, when its end was kept; None before.
       arrived_at: A float, when this owner learned of it.
       is_owed: Whether its workspace had not sent more than its share; see `shares`.
+      worked_until: A float, when a run of it was last known to go on, or it was at its
+        workspace's limit; when this owner learned of it before.
     """
 
     record: record.JobRecord
@@ -400,6 +399,7 @@
     has_begun: bool = False
     ended_at: float | None = None
     is_owed: bool = True
+    worked_until: float = 0.0
 
     @property
     def job_id(self):
@@ -419,10 +419,10 @@
         self.steps_by_key.clear()
         self.record = record.close_job(self.record, self.state, self.cause)
 
-    def is_running(self):
-        """Whether a run of it is known to have begun, and is not over."""
+    def is_starting(self):
+        """Whether a start of it is on its way to a worker."""
         return any(
-            run.state not in UNCONFIRMED_STATES
+            run.state in UNCONFIRMED_STATES
             for step in self.steps_by_key.values()
             for run in step.live_by_index.values()
         )
--- a/thornport/cell/decisions/reserving.py
+++ b/thornport/cell/decisions/reserving.py
@@ -24,11 +24,6 @@
 # A run that should be over by its estimate is taken to end within this share of it.
 OVERDUE_SHARE = 0.25
 STOPPING_S = 0.3  # a stop takes some tenths of a second
-# A job of which nothing runs leaves others the room for so long: users allow one that
-# has room to wait 3 s until anything of it runs, and advice may take 0.75 s of that.
-MAX_LEFT_S = 1.8
-# Where more is in use, room is short, and a job may well wait for it, by the users.
-FULL_SHARE = 0.5
 
 
 class Reservation(msgspec.Struct):
@@ -212,46 +207,6 @@
         return releases
 
 
-def note_idle(step, is_running, now):
-    """Note since when a step that may start has been standing still.
-
-    Args:
-      step: A model.StepState of which tasks wait.
-      is_running: A bool, whether a run of its job is known to have begun.
-      now: A float.
-    """
-    if step.is_at_limit or (is_running and not step.spec.lasting):
-        step.idle_since = None
-    elif step.idle_since is None:
-        step.idle_since = now
-
-
-def restore_idle(step, waited_s, now):
-    """Take that a step had been standing still when its owner was replaced.
-
-    Args:
-      step: A model.StepState that may start and of whose job nothing has begun.
-      waited_s: A float, seconds by the clocks of two VMs, which may be apart or jump:
-        it counts between nothing and the time for which the step leaves its room.
-      now: A float.
-    """
-    step.idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
-
-
-def has_waited(step, now):
-    """Tell whether a step has left its room to others for long enough.
-
-    A gang may wait for one worker while those that it is to have besides stand empty.
-
-    Args:
-      step: A model.StepState.
-      now: A float.
-    Returns:
-      A bool.
-    """
-    return step.idle_since is not None and now - step.idle_since >= MAX_LEFT_S
-
-
 def is_wide(step, usual_total):
     """Tell whether a step needs room to be kept for it.
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -10,6 +10,7 @@
     notes,
     placing,
     reserving,
+    stalls,
     ticketing,
     usage,
     yielding,
@@ -63,18 +64,22 @@
                 # It waits for its workspace, so it asks nothing of the workers.
                 continue
             candidates = self._find_candidates(step, queue, now)
-            is_overdue = self._may_pass(job, step, now)
+            started = self._place_step(
+                job, step, queue, candidates, reserved, startable, now
+            )
+            is_overdue = not started and self._may_pass(
+                job, step, queue, candidates, now
+            )
             if is_overdue:
                 reserved.let_pass(step)
                 candidates = self._find_candidates(step, queue, now, with_suspects=True)
                 if not step.spec.gang and not step.spec.lasting:
                     # One task is enough; the others leave the room as before.
                     startable = 1
-            # What no worker has room for costs a comparison, and holds up nothing.
-            if self._listed_at < now or candidates.may_hold(step.spec.demand):
                 started = self._place_step(
                     job, step, queue, candidates, reserved, startable, now
                 )
+            if self._may_hold(step, candidates, now):
                 if started < startable:
                     need = asking.find_need(queue, is_overdue)
                     self._ask_to_start(step, queue, candidates, reserved, need, now)
@@ -85,20 +90,30 @@
                 if step.spec.gang and starts_at is not None:
                     yields.note_waiting(queue, candidates.workers)
 
-    def _may_pass(self, job, step, now):
+    def _may_hold(self, step, candidates, now):
+        """Whether any of the workers may have room for a task of a step.
+
+        What none has room for costs a comparison, and holds up nothing.
+        """
+        return self._listed_at < now or candidates.may_hold(step.spec.demand)
+
+    def _may_pass(self, job, step, queue, candidates, now):
         """Whether a step may use room kept for others, and workers that are suspect.
 
         Those may be all that it has, and its tasks may be sound where others were not.
         What lasts may however full its service is, by the users.
         """
-        if not reserving.has_waited(step, now):
+        advice_s = 0.0
+        if queue.advice is not None:
+            asked = candidates.workers[: ticketing.ASKED_WORKERS]
+            advice_s = ticketing.compute_cost_s(queue.advice, asked)
+        if not stalls.has_waited(step, advice_s, now):
             return False
         if step.spec.lasting:
             return True
-        if any(one.live_by_index for one in job.steps_by_key.values()):
+        if job.is_starting():
             return False
-        listed = self._find_listed(self._queue_of(job).service)
-        return listed.used_share < reserving.FULL_SHARE
+        return self._find_listed(queue.service).used_share < stalls.FULL_SHARE
 
     def _note_limit(self, job, step, is_waiting):
         """Note that a step begins, or ceases, to wait for its workspace's limit."""
@@ -132,9 +147,11 @@
                 for step in job.steps_by_key.values()
                 if step.waiting and self._is_due(job, step)
             ]
-            is_running = bool(steps) and job.is_running()
+            if not steps:
+                continue
+            is_at_work = stalls.is_at_work(job, self.workers_by_id)
             for step in steps:
-                reserving.note_idle(step, is_running, now)
+                stalls.note_idle(job, step, is_at_work, now)
                 ready.append((job, step))
         ready.sort(key=self._rank)
         return ready
@@ -170,6 +187,8 @@
 
     def _place_step(self, job, step, queue, candidates, reserved, startable, now):
         """Start tasks of a step where it may run; an int, how many were started."""
+        if not self._may_hold(step, candidates, now):
+            return 0
         if queue.advice is None:
             workers = candidates.workers
         else:
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -1,9 +1,11 @@
-"""Why a step that is due has no task at work: pure.
+"""Steps that are due and have no task at work: for how long, and what holds them: pure.
 
 Each thing that can hold up a start is bounded by itself, but one may follow another or
-begin anew, so a step can stand still for longer than each of them. This module names
-them all, in the order in which a start meets them, so that a log line can tell which
-ones hold a step at a moment. Nothing here changes anything.
+begin anew, so a step can stand still for longer than each of them. So a step has one
+clock, which only work stops: once it has run for long, the step may use suspect workers
+and room kept for others, and its calls for advice go first. All holds are named here,
+in the order in which a start meets them, so that a log line can tell which ones hold a
+step at a moment.
 """
 
 import collections
@@ -15,6 +17,15 @@
 
 # Steps that stand still for less are not told: advice and a start take some tenths.
 TOLD_AFTER_S = 1.5
+ALLOWED_S = 3.0  # users allow a job that has room to stand still for this long
+# Until a process is free to call for advice, and from a decision to the start.
+START_S = 0.65
+# A step leaves suspect workers and kept room alone for this long, less where a call for
+# its advice takes long.
+MAX_LEFT_S = 1.8
+MIN_LEFT_S = 0.5
+# Where more is in use, room is short, and a job may well wait for it, by the users.
+FULL_SHARE = 0.5
 
 
 class JobHold(enum.Enum):
@@ -92,19 +103,86 @@
         return frozenset((*self.live, *self.holds, *self.workers))
 
 
-def is_at_work(run, workers_by_id):
-    """Whether a run is known to go on at a worker that answers.
+def is_at_work(job, workers_by_id):
+    """Tell whether a run of a job is known to go on, at a worker that answers.
+
+    A run that is being stopped or has not begun is no work, nor one of which its worker
+    has not told this owner.
 
     Args:
-      run: A model.Run.
+      job: A model.JobEntry.
       workers_by_id: Model.Workers by id.
     Returns:
       A bool.
     """
-    worker = workers_by_id.get(run.worker_id)
-    if worker is None or worker.silent_since is not None:
+    for step in job.steps_by_key.values():
+        for run in step.live_by_index.values():
+            worker = workers_by_id.get(run.worker_id)
+            is_running = run.state is model.RunState.RUNNING
+            if is_running and worker is not None and worker.silent_since is None:
+                return True
+    return False
+
+
+def note_work(job, worker, now):
+    """Take that a run of a job ends, is stopped, or is lost with its worker.
+
+    Args:
+      job: A model.JobEntry.
+      worker: The model.Worker that it was at.
+      now: A float.
+    """
+    worked_until = now if worker.silent_since is None else worker.heard_at
+    job.worked_until = max(job.worked_until, worked_until)
+
+
+def note_idle(job, step, is_at_work, now):
+    """Note since when a step that may start has been standing still.
+
+    Args:
+      job: Its model.JobEntry.
+      step: A model.StepState of which tasks wait.
+      is_at_work: A bool, whether a run of the job goes on.
+      now: A float.
+    """
+    if step.is_at_limit:
+        # Time at the limit is no standing still.
+        job.worked_until = now
+        step.idle_since = None
+    elif is_at_work and not step.spec.lasting:
+        step.idle_since = None
+    elif step.idle_since is None:
+        step.idle_since = now if step.spec.lasting else job.worked_until
+
+
+def restore_idle(step, waited_s, now):
+    """Take that a step had been standing still when its owner was replaced.
+
+    Args:
+      step: A model.StepState that may start and of whose job nothing has begun.
+      waited_s: A float, seconds by the clocks of two VMs, which may be apart or jump:
+        it counts between nothing and the time for which the step leaves its room.
+      now: A float.
+    """
+    step.idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
+
+
+def has_waited(step, advice_s, now):
+    """Tell whether a step has left its room to others for long enough.
+
+    A gang may wait for one worker while those that it is to have besides stand empty.
+
+    Args:
+      step: A model.StepState.
+      advice_s: A float, how long a call for its advice takes; 0 without advice.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    if step.idle_since is None:
         return False
-    return run.state is model.RunState.RUNNING
+    left_s = min(MAX_LEFT_S, max(MIN_LEFT_S, ALLOWED_S - START_S - advice_s))
+    return now - step.idle_since >= left_s
 
 
 def count_live(job):
