--- /dev/null
+++ b/thornport/cell/decisions/stalls_test.py
@@ -0,0 +1,148 @@
+"""Tests of the clock of a step that stands still, and of what is told of it."""
+
+import random
+import unittest
+
+from tests import cellworld
+from thornport.cell.decisions import messages, model, stalls
+from thornport.jobs import spec
+
+NOW = 100.0
+
+
+def make_worker(worker_id="w0"):
+    """Make a worker that has answered a second ago."""
+    entry = messages.WorkerEntry(
+        worker_id, "10.0.0.1:1", "press-desk", "h1", messages.WorkerState.READY,
+        spec.Demand(8000, 1000, 2),
+    )  # fmt: skip
+    return model.Worker(entry, NOW, is_heard=True, heard_at=NOW - 1)
+
+
+class Clock(unittest.TestCase):
+    """Since when a step counts as standing still."""
+
+    def setUp(self):
+        self.worker = make_worker()
+        self.job = model.JobEntry(
+            cellworld.make_job("a", cellworld.make_step(2, 1, 1000)),
+            1,
+            NOW - 5,
+            worked_until=NOW - 5,
+        )
+        step_spec = spec.Step(2, spec.Demand(1000))
+        key = messages.StepKey("a", 0, 0)
+        self.step = model.StepState(key, step_spec, waiting={1})
+        self.job.steps_by_key[key] = self.step
+        task = messages.TaskKey("a", 0, 0, 0)
+        self.run = model.Run(task, 1, "w0", step_spec, model.RunState.RUNNING)
+        self.step.live_by_index[0] = self.run
+
+    def is_at_work(self):
+        """Whether the job is at work."""
+        return stalls.is_at_work(self.job, {"w0": self.worker})
+
+    def read_idle_since(self):
+        """Note the step as a round does; since when it stands still."""
+        stalls.note_idle(self.job, self.step, self.is_at_work(), NOW)
+        return self.step.idle_since
+
+    def test_run_at_a_worker_that_answers_stops_it(self):
+        self.assertIsNone(self.read_idle_since())
+
+    # Such runs stopped the clock for as long as they might live.
+    def test_run_that_is_not_known_to_go_on_does_not(self):
+        for state in set(model.RunState) - {model.RunState.RUNNING}:
+            with self.subTest(state=state):
+                self.run.state = state
+                self.assertFalse(self.is_at_work())
+        self.run.state = model.RunState.RUNNING
+        self.worker.silent_since = NOW
+        self.assertFalse(self.is_at_work())
+
+    # The clock began only when the runs of a lost worker were over.
+    def test_lost_run_counts_until_the_last_answer_of_its_worker(self):
+        self.worker.silent_since = NOW
+        stalls.note_work(self.job, self.worker, NOW)
+        self.assertEqual(self.read_idle_since(), NOW - 1)
+
+    def test_run_that_ends_counts_until_now(self):
+        stalls.note_work(self.job, self.worker, NOW)
+        self.step.live_by_index.clear()
+        self.assertEqual(self.read_idle_since(), NOW)
+
+    def test_time_at_the_limit_of_a_workspace_does_not_count(self):
+        self.step.live_by_index.clear()
+        self.step.is_at_limit = True
+        self.assertIsNone(self.read_idle_since())
+        self.step.is_at_limit = False
+        self.assertEqual(self.read_idle_since(), NOW)
+
+    def test_start_is_in_time_also_where_advice_takes_long(self):
+        self.step.idle_since = NOW
+        for advice_s, left_s in ((0.0, 1.8), (0.5, 1.8), (1.0, 1.35), (9.0, 0.5)):
+            with self.subTest(advice_s=advice_s):
+                early = NOW + left_s - 0.01
+                self.assertFalse(stalls.has_waited(self.step, advice_s, early))
+                late = NOW + left_s + 0.01
+                self.assertTrue(stalls.has_waited(self.step, advice_s, late))
+
+
+class Holds(unittest.TestCase):
+    """What keeps a step from a worker."""
+
+    def setUp(self):
+        self.worker = make_worker()
+        key = messages.StepKey("a", 0, 0)
+        self.step = model.StepState(key, spec.Step(1, spec.Demand(1000)), waiting={0})
+
+    def find(self, needs_ticket=True):
+        """Find the hold."""
+        return stalls.find_worker_hold(self.step, self.worker, None, needs_ticket, NOW)
+
+    def test_each_is_told_by_its_name(self):
+        self.assertIs(self.find(needs_ticket=False), stalls.WorkerHold.NONE)
+        self.assertIs(self.find(), stalls.WorkerHold.NOT_ASKED)
+        self.step.asked_ids.add("w0")
+        self.assertIs(self.find(), stalls.WorkerHold.NO_TICKET)
+        self.step.tickets_by_worker["w0"] = ("t", NOW + 1)
+        self.assertIs(self.find(), stalls.WorkerHold.NONE)
+        key = messages.TaskKey("b", 0, 0, 0)
+        filler = spec.Step(1, spec.Demand(7500))
+        self.worker.add_run(model.Run(key, 1, "w0", filler, model.RunState.RUNNING))
+        self.assertIs(self.find(), stalls.WorkerHold.FULL)
+        self.worker.suspect(NOW + 1)
+        self.assertIs(self.find(), stalls.WorkerHold.SUSPECT)
+        self.worker.avoid(NOW + 1)
+        self.assertIs(self.find(), stalls.WorkerHold.SILENT)
+        self.worker.doubted_at = NOW
+        self.assertIs(self.find(), stalls.WorkerHold.UNDESCRIBED)
+        self.worker.is_heard = False
+        self.assertIs(self.find(), stalls.WorkerHold.UNHEARD)
+        self.worker.is_listed = False
+        self.assertIs(self.find(), stalls.WorkerHold.UNLISTED)
+
+
+class Told(unittest.TestCase):
+    """A step that stands still is told once for its reasons."""
+
+    def test_it_is_told_again_only_when_the_reasons_change(self):
+        world = cellworld.World(cellworld.Faults(random.Random(1)), worker_count=1)
+        world.run(0.5)
+        (worker,) = world.owner.workers_by_id.values()
+        world.list_worker("w0", messages.WorkerState.DRAINING, 60_000)
+        world.submit(cellworld.make_job("a", cellworld.make_step(1, 1, 1000)))
+        world.run(stalls.TOLD_AFTER_S - 0.5)
+        self.assertEqual(world.owner.take_stalls(world.now), [])
+        world.run(1)
+        (stall,) = world.owner.take_stalls(world.now)
+        self.assertEqual(stall.workers, {stalls.WorkerHold.UNLISTED: 1})
+        self.assertEqual(world.owner.take_stalls(world.now), [])
+        world.list_worker("w0")
+        worker.avoid(world.now + 60)
+        (stall,) = world.owner.take_stalls(world.now)
+        self.assertEqual(stall.workers, {stalls.WorkerHold.SILENT: 1})
+
+
+if __name__ == "__main__":
+    unittest.main()
