Keep the calls that steps want until a process is free

Cause: what a round wanted was forgotten at its end, and a round tries 60 foremost steps and 20 of the others. A long call that found no process also kept the short ones of its queue back, and calls for jobs that come went before those of overdue steps.

Change: a wanted call stays until its step is tried again, or is in vain; the neediest is made when a process is free, whichever steps the round tries. A call that finds no process keeps back only those that take as long. Jobs that come wait for the next scheduling pass, urgent ones do not.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -1,15 +1,15 @@
-"""A step that has room starts in time, whatever else wants advice.
+"""A step that has room starts in time, whatever else waits.
 
 The advice service works on one call at a time for each process, and calls for wide
-steps take half a second. In each case below a job stood still beside idle workers
-because such calls, for steps that had no room, took all processes that make long calls.
+steps take half a second. Where many steps wait, such calls kept all processes that make
+long calls, or rounds never came to a step while a process was free.
 """
 
 import random
 import unittest
 
 from tests import advisedplays, advisedworld, cellworld
-from thornport.cell.decisions import leases
+from thornport.cell.decisions import asking, leases
 from thornport.jobs import record, spec
 
 STUCK_S = advisedplays.STUCK_S
@@ -28,8 +28,13 @@
         )
         self.world.run(0.5)
 
-    def submit(self, job_id, queue, step, good):
-        """Hand in a job of one step that may run at some workers."""
+    def submit(self, job_id, queue, step, good, is_told_before=True):
+        """Hand in a job of one step that may run at some workers.
+
+        Args:
+          is_told_before: Whether its owner hears of it before it is accepted, and asks
+            for its advice meanwhile.
+        """
         self.world.good_by_job[job_id] = set(good)
         kept = record.JobRecord(
             job_id,
@@ -37,7 +42,10 @@
             spec.Job("text", (step,)),
             len(self.world.submitted_by_id),
         )
-        self.world.submit(kept)
+        if is_told_before:
+            self.world.submit(kept)
+        else:
+            cellworld.World.submit(self.world, kept)
 
     def list_places(self, job_id):
         """List the workers that run tasks of a job, one for each task."""
@@ -48,11 +56,20 @@
             if key.job_id == job_id
         ]
 
-    def check_starts(self, job_id):
-        """A task of a job is at work in the time that users allow."""
+    def check_starts(self, job_id, submit_others=None):
+        """A task of a job is at work in the time that users allow.
+
+        Args:
+          job_id: A str.
+          submit_others: A callable of the count of steps so far, or None.
+        """
         began_at = self.world.now
+        count = 0
         while not self.list_places(job_id):
             self.assertLess(self.world.now - began_at, STUCK_S)
+            if submit_others is not None:
+                submit_others(count)
+            count += 1
             self.world.step()
 
 
@@ -70,11 +87,13 @@
             gang = spec.Step(1, WHOLE, 3000, gang=True)
             self.submit(f"gang{number}", "dear", gang, ["w0"])
 
+    # Calls for gangs went first, whatever a call brought.
     def test_burst_of_gangs_does_not_keep_a_cheaper_job_from_its_advice(self):
         self.submit_gangs()
         self.submit("job", "usual", spec.Step(2, SMALL, 4000), ["w2", "w3"])
         self.check_starts("job")
 
+    # A successor asks about all gangs anew.
     def test_takeover_beside_waiting_gangs_does_not_starve_a_cheaper_job(self):
         self.submit_gangs()
         self.world.run(10)
@@ -82,6 +101,7 @@
         self.submit("job", "usual", spec.Step(2, SMALL, 4000), ["w2", "w3"])
         self.check_starts("job")
 
+    # Each gang asks about a worker that comes back; this held before too.
     def test_worker_that_is_suspect_no_more_does_not_starve_a_cheaper_job(self):
         worker = self.world.owner.workers_by_id["w1"]
         worker.suspect(self.world.now + 12)
@@ -91,16 +111,70 @@
         self.check_starts("job")
 
 
+class ManySteps(IdleCell):
+    """More steps wait than a round tries, and others come all the time."""
+
+    STEPS = 370
+    PERIOD = 2  # world steps between two that come
+
+    def submit_waiting(self, count=0):
+        """Hand in a job that waits for the worker in use, now and then."""
+        if count % self.PERIOD == 0:
+            job_id = f"o{len(self.world.submitted_by_id)}"
+            step = spec.Step(1, SMALL, 3000)
+            self.submit(job_id, "usual", step, ["w0"], is_told_before=False)
+
+    # What a round wanted was forgotten at its end, so a process that came free while
+    # the round tried others stayed idle.
+    def test_step_behind_many_others_is_asked_about_in_time(self):
+        whole = spec.Step(1, spec.Demand(64_000, 1_000, 8), LONG_MS)
+        self.submit("long", "usual", whole, ["w0"])
+        self.world.run(1)
+        for _ in range(self.STEPS):
+            self.submit_waiting()
+        self.world.run(40)
+        for count in range(80):
+            self.submit_waiting(count)
+            self.world.step()
+        for number in range(8):
+            job_id = f"job{number}"
+            step = spec.Step(2, SMALL, 300)
+            self.submit(job_id, "usual", step, ["w2", "w3"], is_told_before=False)
+            self.check_starts(job_id, self.submit_waiting)
+
+
+class UnlikeCalls(IdleCell):
+    """Calls of one queue may be long or short, by how many workers they name."""
+
+    # A long call that found no process kept the short ones of its queue back.
+    def test_short_call_is_made_though_a_long_one_of_its_queue_waits(self):
+        owner = self.world.owner
+        queue = advisedplays.QUEUE_BY_NAME["usual"]
+        workers = list(owner.workers_by_id.values())
+        while owner.callers.choose(1.0, self.world.now) is not None:
+            pass
+        steps = []
+        for job_id, asked in (("long", workers), ("short", workers[:2])):
+            self.world.good_by_job[job_id] = set()
+            job = spec.Job("text", (spec.Step(1, SMALL, 100),))
+            owner.take_job(record.JobRecord(job_id, queue, job, 0), self.world.now)
+            step = next(iter(owner.jobs_by_id[job_id].steps_by_key.values()))
+            owner._want_advice(step, queue, asked, asking.Need.NOW)
+            steps.append(step)
+        owner._make_wanted_calls(self.world.now)
+        self.assertEqual([step.is_advising for step in steps], [False, True])
+
+
 class LostWorkers(IdleCell):
     """A worker falls silent, and the other that a job may use is suspect."""
 
     def begin(self, step):
-        """Have a job run at one worker alone; tell when the worker is lost."""
+        """Have a job run at one worker alone, and lose that worker."""
         suspect_until = self.world.now + 20
         self.world.owner.workers_by_id["w1"].suspect(suspect_until)
         self.submit("job", "usual", step, ["w0", "w1"])
         self.world.run(1)
-        self.assertEqual(self.list_places("job"), ["w0"] * len(self.list_places("job")))
+        self.assertEqual(set(self.list_places("job")), {"w0"})
         self.world.crash("w0")
 
     # While a task may live on at the lost worker, the others of its step waited too.
--- a/thornport/cell/decisions/asking.py
+++ b/thornport/cell/decisions/asking.py
@@ -7,7 +7,6 @@
 queue.
 """
 
-import collections
 import enum
 
 import msgspec
@@ -19,7 +18,7 @@
 class Need(enum.IntEnum):
     """What a call brings; the lowest is made first.
 
-    NOW: a step of the first priority starts, or one that has stood still beside room.
+    NOW: an overdue step, an urgent step, or a start whose record is kept goes out.
     START: a step starts, for which there is room.
     EARLY: a step that waits for room is to have its tickets when the room comes.
     """
@@ -37,43 +36,54 @@
       queue: Its queue.Queue with advice.
       workers: A list of the model.Worker to be asked about.
       need: A Need.
+      rank: A tuple, the step's rank in a round; the lowest goes first.
+      is_long: Whether it takes long, so that only some processes make it.
     """
 
     step: model.StepState
     queue: queue.Queue
     workers: list[model.Worker]
     need: Need
+    rank: tuple
+    is_long: bool
 
 
 class WantedCalls:
-    """The calls that one round wants, one for a step."""
+    """The calls that wait for a process, one for a step.
 
-    __slots__ = ("_by_step",)
+    A round comes to some of the steps only, so what it wants stays until the next time
+    that the step is tried: a process that comes free is then never idle beside it.
+    """
+
+    __slots__ = ("_by_step", "_urgent_by_step")
 
     def __init__(self):
         self._by_step = {}
+        self._urgent_by_step = {}
 
     def add(self, call):
-        """Add a WantedCall; the first one for a step stands."""
-        self._by_step.setdefault(call.step.key, call)
+        """Add a WantedCall, in place of any that the step has."""
+        is_urgent = call.queue.priority == 0
+        calls = self._urgent_by_step if is_urgent else self._by_step
+        calls[call.step.key] = call
+
+    def discard(self, key):
+        """Drop the call of a step, by its messages.StepKey, if there is one."""
+        self._by_step.pop(key, None)
+        self._urgent_by_step.pop(key, None)
 
     def has_step(self, key):
         """Whether a call is wanted for a step, by its messages.StepKey."""
-        return key in self._by_step
+        return key in self._by_step or key in self._urgent_by_step
 
-    def list_by_queue(self, need):
-        """List the calls of a need, in the order in which they were added.
+    def list_calls(self, only_urgent):
+        """List the calls, a list of WantedCall.
 
         Args:
-          need: A Need.
-        Returns:
-          A dict of deques of WantedCall by the name of their queue.
+          only_urgent: Whether to leave out queues that are not of the first priority.
         """
-        calls_by_queue = collections.defaultdict(collections.deque)
-        for call in self._by_step.values():
-            if call.need is need:
-                calls_by_queue[call.queue.name].append(call)
-        return calls_by_queue
+        urgent = list(self._urgent_by_step.values())
+        return urgent if only_urgent else urgent + list(self._by_step.values())
 
 
 class FairShares:
@@ -88,15 +98,18 @@
         self._finish_by_queue = {}
         self._virtual_s = 0.0
 
-    def choose(self, names):
-        """Choose the queue whose call is made next.
+    def choose(self, calls):
+        """Choose the call that is made next.
 
         Args:
-          names: A collection of str; the first stands where several are alike.
+          calls: A list of WantedCall; not empty.
         Returns:
           One of them.
         """
-        return min(names, key=self._find_start)
+        return min(
+            calls,
+            key=lambda call: (call.need, self._find_start(call.queue.name), call.rank),
+        )
 
     def charge(self, name, cost_s):
         """Take that a call is made.
--- a/thornport/cell/decisions/asking_test.py
+++ b/thornport/cell/decisions/asking_test.py
@@ -11,11 +11,11 @@
 Need = asking.Need
 
 
-def make_call(job_id, call_queue=DEAR, need=Need.START):
+def make_call(job_id, call_queue=DEAR, need=Need.START, rank=(1, 0)):
     """Make a WantedCall for the first step of a job."""
     key = messages.StepKey(job_id, 0, 0)
     step = model.StepState(key, spec.Step(1, spec.Demand(1000)))
-    return asking.WantedCall(step, call_queue, [], need)
+    return asking.WantedCall(step, call_queue, [], need, rank, is_long=True)
 
 
 class Needs(unittest.TestCase):
@@ -29,23 +29,25 @@
 
 
 class Wanted(unittest.TestCase):
-    """The calls of a round."""
+    """The calls that wait for a process."""
 
-    def test_first_call_for_a_step_stands(self):
-        wanted = asking.WantedCalls()
-        first = make_call("a", need=Need.NOW)
-        wanted.add(first)
-        wanted.add(make_call("a", need=Need.EARLY))
-        self.assertTrue(wanted.has_step(first.step.key))
-        self.assertEqual(list(wanted.list_by_queue(Need.NOW)["dear"]), [first])
-        self.assertEqual(wanted.list_by_queue(Need.EARLY), {})
+    def setUp(self):
+        self.wanted = asking.WantedCalls()
+
+    def test_a_step_has_one_call(self):
+        self.wanted.add(make_call("a", need=Need.EARLY))
+        newer = make_call("a", need=Need.NOW)
+        self.wanted.add(newer)
+        self.assertTrue(self.wanted.has_step(newer.step.key))
+        self.assertEqual(self.wanted.list_calls(only_urgent=False), [newer])
+        self.wanted.discard(newer.step.key)
+        self.assertFalse(self.wanted.has_step(newer.step.key))
 
-    def test_calls_of_a_queue_keep_their_order(self):
-        wanted = asking.WantedCalls()
-        calls = [make_call(job_id) for job_id in "cab"]
-        for call in calls:
-            wanted.add(call)
-        self.assertEqual(list(wanted.list_by_queue(Need.START)["dear"]), calls)
+    def test_urgent_calls_are_listed_by_themselves(self):
+        urgent = make_call("a", URGENT)
+        self.wanted.add(make_call("b"))
+        self.wanted.add(urgent)
+        self.assertEqual(self.wanted.list_calls(only_urgent=True), [urgent])
 
 
 class Shares(unittest.TestCase):
@@ -56,9 +58,10 @@
 
     def make_calls(self, cost_by_queue, count):
         """Make calls of queues that always want more; how many each made."""
+        calls = [make_call(name, queue.Queue(name)) for name in cost_by_queue]
         made = dict.fromkeys(cost_by_queue, 0)
         for _ in range(count):
-            name = self.shares.choose(cost_by_queue)
+            name = self.shares.choose(calls).queue.name
             self.shares.charge(name, cost_by_queue[name])
             made[name] += 1
         return made
@@ -73,8 +76,12 @@
         made = self.make_calls({"dear": 0.5, "usual": 0.5}, 10)
         self.assertEqual(made, {"dear": 5, "usual": 5})
 
-    def test_first_of_equal_queues_goes_first(self):
-        self.assertEqual(self.shares.choose(["dear", "usual"]), "dear")
+    def test_need_goes_before_the_share_and_rank_goes_last(self):
+        self.shares.charge("dear", 9.0)
+        needy = make_call("a", need=Need.NOW)
+        self.assertIs(self.shares.choose([make_call("b", USUAL), needy]), needy)
+        older = make_call("c", rank=(1, 1))
+        self.assertIs(self.shares.choose([make_call("d", rank=(1, 2)), older]), older)
 
 
 if __name__ == "__main__":
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -258,7 +258,9 @@
                 candidates = self._find_candidates(step, queue, now)
                 need = asking.find_need(queue, is_overdue=False)
                 self._ask_advice(step, queue, candidates, reserved, need, now)
-        self._make_wanted_calls(now)
+        # The others wait for a round, behind what has waited already.
+        self._make_wanted_calls(now, only_urgent=True)
+        self.needs_round = True
 
     def _begin_time(self, job, time):
         for number in range(len(job.record.job.steps)):
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -36,7 +36,7 @@
         """
         self.needs_round = False
         self._try_steps(now, only_urgent)
-        self._make_wanted_calls(now)
+        self._make_wanted_calls(now, only_urgent)
 
     def _try_steps(self, now, only_urgent):
         """Start what can start, and note which advice is wanted."""
@@ -63,33 +63,43 @@
             if not startable:
                 # It waits for its workspace, so it asks nothing of the workers.
                 continue
-            candidates = self._find_candidates(step, queue, now)
-            started = self._place_step(
-                job, step, queue, candidates, reserved, startable, now
-            )
-            is_overdue = not started and self._may_pass(
-                job, step, queue, candidates, now
-            )
-            if is_overdue:
-                reserved.let_pass(step)
-                candidates = self._find_candidates(step, queue, now, with_suspects=True)
-                if not step.spec.gang and not step.spec.lasting:
-                    # One task is enough; the others leave the room as before.
-                    startable = 1
-                started = self._place_step(
-                    job, step, queue, candidates, reserved, startable, now
-                )
-            if self._may_hold(step, candidates, now):
-                if started < startable:
-                    need = asking.find_need(queue, is_overdue)
-                    self._ask_to_start(step, queue, candidates, reserved, need, now)
-                tried += 1
+            candidates = self._try_step(job, step, queue, reserved, startable, now)
+            tried += self._may_hold(step, candidates, now)
             is_full = not self.usage.count_startable(step, job.record.workspace)
             if step.waiting and not is_full and reserved.may_reserve():
                 starts_at = self._reserve(step, queue, candidates, reserved, now)
                 if step.spec.gang and starts_at is not None:
                     yields.note_waiting(queue, candidates.workers)
 
+    def _try_step(self, job, step, queue, reserved, startable, now):
+        """Start what can start of a step; else ask where it may run.
+
+        Args:
+          startable: An int, how many tasks its workspace may start now.
+        Returns:
+          The placing.Candidates that it may use.
+        """
+        candidates = self._find_candidates(step, queue, now)
+        started = self._place_step(
+            job, step, queue, candidates, reserved, startable, now
+        )
+        is_overdue = not started and self._is_overdue(job, step, queue, candidates, now)
+        if is_overdue:
+            reserved.let_pass(step)
+            candidates = self._find_candidates(step, queue, now, with_suspects=True)
+            if not step.spec.gang and not step.spec.lasting:
+                # One task is enough; the others leave the room as before.
+                startable = 1
+            started = self._place_step(
+                job, step, queue, candidates, reserved, startable, now
+            )
+        if step.key not in self._unticketed:
+            self._wanted_calls.discard(step.key)
+        if started < startable and self._may_hold(step, candidates, now):
+            need = asking.find_need(queue, is_overdue)
+            self._ask_to_start(step, queue, candidates, reserved, need, now)
+        return candidates
+
     def _may_hold(self, step, candidates, now):
         """Whether any of the workers may have room for a task of a step.
 
@@ -97,12 +107,14 @@
         """
         return self._listed_at < now or candidates.may_hold(step.spec.demand)
 
-    def _may_pass(self, job, step, queue, candidates, now):
+    def _is_overdue(self, job, step, queue, candidates, now):
         """Whether a step may use room kept for others, and workers that are suspect.
 
         Those may be all that it has, and its tasks may be sound where others were not.
         What lasts may however full its service is, by the users.
         """
+        if step.idle_since is None:
+            return False
         advice_s = 0.0
         if queue.advice is not None:
             asked = candidates.workers[: ticketing.ASKED_WORKERS]
@@ -158,8 +170,7 @@
 
     def _rank(self, ready):
         """Rank a pair of a job and a step: the lowest is placed first."""
-        job = ready[0]
-        return self._queue_of(job).priority, not job.is_owed, job.order
+        return self._rank_job(ready[0])
 
     def _is_due(self, job, step):
         return all(
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -163,21 +163,48 @@
         return [worker for worker in good if not placing.has_ticket(step, worker, now)]
 
     def _want_advice(self, step, queue, workers, need):
-        """Have advice called for at the end of the round, if a process is free."""
+        """Have advice called for as soon as a process is free."""
+        job = self.jobs_by_id.get(step.key.job_id)
+        job = job or self._incoming_by_id[step.key.job_id]
         workers = workers[:ASKED_WORKERS]
-        self._wanted_calls.add(asking.WantedCall(step, queue, workers, need))
-
-    def _make_wanted_calls(self, now):
-        """Make the wanted calls for which there are processes, the neediest first."""
-        wanted, self._wanted_calls = self._wanted_calls, asking.WantedCalls()
-        for need in asking.Need:
-            calls_by_queue = wanted.list_by_queue(need)
-            while calls_by_queue:
-                name = self._advice_shares.choose(calls_by_queue)
-                calls = calls_by_queue[name]
-                # Calls of a queue take about as long, so others find no process either.
-                if not self._call_advice(calls.popleft(), now) or not calls:
-                    del calls_by_queue[name]
+        is_long = compute_cost_s(queue.advice, workers) >= advising.LONG_CALL_S
+        self._wanted_calls.add(
+            asking.WantedCall(step, queue, workers, need, self._rank_job(job), is_long)
+        )
+
+    def _rank_job(self, job):
+        """Rank a job: the steps of the lowest are placed first."""
+        return self._queue_of(job).priority, not job.is_owed, job.order
+
+    def _make_wanted_calls(self, now, only_urgent=False):
+        """Make the wanted calls for which there are processes, the neediest first.
+
+        Args:
+          now: A float.
+          only_urgent: Whether to leave out queues that are not of the first priority.
+        """
+        calls = []
+        for call in self._wanted_calls.list_calls(only_urgent):
+            if self._is_still_wanted(call, now):
+                calls.append(call)
+            else:
+                self._wanted_calls.discard(call.step.key)
+        while calls:
+            call = self._advice_shares.choose(calls)
+            if self._call_advice(call, now):
+                self._wanted_calls.discard(call.step.key)
+                calls.remove(call)
+            else:
+                # Others that take as long find no process either.
+                calls = [one for one in calls if one.is_long is not call.is_long]
+
+    def _is_still_wanted(self, call, now):
+        """Whether a call that has waited for a process would still bring anything."""
+        step = call.step
+        is_known = self._find_step(step.key) is step
+        is_open = step.waiting or step.key in self._unticketed
+        may_ask = not step.is_advising and now >= step.retry_advice_at
+        return is_known and is_open and may_ask
 
     def _call_advice(self, wanted, now):
         """Have a process make a call.
@@ -188,7 +215,9 @@
         Returns:
           A bool, whether a process can make it soon.
         """
-        step, workers = wanted.step, wanted.workers
+        step = wanted.step
+        known = self.workers_by_id
+        workers = [w for w in wanted.workers if known.get(w.worker_id) is w]
         cost_s = compute_cost_s(wanted.queue.advice, workers)
         given = self.callers.choose(cost_s, now)
         if given is None:
