Count standing still from when a job was last at work, for each task that lasts

Cause: until when a job had been at work was written only when a run ended or was stopped. So a job at work for 20 s was overdue after one look that failed for 1.2 s, and so was each time of a repeated job when it was due, a job whose worker restarted under its id, and one that peers had told of 4 s before it was accepted. And on the code before all of this, each start of a task that lasts began the clock of the others of its step anew: one that failed every 1.2 s kept another from its worker for as long as it was watched (15 s).

Change: each round notes until when jobs have been at work; a time that is due, an acceptance and a restart begin the clock. Tasks that last count one by one. The time for which a step leaves its room allows for a process that has just begun a call as long as its own.

Left: a takeover begins the clock of a job that has begun anew, for its record does not tell when its last run ended (8 s in a series of takeovers every 1.6 s).

--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -69,7 +69,7 @@
                 del self._incoming_by_id[job.job_id]
         for job in list(self._unended_by_id.values()):
             if job.record.job.repeats:
-                self._begin_due_times(job, wall_ms)
+                self._begin_due_times(job, now, wall_ms)
         self._forget_old(now)
         self.needs_round = True
 
@@ -87,9 +87,7 @@
             if job.has_begun or job.record.job.repeats:
                 continue
             waited_s = (wall_ms - job.record.accepted_at_ms) / clock.MS_PER_S
-            for step in job.steps_by_key.values():
-                if self._is_due(job, step):
-                    stalls.restore_idle(step, waited_s, now)
+            stalls.restore_idle(job, waited_s, now)
 
     def _tick_worker(self, worker, now):
         if worker.unlisted_at is not None and now >= worker.unlisted_at:
@@ -107,7 +105,7 @@
             if is_stopping and run.stop_confirmed_at is None and now >= run.stop_due_at:
                 self._send_stop(run, now)
 
-    def _begin_due_times(self, job, wall_ms):
+    def _begin_due_times(self, job, now, wall_ms):
         spec = job.record.job
         for time in range(job.times_done, spec.repeats):
             if wall_ms < spec.first_at_ms + time * spec.interval_ms:
@@ -115,6 +113,7 @@
             key = messages.StepKey(job.job_id, time, 0)
             if key not in job.steps_by_key:
                 self._begin_time(job, time)
+                job.worked_until = now
 
     def _forget_old(self, now):
         limit_s = self._status_s + LATE_STATUS_S
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -183,6 +183,7 @@
         job = self._incoming_by_id.pop(kept.job_id, None)
         if job is None or job.record != kept:
             job = self._make_job(kept, now)
+        job.worked_until = now
         self.jobs_by_id[kept.job_id] = job
         self._unended_by_id[kept.job_id] = job
         self.needs_round = True
@@ -200,7 +201,7 @@
 
     def _make_job(self, kept, now):
         self._next_order += 1
-        job = model.JobEntry(kept, self._next_order, now, worked_until=now)
+        job = model.JobEntry(kept, self._next_order, now)
         job.is_owed = self._shares.take_job(kept.workspace, kept.accepted_at_ms)
         if not kept.job.repeats:
             self._begin_time(job, 0)
--- a/thornport/cell/decisions/lives.py
+++ b/thornport/cell/decisions/lives.py
@@ -130,6 +130,8 @@
         for run in runs:
             if run.state is model.RunState.RECORDING:
                 continue
+            if run.state is model.RunState.RUNNING:
+                self._note_work(worker, run, now)
             if run.state is not model.RunState.STOPPING:
                 run.state = model.RunState.UNHEARD
             run.stop_confirmed_at = None
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -43,9 +43,6 @@
         if isinstance(outcome, messages.Done):
             if run.state is model.RunState.ORDERED:
                 run.state = model.RunState.RUNNING
-                step = self._find_step(run.key)
-                if step is not None:
-                    step.idle_since = None
         elif isinstance(outcome, messages.Unanswered):
             worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -161,9 +161,9 @@
             ]
             if not steps:
                 continue
-            is_at_work = stalls.is_at_work(job, self.workers_by_id)
+            stalls.note_work_of_job(job, self.workers_by_id, now)
             for step in steps:
-                stalls.note_idle(job, step, is_at_work, now)
+                stalls.note_idle(job, step, now)
                 ready.append((job, step))
         ready.sort(key=self._rank)
         return ready
@@ -244,11 +244,10 @@
         assigned = placing.assign_step(step, workers, reserved, wants_fast, startable)
         if not assigned:
             return 0
-        if step.spec.lasting:
-            step.idle_since = None
         step.last_run += 1
         for assignment in assigned:
             step.waiting.discard(assignment.index)
+            step.waiting_since_by_index.pop(assignment.index, None)
             key = messages.TaskKey(
                 job.job_id, step.key.time, step.key.step, assignment.index
             )
@@ -270,6 +269,8 @@
                 run.is_joint_trial = len(assigned) > 1
                 self._trial_ids.add(worker.worker_id)
             self._recording.append(run)
+        if not step.waiting:
+            step.idle_since = None
         job.has_begun = True
         if job.state is record.JobState.QUEUED:
             job.state = record.JobState.RUNNING
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -15,11 +15,12 @@
 
 from thornport.cell.decisions import crashes, messages, model, placing
 
-# Steps that stand still for less are not told: advice and a start take some tenths.
-TOLD_AFTER_S = 1.5
+# Overdue steps are told, and looked at again after this; so many at a time.
+TOLD_AFTER_S = 2.0
+TOLD_AGAIN_S = 1.0
+MOST_TOLD = 20
 ALLOWED_S = 3.0  # users allow a job that has room to stand still for this long
-# Until a process is free to call for advice, and from a decision to the start.
-START_S = 0.65
+START_S = 0.3  # from a ticket to the start: its record and the command
 # A step leaves suspect workers and kept room alone for this long, less where a call for
 # its advice takes long.
 MAX_LEFT_S = 1.8
@@ -103,74 +104,85 @@
         return frozenset((*self.live, *self.holds, *self.workers))
 
 
-def is_at_work(job, workers_by_id):
-    """Tell whether a run of a job is known to go on, at a worker that answers.
-
-    A run that is being stopped or has not begun is no work, nor one of which its worker
-    has not told this owner.
+def note_work(job, worker, now):
+    """Take that a run of a job goes on, ends, is stopped, or is lost with its worker.
 
     Args:
       job: A model.JobEntry.
-      workers_by_id: Model.Workers by id.
-    Returns:
-      A bool.
+      worker: The model.Worker that it is or was at.
+      now: A float.
     """
-    for step in job.steps_by_key.values():
-        for run in step.live_by_index.values():
-            worker = workers_by_id.get(run.worker_id)
-            is_running = run.state is model.RunState.RUNNING
-            if is_running and worker is not None and worker.silent_since is None:
-                return True
-    return False
+    worked_until = now if worker.silent_since is None else worker.heard_at
+    job.worked_until = max(job.worked_until, worked_until)
 
 
-def note_work(job, worker, now):
-    """Take that a run of a job ends, is stopped, or is lost with its worker.
+def note_work_of_job(job, workers_by_id, now):
+    """Note until when a job has been at work, as far as is known.
+
+    A run that is being stopped or has not begun is no work, nor one of which its worker
+    has not told this owner.
 
     Args:
       job: A model.JobEntry.
-      worker: The model.Worker that it was at.
+      workers_by_id: Model.Workers by id.
       now: A float.
     """
-    worked_until = now if worker.silent_since is None else worker.heard_at
-    job.worked_until = max(job.worked_until, worked_until)
+    for step in job.steps_by_key.values():
+        for run in step.live_by_index.values():
+            worker = workers_by_id.get(run.worker_id)
+            if run.state is model.RunState.RUNNING and worker is not None:
+                note_work(job, worker, now)
+                if job.worked_until >= now:
+                    return
 
 
-def note_idle(job, step, is_at_work, now):
+def note_idle(job, step, now):
     """Note since when a step that may start has been standing still.
 
     Args:
-      job: Its model.JobEntry.
+      job: Its model.JobEntry, noted by `note_work_of_job`.
       step: A model.StepState of which tasks wait.
-      is_at_work: A bool, whether a run of the job goes on.
       now: A float.
     """
     if step.is_at_limit:
         # Time at the limit is no standing still.
         job.worked_until = now
+        step.waiting_since_by_index.clear()
         step.idle_since = None
-    elif is_at_work and not step.spec.lasting:
-        step.idle_since = None
-    elif step.idle_since is None:
-        step.idle_since = now if step.spec.lasting else job.worked_until
-
-
-def restore_idle(step, waited_s, now):
-    """Take that a step had been standing still when its owner was replaced.
+    elif step.spec.lasting:
+        # Each of its tasks counts by itself.
+        since_by_index = step.waiting_since_by_index
+        for index in since_by_index.keys() - step.waiting:
+            del since_by_index[index]
+        for index in step.waiting:
+            since_by_index.setdefault(index, now)
+        step.idle_since = min(since_by_index.values())
+    else:
+        is_at_work = job.worked_until >= now
+        step.idle_since = None if is_at_work else job.worked_until
+
+
+def restore_idle(job, waited_s, now):
+    """Take that a job had been standing still when its owner was replaced.
 
     Args:
-      step: A model.StepState that may start and of whose job nothing has begun.
+      job: A model.JobEntry of which nothing has begun.
       waited_s: A float, seconds by the clocks of two VMs, which may be apart or jump:
         it counts between nothing and the time for which the step leaves its room.
       now: A float.
     """
-    step.idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
+    idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
+    job.worked_until = idle_since
+    for step in job.steps_by_key.values():
+        if step.spec.lasting:
+            step.waiting_since_by_index = dict.fromkeys(step.waiting, idle_since)
 
 
 def has_waited(step, advice_s, now):
-    """Tell whether a step has left its room to others for long enough.
+    """Tell whether a step has stood still for so long that it is overdue.
 
-    A gang may wait for one worker while those that it is to have besides stand empty.
+    What is left of the time that users allow is for its advice: all processes may have
+    just begun a call that takes as long as its own.
 
     Args:
       step: A model.StepState.
@@ -181,7 +193,7 @@
     """
     if step.idle_since is None:
         return False
-    left_s = min(MAX_LEFT_S, max(MIN_LEFT_S, ALLOWED_S - START_S - advice_s))
+    left_s = min(MAX_LEFT_S, max(MIN_LEFT_S, ALLOWED_S - START_S - 2 * advice_s))
     return now - step.idle_since >= left_s
 
 
