--- a/tests/stallclock_test.py
+++ b/tests/stallclock_test.py
@@ -103,5 +103,23 @@
         self.assertGreater(self.find_step("job").idle_since, restarted_at - 1)
 
 
+class Told(starvation_test.IdleCell):
+    """What holds the steps that stand still is looked at a few at a time."""
+
+    # In a cell of hundreds of workers and steps, one look at all took half a second.
+    def test_few_steps_are_looked_at_in_one_call(self):
+        for worker_id in self.world.workers_by_id:
+            self.world.list_worker(worker_id, messages.WorkerState.DRAINING, 60_000)
+        for number in range(3 * stalls.MOST_TOLD):
+            self.submit(f"j{number}", "dear", spec.Step(1, SMALL, LONG_MS), ["w0"])
+        self.world.run(6)
+        told = self.world.owner.take_stalls(self.world.now)
+        self.assertEqual(len(told), stalls.MOST_TOLD)
+        later = self.world.owner.take_stalls(self.world.now)
+        keys = {stall.key for stall in told}
+        self.assertEqual(len(later), stalls.MOST_TOLD)
+        self.assertTrue(keys.isdisjoint(stall.key for stall in later))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -15,6 +15,7 @@
     reserving,
     rounds,
     stalls,
+    ticketing,
     usage,
 )
 from thornport.jobs import record, spec
@@ -182,35 +183,46 @@
         )
 
     def take_stalls(self, now):
-        """Take the steps that stand still, each once for the reasons that it has.
+        """Take steps that stand still beside room, each once for its reasons.
 
         Args:
           now: A float.
         Returns:
-          A list of stalls.Stall.
+          A list of stalls.Stall; what it has no place for comes the next times.
         """
         taken = []
+        looked_at = 0
         for job in self._unended_by_id.values():
             for step in job.steps_by_key.values():
-                stall = self._find_stall(job, step, now)
-                if stall is None:
+                if not self._is_stalled(job, step, now):
                     step.told_stall = frozenset()
-                elif stall.reasons != step.told_stall:
+                    continue
+                if now < step.stall_due_at:
+                    continue
+                step.stall_due_at = now + stalls.TOLD_AGAIN_S
+                stall = self._view_stall(job, step, now)
+                if stall.reasons != step.told_stall:
                     step.told_stall = stall.reasons
                     taken.append(stall)
+                looked_at += 1
+                if looked_at == stalls.MOST_TOLD:
+                    return taken
         return taken
 
-    def _find_stall(self, job, step, now):
-        """Find what holds a step that has stood still; None if it has not for long."""
+    def _is_stalled(self, job, step, now):
+        """Whether a step has stood still for long though its service has room."""
         if not step.waiting or step.idle_since is None or not self._is_due(job, step):
-            return None
-        stalled_s = now - step.idle_since
-        if stalled_s < stalls.TOLD_AFTER_S:
-            return None
+            return False
+        if now - step.idle_since < stalls.TOLD_AFTER_S:
+            return False
+        listed = self._find_listed(self._queue_of(job).service)
+        return step.spec.lasting or listed.used_share < stalls.FULL_SHARE
+
+    def _view_stall(self, job, step, now):
         queue = self._queue_of(job)
         return stalls.Stall(
             step.key,
-            int(stalled_s * clock.MS_PER_S),
+            int((now - step.idle_since) * clock.MS_PER_S),
             len(step.waiting),
             stalls.count_live(job),
             tuple(self._list_job_holds(job, step, now)),
@@ -240,13 +252,14 @@
         Of those that advice was asked about, the others may not.
         """
         needs_ticket = queue.advice is not None
+        suited = self._list_suited(step, queue)[: ticketing.WALKED_WORKERS]
         barred_ids = step.asked_ids - step.good_ids if needs_ticket else ()
         return dict(
             collections.Counter(
                 stalls.find_worker_hold(
                     step, worker, self._last_reserved, needs_ticket, now
                 )
-                for worker in self._list_suited(step, queue)
+                for worker in suited
                 if worker.worker_id not in barred_ids
             )
         )
