Bound what an answer of the store confirms by when it can have been made

What callers saw: a process denied a queue with 404 3.5 s after its version was acknowledged; 3.0 s are allowed.

Cause: the age of the configuration counted from the arrival of the first byte of the newest answer. A link to the store froze for 1.4 s, and before it thawed the store fell silent to all. The answer of a watch, made before, came at the thaw, and the process took all it knew for confirmed at that moment.

Ruled out: reads by way of a peer count from when they were asked, and what a peer sends late confirms nothing; the owner's transactions and the ring count from sending too.

Change: a read, and a watch that is answered with a change, confirm the time at which they were sent; a watch without a change confirms the end of its wait, less the margin for clocks, or its sending if it was answered sooner. A watch that waited anew after a change late in a wait would leave a key unconfirmed for up to 4 s, so the next watch of a key is shorter by the age of the answer.

It rests on the store answering a watch without a change at the end of its wait only, as its interface says.

--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -34,6 +34,7 @@
 # A seed, its seconds, its size or kind of size, and the cause.
 RESTART = "a worker restarts between two looks, and a start reaches it before the look"
 BEFELL = "a job is given up for crashes that only befell it"
+HELD_UP = "an answer that a frozen link held up passes for a new one"
 REGRESSIONS = (
     (50011, DRAWN_S, sizes.SizeKind.DOZENS, RESTART),
     (50012, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
@@ -42,6 +43,7 @@
     (73008, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
     (81001, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
     (82009, DRAWN_S, sizes.SizeKind.DISPATCHERS, BEFELL),
+    (87004, DRAWN_S, sizes.SizeKind.DOZENS, HELD_UP),
 )
 
 
--- a/thornport/cell/configuring_test.py
+++ b/thornport/cell/configuring_test.py
@@ -11,7 +11,7 @@
 from thornport.jobs import queue, workspace
 from thornport.kernel import clock
 from thornport.platform import config
-from thornport.store import port, transactions
+from thornport.store import port, transactions, watching
 
 QUEUE = queue.Queue("press")
 PUBLIC = queue.Queue("open", is_public=True)
@@ -207,6 +207,48 @@
         self.relayed.read_newest.assert_called_once()
 
 
+class HeldUp(unittest.TestCase):
+    """A link to the store that freezes, hands over what it held, and is cut."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.store = FakeStore()
+        ports = mock.Mock(config_key=config.CONFIG_KEY, store=self.store)
+        ports.decode_config = config.decode_config
+        relayed = mock.Mock()
+        relayed.read_newest.side_effect = lambda *_: defer.Deferred()
+        self.told = configuring.Configuring(self.clock, ports, relayed, mock.Mock())
+        self.told.start()
+        item = transactions.Item(config.CONFIG_KEY, make_value(1, "k1"), 1)
+        self.store.waiting.callback(result.Success(transactions.Page([item], False, 1)))
+
+    def thaw(self, held_s, *changes):
+        """Hand over the answer of a watch some time after it was sent, then cut."""
+        self.clock.advance(held_s)
+        told = transactions.Changes(changes, 2)
+        self.store.waiting.callback(result.Success(told))
+        self.store.waiting.callback(result.Failure(port.Unavailable("cut")))
+
+    # A queue was denied with 404 3.5 s after its version was acknowledged.
+    def test_version_that_was_held_up_is_no_certainty_for_longer(self):
+        change = transactions.Change(config.CONFIG_KEY, make_value(2, "k2"), 2)
+        self.thaw(1.4, change)
+        self.assertEqual(self.told.config.version, 2)
+        self.clock.advance(configuring.CONFIRMED_S - 1.4)
+        self.assertFalse(self.told.is_confirmed())
+
+    # The same where the answer has no change.
+    def test_silence_that_was_held_up_is_no_certainty_for_longer(self):
+        wait_s = watching.WATCH_MS / clock.MS_PER_S
+        self.thaw(wait_s + 0.5)
+        self.assertTrue(self.told.is_confirmed())
+        self.clock.advance(configuring.CONFIRMED_S - 0.5)
+        self.assertFalse(self.told.is_confirmed())
+
+
 class Late(unittest.TestCase):
     """A peer sends a version when it was given up: it had others to serve."""
 
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -6,6 +6,8 @@
 from thornport.store import port, transactions
 
 WATCH_MS = 2000  # a silent store is noticed after this and a little more
+# A key that was confirmed within this is watched for the whole of WATCH_MS.
+FRESH_S = 0.2
 RETRY_S = 0.2  # after a call that the store did not answer
 # An answer that broke off is asked for again, and has begun by then if it comes.
 AGAIN_S = 1.0
@@ -74,7 +76,7 @@
         self._is_stopped = False
         self._lost_at = None
         self._failures = 0
-        self._heard_at = None
+        self._confirmed_at = None
         self._answer_began_at = None
         self._broke_off_at = None
         self.told_to = transactions.ABSENT_REVISION
@@ -97,17 +99,17 @@
         return clock.read_monotonic() - self._broke_off_at < AGAIN_S
 
     def read_age_s(self):
-        """How long ago the store last told of the prefix.
+        """How old the newest answer of the store about the prefix can be.
 
-        An answer tells how things were when it began: over a slow link a large one
-        ends seconds later.
+        An answer may be held up on its way, so its arrival proves nothing: its age
+        counts from the earliest time at which the store can have made it.
 
         Returns:
           A float, seconds; None before it has told anything.
         """
-        if self._heard_at is None:
+        if self._confirmed_at is None:
             return None
-        return clock.read_monotonic() - self._heard_at
+        return clock.read_monotonic() - self._confirmed_at
 
     def stop(self):
         """Tell nothing any more."""
@@ -123,8 +125,7 @@
             if at is None:
                 at = await self._read_all()
                 continue
-            # A store that did not answer is asked without waiting.
-            wait_ms = 0 if self._lost_at is not None else WATCH_MS
+            wait_ms = self._compute_wait_ms()
             asked_at = clock.read_monotonic()
             watched = await self._store.watch(
                 self._prefix, at, wait_ms, self._note_bytes
@@ -133,13 +134,14 @@
             if self._is_stopped:
                 return
             if isinstance(watched, result.Success):
-                self._regain(began_at)
+                has_changes = bool(watched.unwrap().changes)
+                self._regain(find_made_at(asked_at, wait_ms, has_changes))
                 at = self.told_to = self._take(watched.unwrap(), at)
                 if self._is_key and len(watched.unwrap().changes) > 1:
                     # It changes faster than it comes. A further answer would hold
                     # each version in whole, ever more of them; a read, the newest.
                     at = None
-                if self._gap_s and watched.unwrap().changes:
+                if self._gap_s and has_changes:
                     await tasks.sleep(self._reactor, self._gap_s)
             elif port.is_failure(watched, transactions.HistoryGone):
                 logs.log("watch-history-gone", prefix=self._prefix, after=at)
@@ -151,7 +153,25 @@
                     at = None
                 await tasks.sleep(self._reactor, RETRY_S)
 
+    def _compute_wait_ms(self):
+        """Compute how long the next watch waits for a change.
+
+        The watch of a key is shortened by the age of the last answer, which keeps the
+        age below WATCH_MS and the time of a call: an answer with a change may be as
+        old as its watch.
+
+        Returns:
+          An int, milliseconds.
+        """
+        if self._lost_at is not None:
+            return 0  # a store that did not answer is asked without waiting
+        age_s = self.read_age_s() or 0.0
+        if not self._is_key or age_s <= FRESH_S:
+            return WATCH_MS
+        return max(0, WATCH_MS - int(age_s * clock.MS_PER_S))
+
     async def _read_all(self):
+        asked_at = clock.read_monotonic()
         read = await read_prefix(self._store, self._prefix, self._note_bytes)
         began_at = self._end_answer()
         if self._is_stopped:
@@ -160,7 +180,7 @@
             self._lose(read.failure().reason, began_at)
             await tasks.sleep(self._reactor, RETRY_S)
             return None
-        self._regain(began_at)
+        self._regain(asked_at)
         items, at = read.unwrap()
         self._take_all(items)
         self.told_to = at
@@ -195,10 +215,14 @@
             self._lost_at = clock.read_monotonic()
             logs.log("store-watch-lost", prefix=self._prefix, reason=reason)
 
-    def _regain(self, began_at):
-        """Take that the store has told of the prefix, as it was at a time."""
+    def _regain(self, made_at):
+        """Take that the store has told of the prefix.
+
+        Args:
+          made_at: A float, the earliest time at which the answer can have been made.
+        """
         now = clock.read_monotonic()
-        self._heard_at = now if began_at is None else began_at
+        self._confirmed_at = made_at
         self._broke_off_at = None
         if self._lost_at is not None:
             logs.log(
@@ -211,6 +235,26 @@
         self._failures = 0
 
 
+def find_made_at(asked_at, wait_ms, has_changes):
+    """Find the earliest time at which the store can have answered a watch.
+
+    It answers with changes as soon as there are any, and without one at the end of
+    the wait.
+
+    Args:
+      asked_at: A float, when the watch was sent.
+      wait_ms: An int, how long it was to wait.
+      has_changes: A bool, whether the answer has changes.
+    Returns:
+      A float of the monotonic clock.
+    """
+    if has_changes:
+        return asked_at
+    waited_until = asked_at + wait_ms / clock.MS_PER_S / clock.CLOCK_RATE_MARGIN
+    # A watch that was answered sooner did not wait to its end.
+    return waited_until if waited_until <= clock.read_monotonic() else asked_at
+
+
 def follow_key(reactor, store, key, take_value):
     """Follow one key until the process ends.
 
--- a/thornport/store/watching_test.py
+++ b/thornport/store/watching_test.py
@@ -10,6 +10,8 @@
 from thornport.store import port, transactions, watching
 
 KEY = "op/config"
+WATCH_S = watching.WATCH_MS / clock.MS_PER_S
+PROMPT_S = 0.01  # from the end of a wait until its answer arrives
 
 
 class FakeStore:
@@ -17,6 +19,7 @@
 
     def __init__(self):
         self.asked = []
+        self.waits_ms = []
 
     def read_page(self, prefix, after_key="", on_bytes=None):
         """Note a read."""
@@ -24,6 +27,7 @@
 
     def watch(self, prefix, after_revision, wait_ms, on_bytes=None):
         """Note a watch."""
+        self.waits_ms.append(wait_ms)
         return self._ask(f"watch {after_revision}", on_bytes)
 
     def _ask(self, what, on_bytes):
@@ -90,12 +94,54 @@
         self.clock.advance(watching.RETRY_S)
         self.assertEqual(self.store.asked[-1], "watch 3")
 
-    def test_answer_that_was_held_on_its_way_confirms_no_later_time(self):
-        """A link that froze hands it over when it thaws: newer writes may stand."""
+    # A link froze and thawed, and an old answer passed for the newest.
+    def test_delayed_watch_answer_does_not_extend_freshness(self):
         self.clock.advance(1.3)
         self.store.answer_watch(5)
         self.assertGreaterEqual(self.follower.read_age_s(), 1.3)
 
+    # The same of an answer without a change, which was made at the end of its wait.
+    def test_delayed_answer_without_a_change_confirms_the_end_of_its_wait(self):
+        self.clock.advance(WATCH_S + 1.4)
+        self.store.answer_watch()
+        self.assertGreaterEqual(self.follower.read_age_s(), 1.4)
+        self.assertLess(self.follower.read_age_s(), 1.4 + watching.FRESH_S)
+
+    # The same of an answer that cannot have waited to the end.
+    def test_answer_without_a_change_before_the_end_of_its_wait(self):
+        self.clock.advance(WATCH_S / 2)
+        self.store.answer_watch()
+        self.assertEqual(self.follower.read_age_s(), WATCH_S / 2)
+
+    # The same of a read, which has several pages.
+    def test_delayed_read_confirms_the_time_it_was_sent(self):
+        self.store.answer_watch(5, 8)
+        self.clock.advance(0.7)
+        item = transactions.Item(KEY, b"12", 12)
+        self.store.waiting.callback(result.Success(transactions.Page([item], True, 12)))
+        self.clock.advance(0.7)
+        self.store.answer_page(12)
+        self.assertEqual(self.follower.read_age_s(), 1.4)
+
+    def test_key_that_does_not_change_is_watched_for_the_whole_wait(self):
+        for _ in range(9):
+            self.clock.advance(WATCH_S + PROMPT_S)
+            self.assertLess(self.follower.read_age_s(), WATCH_S + watching.FRESH_S)
+            self.store.answer_watch()
+        self.assertEqual(self.store.waits_ms, [watching.WATCH_MS] * 10)
+
+    # A watch that waited anew after a late change left a key unconfirmed for 4 s.
+    def test_key_that_changes_late_in_a_wait_is_confirmed_in_time(self):
+        revision = 3
+        for late_s in (0.1, 0.7, 1.3, 1.9):
+            revision += 1
+            self.clock.advance(late_s)
+            self.store.answer_watch(revision)
+            self.clock.advance(self.store.waits_ms[-1] / clock.MS_PER_S + PROMPT_S)
+            self.assertLess(self.follower.read_age_s(), WATCH_S + watching.FRESH_S)
+            self.store.answer_watch()
+            self.assertLess(self.follower.read_age_s(), watching.FRESH_S)
+
     def test_answer_tells_how_things_were_when_it_began(self):
         """One of a megabyte ends seconds later, and the key may have changed since."""
         self.store.send_bytes()
