Count a delayed watch answer for the store's health by when it was made

What callers saw: a process whose store had fallen silent counted it as back for 0.5 s, made calls to it directly, and had no outcome for a job that it took then, 0.6 s later.

The answer of a watch counted as a sign of the store at its arrival, though it may have been made over two seconds earlier and held up on its way.

Ruled out: answers of other calls have the same error, but are given up after 0.6 s, so it is that much at most. Counting them from their sending would be wrong the other way: a process that makes three calls a second would take a store that answers within 0.1 s for silent while one slow call is open.

Change: the answer of a watch counts as of when it can have been made, and ends an outage only if that is after the outage began.

Before and after: the new test failed for an answer with a change and for one without, and passes.

--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -3,7 +3,7 @@
 from returns import result
 
 from thornport.kernel import clock, logs
-from thornport.store import port
+from thornport.store import port, watching
 
 # Failing for this long means away; a single refusal for the rate does not.
 AWAY_S = 0.15
@@ -72,7 +72,17 @@
         """How long the slowest answers of late took, a float in seconds."""
         return self._slowest_s
 
-    def _note(self, began_at, outcome):
+    def _note(self, began_at, outcome, made_at=None):
+        """Note what came of a call.
+
+        Args:
+          began_at: A float, when it was made.
+          outcome: A Result.
+          made_at: A float, the earliest time at which the answer of a long call can
+            have been made; None for about now.
+        Returns:
+          The outcome.
+        """
         has_failed = is_lost(outcome)
         if has_failed:
             # A call that was not answered in a second has failed for a second; one
@@ -80,8 +90,7 @@
             if self._failing_since is None and began_at >= self._answered_at:
                 self._failing_since = began_at
         else:
-            self._failing_since = None
-            self._answered_at = clock.read_monotonic()
+            self._note_answer(clock.read_monotonic() if made_at is None else made_at)
         if self.is_away() != self._was_away:
             self._was_away = not self._was_away
             if not self._was_away:
@@ -90,6 +99,11 @@
             logs.log(event, reason=outcome.failure().reason if has_failed else "")
         return outcome
 
+    def _note_answer(self, made_at):
+        if self._failing_since is not None and self._failing_since <= made_at:
+            self._failing_since = None
+        self._answered_at = max(self._answered_at, made_at)
+
     async def _check(self, call):
         began_at = clock.read_monotonic()
         call_id = object()
@@ -115,8 +129,13 @@
 
     async def watch(self, prefix, after_revision, wait_ms, on_bytes=None):
         """As the client's; one that is cut while it waits is not held against it."""
+        asked_at = clock.read_monotonic()
         watched = await self._store.watch(prefix, after_revision, wait_ms, on_bytes)
-        if isinstance(watched, result.Success) or not wait_ms:
+        if isinstance(watched, result.Success):
+            has_changes = bool(watched.unwrap().changes)
+            made_at = watching.find_made_at(asked_at, wait_ms, has_changes)
+            self._note(asked_at, watched, made_at)
+        elif not wait_ms:
             self._note(clock.read_monotonic(), watched)
         return watched
 
--- a/thornport/store/health_test.py
+++ b/thornport/store/health_test.py
@@ -9,6 +9,8 @@
 from thornport.kernel import clock, tasks
 from thornport.store import health, port, transactions
 
+WATCH_MS = 2000
+
 
 class FakeStore:
     """Answers when told."""
@@ -21,6 +23,10 @@
         self.waiting.append(defer.Deferred())
         return self.waiting[-1]
 
+    def watch(self, prefix, after_revision, wait_ms, on_bytes=None):
+        """Watch a prefix, some time."""
+        return self.read_key(prefix)
+
     def answer(self, outcome):
         """Answer the oldest call."""
         self.waiting.pop(0).callback(outcome)
@@ -98,6 +104,31 @@
         self.succeed()
         self.assertFalse(self.store.is_away())
 
+    # A link froze, the store fell silent, and at the thaw it counted as back for 0.5 s.
+    def test_delayed_watch_answer_does_not_end_an_outage(self):
+        change = transactions.Change("k", b"", 2)
+        for changes in ([change], []):
+            with self.subTest(changes=changes):
+                self.store = health.CheckedStore(self.fake)
+                tasks.spawn(self.store.watch("k", 1, WATCH_MS), "watch")
+                self.now += WATCH_MS / clock.MS_PER_S
+                self.call()
+                self.fake.waiting.reverse()
+                self.fail()
+                self.now += health.AWAY_S + 0.01
+                self.fake.answer(result.Success(transactions.Changes(changes, 2)))
+                self.assertTrue(self.store.is_away())
+
+    def test_watch_that_is_answered_ends_an_outage(self):
+        self.call()
+        self.fail()
+        self.now += health.AWAY_S + 0.01
+        tasks.spawn(self.store.watch("k", 1, 0), "watch")
+        self.assertTrue(self.store.is_away())
+        self.fake.answer(result.Success(transactions.Changes([], 2)))
+        self.assertFalse(self.store.is_away())
+        self.assertTrue(self.store.has_answered_within(1.0))
+
     def test_answer_is_recent_for_a_while_and_until_the_store_is_away(self):
         self.assertFalse(self.store.has_answered_within(1.0))
         self.call()
