--- a/tests/advisedworld.py
+++ b/tests/advisedworld.py
@@ -69,8 +69,13 @@
       good_by_job: Sets of worker ids by job id, where a test chooses them.
       lost_advice: A float, the chance that a call for advice has no answer.
       record_s: A pair of floats, how long the store takes to keep a batch.
+      mute_callers: Names of processes whose calls for advice have no answer.
+      failing_callers: Names of processes whose calls fail at once.
     """
 
+    CONFIG = CONFIG
+    CALLERS = CALLERS
+
     def __init__(self, faults, worker_count, sizes=SIZES, gpus=(0,), good_share=0.45):
         """Begin.
 
@@ -83,6 +88,8 @@
         self.good_share = good_share
         self.good_by_job = {}
         self.lost_advice = 0.0
+        self.mute_callers = set()
+        self.failing_callers = set()
         self.record_s = (0.0, 0.0)
         self._sizes = sizes
         self._gpus = gpus
@@ -93,8 +100,8 @@
         self._void_by_life = {}
         self._idle_since = {}
         super().__init__(faults, worker_count, looks_wait=True)
-        self.config = CONFIG
-        self.owner.take_config(CONFIG, self.now)
+        self.config = self.CONFIG
+        self.owner.take_config(self.config, self.now)
 
     def _begin_life(self, worker_id, began_at):
         super()._begin_life(worker_id, began_at)
@@ -137,7 +144,7 @@
 
     def _greet(self):
         self._greeted_at = self.now
-        for number in range(CALLERS):
+        for number in range(self.CALLERS):
             self.owner.callers.greet(f"p{number}", f"p{number}:1", True, 1.0, self.now)
 
     # Advice.
@@ -154,14 +161,21 @@
         others = []
         for order in self.owner.take_orders():
             if isinstance(order, ticketing.CallAdvice):
-                if not self.faults.draw(self.lost_advice):
-                    due = max(self.now, order.deadline - 0.5)
-                    self._advice.append(OpenAdvice(due, order, self.owner))
+                self._call_advice(order)
             else:
                 others.append(order)
         self.owner.orders = others
         super()._carry_out()
 
+    def _call_advice(self, call):
+        is_lost = self.faults.draw(self.lost_advice)
+        if is_lost or call.name in self.mute_callers:
+            return
+        due = max(self.now, call.deadline - 0.5)
+        if call.name in self.failing_callers:
+            due = self.now
+        self._advice.append(OpenAdvice(due, call, self.owner))
+
     def _answer_advice(self):
         due = [one for one in self._advice if one.due <= self.now]
         self._advice = [one for one in self._advice if one.due > self.now]
@@ -175,6 +189,8 @@
             )
             if one.owner is self.owner:
                 answer = messages.AdviceAnswer(good, int(VALID_S * 1000))
+                if one.call.name in self.failing_callers:
+                    answer = None
                 self.owner.take_advice(request, answer, self.now)
 
     def _do(self, worker, order):
@@ -295,11 +311,7 @@
     def _list_idle(self):
         if self._read_use() >= MAX_IN_USE:
             return
-        lives = [*self.workers_by_id.values(), *self.ended_lives]
-        done = {key for life in lives for key in life.noted_done} | self.noted_done
-        for life in lives:
-            is_done = messages.EndKind.DONE
-            done |= {row.key for row in life.ended if row.kind is is_done}
+        done = self._list_done()
         active = [
             key
             for worker in self.workers_by_id.values()
@@ -318,6 +330,15 @@
                 if waits and self._count_places(key, step) >= 2 * count_together(step):
                     yield key
 
+    def _list_done(self):
+        """List the TaskKeys that are done, told or not; a set."""
+        lives = [*self.workers_by_id.values(), *self.ended_lives]
+        done = {key for life in lives for key in life.noted_done} | self.noted_done
+        for life in lives:
+            is_done = messages.EndKind.DONE
+            done |= {row.key for row in life.ended if row.kind is is_done}
+        return done
+
     def _list_due(self, kept, done_by_step):
         """List the steps whose turn has come and that are not done, with their keys."""
         job = kept.job
@@ -337,8 +358,8 @@
     def _count_places(self, key, step):
         """Count the tasks of a step that its good workers have room for."""
         places = 0
-        for worker_id, worker in self.workers_by_id.items():
-            if not self.is_good(key, worker_id):
+        for worker in self._list_judged():
+            if not self.is_good(key, worker.worker_id):
                 continue
             free = worker.total
             held = 0
@@ -349,9 +370,13 @@
             places += step.demand.count_in(free, max(0, most))
         return places
 
+    def _list_judged(self):
+        """List the workers whose room counts in what stands still."""
+        return self.workers_by_id.values()
+
     def _read_use(self):
         used = total = spec.Demand()
-        for worker in self.workers_by_id.values():
+        for worker in self._list_judged():
             total = total.add(worker.total)
             for one in worker.active_by_key.values():
                 used = used.add(one.demand)
--- a/tests/worldlives.py
+++ b/tests/worldlives.py
@@ -8,6 +8,7 @@
 from thornport.cell.decisions import messages
 from thornport.jobs import spec
 
+SERVICE = "press-desk"
 ROOM = spec.Demand(64_000, 131_072, 0)
 # An entry goes after three heartbeats of silence, by the users.
 ENTRY_S = 4.5
@@ -77,6 +78,10 @@
         if is_listed:
             self.list_worker(worker_id)
 
+    def find_service(self, _worker_id):
+        """The service of a worker, a str."""
+        return SERVICE
+
     def list_again(self, entry):
         """Have a write come late: the store has an entry of a life that is over."""
         self.revision += 1
@@ -89,7 +94,7 @@
         entry = messages.WorkerEntry(
             worker_id,
             make_address(worker_id),
-            "press-desk",
+            self.find_service(worker_id),
             "h1",
             state,
             ROOM if worker is None else worker.total,
