Leave a process out while its calls for advice fail

What callers saw: a job that waits for advice stands still beside room (LOST).

Cause: a process whose call fails is free again at once, so while the others were busy it drew every next call, and each step that it failed paused for 0.3 s. One that never answers was passed over for 1.6 s each time, but still counted when the processes were split into those for long and for short calls: of two processes, the silent one was the only one for long calls, and steps with long advice were never asked about.

Ruled out: calls lost one by one; each costs a step its time-out and no more.

Change: a process whose call failed or had no answer is left out for a while that doubles with each further failure, up to 10 s, and one answer ends it. Processes are split once those are left out. Where all fail, all are used as before.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -91,6 +91,19 @@
         self.check_starts("job")
 
 
+class SilentProcess(IdleCell):
+    """Two processes call for advice, and calls of one are never answered."""
+
+    # The processes for long calls were half of all: of two, the silent one alone.
+    def test_gang_is_asked_about_by_the_other_process(self):
+        self.world.CALLERS = 2
+        for name in ("p2", "p3", "p4"):
+            self.world.owner.callers.forget(name)
+        self.world.mute_callers.add("p0")
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
 class LostWorkers(IdleCell):
     """A worker falls silent, and the other that a job may use is suspect."""
 
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -7,6 +7,9 @@
 ask at once, and short calls leave most of those processes idle. A call is given to
 a process only when it can make it soon: what waits here goes to whoever is free
 first, and the foremost step first.
+
+A process whose calls fail is always free first, so it would draw most calls. It is left
+out for a while that doubles with each further failure, unless all others are too.
 """
 
 import math
@@ -20,6 +23,9 @@
 # Processes that stay idle where others help with long calls: one alone would often be
 # at a usual call when an urgent one comes.
 LEAST_IDLE = 2
+FAILURE_BACKOFF_S = 0.4  # after a first failed call
+MAX_BACKOFF_S = 10.0
+MAX_DOUBLINGS = 8  # of the backoff; it has reached its bound by then
 ANSWER_SLACK_S = 0.5  # beyond the time that a call takes, for the way and a busy node
 # Stops and starts go on for this long after the last sign of one: VMs are told to stop
 # half a second after one another, and a process is there again within some seconds.
@@ -42,6 +48,8 @@
       hall: A str, its data hall; empty if it did not say.
       busy_until: A float, when it has made all calls given to it.
       open_count: An int, calls given to it that have no answer yet.
+      failures: An int, calls that failed since one was answered.
+      left_out_until: A float; before, others get calls, if there are any.
     """
 
     name: str
@@ -54,6 +62,8 @@
     hall: str = ""
     busy_until: float = 0.0
     open_count: int = 0
+    failures: int = 0
+    left_out_until: float = -math.inf
 
 
 class GivenCall(msgspec.Struct, frozen=True):
@@ -232,7 +242,8 @@
         # In a series of stops nobody who stays may be left for some seconds; a process
         # that stops works on until the end of its grace.
         fit = self.list_staying(now) or self._list_alive(now)
-        alive = sorted(fit, key=lambda caller: caller.name)
+        trusted = [caller for caller in fit if caller.left_out_until <= now]
+        alive = sorted(trusted or fit, key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
         is_long = cost_s >= LONG_CALL_S
         group = alive[:half] if is_long else alive[half:] or alive
@@ -245,15 +256,26 @@
         caller.open_count += 1
         return GivenCall(caller, caller.busy_until + ANSWER_SLACK_S)
 
-    def end_call(self, name, now):
-        """Take that a call has its answer, or is given up.
+    def end_call(self, name, now, is_answered=True):
+        """Take that a call has its answer, has failed, or is given up.
 
         Args:
           name: A str, of the process that made it.
           now: A float.
+          is_answered: A bool.
         """
         caller = self._by_name.get(name)
-        if caller is None or not caller.open_count:
+        if caller is None:
+            return
+        if is_answered:
+            caller.failures = 0
+        else:
+            caller.failures += 1
+            # Bounded before the power: no float holds one that is very large.
+            doublings = min(caller.failures - 1, MAX_DOUBLINGS)
+            backoff_s = min(MAX_BACKOFF_S, FAILURE_BACKOFF_S * 2**doublings)
+            caller.left_out_until = now + backoff_s
+        if not caller.open_count:
             return
         caller.open_count -= 1
         if not caller.open_count:
@@ -266,8 +288,10 @@
           name: A str.
           now: A float.
         """
-        if name in self._by_name:
-            self._by_name[name].busy_until = now + SILENCE_S
+        caller = self._by_name.get(name)
+        if caller is not None:
+            until = now + SILENCE_S
+            caller.left_out_until = max(caller.left_out_until, until)
 
 
 def find_free(group, now):
--- a/thornport/cell/decisions/advising_test.py
+++ b/thornport/cell/decisions/advising_test.py
@@ -85,6 +85,49 @@
         self.assertEqual(self.choose(LONG_S, 10.1), "d")
 
 
+class FailingProcess(unittest.TestCase):
+    """Four processes, and all calls of one fail at once."""
+
+    ROUND_S = 0.05
+
+    def setUp(self):
+        self.callers = advising.Callers()
+        self.calls = 0
+
+    def play(self, begin, seconds, cost_s, fails):
+        """Give calls to whoever is free; count those that the one process gets.
+
+        Args:
+          begin, seconds, cost_s: Floats.
+          fails: A bool, whether its calls fail.
+        """
+        self.calls = 0
+        for number in range(int(seconds / self.ROUND_S)):
+            now = begin + number * self.ROUND_S
+            for name in "abcd":
+                self.callers.greet(name, name, True, 1.0, now)
+            given = self.callers.choose(cost_s, now)
+            if given is not None and given.caller.name == "a":
+                self.calls += 1
+                self.callers.end_call("a", now, is_answered=not fails)
+
+    # It was free again at once, so it got most calls while the others were busy.
+    def test_process_whose_calls_fail_gets_few(self):
+        self.play(10.0, 6.0, LONG_S, fails=True)
+        self.assertLessEqual(self.calls, 5)
+
+    def test_process_whose_call_is_answered_again_gets_its_share(self):
+        self.play(10.0, 6.0, LONG_S, fails=True)
+        self.play(16.0, 20.0, LONG_S, fails=False)
+        self.assertGreater(self.calls, 20)
+
+    def test_processes_that_all_fail_get_calls(self):
+        for name in "abcd":
+            self.callers.greet(name, name, True, 1.0, 10.0)
+            self.callers.end_call(name, 10.0, is_answered=False)
+        self.assertIsNotNone(self.callers.choose(LONG_S, 10.0))
+
+
 class LossOfPower(unittest.TestCase):
     """Ten processes; all steps ask at the same moment, and urgent jobs come."""
 
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -215,7 +215,7 @@
         if open_call is None or open_call.request != request:
             return
         del self._open_advice_by_step[request.step]
-        self.callers.end_call(open_call.name, now)
+        self.callers.end_call(open_call.name, now, answer is not None)
         self.needs_round = True
         step = self._find_step(request.step)
         if step is None:
