Give up late advice sooner for a step that has stood still

Cause: an answer that is lost was waited for until its deadline, half a second beyond the time that the call takes, and the step paused for 0.3 s more, though the pause is meant for calls that fail at once. Each is short enough; two lost answers and the call that is answered took 3.4 s for a gang.

Ruled out: a shorter deadline for all calls; a busy node answers late, and each call is priced.

Change: a call that had no answer in time is made anew at once, by another process.

--- a/tests/advisedworld.py
+++ b/tests/advisedworld.py
@@ -69,6 +69,7 @@
       good_by_job: Sets of worker ids by job id, where a test chooses them.
       lost_advice: A float, the chance that a call for advice has no answer.
       record_s: A pair of floats, how long the store takes to keep a batch.
+      lose_advice_calls: An int, how many calls are yet to have no answer.
       mute_callers: Names of processes whose calls for advice have no answer.
       failing_callers: Names of processes whose calls fail at once.
     """
@@ -88,6 +89,7 @@
         self.good_share = good_share
         self.good_by_job = {}
         self.lost_advice = 0.0
+        self.lose_advice_calls = 0
         self.mute_callers = set()
         self.failing_callers = set()
         self.record_s = (0.0, 0.0)
@@ -168,7 +170,8 @@
         super()._carry_out()
 
     def _call_advice(self, call):
-        is_lost = self.faults.draw(self.lost_advice)
+        is_lost = self.faults.draw(self.lost_advice) or self.lose_advice_calls > 0
+        self.lose_advice_calls -= self.lose_advice_calls > 0
         if is_lost or call.name in self.mute_callers:
             return
         due = max(self.now, call.deadline - 0.5)
--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -104,6 +104,16 @@
         self.check_starts("job")
 
 
+class LostAnswers(IdleCell):
+    """Answers of the advice service are lost, one after the other."""
+
+    # Each was waited for until its deadline, and a pause came after that.
+    def test_gang_starts_in_time_though_two_answers_are_lost(self):
+        self.world.lose_advice_calls = 2
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
 class LostWorkers(IdleCell):
     """A worker falls silent, and the other that a job may use is suspect."""
 
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -59,10 +59,7 @@
             self._restore_waits(now, wall_ms)
         for worker in list(self.workers_by_id.values()):
             self._tick_worker(worker, now)
-        for call in list(self._open_advice_by_step.values()):
-            if now > call.deadline:
-                self.take_advice(call.request, None, now)
-                self.callers.distrust(call.name, now)
+        self._give_up_advice(now)
         self._give_up_starts(now)
         for job in list(self._incoming_by_id.values()):
             if now - job.arrived_at > INCOMING_S:
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -16,10 +16,14 @@
     messages,
     model,
     placing,
+    stalls,
 )
 from thornport.kernel import clock
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
+# Beyond the time that a call takes, where its step has stood still for long: so three
+# calls of the longest kind fit into the time that users allow.
+OVERDUE_SLACK_S = 0.15
 ASKED_WORKERS = 100  # named in one call at most, by the users' interface
 # Named in a short call, by the tasks that wait: a quarter of the workers may be good
 # for a step, and others take room meanwhile. To name a hundred for each urgent job of
@@ -234,6 +238,20 @@
                 step.tickets_by_worker[ticket.worker_id] = (ticket.text, deadline)
         self.needs_round = True
 
+    def _give_up_advice(self, now):
+        """Give up the calls whose answers are late; others make them anew at once."""
+        for call in list(self._open_advice_by_step.values()):
+            step = self._find_step(call.request.step)
+            late_at = call.deadline
+            if step is not None and stalls.has_waited(step, 0.0, now):
+                late_at += OVERDUE_SLACK_S - advising.ANSWER_SLACK_S
+            if now <= late_at:
+                continue
+            self.take_advice(call.request, None, now)
+            self.callers.distrust(call.name, now)
+            if step is not None:
+                step.retry_advice_at = now
+
     def _list_still_there(self, call):
         """List the workers of a call that live on: another life may be of another kind.
 
