Try another task where the worker of one on trial stays silent

What callers saw: after a task may have crashed its worker, its job stands still beside room for as long as a worker that is lost under the next trial keeps its lease (LOST).

Cause: tasks with points against them start one after the other, each once the one before has gone on for a while. What becomes of one whose worker falls silent is known only with the worker's lease, some 6 s later, and until then no task of the step might start.

Ruled out: to take a task as innocent that had gone on for 0.5 s when its worker fell silent; of a step whose tasks all crash their workers later it cost as many workers as without trials (crashes_test).

Change: of a step that has stood still for 1.8 s, one more task may start beside two at most whose trial is undecided. While a job is at work its clock now stands at the present: a worker that fell silent made its job overdue at once, by a time from before it ran.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -138,5 +138,33 @@
         self.assertEqual(self.list_places("job"), ["w1"])
 
 
+class TasksOnTrial(IdleCell):
+    """Tasks that may have crashed a worker are tried, and another worker is lost."""
+
+    def setUp(self):
+        super().setUp()
+        self.world.back_s = LONG_MS
+        self.submit("job", "usual", spec.Step(6, SMALL, LONG_MS), ["w0"])
+        self.run_until_placed()
+        self.world.good_by_job["job"] = {"w1", "w2", "w3"}
+        self.world.crash("w0")
+        step = self.world.owner.jobs_by_id["job"].steps_by_key
+        for state in step.values():
+            state.forget_worker("w0")
+            state.asked_ids.clear()
+        self.run_until_placed()
+
+    def run_until_placed(self):
+        """Run until a task of the job is at work."""
+        while not self.list_places("job"):
+            self.world.step()
+
+    # No other task was tried until the lease of the silent worker was over.
+    def test_another_is_tried_while_one_may_have_crashed_its_worker(self):
+        (worker_id,) = self.list_places("job")
+        self.world.crash(worker_id)
+        self.check_starts("job")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -56,6 +56,9 @@
 # workers. So few are through one by one in the time that users give a task that lasts.
 MOST_TRIALS = 8
 FEW_TRIALS = 4
+# Of a step that has stood still for long, further tasks are tried beside so many whose
+# trial is undecided: that of a silent worker is until its lease is over.
+MOST_UNDECIDED = 2
 # Workers that are lost under several of them so soon are lost by no outage.
 WATCHED_S = 10.0
 
@@ -317,7 +320,7 @@
     return [run for run in runs if run.state is not model.RunState.RECORDING]
 
 
-def list_startable(step, workers_by_id, now):
+def list_startable(step, workers_by_id, now, is_overdue=False):
     """List the waiting tasks of a step that may start now.
 
     Tasks of a step are alike. Where one may have crashed its worker, it goes first and
@@ -330,6 +333,7 @@
       step: A model.StepState.
       workers_by_id: Model.Workers by id.
       now: A float.
+      is_overdue: Whether the step has stood still for long.
     Returns:
       A sorted list of task indexes.
     """
@@ -340,7 +344,9 @@
     tried = [
         run for index, run in step.live_by_index.items() if index in points_by_index
     ]
-    if not all(is_proven(run, workers_by_id, now) for run in tried):
+    undecided = [run for run in tried if not is_proven(run, workers_by_id, now)]
+    most_undecided = MOST_UNDECIDED if is_overdue else 0
+    if len(undecided) > most_undecided:
         return []
     suspects = [index for index in waiting if index in points_by_index]
     if not suspects:
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -77,7 +77,7 @@
                     # One task is enough; the others leave the room as before.
                     startable = 1
                 started = self._place_step(
-                    job, step, queue, candidates, reserved, startable, now
+                    job, step, queue, candidates, reserved, startable, now, is_overdue
                 )
             if self._may_hold(step, candidates, now):
                 if started < startable:
@@ -185,7 +185,9 @@
         self._ask_early(step, queue, candidates, starts_at, now)
         return starts_at
 
-    def _place_step(self, job, step, queue, candidates, reserved, startable, now):
+    def _place_step(
+        self, job, step, queue, candidates, reserved, startable, now, is_overdue=False
+    ):
         """Start tasks of a step where it may run; an int, how many were started."""
         if not self._may_hold(step, candidates, now):
             return 0
@@ -196,7 +198,9 @@
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
-        return self._start_step(job, step, workers, reserved, startable, now)
+        workers = self._list_without_trial(workers, now)
+        indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
+        return self._start_step(job, step, workers, reserved, indexes[:startable])
 
     def _ask_to_start(self, step, queue, candidates, reserved, need, now):
         """Ask where a step may run that has room, if its queue has advice."""
@@ -219,18 +223,16 @@
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
-    def _start_step(self, job, step, workers, reserved, most, now):
+    def _start_step(self, job, step, workers, reserved, indexes):
         """Start tasks of a step.
 
         Args:
-          most: An int, how many its workspace may start now.
+          indexes: A sorted list of the tasks that may start now.
         Returns:
           An int, how many were started.
         """
         wants_fast = self._queue_of(job).priority == 0
-        workers = self._list_without_trial(workers, now)
-        startable = crashes.list_startable(step, self.workers_by_id, now)[:most]
-        assigned = placing.assign_step(step, workers, reserved, wants_fast, startable)
+        assigned = placing.assign_step(step, workers, reserved, wants_fast, indexes)
         if not assigned:
             return 0
         if step.spec.lasting:
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -145,6 +145,8 @@
       is_at_work: A bool, whether a run of the job goes on.
       now: A float.
     """
+    if is_at_work:
+        job.worked_until = now
     if step.is_at_limit:
         # Time at the limit is no standing still.
         job.worked_until = now
