Leave silent workers out of the share of a service in use

What callers saw: after workers are lost, a job stands still beside suspect workers that are idle (LOST).

Cause: a job that has stood still may use suspect workers while less than half of its service is in use. What ran at lost workers counted as in use until their leases were over.

Change: the share is that of all workers, or of those that answer if that is less.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -138,6 +138,25 @@
         self.assertEqual(self.list_places("job"), ["w1"])
 
 
+class LostWorkersThatWereFull(IdleCell):
+    """Half of the workers are lost with all that they ran; the others are suspect."""
+
+    # Their runs counted as half of the cell in use until the leases were over.
+    def test_job_may_use_suspect_workers(self):
+        self.world.back_s = LONG_MS
+        lost, left = ("w0", "w1", "w2", "w3"), ("w4", "w5", "w6", "w7")
+        for worker_id in lost:
+            self.submit(worker_id, "dear", spec.Step(1, WHOLE, LONG_MS), [worker_id])
+        self.world.run(2)
+        for worker_id in lost:
+            self.world.crash_for_a_while(worker_id)
+        for worker_id in left:
+            worker = self.world.owner.workers_by_id[worker_id]
+            worker.suspect(self.world.now + 20)
+        self.submit("job", "usual", spec.Step(2, SMALL, LONG_MS), left)
+        self.check_starts("job")
+
+
 class TasksOnTrial(IdleCell):
     """Tasks that may have crashed a worker are tried, and another worker is lost."""
 
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -82,23 +82,23 @@
 
     @property
     def used_share(self):
-        """A float, the share that is in use of the resource that has least left."""
+        """A float, the share that is in use of the resource that has least left.
+
+        Of all workers, or of those that answer if that is less: what others seem to run
+        may be lost.
+        """
         if self._used_share is None:
-            total, used = self.sum_room()
-            self._used_share = used.share_of(total)
+            answering = [w for w in self.workers if w.silent_since is None]
+            shares = []
+            for workers in (self.workers, answering):
+                total, used = sum_room(workers)
+                shares.append(used.share_of(total))
+            self._used_share = min(shares)
         return self._used_share
 
     def sum_room(self):
-        """Sum the room of all workers.
-
-        Returns:
-          A pair of spec.Demand: what they have, and what of it is in use.
-        """
-        total = used = spec.Demand()
-        for worker in self.workers:
-            total = total.add(worker.entry.total)
-            used = used.add(worker.used)
-        return total, used
+        """Sum the room of all workers, as the function of this name does."""
+        return sum_room(self.workers)
 
     def may_hold(self, demand):
         """Tell whether a task could fit, by the most room that there was.
@@ -114,6 +114,21 @@
         )
 
 
+def sum_room(workers):
+    """Sum the room of some workers.
+
+    Args:
+      workers: A list of model.Worker.
+    Returns:
+      A pair of spec.Demand: what they have, and what of it is in use.
+    """
+    total = used = spec.Demand()
+    for worker in workers:
+        total = total.add(worker.entry.total)
+        used = used.add(worker.used)
+    return total, used
+
+
 def read_kind(step):
     """What `is_allowed` depends on of a step.
 
