--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -165,6 +165,29 @@
         self.assertEqual([step.is_advising for step in steps], [False, True])
 
 
+class SilentProcess(IdleCell):
+    """Two processes call for advice, and calls of one are never answered."""
+
+    # The processes for long calls were half of all: of two, the silent one alone.
+    def test_gang_is_asked_about_by_the_other_process(self):
+        self.world.CALLERS = 2
+        for name in ("p2", "p3", "p4"):
+            self.world.owner.callers.forget(name)
+        self.world.mute_callers.add("p0")
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
+class LostAnswers(IdleCell):
+    """Answers of the advice service are lost, one after the other."""
+
+    # Each was waited for until its deadline, and a pause came after that.
+    def test_gang_starts_in_time_though_two_answers_are_lost(self):
+        self.world.lose_advice_calls = 2
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
 class LostWorkers(IdleCell):
     """A worker falls silent, and the other that a job may use is suspect."""
 
@@ -189,5 +212,52 @@
         self.assertEqual(self.list_places("job"), ["w1"])
 
 
+class LostWorkersThatWereFull(IdleCell):
+    """Half of the workers are lost with all that they ran; the others are suspect."""
+
+    # Their runs counted as half of the cell in use until the leases were over.
+    def test_job_may_use_suspect_workers(self):
+        self.world.back_s = LONG_MS
+        lost, left = ("w0", "w1", "w2", "w3"), ("w4", "w5", "w6", "w7")
+        for worker_id in lost:
+            self.submit(worker_id, "dear", spec.Step(1, WHOLE, LONG_MS), [worker_id])
+        self.world.run(2)
+        for worker_id in lost:
+            self.world.crash_for_a_while(worker_id)
+        for worker_id in left:
+            worker = self.world.owner.workers_by_id[worker_id]
+            worker.suspect(self.world.now + 20)
+        self.submit("job", "usual", spec.Step(2, SMALL, LONG_MS), left)
+        self.check_starts("job")
+
+
+class TasksOnTrial(IdleCell):
+    """Tasks that may have crashed a worker are tried, and another worker is lost."""
+
+    def setUp(self):
+        super().setUp()
+        self.world.back_s = LONG_MS
+        self.submit("job", "usual", spec.Step(6, SMALL, LONG_MS), ["w0"])
+        self.run_until_placed()
+        self.world.good_by_job["job"] = {"w1", "w2", "w3"}
+        self.world.crash("w0")
+        step = self.world.owner.jobs_by_id["job"].steps_by_key
+        for state in step.values():
+            state.forget_worker("w0")
+            state.asked_ids.clear()
+        self.run_until_placed()
+
+    def run_until_placed(self):
+        """Run until a task of the job is at work."""
+        while not self.list_places("job"):
+            self.world.step()
+
+    # No other task was tried until the lease of the silent worker was over.
+    def test_another_is_tried_while_one_may_have_crashed_its_worker(self):
+        (worker_id,) = self.list_places("job")
+        self.world.crash(worker_id)
+        self.check_starts("job")
+
+
 if __name__ == "__main__":
     unittest.main()
