--- a/tests/stallclock_test.py
+++ b/tests/stallclock_test.py
@@ -61,7 +61,7 @@
         self.world.submit(record.JobRecord("job", queue, job, 0))
         self.world.run(5)
         self.suspect("w0")
-        self.assertGreater(self.measure_start("job"), stalls.MAX_LEFT_S - LEEWAY_S)
+        self.assertGreater(self.measure_start("job"), stalls.MAX_GRACE_S - LEEWAY_S)
 
     # What peers told of a job that was not accepted yet counted as standing still.
     def test_job_counts_from_when_it_is_accepted(self):
@@ -74,7 +74,7 @@
         self.world.owner.take_incoming(kept, self.world.now)
         self.world.run(4)
         self.world.submit(kept)
-        self.assertGreater(self.measure_start("job"), stalls.MAX_LEFT_S - LEEWAY_S)
+        self.assertGreater(self.measure_start("job"), stalls.MAX_GRACE_S - LEEWAY_S)
 
     # A start of one lasting task began the clock of the others anew.
     def test_lasting_task_beside_one_that_restarts_is_overdue_in_time(self):
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -108,7 +108,7 @@
         return self._listed_at < now or candidates.may_hold(step.spec.demand)
 
     def _is_overdue(self, job, step, queue, candidates, now):
-        """Whether a step may use room kept for others, and workers that are suspect.
+        """Whether a step may use room reserved for others, and suspect workers.
 
         Those may be all that it has, and its tasks may be sound where others were not.
         What lasts may however full its service is, by the users.
@@ -119,7 +119,7 @@
         if queue.advice is not None:
             asked = candidates.workers[: ticketing.ASKED_WORKERS]
             advice_s = ticketing.compute_cost_s(queue.advice, asked)
-        if not stalls.has_waited(step, advice_s, now):
+        if not stalls.is_past_grace(step, advice_s, now):
             return False
         if step.spec.lasting:
             return True
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -2,8 +2,8 @@
 
 Each thing that can hold up a start is bounded by itself, but one may follow another or
 begin anew, so a step can stand still for longer than each of them. So a step has one
-clock, which only work stops: once it has run for long, the step may use suspect workers
-and room kept for others, and its calls for advice go first. All holds are named here,
+clock, which only work stops: past its grace the step may use suspect workers and room
+reserved for others, and its calls for advice go first. All holds are named here,
 in the order in which a start meets them, so that a log line can tell which ones hold a
 step at a moment.
 """
@@ -21,10 +21,10 @@
 MOST_TOLD = 20
 ALLOWED_S = 3.0  # users allow a job that has room to stand still for this long
 START_S = 0.3  # from a ticket to the start: its record and the command
-# A step leaves suspect workers and kept room alone for this long, less where a call for
-# its advice takes long.
-MAX_LEFT_S = 1.8
-MIN_LEFT_S = 0.5
+# A step leaves suspect workers and reserved room alone for this long, less where a call
+# for its advice takes long.
+MAX_GRACE_S = 1.8
+MIN_GRACE_S = 0.5
 # Where more is in use, room is short, and a job may well wait for it, by the users.
 FULL_SHARE = 0.5
 
@@ -57,7 +57,7 @@
     DISTURBED: filling and serving work may not share it.
     FULL: it has no room.
     TRIAL: a task that may crash it is being tried there.
-    RESERVED: its room is kept for another step.
+    RESERVED: its room is reserved for another step.
     NOT_ASKED: advice was not asked about it.
     NO_TICKET: the ticket for it has lapsed.
     NONE: nothing; a round may start a task there.
@@ -168,21 +168,21 @@
     Args:
       job: A model.JobEntry of which nothing has begun.
       waited_s: A float, seconds by the clocks of two VMs, which may be apart or jump:
-        it counts between nothing and the time for which the step leaves its room.
+        it counts between nothing and the longest grace.
       now: A float.
     """
-    idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
+    idle_since = now - min(MAX_GRACE_S, max(0.0, waited_s))
     job.worked_until = idle_since
     for step in job.steps_by_key.values():
         if step.spec.lasting:
             step.waiting_since_by_index = dict.fromkeys(step.waiting, idle_since)
 
 
-def has_waited(step, advice_s, now):
-    """Tell whether a step has stood still for so long that it is overdue.
+def is_past_grace(step, advice_s, now):
+    """Tell whether a step has stood still for longer than it is to wait for others.
 
-    What is left of the time that users allow is for its advice: all processes may have
-    just begun a call that takes as long as its own.
+    The rest of the time that users allow is for its advice: all processes may have just
+    begun a call that takes as long as its own.
 
     Args:
       step: A model.StepState.
@@ -193,8 +193,9 @@
     """
     if step.idle_since is None:
         return False
-    left_s = min(MAX_LEFT_S, max(MIN_LEFT_S, ALLOWED_S - START_S - 2 * advice_s))
-    return now - step.idle_since >= left_s
+    wanted_s = ALLOWED_S - START_S - 2 * advice_s
+    grace_s = min(MAX_GRACE_S, max(MIN_GRACE_S, wanted_s))
+    return now - step.idle_since >= grace_s
 
 
 def count_live(job):
--- a/thornport/cell/decisions/stalls_test.py
+++ b/thornport/cell/decisions/stalls_test.py
@@ -93,9 +93,9 @@
         for advice_s, left_s in ((0.0, 1.8), (0.4, 1.8), (0.8, 1.1), (9.0, 0.5)):
             with self.subTest(advice_s=advice_s):
                 early = NOW + left_s - 0.01
-                self.assertFalse(stalls.has_waited(self.step, advice_s, early))
+                self.assertFalse(stalls.is_past_grace(self.step, advice_s, early))
                 late = NOW + left_s + 0.01
-                self.assertTrue(stalls.has_waited(self.step, advice_s, late))
+                self.assertTrue(stalls.is_past_grace(self.step, advice_s, late))
 
 
 class Holds(unittest.TestCase):
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -272,7 +272,7 @@
         for call in list(self._open_advice_by_step.values()):
             step = self._find_step(call.request.step)
             late_at = call.deadline
-            if step is not None and stalls.has_waited(step, 0.0, now):
+            if step is not None and stalls.is_past_grace(step, 0.0, now):
                 late_at += OVERDUE_SLACK_S - advising.ANSWER_SLACK_S
             if now <= late_at:
                 continue
