Count for each lasting task for how long it waits

What callers saw: a task that lasts stands still beside workers that have room, while others of its step start (LOST).

Cause: of a step whose tasks last one time was kept since when any of them waits, and each start of one cleared it. So the wait after which a task may use suspect workers and kept room began anew with each other start, also with one that its worker then refused.

Change: the time is kept for each task, until its worker has said that it runs.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -157,6 +157,20 @@
         self.check_starts("job")
 
 
+class LastingTasks(IdleCell):
+    """Tasks that last wait, each for its own worker."""
+
+    # Each start of one began the wait of the others anew.
+    def test_start_of_one_does_not_make_another_wait_anew(self):
+        workers_by_id = self.world.owner.workers_by_id
+        workers_by_id["w0"].suspect(self.world.now + 1.5)
+        workers_by_id["w1"].suspect(self.world.now + 20)
+        step = spec.Step(2, SMALL, LONG_MS, lasting=True, max_per_worker=1)
+        self.submit("job", "usual", step, ["w0", "w1"])
+        self.world.run(STUCK_S)
+        self.assertEqual(self.list_places("job"), ["w0", "w1"])
+
+
 class TasksOnTrial(IdleCell):
     """Tasks that may have crashed a worker are tried, and another worker is lost."""
 
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -206,6 +206,8 @@
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
+        if step is not None:
+            step.idle_since_by_index.pop(run.key.index, None)
         if step is not None and row.checkpoint:
             step.checkpoints_by_index[step.index_for(run.key.index)] = row.checkpoint
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -313,6 +313,8 @@
       idle_since: A float, since when it may start and no run of its job is known to go
         on, or, if its tasks last, since when any of them waits; None while that is not
         so.
+      idle_since_by_index: Floats by task index, of tasks that last: since when each
+        waits or is not known to have begun.
       told_stall: The reasons told of its present stall; empty before.
       is_told_late: Whether it was told that it waits past its job's objective.
       is_at_limit: Whether it was told that it waits for its workspace's limit.
@@ -339,6 +341,7 @@
     is_advising: bool = False
     retry_advice_at: float = 0.0
     idle_since: float | None = None
+    idle_since_by_index: dict[int, float] = msgspec.field(default_factory=dict)
     told_stall: frozenset = frozenset()
     is_told_late: bool = False
     is_at_limit: bool = False
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -1,6 +1,6 @@
 """What came of the orders to workers: of starts and of stops."""
 
-from thornport.cell.decisions import ending, messages, model
+from thornport.cell.decisions import ending, messages, model, stalls
 
 
 class Outcomes(ending.Ending):
@@ -45,7 +45,7 @@
                 run.state = model.RunState.RUNNING
                 step = self._find_step(run.key)
                 if step is not None:
-                    step.idle_since = None
+                    stalls.note_begun(step, run.key.index)
         elif isinstance(outcome, messages.Unanswered):
             worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -235,8 +235,6 @@
         assigned = placing.assign_step(step, workers, reserved, wants_fast, indexes)
         if not assigned:
             return 0
-        if step.spec.lasting:
-            step.idle_since = None
         step.last_run += 1
         for assignment in assigned:
             step.waiting.discard(assignment.index)
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -151,10 +151,44 @@
         # Time at the limit is no standing still.
         job.worked_until = now
         step.idle_since = None
-    elif is_at_work and not step.spec.lasting:
+        step.idle_since_by_index.clear()
+    elif step.spec.lasting:
+        step.idle_since_by_index = {
+            index: step.idle_since_by_index.get(index, now)
+            for index in list_not_begun(step)
+        }
+        step.idle_since = min(step.idle_since_by_index[i] for i in step.waiting)
+    elif is_at_work:
         step.idle_since = None
     elif step.idle_since is None:
-        step.idle_since = now if step.spec.lasting else job.worked_until
+        step.idle_since = job.worked_until
+
+
+def list_not_begun(step):
+    """List the tasks of a step that wait, or of which no worker has said they run.
+
+    Args:
+      step: A model.StepState.
+    Returns:
+      A set of task indexes.
+    """
+    return step.waiting | {
+        index
+        for index, run in step.live_by_index.items()
+        if run.state in model.UNCONFIRMED_STATES
+    }
+
+
+def note_begun(step, index):
+    """Take that a task is known to run.
+
+    Args:
+      step: Its model.StepState.
+      index: An int.
+    """
+    step.idle_since_by_index.pop(index, None)
+    if not step.spec.lasting:
+        step.idle_since = None
 
 
 def restore_idle(step, waited_s, now):
@@ -167,6 +201,8 @@
       now: A float.
     """
     step.idle_since = now - min(MAX_LEFT_S, max(0.0, waited_s))
+    if step.spec.lasting:
+        step.idle_since_by_index = dict.fromkeys(step.waiting, step.idle_since)
 
 
 def has_waited(step, advice_s, now):
