--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -1,14 +1,13 @@
 """A step that has room starts in time, whatever else wants advice.
 
-The advice service works on one call at a time for each process, and calls for wide
-steps take half a second. In each case below a job stood still beside idle workers
-because such calls, for steps that had no room, took all processes that make long calls.
+In each case below a job stood still beside workers that had room for it: calls for
+other steps took all processes, answers were lost, or one wait followed another.
 """
 
 import random
 import unittest
 
-from tests import advisedplays, advisedworld, cellworld
+from tests import advisedplays, advisedworld, cellworld, siteplays
 from thornport.cell.decisions import leases
 from thornport.jobs import record, spec
 
@@ -199,5 +198,17 @@
         self.check_starts("job")
 
 
+class SitePlays(unittest.TestCase):
+    """Seeded plays of troubles that follow one another, then calm."""
+
+    # In each a job stood still for 3 to 6 s, held by one thing after another.
+    def test_nothing_stands_still_in_calm(self):
+        for seed in (27, 122, 124, 198):
+            with self.subTest(seed=seed):
+                spells = siteplays.list_spells(*siteplays.play_site(seed))
+                late = [one for one in spells if one[0] >= STUCK_S]
+                self.assertEqual(late, [])
+
+
 if __name__ == "__main__":
     unittest.main()
