--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -9,7 +9,7 @@
 first, and the foremost step first.
 
 A process whose calls fail is always free first, so it would draw most calls. It is left
-out for a while that doubles with each further failure, unless all others are too.
+out for a while that doubles with each further failure, unless most others are too.
 """
 
 import math
@@ -244,7 +244,10 @@
         # that stops works on until the end of its grace.
         fit = self.list_staying(now) or self._list_alive(now)
         trusted = [caller for caller in fit if caller.left_out_until <= now]
-        alive = sorted(trusted or fit, key=lambda caller: caller.name)
+        if 2 * len(trusted) < len(fit):
+            # Calls of most fail: it is the service, or the way to it.
+            trusted = fit
+        alive = sorted(trusted, key=lambda caller: caller.name)
         half = (len(alive) + 1) // 2
         is_long = cost_s >= LONG_CALL_S
         group = alive[:half] if is_long else alive[half:] or alive
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -313,7 +313,7 @@
       idle_since: A float, since when it may start and no run of its job is known to go
         on, or, if its tasks last, since when one of them waits; None while that is not
         so.
-      waiting_since_by_index: Floats, since when tasks that last wait.
+      waiting_since_by_index: Floats, since when tasks that last wait to run.
       told_stall: The reasons told of its present stall; empty before.
       stall_due_at: A float, when what holds it is looked at again.
       is_told_late: Whether it was told that it waits past its job's objective.
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -249,7 +249,6 @@
         step.last_run += 1
         for assignment in assigned:
             step.waiting.discard(assignment.index)
-            step.waiting_since_by_index.pop(assignment.index, None)
             key = messages.TaskKey(
                 job.job_id, step.key.time, step.key.step, assignment.index
             )
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -150,13 +150,11 @@
         step.waiting_since_by_index.clear()
         step.idle_since = None
     elif step.spec.lasting:
-        # Each of its tasks counts by itself.
+        # Each of its tasks counts by itself, until its worker has said that it runs.
         since_by_index = step.waiting_since_by_index
-        for index in since_by_index.keys() - step.waiting:
-            del since_by_index[index]
-        for index in step.waiting:
-            since_by_index.setdefault(index, now)
-        step.idle_since = min(since_by_index.values())
+        step.idle_since = min(
+            since_by_index.setdefault(index, now) for index in step.waiting
+        )
     else:
         is_at_work = job.worked_until >= now
         step.idle_since = None if is_at_work else job.worked_until
