Make calls for advice in the order of the steps where a service is full

Editions (gangs of 20) were late, archive jobs early.

Cause: in a full service all steps lack room.

In a service that is less full nothing changes, so steps beside idle workers still come first.

Of the two new tests the one of a full service failed before; the other holds what must not change.

--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -2,11 +2,11 @@
 
 The advice service works on one call at a time for each caller, so a call of
 half a second holds up all later calls of the same caller. Calls that take
-long go to some of the processes, the short ones to the others. Where long calls wait,
-the others help while more than half of them are idle: after a loss of power all steps
-ask at once, and short calls leave most of those processes idle. A call is given to
-a process only when it can make it soon: what waits here goes to whoever is free
-first, and the foremost step first.
+long go to some of the processes, the short ones to the others. Where long calls wait
+for which there is room, the others help while more than half of them are idle: after a
+loss of power all steps ask at once, and short calls leave most of those processes idle.
+A call is given to a process only when it can make it soon: what waits here goes to
+whoever is free first, and the foremost step first.
 
 A process whose calls fail is always free first, so it would draw most calls. It is left
 out for a while that doubles with each further failure, unless most others are too.
@@ -231,12 +231,13 @@
         staying = [caller for caller in alike if not caller.is_stopping]
         return [caller.address for caller in staying or alike]
 
-    def choose(self, cost_s, now):
+    def choose(self, cost_s, now, may_help=True):
         """Choose the process for a call and give it the call.
 
         Args:
           cost_s: A float, how long the call takes.
           now: A float.
+          may_help: Whether a process for short calls may make a long one.
         Returns:
           A GivenCall, or None when no process can make it soon.
         """
@@ -252,7 +253,7 @@
         is_long = cost_s >= LONG_CALL_S
         group = alive[:half] if is_long else alive[half:] or alive
         caller = find_free(group, now)
-        if caller is None and is_long:
+        if caller is None and is_long and may_help:
             caller = find_helper(alive[half:], now)
         if caller is None:
             return None
--- a/thornport/cell/decisions/asking.py
+++ b/thornport/cell/decisions/asking.py
@@ -5,6 +5,10 @@
 steps that can't start yet would keep all others from theirs for as long as they wait.
 So calls go by what they bring, and those that bring the same share the processes by
 queue.
+
+In a full service, room is what all steps lack: a cheaper step that gets its advice
+first takes the room that a gang waits for. There the calls are made in the order of the
+steps.
 """
 
 import enum
@@ -19,13 +23,14 @@
     """What a call brings; the lowest is made first.
 
     NOW: an overdue step, an urgent step, or a start whose record is kept goes out.
-    START: a step starts, for which there is room.
-    EARLY: a step that waits for room is to have its tickets when the room comes.
+    START: a step starts, in a service that is not full.
+    IN_TURN: a step starts in a full service, or it waits for room and is to have its
+      tickets when the room comes.
     """
 
     NOW = 0
     START = 1
-    EARLY = 2
+    IN_TURN = 2
 
 
 class WantedCall(msgspec.Struct, frozen=True):
@@ -106,10 +111,12 @@
         Returns:
           One of them.
         """
-        return min(
-            calls,
-            key=lambda call: (call.need, self._find_start(call.queue.name), call.rank),
-        )
+        return min(calls, key=self._rank)
+
+    def _rank(self, call):
+        is_shared = call.need is not Need.IN_TURN
+        start = self._find_start(call.queue.name) if is_shared else 0.0
+        return call.need, start, call.rank
 
     def charge(self, name, cost_s):
         """Take that a call is made.
@@ -125,13 +132,16 @@
         return max(self._virtual_s, self._finish_by_queue.get(name, 0.0))
 
 
-def find_need(step_queue, is_overdue):
+def find_need(step_queue, is_overdue, is_full):
     """Find the need of a call for a step that has room.
 
     Args:
       step_queue: The queue.Queue of the step.
       is_overdue: Whether the step has stood still for long.
+      is_full: Whether its service is full, see `stalls.FULL_SHARE`.
     Returns:
       A Need.
     """
-    return Need.NOW if is_overdue or step_queue.priority == 0 else Need.START
+    if is_overdue or step_queue.priority == 0:
+        return Need.NOW
+    return Need.IN_TURN if is_full else Need.START
--- a/thornport/cell/decisions/asking_test.py
+++ b/thornport/cell/decisions/asking_test.py
@@ -22,10 +22,17 @@
     """What a call brings."""
 
     def test_urgent_steps_and_overdue_ones_come_first(self):
-        self.assertIs(asking.find_need(URGENT, is_overdue=False), Need.NOW)
-        self.assertIs(asking.find_need(USUAL, is_overdue=True), Need.NOW)
-        self.assertIs(asking.find_need(USUAL, is_overdue=False), Need.START)
-        self.assertLess(Need.START, Need.EARLY)
+        for is_full in (False, True):
+            with self.subTest(is_full=is_full):
+                urgent = asking.find_need(URGENT, is_overdue=False, is_full=is_full)
+                overdue = asking.find_need(USUAL, is_overdue=True, is_full=is_full)
+                self.assertEqual({urgent, overdue}, {Need.NOW})
+
+    def test_steps_of_a_full_service_wait_for_their_turn(self):
+        start = asking.find_need(USUAL, is_overdue=False, is_full=False)
+        in_turn = asking.find_need(USUAL, is_overdue=False, is_full=True)
+        self.assertEqual((start, in_turn), (Need.START, Need.IN_TURN))
+        self.assertLess(start, in_turn)
 
 
 class Wanted(unittest.TestCase):
@@ -35,7 +42,7 @@
         self.wanted = asking.WantedCalls()
 
     def test_a_step_has_one_call(self):
-        self.wanted.add(make_call("a", need=Need.EARLY))
+        self.wanted.add(make_call("a", need=Need.IN_TURN))
         newer = make_call("a", need=Need.NOW)
         self.wanted.add(newer)
         self.assertTrue(self.wanted.has_step(newer.step.key))
@@ -80,6 +87,10 @@
         self.shares.charge("dear", 9.0)
         needy = make_call("a", need=Need.NOW)
         self.assertIs(self.shares.choose([make_call("b", USUAL), needy]), needy)
+        # In a full service the order of the steps stands.
+        first = make_call("c", need=Need.IN_TURN, rank=(1, 0))
+        second = make_call("d", USUAL, need=Need.IN_TURN, rank=(2, 0))
+        self.assertIs(self.shares.choose([second, first]), first)
         older = make_call("c", rank=(1, 1))
         self.assertIs(self.shares.choose([make_call("d", rank=(1, 2)), older]), older)
 
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from thornport.cell.decisions import (
-    asking,
     leases,
     lives,
     messages,
@@ -257,7 +256,7 @@
             may_start = self.usage.count_startable(step, kept.workspace)
             if not step.spec.after and may_start:
                 candidates = self._find_candidates(step, queue, now)
-                need = asking.find_need(queue, is_overdue=False)
+                need = self._find_need(queue, is_overdue=False)
                 self._ask_advice(step, queue, candidates, reserved, need, now)
         # The others wait for a round, behind what has waited already.
         self._make_wanted_calls(now, only_urgent=True)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -3,7 +3,6 @@
 import bisect
 
 from thornport.cell.decisions import (
-    asking,
     crashes,
     messages,
     model,
@@ -96,7 +95,7 @@
         if step.key not in self._unticketed:
             self._wanted_calls.discard(step.key)
         if started < startable and self._may_hold(step, candidates, now):
-            need = asking.find_need(queue, is_overdue)
+            need = self._find_need(queue, is_overdue)
             self._ask_to_start(step, queue, candidates, reserved, need, now)
         return candidates
 
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -123,12 +123,12 @@
             unknown = itertools.islice(walk_unknown(step, candidates), ASKED_WORKERS)
             asked = list(unknown)
             if asked:
-                self._want_advice(step, queue, asked, asking.Need.EARLY)
+                self._want_advice(step, queue, asked, asking.Need.IN_TURN)
                 return
         lapsed = self._list_lapsed(step, candidates, now)
         lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
         if lapsed and starts_at is not None and starts_at - now <= lead_s:
-            self._want_advice(step, queue, lapsed, asking.Need.EARLY)
+            self._want_advice(step, queue, lapsed, asking.Need.IN_TURN)
 
     def _renew_late(self, now):
         """Ask for the tickets that starts wait for whose records are kept.
@@ -166,6 +166,11 @@
         good = placing.list_good(step, candidates)
         return [worker for worker in good if not placing.has_ticket(step, worker, now)]
 
+    def _find_need(self, queue, is_overdue):
+        """Find the asking.Need of a call for a step that has room."""
+        is_full = self._find_listed(queue.service).used_share >= stalls.FULL_SHARE
+        return asking.find_need(queue, is_overdue, is_full)
+
     def _want_advice(self, step, queue, workers, need):
         """Have advice called for as soon as a process is free."""
         job = self.jobs_by_id.get(step.key.job_id)
@@ -223,7 +228,8 @@
         known = self.workers_by_id
         workers = [w for w in wanted.workers if known.get(w.worker_id) is w]
         cost_s = compute_cost_s(wanted.queue.advice, workers)
-        given = self.callers.choose(cost_s, now)
+        may_help = wanted.need is not asking.Need.IN_TURN
+        given = self.callers.choose(cost_s, now, may_help)
         if given is None:
             return False
         self._advice_shares.charge(wanted.queue.name, cost_s)
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -19,6 +19,9 @@
 WIDE = queue.Queue(
     "wide", service="press", priority=1, advice=queue.Advice(600, 8.6, 1500)
 )
+CHEAP = queue.Queue(
+    "cheap", service="press", priority=2, advice=queue.Advice(156, 2.34, 1500)
+)
 FILLER = queue.Queue("filler", service="press", priority=2)
 SMALL_TASK = spec.Demand(16_000, 20_000, 0)
 WIDE_TASK = spec.Demand(18_000, 20_000, 0)
@@ -32,7 +35,7 @@
     def setUp(self):
         self.now = 100.0
         self.core = core.CellCore(1, self.now, self.now, 120.0)
-        self.core.take_config(queue.Config(1, (URGENT, WIDE, FILLER)), 0.0)
+        self.core.take_config(queue.Config(1, (URGENT, WIDE, CHEAP, FILLER)), 0.0)
         for number in range(WORKERS):
             self.add_worker(f"w{number:03}", number)
         self.greet()
@@ -256,6 +259,52 @@
         self.assertEqual(renewed, {w for w in asked if int(w[1:]) % 2 == 0})
 
 
+class LongCalls(LargeCell):
+    """More calls are wanted, for gangs without room and for cheaper jobs with room."""
+
+    LONG_CALLERS = CALLERS // 2
+
+    def list_asked(self, orders):
+        """The job ids of the calls for advice among orders, in order."""
+        return [
+            order.request.step.job_id
+            for order in orders
+            if isinstance(order, ticketing.CallAdvice)
+        ]
+
+    def fill_workers(self, count):
+        """Leave room for tasks of cheaper jobs alone at some workers."""
+        taken = spec.Demand(50_000, 200_000, 0)
+        self.submit("full", FILLER, spec.Step(count, taken, ESTIMATE_MS))
+        self.place()
+
+    def submit_all(self):
+        """Hand in more jobs of either queue than there are processes."""
+        for number in range(CALLERS):
+            gang = spec.Step(
+                WORKERS, WIDE_TASK, ESTIMATE_MS, gang=True, max_per_worker=1
+            )
+            self.submit(f"gang-{number}", WIDE, gang)
+            small = spec.Step(20, spec.Demand(2_000, 2_000, 0), 3000)
+            self.submit(f"cheap-{number}", CHEAP, small)
+
+    # Cheaper jobs got their advice first and took the room that gangs waited for.
+    def test_dearer_steps_come_first_in_a_full_service(self):
+        self.fill_workers(WORKERS)
+        self.submit_all()
+        asked = self.list_asked(self.place())
+        first = [f"gang-{number}" for number in range(self.LONG_CALLERS)]
+        self.assertEqual(asked, first)
+
+    # Steps of an idle service waited for advice behind gangs that had no room.
+    def test_steps_with_room_come_first_in_a_service_that_is_not_full(self):
+        self.fill_workers(WORKERS // 2)
+        self.submit_all()
+        asked = self.list_asked(self.place())
+        self.assertGreater(len(asked), self.LONG_CALLERS)
+        self.assertEqual({job_id.split("-")[0] for job_id in asked}, {"cheap"})
+
+
 class UrgentRounds(LargeCell):
     """Rounds for urgent steps alone, between those for all."""
 
