Wait longer for advice that is late, and make no call about workers that are gone

The time after which late advice is given up for an overdue step was 0.15 s beyond the call. A busy process answers that late, and after a loss of power all steps are overdue: answers would be dropped and their processes left out, one after the other. A wanted call whose workers have all gone meanwhile named nobody; it is dropped.

--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -21,9 +21,9 @@
 from thornport.kernel import clock
 
 ADVICE_RETRY_S = 0.3  # after a call for advice that failed
-# Beyond the time that a call takes, where its step has stood still for long: so three
-# calls of the longest kind fit into the time that users allow.
-OVERDUE_SLACK_S = 0.15
+# Beyond the time that a call takes, where its step has stood still for long: a busy
+# process answers late, and a call that is given up is made anew.
+OVERDUE_SLACK_S = 0.3
 ASKED_WORKERS = 100  # named in one call at most, by the users' interface
 # Named in a short call, by the tasks that wait: a quarter of the workers may be good
 # for a step, and others take room meanwhile. To name a hundred for each urgent job of
@@ -213,7 +213,9 @@
         is_known = self._find_step(step.key) is step
         is_open = step.waiting or step.key in self._unticketed
         may_ask = not step.is_advising and now >= step.retry_advice_at
-        return is_known and is_open and may_ask
+        known = self.workers_by_id
+        has_workers = any(known.get(w.worker_id) is w for w in call.workers)
+        return is_known and is_open and may_ask and has_workers
 
     def _call_advice(self, wanted, now):
         """Have a process make a call.
