Send no start to a worker of which the store tells another incarnation

What callers saw: nothing yet.

Cause: a start whose record was being kept, or that waited for its ticket, went out 0.65 s after its worker had restarted with less room, though the store had told of the new incarnation already. New starts wait until such a worker is described; this check, made before a kept start is sent, did not ask.

Change: it asks. The run is released and placed anew. The new test failed before.

--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -207,7 +207,7 @@
                 self._release_run(run, now)
 
     def _is_unfit(self, run):
-        """Whether a worker has begun to leave or lost room, or a version forbids a run.
+        """Whether a worker leaves, lost room or restarted, or a version forbids a run.
 
         Keeping the record, and the wait for a ticket, take their time.
         """
@@ -216,6 +216,7 @@
         return (
             worker.entry.state is not messages.WorkerState.READY
             or not worker.is_listed
+            or not worker.is_described()
             or not worker.used.fits(worker.entry.total)
             or worker.entry.service != self._queue_of(job).service
             or self.usage.is_over_limit(job.record.workspace)
--- a/thornport/cell/decisions/slowstore_test.py
+++ b/thornport/cell/decisions/slowstore_test.py
@@ -176,6 +176,18 @@
         self.assertEqual(self.world.workers_by_id[run.worker_id].started, [])
         self.assertEqual(len(self.world.starts), 1)
 
+    # The next life may have less room than the one that the start was decided for.
+    def test_worker_of_which_the_store_has_another_life_gets_no_start(self):
+        step = self.submit("urgent", cellworld.make_step(1, 4, 800))
+        (run,) = step.live_by_index.values()
+        entry, _ = self.world.entries_by_id[run.worker_id]
+        self.world.silenced.add(run.worker_id)
+        later = msgspec.structs.replace(entry, started_at_ms=entry.started_at_ms + 1)
+        self.world.list_again(later)
+        self.world.run(10)
+        self.assertEqual(self.world.workers_by_id[run.worker_id].started, [])
+        self.assertEqual(len(self.world.starts), 1)
+
     def test_worker_that_has_crashed_gets_no_start(self):
         step = self.submit("urgent", cellworld.make_step(1, 4, 800))
         (run,) = step.live_by_index.values()
