--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -107,7 +107,8 @@
             self.idle_at += len(piece) / bytes_per_s if bytes_per_s else 0.0
             # Timers for times a few microseconds apart may fire the other way round.
             self.slow.append(piece)
-            reactor.callLater(self.idle_at - reactor.seconds(), self.pass_on_next)
+            delay_s = max(0.0, self.idle_at - reactor.seconds())
+            reactor.callLater(delay_s, self.pass_on_next)
 
     def pass_on_next(self):
         """Pass on the piece whose turn it is."""
