Known red: jobs given up where workers restart all the time

Trace of one: the job's task saw five workers go by chance, after 39, 397, 1269, 648 and 784 ms of work, while five workers restarted some times a second; crashes.count_points gives a point for each loss within 2 s, whatever the rate of losses. That a known time beyond 0.4 s should count by its chance, as longer ones do, is suspected to mend it; it wants the trials of the weights anew and is left.

--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -40,7 +40,6 @@
     (50012, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
     (50112, DRAWN_S, sizes.SizeKind.DOZENS, f"{RESTART}; {BEFELL}"),
     (60002, DRAWN_S, sizes.SizeKind.DOZENS, RESTART),
-    (73008, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
     (81001, DRAWN_S, sizes.SizeKind.DOZENS, BEFELL),
     (82009, DRAWN_S, sizes.SizeKind.DISPATCHERS, BEFELL),
     (87004, DRAWN_S, sizes.SizeKind.DOZENS, HELD_UP),
@@ -72,6 +71,10 @@
             with self.subTest(seed=seed, cause=cause):
                 self.check_kept(seed, seconds, size)
 
+    # By itself, for it is broken in some runs; see KNOWN-RED.txt.
+    def test_seed_73008_whose_workers_restart_within_a_second(self):
+        self.check_kept(73008, DRAWN_S, sizes.SizeKind.DOZENS)
+
     def test_few_workers_that_restart_all_the_time(self):
         # Jobs were given up for crashes that only befell them, in each run.
         kinds = (plan.Kind.WORKER_RESTART, plan.Kind.WORKER_REPLACED, plan.Kind.KILL)
