Weigh a loss by the time that its run is known to have gone on

Cause: count_points gave a point for each loss up to 2 s after the start, whatever the rate of losses. That window stood for what is not known: the end of a worker that merely stops answering is noticed by a time-out, a second late. But most losses are seen at once, as the connection breaks off, and then a run of 0.8 s did go on for 0.8 s.

Ruled out: to count all that lasted 0.4 to 2 s by its chance alone.

Change: a call says whether its connection broke off. From that, or from the last answer, a run has a least time as well as a most; the window of 2 s holds only for a run that may have begun a moment before.

--- a/tests/worldlives.py
+++ b/tests/worldlives.py
@@ -28,6 +28,8 @@
       back_s: A float, after what time a worker that crashed has another life.
       keeps_id: A bool, whether that has the id of the life before.
       refusing: Ids of workers whose port refuses.
+      breaks_off: A bool, whether the end of a life is seen at once where a look waits,
+        as the connection breaks off; else the look is lost.
     """
 
     def _set_up_lives(self, worker_count, clock_rate):
@@ -44,6 +46,7 @@
         self.back_s = BACK_S
         self.keeps_id = False
         self.refusing = set()
+        self.breaks_off = False
         self.racks_by_worker = {}
         self.revision = 0
         self._lapsing = []
@@ -60,11 +63,14 @@
         )
 
     def _end_life(self, worker_id):
-        """End a life with all that runs there; looks that wait there are lost."""
+        """End a life with all that runs there, and the look that waits there."""
         life = self.workers_by_id.pop(worker_id)
         self.noted_done |= life.noted_done
         self.ended_lives.append(life)
-        self.open_looks.pop(worker_id, None)
+        look = self.open_looks.pop(worker_id, None)
+        if look is not None and self.breaks_off:
+            answer = messages.Unanswered("broken off", is_broken_off=True)
+            self.owner.take_hold(look.request, look.sent_at, answer, self.now)
 
     def restart(self, worker_id, is_listed=True):
         """A worker ends and is there again at once, under its id.
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -91,8 +91,20 @@
     points: int
 
 
+class RunTime(msgspec.Struct, frozen=True):
+    """How long a run went on before its worker was gone, as far as is known.
+
+    Attributes:
+      least_s: A float; None where this owner neither started it nor heard of it.
+      most_s: A float; None likewise.
+    """
+
+    least_s: float | None
+    most_s: float | None
+
+
 def compute_ran_s(worker, run, now):
-    """Compute how long a run went on at a worker that is gone.
+    """Compute how long a run went on at most at a worker that is gone.
 
     Args:
       worker: A model.Worker.
@@ -106,6 +118,23 @@
     return max(0.0, find_lost_at(worker, now) - run.known_since)
 
 
+def compute_least_ran_s(worker, run):
+    """Compute how long a run surely went on at a worker that is gone.
+
+    The end of a worker that merely stops answering is noticed late, by a time-out.
+
+    Args:
+      worker: A model.Worker.
+      run: A model.Run.
+    Returns:
+      A float, seconds; None as from `compute_ran_s`.
+    """
+    if run.known_since is None:
+        return None
+    there_until = worker.silent_since if worker.is_broken_off else worker.heard_at
+    return max(0.0, there_until - run.known_since)
+
+
 def find_lost_at(worker, now):
     """Say since when a worker has been gone, as far as is known.
 
@@ -228,8 +257,8 @@
     }
     blames = []
     for run in begun:
-        ran_s = compute_ran_s(worker, run, now)
-        points = count_points(run, ran_s, young_steps, is_timed, rate)
+        ran = RunTime(compute_least_ran_s(worker, run), compute_ran_s(worker, run, now))
+        points = count_points(run, ran, young_steps, is_timed, rate)
         blames.append(Blame(run, points))
     return blames
 
@@ -271,30 +300,33 @@
     return run.is_joint_trial and is_within(compute_ran_s(worker, run, now), WATCHED_S)
 
 
-def count_points(run, ran_s, young_steps, is_timed, rate):
+def count_points(run, ran, young_steps, is_timed, rate):
     """Count the points that a crash gives the task of a run.
 
     Args:
       run: A model.Run.
-      ran_s: A float, how long it ran; None if that is not known.
+      ran: Its RunTime.
       young_steps: A set of the messages.StepKeys that had begun a moment before.
       is_timed: A bool, whether it is known when the worker was gone.
       rate: A float, from `estimate_rate`.
     Returns:
       An int.
     """
-    if is_timed and is_within(ran_s, YOUNG_S):
+    if is_timed and is_within(ran.most_s, YOUNG_S):
         # Of one that was not answered it is not known that it began.
         is_answered = run.state is not model.RunState.ORDERED
         is_alone = is_answered and young_steps == {run.step_key}
         is_rare = compute_chance(YOUNG_S, rate) <= RARE_CHANCE
         return ALONE_POINTS if is_alone and is_rare else POINTS
-    if ran_s is None or ran_s <= FRESH_S:
+    if ran.most_s is None:
+        return POINTS
+    if ran.least_s <= YOUNG_S and ran.most_s <= FRESH_S:
+        # It may have begun a moment before.
         return POINTS
     if young_steps or run.step.lasting:
         # A lasting task sees workers crash in the course of time.
         return 0
-    return POINTS if compute_chance(ran_s, rate) <= LOW_CHANCE else 0
+    return POINTS if compute_chance(ran.most_s, rate) <= LOW_CHANCE else 0
 
 
 def compute_chance(within_s, rate):
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -18,7 +18,8 @@
 from hypothesis import strategies as st
 
 from tests import cellworld, worldcalls
-from thornport.cell.decisions import messages, notes
+from thornport.cell.decisions import crashes, messages, model, notes
+from thornport.jobs import spec
 
 LONG_MS = 600_000  # longer than any test
 GIVEN_UP_S = 25.0  # some crashes, each with 3 s until the worker is back
@@ -94,14 +95,14 @@
             world = make_world()
             world.crashing = {("bad", 0)}
             world.submit(cellworld.make_job("bad", cellworld.make_step(1, 4, 600)))
-            for crashes in itertools.count(1):
+            for crash_count in itertools.count(1):
                 world.run(0.1)
                 if world.read_states()["bad"] == "failed":
                     break
-                if sum(world.crashes_by_key.values()) == crashes:
+                if sum(world.crashes_by_key.values()) == crash_count:
                     world.run(gap_s)
                     world.take_over()
-                self.assertLess(crashes, 1000)
+                self.assertLess(crash_count, 1000)
             self.check_given_up(world)
 
     def test_answers_are_lost_and_the_store_is_away_in_between(self):
@@ -337,13 +338,14 @@
             world.run(60)
             self.assertEqual(set(world.read_states().values()), {"succeeded"})
 
-    def restart_workers(self, seed, worker_count, crashing=()):
+    def restart_workers(self, seed, worker_count, crashing=(), breaks_off=False):
         """Restart each worker every five seconds on average, under several owners.
 
         Returns:
           The cellworld.World, when all could have ended.
         """
         world = make_world(worker_count)
+        world.breaks_off = breaks_off
         world.back_s = 0.4
         world.crashing = {(job_id, 0) for job_id in crashing}
         rng = random.Random(seed)
@@ -369,6 +371,14 @@
             world = self.restart_workers(seed, worker_count)
             self.assertEqual(set(world.read_states().values()), {"succeeded"})
 
+    def test_losses_well_after_the_start_count_by_chance_where_workers_restart(self):
+        # A job was given up for losses that were seen at once, up to two seconds after
+        # its starts.
+        for seed, worker_count in ((7, 5), (7, 15), (9, 5), (27, 5), (42, 5)):
+            with self.subTest(seed=seed, worker_count=worker_count):
+                world = self.restart_workers(seed, worker_count, breaks_off=True)
+                self.assertEqual(set(world.read_states().values()), {"succeeded"})
+
     def test_workers_restart_all_the_time_beside_a_task_that_crashes_them(self):
         for seed, worker_count in itertools.product(range(2), (5, 15)):
             world = self.restart_workers(seed, worker_count, crashing=["j40"])
@@ -455,6 +465,38 @@
         self.run_on(world, ["long"])
 
 
+class Points(unittest.TestCase):
+    """What a loss says, by what is known of its time, where workers restart often."""
+
+    RATE = 0.2  # losses of one worker in a second
+
+    def count(self, least_s, most_s, is_timed=True):
+        """Count the points of a run that went on for so long."""
+        step = spec.Step(1, spec.Demand(1000, 100, 0))
+        key = messages.TaskKey("a", 0, 0, 0)
+        run = model.Run(key, 1, "w0", step, model.RunState.RUNNING)
+        ran = crashes.RunTime(least_s, most_s)
+        is_young = is_timed and most_s is not None and most_s <= crashes.YOUNG_S
+        young_steps = {run.step_key} if is_young else set()
+        return crashes.count_points(run, ran, young_steps, is_timed, self.RATE)
+
+    def test_known_to_have_gone_on_for_a_while(self):
+        # Two of three tasks in such a cell lose their worker within some seconds.
+        self.assertEqual(self.count(0.8, 0.8), 0)
+        self.assertEqual(self.count(0.5, 1.9, is_timed=False), 0)
+
+    def test_a_moment_after_its_start(self):
+        self.assertEqual(self.count(0.01, 0.01), 1)
+
+    def test_noticed_late_it_may_have_been_a_moment_after_its_start(self):
+        # A worker that a task crashes without a word would be lost again and again.
+        self.assertEqual(self.count(0.0, 1.3), 1)
+        self.assertEqual(self.count(0.0, 1.3, is_timed=False), 1)
+
+    def test_nothing_is_known(self):
+        self.assertEqual(self.count(None, None), 1)
+
+
 class WhatIsTold(unittest.TestCase):
     """The log tells which runs were lost with a worker, and why."""
 
--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -100,7 +100,7 @@
             # Orders would fail as this look did; the next look clears it.
             worker.avoid(now + ending.AVOID_S)
             worker.unanswered_at = now
-            worker.note_silence(now)
+            worker.note_silence(answer, now)
             if isinstance(answer, messages.NotReached) and answer.is_refused:
                 self._stop_waiting_gangs(worker, now)
             if has_left(worker, answer, now):
@@ -116,6 +116,7 @@
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
         worker.silent_since = None
+        worker.is_broken_off = False
         self._judge_loss(worker, now)
         for end in sorted(answer.ended, key=lambda end: end.number):
             self._take_end(worker, end, now)
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -213,9 +213,14 @@
 
 
 class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """No answer: the call may have been carried out, or may be later."""
+    """No answer: the call may have been carried out, or may be later.
+
+    Attributes:
+      is_broken_off: Whether the connection ended before the call's time was over.
+    """
 
     reason: str
+    is_broken_off: bool = False
 
 
 class AdviceRequest(msgspec.Struct, frozen=True):
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -152,6 +152,8 @@
       unanswered_at: A float, when the last look failed; None after an answer.
       silent_since: A float, when the first call failed since the worker answered a
         look; None after an answer.
+      is_broken_off: Whether its connection broke off at `silent_since`, so that it was
+        there until then.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
       trial: The Run, started here last, of a task that may have crashed a worker; None
@@ -183,6 +185,7 @@
     suspected_until: float = 0.0
     unanswered_at: float | None = None
     silent_since: float | None = None
+    is_broken_off: bool = False
     filling_count: int = 0
     serving_count: int = 0
     trial: Run | None = None
@@ -227,10 +230,18 @@
         sample = math.log(took_s * 1000 / estimate_ms)
         self.pace_log += (sample - self.pace_log) / self.pace_count
 
-    def note_silence(self, now):
-        """Take that a call failed: the worker may be gone since."""
+    def note_silence(self, failure, now):
+        """Take that a call failed: the worker may be gone since.
+
+        Args:
+          failure: A messages.NotReached or Unanswered.
+          now: A float.
+        """
         if self.silent_since is None:
             self.silent_since = now
+            self.is_broken_off = (
+                isinstance(failure, messages.Unanswered) and failure.is_broken_off
+            )
 
     def avoid(self, until):
         """Give it no starts before a time, a float; a later one holds."""
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -68,7 +68,13 @@
 
 
 class NoAnswer(CallError, frozen=True):
-    """The request may have reached the server, and may be carried out later."""
+    """The request may have reached the server, and may be carried out later.
+
+    Attributes:
+      is_broken_off: Whether the connection ended before its time was over.
+    """
+
+    is_broken_off: bool = False
 
 
 class Connection(protocol.Protocol):
@@ -153,8 +159,9 @@
         """Tell the caller whose answer will not come."""
         self.is_open = False
         self._pool.drop(self)
-        text = "aborted" if reason.check(ConnectionAborted) else str(reason.value)
-        self._finish(result.Failure(NoAnswer(text)))
+        is_ours = reason.check(ConnectionAborted) is not None
+        text = "aborted" if is_ours else str(reason.value)
+        self._finish(result.Failure(NoAnswer(text, is_broken_off=not is_ours)))
 
 
 class Pool:
--- a/thornport/kernel/httpcalls_test.py
+++ b/thornport/kernel/httpcalls_test.py
@@ -112,6 +112,20 @@
         self.assertEqual(self.given[0].unwrap().status, 200)
 
 
+class BrokenOff(Calls):
+    """Whether a connection ended before its call's time was over."""
+
+    def test_server_ends_the_connection(self):
+        connection = self.begin()
+        connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertTrue(self.given[0].failure().is_broken_off)
+
+    def test_time_is_over(self):
+        self.begin()
+        self.reactor.advance(TIMEOUT_S * 1.1)
+        self.assertFalse(self.given[0].failure().is_broken_off)
+
+
 class Silence(Calls):
     """Kept connections that fall silent without a reset."""
 
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -125,4 +125,4 @@
         error = called.failure()
         if isinstance(error, httpcalls.NotSent):
             return messages.NotReached(error.reason, error.is_refused)
-        return messages.Unanswered(error.reason)
+        return messages.Unanswered(error.reason, error.is_broken_off)
--- a/thornport/platform/workers_test.py
+++ b/thornport/platform/workers_test.py
@@ -74,6 +74,14 @@
             )
             self.assertIsInstance(platform_test.run(client.stop(order)), kind)
 
+    def test_call_that_failed_says_whether_its_connection_broke_off(self):
+        order = messages.StopOrder("i-1", "10.0.0.9:80", platform_test.TASK, 2, 7)
+        for is_broken_off in (True, False):
+            failure = result.Failure(httpcalls.NoAnswer("cut", is_broken_off))
+            client = workers.WorkerClient(platform_test.FakeCalls(failure), 0.2)
+            answer = platform_test.run(client.stop(order))
+            self.assertEqual(answer.is_broken_off, is_broken_off)
+
 
 class Restarts(unittest.TestCase):
     """A worker that starts again under its id between two looks.
