Find what keeps a worker from new tasks in one place

find_worker_hold, which names the hold for a log line, repeated is_taking, by which rounds choose workers, condition by condition: one changed without the other would have made the lines name a reason that kept nothing back. Only the order of the conditions that both have was under test.

Change: eligibility.find_refusal gives the first reason for which a worker takes no new tasks, or None; rounds ask it for None, and find_worker_hold goes on from it. WorkerHold stands beside it. What differed stays and is said: a line names a silent worker as such also when rounds try it again. is_on_trial and is_proven take the one worker that they need, not a dict of all.

Tests name the new module; their assertions are the same.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -376,7 +376,11 @@
     tried = [
         run for index, run in step.live_by_index.items() if index in points_by_index
     ]
-    undecided = [run for run in tried if not is_proven(run, workers_by_id, now)]
+    undecided = [
+        run
+        for run in tried
+        if not is_proven(run, workers_by_id.get(run.worker_id), now)
+    ]
     most_undecided = MOST_UNDECIDED if is_overdue else 0
     if len(undecided) > most_undecided:
         return []
@@ -390,34 +394,31 @@
     return suspects[: min(MOST_TRIALS, max(1, proven))]
 
 
-def is_on_trial(worker_id, workers_by_id, now):
+def is_on_trial(worker, now):
     """Tell whether a task that may crash a worker has just been sent there.
 
     Args:
-      worker_id: A str.
-      workers_by_id: Model.Workers by id.
+      worker: A model.Worker; None if it is not known any more.
       now: A float.
     Returns:
       A bool.
     """
-    worker = workers_by_id.get(worker_id)
     run = worker and worker.trial
     if run is None or worker.runs_by_key.get(run.key) is not run:
         return False
-    return not is_proven(run, workers_by_id, now)
+    return not is_proven(run, worker, now)
 
 
-def is_proven(run, workers_by_id, now):
+def is_proven(run, worker, now):
     """Tell whether a run has gone on for a while at a worker that answers.
 
     Args:
       run: A model.Run.
-      workers_by_id: Model.Workers by id.
+      worker: The model.Worker that it is at; None if it is not known any more.
       now: A float.
     Returns:
       A bool.
     """
-    worker = workers_by_id.get(run.worker_id)
     if worker is None or worker.silent_since is not None or run.known_since is None:
         return False
     return now - run.known_since >= PROVEN_S
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import messages
+from thornport.cell.decisions import eligibility
 from thornport.jobs import spec
 
 TICKET_MARGIN_S = 0.1  # from the decision to the worker: a commit and a call
@@ -160,9 +160,9 @@
     Returns:
       A bool.
     """
-    if not has_label(step, worker):
+    if not has_label(step, worker) or disturbs(step, worker):
         return False
-    return not disturbs(step, worker) and is_taking(worker, now, with_suspects)
+    return eligibility.find_refusal(worker, now, with_suspects) is None
 
 
 def has_label(step, worker):
@@ -193,26 +193,6 @@
     return step.spec.tail_target_ms > 0 and worker.filling_count > 0
 
 
-def is_taking(worker, now, with_suspects=False):
-    """Tell whether a worker takes new tasks.
-
-    Args:
-      worker: A model.Worker.
-      now: A float.
-      with_suspects: A bool, whether a suspect one does.
-    Returns:
-      A bool.
-    """
-    return (
-        worker.is_listed
-        and worker.is_heard
-        and worker.is_described()
-        and now >= worker.avoid_until
-        and (with_suspects or now >= worker.suspected_until)
-        and worker.entry.state is messages.WorkerState.READY
-    )
-
-
 def has_ticket(step, worker, now):
     """Tell whether a step has a ticket for a worker that still holds."""
     ticket = step.tickets_by_worker.get(worker.worker_id)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -229,7 +229,7 @@
         self._trial_ids = {
             worker_id
             for worker_id in self._trial_ids
-            if crashes.is_on_trial(worker_id, self.workers_by_id, now)
+            if crashes.is_on_trial(self.workers_by_id.get(worker_id), now)
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import crashes, messages, model, placing
+from thornport.cell.decisions import crashes, eligibility, messages, model, placing
 
 # Overdue steps are told, and looked at again after this; so many at a time.
 TOLD_AFTER_S = 2.0
@@ -46,37 +46,6 @@
     ADVICE_FAILED = "advice-failed"
 
 
-class WorkerHold(enum.Enum):
-    """What keeps a step from a worker that it may run at.
-
-    UNLISTED: the store does not list the worker, or it drains.
-    UNHEARD: it has not answered this owner yet.
-    UNDESCRIBED: the store has no entry of its present incarnation.
-    SILENT: the last calls to it failed.
-    SUSPECT: tasks failed or stood still there.
-    DISTURBED: filling and serving work may not share it.
-    FULL: it has no room.
-    TRIAL: a task that may crash it is being tried there.
-    RESERVED: its room is reserved for another step.
-    NOT_ASKED: advice was not asked about it.
-    NO_TICKET: the ticket for it has lapsed.
-    NONE: nothing; a round may start a task there.
-    """
-
-    UNLISTED = "unlisted"
-    UNHEARD = "unheard"
-    UNDESCRIBED = "undescribed"
-    SILENT = "silent"
-    SUSPECT = "suspect"
-    DISTURBED = "disturbed"
-    FULL = "full"
-    TRIAL = "trial"
-    RESERVED = "reserved"
-    NOT_ASKED = "not-asked"
-    NO_TICKET = "no-ticket"
-    NONE = "none"
-
-
 class Stall(msgspec.Struct, frozen=True):
     """A step of whose job nothing is known to be at work.
 
@@ -86,7 +55,7 @@
       waiting: An int, its tasks without a run.
       live: Counts of the job's runs that may be live, by model.RunState.
       holds: JobHolds.
-      workers: Counts of the workers that may run it, by WorkerHold.
+      workers: Counts of the workers that may run it, by eligibility.WorkerHold.
       used: Floats, the shares of the service's cores, memory and accelerators in use.
     """
 
@@ -95,7 +64,7 @@
     waiting: int
     live: dict[model.RunState, int]
     holds: tuple[JobHold, ...]
-    workers: dict[WorkerHold, int]
+    workers: dict[eligibility.WorkerHold, int]
     used: tuple[float, ...]
 
     @property
@@ -217,36 +186,34 @@
       needs_ticket: Whether the step's queue asks for advice.
       now: A float.
     Returns:
-      A WorkerHold.
+      An eligibility.WorkerHold.
     """
-    if not worker.is_listed or worker.entry.state is not messages.WorkerState.READY:
-        return WorkerHold.UNLISTED
-    if not worker.is_heard:
-        return WorkerHold.UNHEARD
-    if not worker.is_described():
-        return WorkerHold.UNDESCRIBED
-    if now < worker.avoid_until or worker.silent_since is not None:
-        return WorkerHold.SILENT
-    if now < worker.suspected_until:
-        return WorkerHold.SUSPECT
+    refusal = eligibility.find_refusal(worker, now)
+    # Rounds try a silent worker again once it is no longer avoided.
+    if worker.silent_since is not None and refusal in (
+        None,
+        eligibility.WorkerHold.SUSPECT,
+    ):
+        return eligibility.WorkerHold.SILENT
+    if refusal is not None:
+        return refusal
     if placing.disturbs(step, worker):
-        return WorkerHold.DISTURBED
+        return eligibility.WorkerHold.DISTURBED
     if not step.spec.demand.fits(worker.compute_free()):
-        return WorkerHold.FULL
-    by_id = {worker.worker_id: worker}
-    if crashes.is_on_trial(worker.worker_id, by_id, now):
-        return WorkerHold.TRIAL
+        return eligibility.WorkerHold.FULL
+    if crashes.is_on_trial(worker, now):
+        return eligibility.WorkerHold.TRIAL
     if reserved is not None and not step.spec.demand.fits(
         reserved.limit_room(step, worker)
     ):
-        return WorkerHold.RESERVED
+        return eligibility.WorkerHold.RESERVED
     if not needs_ticket:
-        return WorkerHold.NONE
+        return eligibility.WorkerHold.NONE
     if worker.worker_id not in step.asked_ids:
-        return WorkerHold.NOT_ASKED
+        return eligibility.WorkerHold.NOT_ASKED
     if not placing.has_ticket(step, worker, now):
-        return WorkerHold.NO_TICKET
-    return WorkerHold.NONE
+        return eligibility.WorkerHold.NO_TICKET
+    return eligibility.WorkerHold.NONE
 
 
 def read_shares(candidates):
--- a/thornport/cell/decisions/stalls_test.py
+++ b/thornport/cell/decisions/stalls_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from tests import cellworld
-from thornport.cell.decisions import messages, model, stalls
+from thornport.cell.decisions import eligibility, messages, model, stalls
 from thornport.jobs import spec
 
 NOW = 100.0
@@ -112,26 +112,26 @@
         return stalls.find_worker_hold(self.step, self.worker, None, needs_ticket, NOW)
 
     def test_each_is_told_by_its_name(self):
-        self.assertIs(self.find(needs_ticket=False), stalls.WorkerHold.NONE)
-        self.assertIs(self.find(), stalls.WorkerHold.NOT_ASKED)
+        self.assertIs(self.find(needs_ticket=False), eligibility.WorkerHold.NONE)
+        self.assertIs(self.find(), eligibility.WorkerHold.NOT_ASKED)
         self.step.asked_ids.add("w0")
-        self.assertIs(self.find(), stalls.WorkerHold.NO_TICKET)
+        self.assertIs(self.find(), eligibility.WorkerHold.NO_TICKET)
         self.step.tickets_by_worker["w0"] = ("t", NOW + 1)
-        self.assertIs(self.find(), stalls.WorkerHold.NONE)
+        self.assertIs(self.find(), eligibility.WorkerHold.NONE)
         key = messages.TaskKey("b", 0, 0, 0)
         filler = spec.Step(1, spec.Demand(7500))
         self.worker.add_run(model.Run(key, 1, "w0", filler, model.RunState.RUNNING))
-        self.assertIs(self.find(), stalls.WorkerHold.FULL)
+        self.assertIs(self.find(), eligibility.WorkerHold.FULL)
         self.worker.suspect(NOW + 1)
-        self.assertIs(self.find(), stalls.WorkerHold.SUSPECT)
+        self.assertIs(self.find(), eligibility.WorkerHold.SUSPECT)
         self.worker.avoid(NOW + 1)
-        self.assertIs(self.find(), stalls.WorkerHold.SILENT)
+        self.assertIs(self.find(), eligibility.WorkerHold.SILENT)
         self.worker.doubted_at = NOW
-        self.assertIs(self.find(), stalls.WorkerHold.UNDESCRIBED)
+        self.assertIs(self.find(), eligibility.WorkerHold.UNDESCRIBED)
         self.worker.is_heard = False
-        self.assertIs(self.find(), stalls.WorkerHold.UNHEARD)
+        self.assertIs(self.find(), eligibility.WorkerHold.UNHEARD)
         self.worker.is_listed = False
-        self.assertIs(self.find(), stalls.WorkerHold.UNLISTED)
+        self.assertIs(self.find(), eligibility.WorkerHold.UNLISTED)
 
 
 class Told(unittest.TestCase):
@@ -147,13 +147,13 @@
         self.assertEqual(world.owner.take_stalls(world.now), [])
         world.run(1)
         (stall,) = world.owner.take_stalls(world.now)
-        self.assertEqual(stall.workers, {stalls.WorkerHold.UNLISTED: 1})
+        self.assertEqual(stall.workers, {eligibility.WorkerHold.UNLISTED: 1})
         self.assertEqual(world.owner.take_stalls(world.now), [])
         world.list_worker("w0")
         worker.avoid(world.now + 60)
         world.now += stalls.TOLD_AGAIN_S
         (stall,) = world.owner.take_stalls(world.now)
-        self.assertEqual(stall.workers, {stalls.WorkerHold.SILENT: 1})
+        self.assertEqual(stall.workers, {eligibility.WorkerHold.SILENT: 1})
 
 
 if __name__ == "__main__":
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -13,6 +13,7 @@
     advising,
     asking,
     cellstate,
+    eligibility,
     messages,
     model,
     placing,
@@ -353,8 +354,10 @@
 
     def _is_there(self, worker, candidates, now):
         """Whether a worker that was listed a moment ago still takes tasks."""
-        is_known = self.workers_by_id.get(worker.worker_id) is worker
-        return is_known and placing.is_taking(worker, now, candidates.has_suspects)
+        if self.workers_by_id.get(worker.worker_id) is not worker:
+            return False
+        refusal = eligibility.find_refusal(worker, now, candidates.has_suspects)
+        return refusal is None
 
 
 def count_asked(step):
