Put the cost of advice beside the clock that counts it

Rounds worked out how long a step's call for advice takes, with the limit of workers in one call, only to hand it to is_past_grace. stalls.compute_advice_s does so now; the cost of a call and that limit stand in advising, which knows of calls, since ticketing uses stalls. The check for a step that doesn't stand still stood in both, and stays in is_past_grace alone.

Behaviour and assertions are unchanged.

--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -16,6 +16,9 @@
 
 import msgspec
 
+from thornport.kernel import clock
+
+ASKED_WORKERS = 100  # named in one call at most, by the users' interface
 LONG_CALL_S = 0.15  # calls that take longer are long ones, for some processes only
 # A process gets its next call so long before it is free: a round and the way there.
 QUEUE_S = 0.02
@@ -329,3 +332,15 @@
     idle = [caller for caller in group if caller.busy_until <= now]
     least = max(LEAST_IDLE, (len(group) + 1) // 2)
     return idle[0] if len(idle) > least else None
+
+
+def compute_cost_s(advice, workers):
+    """Compute how long a call for advice takes.
+
+    Args:
+      advice: A queue.Advice.
+      workers: A list of the workers that it is about.
+    Returns:
+      A float, seconds.
+    """
+    return (advice.base_ms + advice.worker_ms * len(workers)) / clock.MS_PER_S
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -112,12 +112,7 @@
         Those may be all that it has, and its tasks may be sound where others were not.
         What lasts may however full its service is, by the users.
         """
-        if step.idle_since is None:
-            return False
-        advice_s = 0.0
-        if queue.advice is not None:
-            asked = candidates.workers[: ticketing.ASKED_WORKERS]
-            advice_s = ticketing.compute_cost_s(queue.advice, asked)
+        advice_s = stalls.compute_advice_s(queue.advice, candidates.workers)
         if not stalls.is_past_grace(step, advice_s, now):
             return False
         if step.spec.lasting:
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -13,7 +13,14 @@
 
 import msgspec
 
-from thornport.cell.decisions import crashes, eligibility, messages, model, placing
+from thornport.cell.decisions import (
+    advising,
+    crashes,
+    eligibility,
+    messages,
+    model,
+    placing,
+)
 
 # Overdue steps are told, and looked at again after this; so many at a time.
 TOLD_AFTER_S = 2.0
@@ -145,6 +152,20 @@
             step.waiting_since_by_index = dict.fromkeys(step.waiting, idle_since)
 
 
+def compute_advice_s(advice, workers):
+    """Compute how long a call takes that a step needs before it starts.
+
+    Args:
+      advice: A queue.Advice; None where the step's queue asks for none.
+      workers: A list of the model.Worker that the step may use.
+    Returns:
+      A float, seconds; 0 without advice.
+    """
+    if advice is None:
+        return 0.0
+    return advising.compute_cost_s(advice, workers[: advising.ASKED_WORKERS])
+
+
 def is_past_grace(step, advice_s, now):
     """Tell whether a step has stood still for longer than it is to wait for others.
 
@@ -153,7 +174,7 @@
 
     Args:
       step: A model.StepState.
-      advice_s: A float, how long a call for its advice takes; 0 without advice.
+      advice_s: A float, from `compute_advice_s`; 0 to leave no time for a call.
       now: A float.
     Returns:
       A bool.
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -25,7 +25,6 @@
 # Beyond the time that a call takes, where its step has stood still for long: a busy
 # process answers late, and a call that is given up is made anew.
 OVERDUE_SLACK_S = 0.3
-ASKED_WORKERS = 100  # named in one call at most, by the users' interface
 # Named in a short call, by the tasks that wait: a quarter of the workers may be good
 # for a step, and others take room meanwhile. To name a hundred for each urgent job of
 # three tasks made an answer of 4 KB, most of it never used.
@@ -82,7 +81,7 @@
         ticketed = placing.list_ticketed(step, candidates, now)
         lapsed = self._list_lapsed(step, candidates, now)
         is_long = queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S
-        count = ASKED_WORKERS if is_long else count_asked(step)
+        count = advising.ASKED_WORKERS if is_long else count_asked(step)
         roomy = list_roomy(step, lapsed, reserved)
         tasks = len(step.waiting)
         if not placing.has_room(step, [*ticketed, *roomy], reserved, tasks):
@@ -121,13 +120,15 @@
         if not self._may_ask(step, now):
             return
         if not self._knows_enough(step, candidates):
-            unknown = itertools.islice(walk_unknown(step, candidates), ASKED_WORKERS)
+            unknown = itertools.islice(
+                walk_unknown(step, candidates), advising.ASKED_WORKERS
+            )
             asked = list(unknown)
             if asked:
                 self._want_advice(step, queue, asked, asking.Need.IN_TURN)
                 return
         lapsed = self._list_lapsed(step, candidates, now)
-        lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
+        lead_s = advising.compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
         if lapsed and starts_at is not None and starts_at - now <= lead_s:
             self._want_advice(step, queue, lapsed, asking.Need.IN_TURN)
 
@@ -176,8 +177,8 @@
         """Have advice called for as soon as a process is free."""
         job = self.jobs_by_id.get(step.key.job_id)
         job = job or self._incoming_by_id[step.key.job_id]
-        workers = workers[:ASKED_WORKERS]
-        is_long = compute_cost_s(queue.advice, workers) >= advising.LONG_CALL_S
+        workers = workers[: advising.ASKED_WORKERS]
+        is_long = advising.compute_cost_s(queue.advice, workers) >= advising.LONG_CALL_S
         self._wanted_calls.add(
             asking.WantedCall(step, queue, workers, need, self._rank_job(job), is_long)
         )
@@ -230,7 +231,7 @@
         step = wanted.step
         known = self.workers_by_id
         workers = [w for w in wanted.workers if known.get(w.worker_id) is w]
-        cost_s = compute_cost_s(wanted.queue.advice, workers)
+        cost_s = advising.compute_cost_s(wanted.queue.advice, workers)
         may_help = wanted.need is not asking.Need.IN_TURN
         given = self.callers.choose(cost_s, now, may_help)
         if given is None:
@@ -362,7 +363,7 @@
 
 def count_asked(step):
     """Count the workers that a short call for a step names at most, an int."""
-    return min(ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
+    return min(advising.ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
 
 
 def walk_unknown(step, candidates):
@@ -417,15 +418,3 @@
     """
     demand = step.spec.demand
     return [w for w in workers if demand.fits(reserved.limit_room(step, w))]
-
-
-def compute_cost_s(advice, workers):
-    """Compute how long a call for advice takes.
-
-    Args:
-      advice: A queue.Advice.
-      workers: A list of the workers that it is about.
-    Returns:
-      A float, seconds.
-    """
-    return (advice.base_ms + advice.worker_ms * len(workers)) / clock.MS_PER_S
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from thornport.cell.decisions import core, messages, placing, ticketing
+from thornport.cell.decisions import advising, core, messages, placing, ticketing
 from thornport.jobs import queue, record, spec
 
 WORKERS = 270
@@ -227,7 +227,7 @@
 
     def test_as_many_as_may_be_are_asked_about_at_once(self):
         (asked,) = self.list_calls(self.first)
-        self.assertEqual(len(asked), ticketing.ASKED_WORKERS)
+        self.assertEqual(len(asked), advising.ASKED_WORKERS)
 
     def test_no_more_are_asked_about_once_enough_are_good(self):
         # 20 tasks, three to a worker: 7 workers hold it, and 45 are three times more.
