Share the set-up of two test cases of a followed configuration

BrokenOff and HeldUp made the same store, peer and process. Their base case Watched does, and each adds what happens to the link. A question to the peer gets an awaitable of its own in both, as it did in HeldUp; none ever fires.

--- a/thornport/cell/configuring_test.py
+++ b/thornport/cell/configuring_test.py
@@ -171,8 +171,8 @@
         return self.waiting
 
 
-class BrokenOff(unittest.TestCase):
-    """A watch whose answer breaks off after some seconds, which asks again at once."""
+class Watched(unittest.TestCase):
+    """A process that a watch has told its first version; a peer answers nothing."""
 
     def setUp(self):
         self.clock = task.Clock()
@@ -183,11 +183,20 @@
         ports = mock.Mock(config_key=config.CONFIG_KEY, store=self.store)
         ports.decode_config = config.decode_config
         self.relayed = mock.Mock()
-        self.relayed.read_newest.return_value = defer.Deferred()
-        told = configuring.Configuring(self.clock, ports, self.relayed, mock.Mock())
-        told.start()
+        self.relayed.read_newest.side_effect = lambda *_: defer.Deferred()
+        self.told = configuring.Configuring(
+            self.clock, ports, self.relayed, mock.Mock()
+        )
+        self.told.start()
         item = transactions.Item(config.CONFIG_KEY, make_value(1, "k1"), 1)
         self.store.waiting.callback(result.Success(transactions.Page([item], False, 1)))
+
+
+class BrokenOff(Watched):
+    """A watch whose answer breaks off after some seconds, which asks again at once."""
+
+    def setUp(self):
+        super().setUp()
         for _ in range(9):
             self.clock.advance(0.3)
             self.store.send_bytes()
@@ -207,24 +216,9 @@
         self.relayed.read_newest.assert_called_once()
 
 
-class HeldUp(unittest.TestCase):
+class HeldUp(Watched):
     """A link to the store that freezes, hands over what it held, and is cut."""
 
-    def setUp(self):
-        self.clock = task.Clock()
-        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
-        patched.start()
-        self.addCleanup(patched.stop)
-        self.store = FakeStore()
-        ports = mock.Mock(config_key=config.CONFIG_KEY, store=self.store)
-        ports.decode_config = config.decode_config
-        relayed = mock.Mock()
-        relayed.read_newest.side_effect = lambda *_: defer.Deferred()
-        self.told = configuring.Configuring(self.clock, ports, relayed, mock.Mock())
-        self.told.start()
-        item = transactions.Item(config.CONFIG_KEY, make_value(1, "k1"), 1)
-        self.store.waiting.callback(result.Success(transactions.Page([item], False, 1)))
-
     def thaw(self, held_s, *changes):
         """Hand over the answer of a watch some time after it was sent, then cut."""
         self.clock.advance(held_s)
