--- a/thornport/cell/decisions/eligibility.py
+++ b/thornport/cell/decisions/eligibility.py
@@ -1,13 +1,15 @@
-"""Which workers may get tasks at all, and what keeps tasks from the others: pure.
+"""Which workers may get tasks of a step, and what keeps them from the others: pure.
 
-What a round goes by and what a log line tells of a step that stands still come from the
-same conditions, so that a line never names a reason that kept nothing back.
+Rounds and the log lines about steps that stand still go by the same conditions: what a
+line names as a hold is what a round met.
 """
 
 import enum
 
 from thornport.cell.decisions import messages
 
+TICKET_MARGIN_S = 0.1  # from the decision to the worker: a commit and a call
+
 
 class WorkerHold(enum.Enum):
     """What keeps a step from a worker that it may run at.
@@ -61,3 +63,94 @@
     if not with_suspects and now < worker.suspected_until:
         return WorkerHold.SUSPECT
     return None
+
+
+def read_kind(step):
+    """What `is_allowed` depends on of a step.
+
+    Args:
+      step: A model.StepState.
+    Returns:
+      A tuple that is equal for steps that the same workers may run.
+    """
+    return step.spec.label, step.spec.fills, step.spec.tail_target_ms > 0
+
+
+def is_allowed(step, worker, now, with_suspects=False):
+    """Tell whether a worker may get tasks of a step at all.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+      now: A float.
+      with_suspects: A bool, whether a suspect worker may.
+    Returns:
+      A bool.
+    """
+    if not has_label(step, worker) or disturbs(step, worker):
+        return False
+    return find_refusal(worker, now, with_suspects) is None
+
+
+def has_label(step, worker):
+    """Tell whether a worker has the label that a step asks for, if any.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+    Returns:
+      A bool.
+    """
+    return not step.spec.label or step.spec.label in worker.entry.labels
+
+
+def disturbs(step, worker):
+    """Tell whether a step and what runs at a worker must stay apart.
+
+    Filling work disturbs serving work by amounts that are not known.
+
+    Args:
+      step: A model.StepState.
+      worker: A model.Worker.
+    Returns:
+      A bool.
+    """
+    if step.spec.fills:
+        return worker.serving_count > 0
+    return step.spec.tail_target_ms > 0 and worker.filling_count > 0
+
+
+def has_ticket(step, worker, now):
+    """Tell whether a step has a ticket for a worker that still holds."""
+    ticket = step.tickets_by_worker.get(worker.worker_id)
+    return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
+
+
+def list_ticketed(step, candidates, now):
+    """List the workers that a step has tickets for.
+
+    Args:
+      step: A model.StepState.
+      candidates: A placing.Candidates.
+      now: A float.
+    Returns:
+      A list of model.Worker.
+    """
+    return [
+        candidates.by_id[worker_id]
+        for worker_id, (_, deadline) in step.tickets_by_worker.items()
+        if deadline > now + TICKET_MARGIN_S and worker_id in candidates.by_id
+    ]
+
+
+def list_good(step, candidates):
+    """List the workers of which advice has said that they may run a step.
+
+    Args:
+      step: A model.StepState.
+      candidates: A placing.Candidates.
+    Returns:
+      A list of model.Worker, in the order of their ids.
+    """
+    by_id = candidates.by_id
+    return [by_id[one] for one in sorted(step.good_ids) if one in by_id]
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -10,6 +10,7 @@
 
 from thornport.cell.decisions import (
     crashes,
+    eligibility,
     messages,
     placing,
     reserving,
@@ -179,7 +180,7 @@
             len(suited),
             len(step.asked_ids),
             len(step.good_ids),
-            sum(placing.has_ticket(step, worker, now) for worker in suited),
+            sum(eligibility.has_ticket(step, worker, now) for worker in suited),
         )
 
     def take_stalls(self, now):
@@ -342,7 +343,7 @@
         if not placing.has_room(step, suited, reserving.Reservations(now)):
             return Waiting.ROOM
         if queue.advice is not None and not any(
-            placing.has_ticket(step, worker, now) for worker in suited
+            eligibility.has_ticket(step, worker, now) for worker in suited
         ):
             return Waiting.TICKET
         return Waiting.ROOM
@@ -353,6 +354,6 @@
             worker
             for worker in self.workers_by_id.values()
             if worker.entry.service == queue.service
-            and placing.has_label(step, worker)
+            and eligibility.has_label(step, worker)
             and step.spec.demand.fits(worker.entry.total)
         ]
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -7,8 +7,6 @@
 from thornport.cell.decisions import eligibility
 from thornport.jobs import spec
 
-TICKET_MARGIN_S = 0.1  # from the decision to the worker: a commit and a call
-
 
 class Assignment(msgspec.Struct, frozen=True):
     """A task index and the worker that it goes to."""
@@ -138,97 +136,6 @@
     return total, used
 
 
-def read_kind(step):
-    """What `is_allowed` depends on of a step.
-
-    Args:
-      step: A model.StepState.
-    Returns:
-      A tuple that is equal for steps that the same workers may run.
-    """
-    return step.spec.label, step.spec.fills, step.spec.tail_target_ms > 0
-
-
-def is_allowed(step, worker, now, with_suspects=False):
-    """Tell whether a worker may get tasks of a step at all.
-
-    Args:
-      step: A model.StepState.
-      worker: A model.Worker.
-      now: A float.
-      with_suspects: A bool, whether a suspect worker may.
-    Returns:
-      A bool.
-    """
-    if not has_label(step, worker) or disturbs(step, worker):
-        return False
-    return eligibility.find_refusal(worker, now, with_suspects) is None
-
-
-def has_label(step, worker):
-    """Tell whether a worker has the label that a step asks for, if any.
-
-    Args:
-      step: A model.StepState.
-      worker: A model.Worker.
-    Returns:
-      A bool.
-    """
-    return not step.spec.label or step.spec.label in worker.entry.labels
-
-
-def disturbs(step, worker):
-    """Tell whether a step and what runs at a worker must stay apart.
-
-    Filling work disturbs serving work by amounts that are not known.
-
-    Args:
-      step: A model.StepState.
-      worker: A model.Worker.
-    Returns:
-      A bool.
-    """
-    if step.spec.fills:
-        return worker.serving_count > 0
-    return step.spec.tail_target_ms > 0 and worker.filling_count > 0
-
-
-def has_ticket(step, worker, now):
-    """Tell whether a step has a ticket for a worker that still holds."""
-    ticket = step.tickets_by_worker.get(worker.worker_id)
-    return ticket is not None and ticket[1] > now + TICKET_MARGIN_S
-
-
-def list_ticketed(step, candidates, now):
-    """List the workers that a step has tickets for.
-
-    Args:
-      step: A model.StepState.
-      candidates: A Candidates.
-      now: A float.
-    Returns:
-      A list of model.Worker.
-    """
-    return [
-        candidates.by_id[worker_id]
-        for worker_id, (_, deadline) in step.tickets_by_worker.items()
-        if deadline > now + TICKET_MARGIN_S and worker_id in candidates.by_id
-    ]
-
-
-def list_good(step, candidates):
-    """List the workers of which advice has said that they may run a step.
-
-    Args:
-      step: A model.StepState.
-      candidates: A Candidates.
-    Returns:
-      A list of model.Worker, in the order of their ids.
-    """
-    by_id = candidates.by_id
-    return [by_id[one] for one in sorted(step.good_ids) if one in by_id]
-
-
 def assign_step(step, workers, reserved, wants_fast=False, indexes=None):
     """Choose workers for the waiting tasks of a step.
 
@@ -273,7 +180,7 @@
     for worker in workers:
         free = reserved.limit_room(step, worker)
         # The workers were listed before others of this round were placed.
-        if not demand.fits(free) or disturbs(step, worker):
+        if not demand.fits(free) or eligibility.disturbs(step, worker):
             continue
         if held_by_id.get(worker.worker_id, 0) < limit:
             preference = compute_preference(step, worker, wants_fast)
@@ -358,7 +265,7 @@
     held_by_id = count_held(step) if step.spec.max_per_worker else {}
     places = 0
     for worker in workers:
-        if disturbs(step, worker):
+        if eligibility.disturbs(step, worker):
             continue
         most = limit - held_by_id.get(worker.worker_id, 0)
         free = reserved.limit_room(step, worker)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -4,6 +4,7 @@
 
 from thornport.cell.decisions import (
     crashes,
+    eligibility,
     messages,
     model,
     notes,
@@ -185,7 +186,7 @@
         reserved.note_try()
         if queue.advice is None:
             return reserved.reserve(step, candidates.workers)
-        good = placing.list_good(step, candidates)
+        good = eligibility.list_good(step, candidates)
         starts_at = reserved.reserve(step, good) if good else None
         self._ask_early(step, queue, candidates, starts_at, now)
         return starts_at
@@ -199,7 +200,7 @@
         if queue.advice is None:
             workers = candidates.workers
         else:
-            workers = placing.list_ticketed(step, candidates, now)
+            workers = eligibility.list_ticketed(step, candidates, now)
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -3,9 +3,9 @@
 Each thing that can hold up a start is bounded by itself, but one may follow another or
 begin anew, so a step can stand still for longer than each of them. So a step has one
 clock, which only work stops: past its grace the step may use suspect workers and room
-reserved for others, and its calls for advice go first. All holds are named here,
-in the order in which a start meets them, so that a log line can tell which ones hold a
-step at a moment.
+reserved for others, and its calls for advice go first. All holds are found here, those
+of workers with the conditions of `eligibility`, in the order in which a start meets
+them, so that a log line can tell which ones hold a step at a moment.
 """
 
 import collections
@@ -19,7 +19,6 @@
     eligibility,
     messages,
     model,
-    placing,
 )
 
 # Overdue steps are told, and looked at again after this; so many at a time.
@@ -218,7 +217,7 @@
         return eligibility.WorkerHold.SILENT
     if refusal is not None:
         return refusal
-    if placing.disturbs(step, worker):
+    if eligibility.disturbs(step, worker):
         return eligibility.WorkerHold.DISTURBED
     if not step.spec.demand.fits(worker.compute_free()):
         return eligibility.WorkerHold.FULL
@@ -232,7 +231,7 @@
         return eligibility.WorkerHold.NONE
     if worker.worker_id not in step.asked_ids:
         return eligibility.WorkerHold.NOT_ASKED
-    if not placing.has_ticket(step, worker, now):
+    if not eligibility.has_ticket(step, worker, now):
         return eligibility.WorkerHold.NO_TICKET
     return eligibility.WorkerHold.NONE
 
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -78,7 +78,7 @@
           need: An asking.Need.
           now: A float.
         """
-        ticketed = placing.list_ticketed(step, candidates, now)
+        ticketed = eligibility.list_ticketed(step, candidates, now)
         lapsed = self._list_lapsed(step, candidates, now)
         is_long = queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S
         count = advising.ASKED_WORKERS if is_long else count_asked(step)
@@ -159,14 +159,16 @@
 
     def _knows_enough(self, step, candidates):
         """Whether no further workers need be asked about before they have room."""
-        good = placing.list_good(step, candidates)
+        good = eligibility.list_good(step, candidates)
         wanted = GOOD_TIMES * step.spec.count
         return placing.count_places(step, good, GOOD_TIMES) >= wanted
 
     def _list_lapsed(self, step, candidates, now):
         """List the workers that are good for a step but need a ticket anew."""
-        good = placing.list_good(step, candidates)
-        return [worker for worker in good if not placing.has_ticket(step, worker, now)]
+        good = eligibility.list_good(step, candidates)
+        return [
+            worker for worker in good if not eligibility.has_ticket(step, worker, now)
+        ]
 
     def _find_need(self, queue, is_overdue):
         """Find the asking.Need of a call for a step that has room."""
@@ -327,14 +329,14 @@
         Returns:
           A placing.Candidates; `_is_there` tells which of them are so still.
         """
-        kind = (queue.service, placing.read_kind(step), with_suspects)
+        kind = (queue.service, eligibility.read_kind(step), with_suspects)
         candidates = self._candidates_by_kind.get(kind)
         if candidates is None:
             allowed = [
                 worker
                 for worker in self.workers_by_id.values()
                 if worker.entry.service == queue.service
-                and placing.is_allowed(step, worker, now, with_suspects)
+                and eligibility.is_allowed(step, worker, now, with_suspects)
             ]
             candidates = placing.Candidates(allowed, with_suspects)
             self._candidates_by_kind[kind] = candidates
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from thornport.cell.decisions import advising, core, messages, placing, ticketing
+from thornport.cell.decisions import advising, core, eligibility, messages, ticketing
 from thornport.jobs import queue, record, spec
 
 WORKERS = 270
@@ -105,7 +105,7 @@
     def count_checks(self, act):
         """How many workers are checked for being listed while something is done."""
         with mock.patch.object(
-            placing, "is_allowed", side_effect=placing.is_allowed
+            eligibility, "is_allowed", side_effect=eligibility.is_allowed
         ) as checked:
             act()
         return checked.call_count
