Part the lists of workers from the calls for advice

ticketing.py, of 428 lines, also kept the lists of workers that rounds share. They stand in listing.py now; the methods are moved unchanged, and their callers have them by inheritance as before.

model.py stays as it is: its names stand in 184 lines of 27 modules and tests, so parting it would touch nearly each file of the cell at once.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -6,6 +6,7 @@
 
 from thornport.cell.decisions import (
     leases,
+    listing,
     lives,
     messages,
     model,
@@ -251,7 +252,7 @@
         if queue.advice is None:
             return
         reserved = reserving.Reservations(now)
-        self._renew_lists(now, ticketing.LISTED_S)
+        self._renew_lists(now, listing.LISTED_S)
         for step in list(job.steps_by_key.values()):
             may_start = self.usage.count_startable(step, kept.workspace)
             if not step.spec.after and may_start:
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -5,6 +5,7 @@
 from thornport.cell.decisions import (
     crashes,
     eligibility,
+    listing,
     messages,
     model,
     notes,
@@ -40,7 +41,7 @@
 
     def _try_steps(self, now, only_urgent):
         """Start what can start, and note which advice is wanted."""
-        self._renew_lists(now, ticketing.LISTED_S if only_urgent else 0.0)
+        self._renew_lists(now, listing.LISTED_S if only_urgent else 0.0)
         self._renew_late(now)
         reserved = reserving.Reservations(now)
         yields = yielding.Yielding(now)
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -12,8 +12,8 @@
 from thornport.cell.decisions import (
     advising,
     asking,
-    cellstate,
     eligibility,
+    listing,
     messages,
     model,
     placing,
@@ -35,10 +35,6 @@
 # jobs a second, and a round lasted for up to half a second, in which an owner sends no
 # heartbeat and is replaced. All of 270 workers are within it.
 WALKED_WORKERS = 400
-# Lists of workers serve the rounds of urgent steps, and jobs that come, for so long: to
-# list 3,000 workers takes 8 ms, and 600 jobs come a second there. Each round for all
-# steps lists them anew, every 20 ms in cells of some hundred workers.
-LISTED_S = 0.1
 # Enough are known to be good once they would hold a step so many times, empty.
 GOOD_TIMES = 3
 # A ticket is there this long before its room is expected: runs end early too, and a
@@ -62,7 +58,7 @@
     fences: tuple[int, ...]
 
 
-class Ticketing(cellstate.CellState):
+class Ticketing(listing.Listing):
     """Has advice called for and takes the answers."""
 
     def _ask_advice(self, step, queue, candidates, reserved, need, now):
@@ -310,58 +306,6 @@
             if worker_id in known and known[worker_id].fence == fence
         }
 
-    def _renew_lists(self, now, longest_s=0.0):
-        """Have the workers listed anew if they were listed too long ago.
-
-        Args:
-          now: A float.
-          longest_s: A float; 0 to list them anew in any case.
-        """
-        if not longest_s or now - self._listed_at > longest_s:
-            self._candidates_by_kind.clear()
-            self._listed_at = now
-
-    def _find_candidates(self, step, queue, now, with_suspects=False):
-        """Find the workers that steps like one may use, as they were listed last.
-
-        Args:
-          with_suspects: A bool, whether it may use suspect workers too.
-        Returns:
-          A placing.Candidates; `_is_there` tells which of them are so still.
-        """
-        kind = (queue.service, eligibility.read_kind(step), with_suspects)
-        candidates = self._candidates_by_kind.get(kind)
-        if candidates is None:
-            allowed = [
-                worker
-                for worker in self.workers_by_id.values()
-                if worker.entry.service == queue.service
-                and eligibility.is_allowed(step, worker, now, with_suspects)
-            ]
-            candidates = placing.Candidates(allowed, with_suspects)
-            self._candidates_by_kind[kind] = candidates
-        return candidates
-
-    def _find_listed(self, service):
-        """Find all workers of a service, as they were listed last; a Candidates."""
-        candidates = self._candidates_by_kind.get(service)
-        if candidates is None:
-            listed = [
-                worker
-                for worker in self.workers_by_id.values()
-                if worker.entry.service == service and worker.is_listed
-            ]
-            candidates = placing.Candidates(listed)
-            self._candidates_by_kind[service] = candidates
-        return candidates
-
-    def _is_there(self, worker, candidates, now):
-        """Whether a worker that was listed a moment ago still takes tasks."""
-        if self.workers_by_id.get(worker.worker_id) is not worker:
-            return False
-        refusal = eligibility.find_refusal(worker, now, candidates.has_suspects)
-        return refusal is None
-
 
 def count_asked(step):
     """Count the workers that a short call for a step names at most, an int."""
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -8,7 +8,14 @@
 import unittest
 from unittest import mock
 
-from thornport.cell.decisions import advising, core, eligibility, messages, ticketing
+from thornport.cell.decisions import (
+    advising,
+    core,
+    eligibility,
+    listing,
+    messages,
+    ticketing,
+)
 from thornport.jobs import queue, record, spec
 
 WORKERS = 270
@@ -128,7 +135,7 @@
         self.now += 0.01
         urgent = self.count_checks(lambda: self.place(only_urgent=True))
         self.assertEqual(urgent, 0)
-        self.now += 2 * ticketing.LISTED_S
+        self.now += 2 * listing.LISTED_S
         self.assertEqual(
             self.count_checks(lambda: self.place(only_urgent=True)), WORKERS
         )
