Name a step, and decode a record, in one place each

Three log lines spelt out how a step is named within its job, as TaskKey.name_in_job does for a task: StepKey has the same method. The two decoders of records repeated how a fault is turned into a RecordError.

--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -20,6 +20,10 @@
     time: int
     step: int
 
+    def name_in_job(self):
+        """Name it within its job: a str, `TIME.STEP`."""
+        return f"{self.time}.{self.step}"
+
 
 class TaskKey(msgspec.Struct, frozen=True, array_like=True):
     """Names a task."""
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -74,7 +74,7 @@
     logs.log(
         "step-at-limit" if note.is_waiting else "step-within-limit",
         job=note.key.job_id,
-        step=f"{note.key.time}.{note.key.step}",
+        step=note.key.name_in_job(),
         workspace=note.workspace,
         used=format_demand(note.used),
         limit=format_demand(note.limit),
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -261,7 +261,7 @@
             logs.log(
                 "step-stalled",
                 job=stall.key.job_id,
-                step=f"{stall.key.time}.{stall.key.step}",
+                step=stall.key.name_in_job(),
                 stalled_ms=stall.stalled_ms,
                 tasks=stall.waiting,
                 live=format_counts(stall.live),
@@ -273,7 +273,7 @@
             logs.log(
                 "step-late",
                 job=late.key.job_id,
-                step=f"{late.key.time}.{late.key.step}",
+                step=late.key.name_in_job(),
                 waited_ms=late.waited_ms,
                 waits_for=late.waits_for.value,
                 tasks=late.waiting,
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -205,10 +205,7 @@
     Raises:
       RecordError: The bytes are no such record.
     """
-    try:
-        return _JOB_DECODER.decode(value)
-    except msgspec.MsgspecError as error:
-        raise RecordError(str(error)) from error
+    return _decode(_JOB_DECODER, value)
 
 
 def decode_progress(value):
@@ -221,7 +218,11 @@
     Raises:
       RecordError: The bytes are no such record.
     """
+    return _decode(_PROGRESS_DECODER, value)
+
+
+def _decode(decoder, value):
     try:
-        return _PROGRESS_DECODER.decode(value)
+        return decoder.decode(value)
     except msgspec.MsgspecError as error:
         raise RecordError(str(error)) from error
