Name the constants of crashes by what they bound

SUSPECT_WINDOW_S was YOUNG_S, WIDE_SUSPECT_WINDOW_S was FRESH_S, SOLE_SUSPECT_POINTS was ALONE_POINTS and SHARED_SUSPECT_POINTS was POINTS.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -22,16 +22,12 @@
 
 from thornport.cell.decisions import messages, model, notes
 
-# A worker is gone some hundredths of a second after the start that crashes it, which is
-# noticed at once where its port refuses, else when a call to it has timed out.
-YOUNG_S = 0.4
-# What an earlier owner started, or what was at a worker that fell silent, may have run
-# for so long.
-FRESH_S = 2.0
-# Of a crash against the one step that had just begun there, and against what else it
-# may have been.
-ALONE_POINTS = 2
-POINTS = 1
+# A run started within this window before a crash is a suspect.
+SUSPECT_WINDOW_S = 0.4
+# The same window where the start time or the time of the crash is not known exactly.
+WIDE_SUSPECT_WINDOW_S = 2.0
+SOLE_SUSPECT_POINTS = 2
+SHARED_SUSPECT_POINTS = 1
 # What may have begun just before five crashes has five points at least.
 GIVE_UP_POINTS = 5
 # A worker is lost so soon by chance so rarely that a crash nearly proves it of what was
@@ -276,7 +272,7 @@
       A list of Blame, one for each run that may have begun.
     """
     return [
-        Blame(run, POINTS if may_be_young(worker, run, now) else 0)
+        Blame(run, SHARED_SUSPECT_POINTS if may_be_young(worker, run, now) else 0)
         for run in list_begun(worker)
     ]
 
@@ -288,7 +284,7 @@
 
 def is_young(worker, run, now):
     """Tell whether a run had begun a moment before its worker was gone."""
-    return is_within(compute_ran_s(worker, run, now), YOUNG_S)
+    return is_within(compute_ran_s(worker, run, now), SUSPECT_WINDOW_S)
 
 
 def is_in_joint_trial(worker, run, now):
@@ -312,21 +308,23 @@
     Returns:
       An int.
     """
-    if is_timed and is_within(ran.most_s, YOUNG_S):
+    if is_timed and is_within(ran.most_s, SUSPECT_WINDOW_S):
         # Of one that was not answered it is not known that it began.
         is_answered = run.state is not model.RunState.ORDERED
         is_alone = is_answered and young_steps == {run.step_key}
-        is_rare = compute_chance(YOUNG_S, rate) <= RARE_CHANCE
-        return ALONE_POINTS if is_alone and is_rare else POINTS
+        is_rare = compute_chance(SUSPECT_WINDOW_S, rate) <= RARE_CHANCE
+        return SOLE_SUSPECT_POINTS if is_alone and is_rare else SHARED_SUSPECT_POINTS
     if ran.most_s is None:
-        return POINTS
-    if ran.least_s <= YOUNG_S and ran.most_s <= FRESH_S:
+        return SHARED_SUSPECT_POINTS
+    if ran.least_s <= SUSPECT_WINDOW_S and ran.most_s <= WIDE_SUSPECT_WINDOW_S:
         # It may have begun a moment before.
-        return POINTS
+        return SHARED_SUSPECT_POINTS
     if young_steps or run.step.lasting:
         # A lasting task sees workers crash in the course of time.
         return 0
-    return POINTS if compute_chance(ran.most_s, rate) <= LOW_CHANCE else 0
+    return (
+        SHARED_SUSPECT_POINTS if compute_chance(ran.most_s, rate) <= LOW_CHANCE else 0
+    )
 
 
 def compute_chance(within_s, rate):
@@ -388,7 +386,7 @@
     if not suspects:
         return waiting
     first = max(suspects, key=points_by_index.get)
-    if points_by_index[first] > POINTS or len(suspects) <= FEW_TRIALS:
+    if points_by_index[first] > SHARED_SUSPECT_POINTS or len(suspects) <= FEW_TRIALS:
         return [first]
     proven = len(tried) + len(step.done & points_by_index.keys())
     return suspects[: min(MOST_TRIALS, max(1, proven))]
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -476,7 +476,9 @@
         key = messages.TaskKey("a", 0, 0, 0)
         run = model.Run(key, 1, "w0", step, model.RunState.RUNNING)
         ran = crashes.RunTime(least_s, most_s)
-        is_young = is_timed and most_s is not None and most_s <= crashes.YOUNG_S
+        is_young = (
+            is_timed and most_s is not None and most_s <= crashes.SUSPECT_WINDOW_S
+        )
         young_steps = {run.step_key} if is_young else set()
         return crashes.count_points(run, ran, young_steps, is_timed, self.RATE)
 
