Say in the field's words how crashes and calls for advice are judged

Comments and docstrings of crashes.py and asking.py alone: suspect, trial, incarnation, need, head-of-line blocking. The code is the same, compared by its syntax trees without docstrings.

--- a/thornport/cell/decisions/asking.py
+++ b/thornport/cell/decisions/asking.py
@@ -1,14 +1,13 @@
 """Which call for advice is made next: pure.
 
 A call takes up to seconds and each process makes one at a time, so in a busy cell more
-steps want advice than can be asked about. Taken in the order of steps, calls for wide
-steps that can't start yet would keep all others from theirs for as long as they wait.
-So calls go by what they bring, and those that bring the same share the processes by
-queue.
-
-In a full service, room is what all steps lack: a cheaper step that gets its advice
-first takes the room that a gang waits for. There the calls are made in the order of the
-steps.
+calls are wanted than can be made. In the order of the steps, the calls of wide steps
+that can't start yet would cause head-of-line blocking. So calls are ordered by need,
+and queues share the processes fairly among calls of equal need.
+
+In a full service all steps lack room, and a step of lower priority that gets its advice
+first would take the room that a gang waits for. There calls are made in the order of
+the steps.
 """
 
 import enum
@@ -20,12 +19,12 @@
 
 
 class Need(enum.IntEnum):
-    """What a call brings; the lowest is made first.
+    """How urgently a call is needed; the lowest is made first.
 
-    NOW: an overdue step, an urgent step, or a start whose record is kept goes out.
-    START: a step starts, in a service that is not full.
-    IN_TURN: a step starts in a full service, or it waits for room and is to have its
-      tickets when the room comes.
+    NOW: for an overdue step, an urgent step, or a start whose record is durable.
+    START: for a step that can start, in a service that is not full.
+    IN_TURN: for a step that can start in a full service, or that waits for room and
+      needs its tickets by the time there is room.
     """
 
     NOW = 0
@@ -34,15 +33,15 @@
 
 
 class WantedCall(msgspec.Struct, frozen=True):
-    """A call for advice that is to be made.
+    """A call for advice that waits for a process.
 
     Attributes:
       step: The model.StepState.
-      queue: Its queue.Queue with advice.
+      queue: The step's queue.Queue, with advice.
       workers: A list of the model.Worker to be asked about.
       need: A Need.
       rank: A tuple, the step's rank in a round; the lowest goes first.
-      is_long: Whether it takes long, so that only some processes make it.
+      is_long: Whether the call takes long, so that only some processes make it.
     """
 
     step: model.StepState
@@ -54,10 +53,10 @@
 
 
 class WantedCalls:
-    """The calls that wait for a process, one for a step.
+    """The calls that wait for a process, at most one for each step.
 
-    A round comes to some of the steps only, so what it wants stays until the next time
-    that the step is tried: a process that comes free is then never idle beside it.
+    A round tries only some of the steps, so a wanted call stays until its step is tried
+    again: no process is idle while calls are wanted.
     """
 
     __slots__ = ("_by_step", "_urgent_by_step")
@@ -67,7 +66,7 @@
         self._urgent_by_step = {}
 
     def add(self, call):
-        """Add a WantedCall, in place of any that the step has."""
+        """Add a WantedCall; it replaces any earlier one of its step."""
         is_urgent = call.queue.priority == 0
         calls = self._urgent_by_step if is_urgent else self._by_step
         calls[call.step.key] = call
@@ -94,7 +93,7 @@
 class FairShares:
     """Shares the time of the processes among queues: start-time fair queueing.
 
-    A queue that asked for nothing for a while gets no more for it later.
+    A queue that was idle earns no credit for that time.
     """
 
     __slots__ = ("_finish_by_queue", "_virtual_s")
@@ -119,11 +118,11 @@
         return call.need, start, call.rank
 
     def charge(self, name, cost_s):
-        """Take that a call is made.
+        """Charge a queue for a call that is made.
 
         Args:
-          name: A str, of its queue.
-          cost_s: A float, how long it takes.
+          name: A str, the queue's.
+          cost_s: A float, how long the call takes.
         """
         self._virtual_s = start = self._find_start(name)
         self._finish_by_queue[name] = start + cost_s
@@ -133,12 +132,12 @@
 
 
 def find_need(step_queue, is_overdue, is_full):
-    """Find the need of a call for a step that has room.
+    """Find the need of a call for a step for which there is room.
 
     Args:
       step_queue: The queue.Queue of the step.
-      is_overdue: Whether the step has stood still for long.
-      is_full: Whether its service is full, see `stalls.FULL_SHARE`.
+      is_overdue: Whether the step is past its grace; see `stalls`.
+      is_full: Whether the step's service is full; see `stalls.FULL_SHARE`.
     Returns:
       A Need.
     """
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -1,19 +1,19 @@
-"""Which tasks the crash of a worker is put down to: pure.
-
-A task may crash each worker that starts it. Whose crash it was is known only from
-which runs were there when the worker's life ended, so each crash is evidence: two
-points against what had just begun there, alone of its kind, where workers are seldom
-lost; one against what else it may have been; none where it may as well have come by
-chance. At five points a task is given up, with its job: after three crashes in a calm
-cell, after five where workers come and go. The users allow five, and each takes a
-worker away for some seconds with all that runs there.
-
-A task with points starts where least would be lost, and nothing else starts beside it
-until it has gone on for a while, so that a further crash tells more.
-
-Not to be given up beside it: a task that is only near, and one whose workers lose power
-with their rack, leave as they said, serve for long before they end, or restart by the
-dozen.
+"""Which tasks the crash of a worker is attributed to: pure.
+
+A task may crash each worker that starts it. The only evidence is which runs were at a
+worker when its incarnation ended, so each crash adds points to the tasks that were
+there: two to the only suspect where workers are seldom lost, one where there are other
+suspects, none where the loss may as well be chance. At five points a task is given up,
+with its job: after three crashes in a calm cell, after five where workers come and go.
+The users allow five, and each takes a worker away for some seconds with all that runs
+there.
+
+A suspect task starts on trial, where a crash costs least, and nothing else starts at
+that worker until the task has run for a while, so that a further crash tells more.
+
+Must not be given up: tasks that were merely at the same worker, and tasks whose workers
+lose power with their rack, leave as announced, crash after serving for long, or restart
+by the dozen.
 """
 
 import math
@@ -28,45 +28,44 @@
 WIDE_SUSPECT_WINDOW_S = 2.0
 SOLE_SUSPECT_POINTS = 2
 SHARED_SUSPECT_POINTS = 1
-# What may have begun just before five crashes has five points at least.
+# A task that was a suspect in five crashes has at least this many points.
 GIVE_UP_POINTS = 5
-# A worker is lost so soon by chance so rarely that a crash nearly proves it of what was
-# there; or rarely enough to say something.
+# A crash is strong evidence if a loss by chance in the suspect window is this unlikely.
 RARE_CHANCE = 0.01
+# It is some evidence if a loss by chance in the time of the run is this unlikely.
 LOW_CHANCE = 0.1
-# Losses of workers are counted for so long; before any was seen, one is assumed in so
-# many seconds of a worker.
-RATE_S = 30.0
+RATE_S = 30.0  # window over which the rate of losses is estimated
+# One loss within this much worker time is assumed before any was seen.
 ASSUMED_RATE_S = 10.0
-# Workers of a rack that are lost together have lost their power: at least so many, and
-# half of the rack, within this time of one another.
+# Workers of a rack have lost their power if at least this many of them, and half of the
+# rack, are lost within this time of one another.
 OUTAGE_WORKERS = 3
 OUTAGE_S = 1.0
-# Or such a part of all workers, whatever their racks: three of 24 at once are seldom
-# chance.
+# The same for this share of all workers, whatever their racks: three of 24 lost at once
+# are seldom chance.
 OUTAGE_SHARE = 0.125
-# A task with points that has run for so long seems not to crash its worker this time,
-# and the others of its step follow.
+# A trial that has run for this long has passed, and other tasks of its step follow.
 PROVEN_S = 0.5
-# Suspect tasks of a step that are tried at once at most: a crash may cost as many
-# workers. So few are through one by one in the time that users give a task that lasts.
+# Maximum number of simultaneous trials of a step: each may cost a worker.
 MOST_TRIALS = 8
+# Up to this many trials, one after another, fit into the time that users give a lasting
+# task to start.
 FEW_TRIALS = 4
-# Of a step that has stood still for long, further tasks are tried beside so many whose
-# trial is undecided: that of a silent worker is until its lease is over.
+# A step past its grace starts further trials beside up to this many undecided ones: a
+# trial at a silent worker stays undecided until the worker's lease is over.
 MOST_UNDECIDED = 2
-# Workers that are lost under several of them so soon are lost by no outage.
+# A worker that is lost within this time of a joint trial was lost by no outage.
 WATCHED_S = 10.0
 
 
 class Loss(msgspec.Struct, frozen=True):
-    """A life of a worker that ended without having said so.
+    """An unannounced end of a worker's incarnation.
 
     Attributes:
-      at: A float, when its first call failed.
+      at: A float, when the first call to the worker failed.
       rack: A str; empty if it is not known.
-      young: The messages.StepKeys of which tasks had begun there a moment before, or
-        were on trial with others of their step.
+      young: The messages.StepKeys of which tasks had started there within the suspect
+        window, or were on trial with others of their step.
     """
 
     worker_id: str
@@ -76,11 +75,11 @@
 
 
 class Blame(msgspec.Struct, frozen=True):
-    """What a crash says against the task of a run.
+    """The points that a crash adds to the task of a run.
 
     Attributes:
       run: A model.Run that was lost with the worker.
-      points: An int; 0 where it says nothing.
+      points: An int; 0 where the crash is no evidence against the task.
     """
 
     run: model.Run
@@ -88,10 +87,10 @@
 
 
 class RunTime(msgspec.Struct, frozen=True):
-    """How long a run went on before its worker was gone, as far as is known.
+    """Bounds on how long a run went on before its worker was gone.
 
     Attributes:
-      least_s: A float; None where this owner neither started it nor heard of it.
+      least_s: A float; None where this owner neither started nor heard of the run.
       most_s: A float; None likewise.
     """
 
@@ -100,14 +99,14 @@
 
 
 def compute_ran_s(worker, run, now):
-    """Compute how long a run went on at most at a worker that is gone.
+    """Compute the maximum time for which a run went on at a worker that is gone.
 
     Args:
       worker: A model.Worker.
       run: A model.Run.
       now: A float.
     Returns:
-      A float, seconds; None when this owner neither started it nor heard of it.
+      A float, seconds; None when this owner neither started nor heard of the run.
     """
     if run.known_since is None:
         return None
@@ -115,9 +114,9 @@
 
 
 def compute_least_ran_s(worker, run):
-    """Compute how long a run surely went on at a worker that is gone.
+    """Compute the minimum time for which a run went on at a worker that is gone.
 
-    The end of a worker that merely stops answering is noticed late, by a time-out.
+    The end of a worker that merely stops answering is noticed late, by a timeout.
 
     Args:
       worker: A model.Worker.
@@ -132,7 +131,7 @@
 
 
 def find_lost_at(worker, now):
-    """Say since when a worker has been gone, as far as is known.
+    """Find since when a worker has been gone, as far as is known.
 
     Args:
       worker: A model.Worker.
@@ -144,7 +143,7 @@
 
 
 def note_loss(worker, now):
-    """Note that the life of a worker has ended.
+    """Make the Loss of a worker whose incarnation has ended.
 
     Args:
       worker: A model.Worker.
@@ -162,13 +161,13 @@
 
 
 def is_crash(worker, how):
-    """Tell whether a worker's life ended unforeseen.
+    """Tell whether a worker's incarnation ended unannounced.
 
     Args:
       worker: A model.Worker.
       how: A notes.WorkerEnd.
     Returns:
-      A bool; false for one that was draining by its own entry.
+      A bool; false for a worker that was draining by its own entry.
     """
     is_draining = worker.entry.state is messages.WorkerState.DRAINING
     # A worker that is known from records alone has no entry of its own.
@@ -177,10 +176,10 @@
 
 
 def is_outage(loss, losses, rack_size, cell_size):
-    """Tell whether workers seem to have been lost together, by no task of theirs.
+    """Tell whether workers were lost together for a cause other than their tasks.
 
-    A rack that has lost its power, or many workers of any racks that restart at once. A
-    step whose tasks crash several workers at once is no outage.
+    An outage is a rack that has lost its power, or many workers of any racks that
+    restart at once. Several workers crashed at once by tasks of one step are none.
 
     Args:
       loss: The Loss of the worker in question.
@@ -202,12 +201,12 @@
 
 
 def is_lost_together(loss, others, least):
-    """Tell whether so many were lost with a worker that no task is to blame.
+    """Tell whether enough workers were lost with one to rule out its tasks as cause.
 
     Args:
       loss: A Loss.
-      others: Losses of the same moment, a list.
-      least: A float, how many there are at least, with it.
+      others: Losses at about the same time, a list.
+      least: A float, the number of lost workers that is enough, with the one itself.
     Returns:
       A bool.
     """
@@ -218,7 +217,7 @@
 
 
 def estimate_rate(losses, workers, since, now):
-    """Estimate how often a worker is lost that no task of its own has crashed.
+    """Estimate the rate at which workers are lost that no task has crashed.
 
     Args:
       losses: A collection of Loss.
@@ -226,16 +225,16 @@
       since: A float, when this owner began to watch them.
       now: A float.
     Returns:
-      A float, losses of one worker in a second.
+      A float, losses of a worker per second.
     """
     begin = max(since, now - RATE_S)
-    # Where just one step had begun a moment before, that may have been the cause.
+    # A loss with a single suspect step may have been caused by it.
     befell = sum(loss.at >= begin and len(loss.young) != 1 for loss in losses)
     return (1 + befell) / (ASSUMED_RATE_S + workers * (now - begin))
 
 
 def judge_crash(worker, how, rate, now):
-    """Say what a crash tells against each run at a worker.
+    """Judge a crash as evidence against each run at a worker.
 
     Args:
       worker: A model.Worker, lost with its runs.
@@ -246,7 +245,7 @@
       A list of Blame, one for each run that may have begun.
     """
     begun = list_begun(worker)
-    # That a silent worker crashed is not certain, nor when.
+    # Whether and when a silent worker crashed is not certain.
     is_timed = how is not notes.WorkerEnd.LAPSED
     young_steps = {
         run.step_key for run in begun if is_timed and is_young(worker, run, now)
@@ -260,10 +259,10 @@
 
 
 def judge_outage(worker, now):
-    """Say what an outage tells against each run at a worker.
+    """Judge an outage as evidence against each run at a worker.
 
-    Little, and that only against what had begun a moment before, as far as is known:
-    several tasks that crash three workers in a second look like an outage each time.
+    Only suspects get points, and few: several tasks that crash three workers within a
+    second look like an outage each time.
 
     Args:
       worker: A model.Worker, lost with its runs.
@@ -278,20 +277,20 @@
 
 
 def may_be_young(worker, run, now):
-    """Whether a run had begun a moment before, or an earlier owner started it."""
+    """Whether a run is a suspect, or may be: an earlier owner started it."""
     return run.known_since is None or is_young(worker, run, now)
 
 
 def is_young(worker, run, now):
-    """Tell whether a run had begun a moment before its worker was gone."""
+    """Tell whether a run started within the suspect window before the crash."""
     return is_within(compute_ran_s(worker, run, now), SUSPECT_WINDOW_S)
 
 
 def is_in_joint_trial(worker, run, now):
-    """Tell whether a run was there on trial, others of its step elsewhere.
+    """Tell whether a run was on trial at the same time as others of its step.
 
-    Several that crash their workers at once would look like an outage each time, and
-    be tried for ever.
+    Trials that crash their workers at once would look like an outage each time, and
+    their tasks would be tried for ever.
     """
     return run.is_joint_trial and is_within(compute_ran_s(worker, run, now), WATCHED_S)
 
@@ -302,14 +301,14 @@
     Args:
       run: A model.Run.
       ran: Its RunTime.
-      young_steps: A set of the messages.StepKeys that had begun a moment before.
+      young_steps: A set of the messages.StepKeys with runs that are suspects.
       is_timed: A bool, whether it is known when the worker was gone.
       rate: A float, from `estimate_rate`.
     Returns:
       An int.
     """
     if is_timed and is_within(ran.most_s, SUSPECT_WINDOW_S):
-        # Of one that was not answered it is not known that it began.
+        # An unacknowledged start may never have begun.
         is_answered = run.state is not model.RunState.ORDERED
         is_alone = is_answered and young_steps == {run.step_key}
         is_rare = compute_chance(SUSPECT_WINDOW_S, rate) <= RARE_CHANCE
@@ -317,10 +316,10 @@
     if ran.most_s is None:
         return SHARED_SUSPECT_POINTS
     if ran.least_s <= SUSPECT_WINDOW_S and ran.most_s <= WIDE_SUSPECT_WINDOW_S:
-        # It may have begun a moment before.
+        # It may have started within the suspect window.
         return SHARED_SUSPECT_POINTS
     if young_steps or run.step.lasting:
-        # A lasting task sees workers crash in the course of time.
+        # Any lasting task meets crashes of workers in the course of time.
         return 0
     return (
         SHARED_SUSPECT_POINTS if compute_chance(ran.most_s, rate) <= LOW_CHANCE else 0
@@ -328,7 +327,7 @@
 
 
 def compute_chance(within_s, rate):
-    """Compute how likely a worker is lost within a time by chance.
+    """Compute the probability that a worker is lost by chance within a time.
 
     Args:
       within_s: A float.
@@ -340,12 +339,12 @@
 
 
 def is_within(ran_s, limit_s):
-    """Whether a run is known to have lasted a limit at most."""
+    """Whether a run is known to have lasted no longer than a limit."""
     return ran_s is not None and ran_s <= limit_s
 
 
 def list_begun(worker):
-    """List the Runs at a worker that it may have been told to start."""
+    """List the Runs whose start may have been sent to their worker."""
     runs = worker.runs_by_key.values()
     return [run for run in runs if run.state is not model.RunState.RECORDING]
 
@@ -353,17 +352,17 @@
 def list_startable(step, workers_by_id, now, is_overdue=False):
     """List the waiting tasks of a step that may start now.
 
-    Tasks of a step are alike. Where one may have crashed its worker, it goes first and
-    by itself, so that a step of a hundred costs one more worker and not a hundred. Of
-    many against which no more is said than that they were there, as many follow as
-    have gone on: tried one by one, those of one worker wait for longer than users allow
-    a task that lasts. One that was there twice goes by itself. A gang works only whole.
+    Tasks of a step are alike. Where one may have crashed its worker, it is tried first
+    and alone, so that a step of a hundred tasks costs one more worker and not a
+    hundred. Many suspects with the points of one crash are tried several at a time, as
+    many as have passed: one by one, they would wait for longer than users allow a
+    lasting task. A suspect in two crashes is tried alone. A gang starts only whole.
 
     Args:
       step: A model.StepState.
       workers_by_id: Model.Workers by id.
       now: A float.
-      is_overdue: Whether the step has stood still for long.
+      is_overdue: Whether the step is past its grace; see `stalls`.
     Returns:
       A sorted list of task indexes.
     """
@@ -393,7 +392,7 @@
 
 
 def is_on_trial(worker, now):
-    """Tell whether a task that may crash a worker has just been sent there.
+    """Tell whether the trial of a suspect task at a worker is undecided.
 
     Args:
       worker: A model.Worker; None if it is not known any more.
@@ -408,7 +407,7 @@
 
 
 def is_proven(run, worker, now):
-    """Tell whether a run has gone on for a while at a worker that answers.
+    """Tell whether a run has lasted for PROVEN_S at a worker that answers.
 
     Args:
       run: A model.Run.
