--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -4,6 +4,8 @@
 
 from thornport.cell.decisions import (
     crashes,
+    eligibility,
+    listing,
     messages,
     model,
     notes,
@@ -39,7 +41,7 @@
 
     def _try_steps(self, now, only_urgent):
         """Start what can start, and note which advice is wanted."""
-        self._renew_lists(now, ticketing.LISTED_S if only_urgent else 0.0)
+        self._renew_lists(now, listing.LISTED_S if only_urgent else 0.0)
         self._renew_late(now)
         reserved = reserving.Reservations(now)
         yields = yielding.Yielding(now)
@@ -112,12 +114,7 @@
         Those may be all that it has, and its tasks may be sound where others were not.
         What lasts may however full its service is, by the users.
         """
-        if step.idle_since is None:
-            return False
-        advice_s = 0.0
-        if queue.advice is not None:
-            asked = candidates.workers[: ticketing.ASKED_WORKERS]
-            advice_s = ticketing.compute_cost_s(queue.advice, asked)
+        advice_s = stalls.compute_advice_s(queue.advice, candidates.workers)
         if not stalls.is_past_grace(step, advice_s, now):
             return False
         if step.spec.lasting:
@@ -190,7 +187,7 @@
         reserved.note_try()
         if queue.advice is None:
             return reserved.reserve(step, candidates.workers)
-        good = placing.list_good(step, candidates)
+        good = eligibility.list_good(step, candidates)
         starts_at = reserved.reserve(step, good) if good else None
         self._ask_early(step, queue, candidates, starts_at, now)
         return starts_at
@@ -204,7 +201,7 @@
         if queue.advice is None:
             workers = candidates.workers
         else:
-            workers = placing.list_ticketed(step, candidates, now)
+            workers = eligibility.list_ticketed(step, candidates, now)
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
@@ -229,7 +226,7 @@
         self._trial_ids = {
             worker_id
             for worker_id in self._trial_ids
-            if crashes.is_on_trial(worker_id, self.workers_by_id, now)
+            if crashes.is_on_trial(self.workers_by_id.get(worker_id), now)
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -12,7 +12,8 @@
 from thornport.cell.decisions import (
     advising,
     asking,
-    cellstate,
+    eligibility,
+    listing,
     messages,
     model,
     placing,
@@ -24,7 +25,6 @@
 # Beyond the time that a call takes, where its step has stood still for long: a busy
 # process answers late, and a call that is given up is made anew.
 OVERDUE_SLACK_S = 0.3
-ASKED_WORKERS = 100  # named in one call at most, by the users' interface
 # Named in a short call, by the tasks that wait: a quarter of the workers may be good
 # for a step, and others take room meanwhile. To name a hundred for each urgent job of
 # three tasks made an answer of 4 KB, most of it never used.
@@ -35,10 +35,6 @@
 # jobs a second, and a round lasted for up to half a second, in which an owner sends no
 # heartbeat and is replaced. All of 270 workers are within it.
 WALKED_WORKERS = 400
-# Lists of workers serve the rounds of urgent steps, and jobs that come, for so long: to
-# list 3,000 workers takes 8 ms, and 600 jobs come a second there. Each round for all
-# steps lists them anew, every 20 ms in cells of some hundred workers.
-LISTED_S = 0.1
 # Enough are known to be good once they would hold a step so many times, empty.
 GOOD_TIMES = 3
 # A ticket is there this long before its room is expected: runs end early too, and a
@@ -62,7 +58,7 @@
     fences: tuple[int, ...]
 
 
-class Ticketing(cellstate.CellState):
+class Ticketing(listing.Listing):
     """Has advice called for and takes the answers."""
 
     def _ask_advice(self, step, queue, candidates, reserved, need, now):
@@ -78,10 +74,10 @@
           need: An asking.Need.
           now: A float.
         """
-        ticketed = placing.list_ticketed(step, candidates, now)
+        ticketed = eligibility.list_ticketed(step, candidates, now)
         lapsed = self._list_lapsed(step, candidates, now)
         is_long = queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S
-        count = ASKED_WORKERS if is_long else count_asked(step)
+        count = advising.ASKED_WORKERS if is_long else count_asked(step)
         roomy = list_roomy(step, lapsed, reserved)
         tasks = len(step.waiting)
         if not placing.has_room(step, [*ticketed, *roomy], reserved, tasks):
@@ -120,13 +116,15 @@
         if not self._may_ask(step, now):
             return
         if not self._knows_enough(step, candidates):
-            unknown = itertools.islice(walk_unknown(step, candidates), ASKED_WORKERS)
+            unknown = itertools.islice(
+                walk_unknown(step, candidates), advising.ASKED_WORKERS
+            )
             asked = list(unknown)
             if asked:
                 self._want_advice(step, queue, asked, asking.Need.IN_TURN)
                 return
         lapsed = self._list_lapsed(step, candidates, now)
-        lead_s = compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
+        lead_s = advising.compute_cost_s(queue.advice, lapsed) + TICKET_LEAD_S
         if lapsed and starts_at is not None and starts_at - now <= lead_s:
             self._want_advice(step, queue, lapsed, asking.Need.IN_TURN)
 
@@ -157,14 +155,16 @@
 
     def _knows_enough(self, step, candidates):
         """Whether no further workers need be asked about before they have room."""
-        good = placing.list_good(step, candidates)
+        good = eligibility.list_good(step, candidates)
         wanted = GOOD_TIMES * step.spec.count
         return placing.count_places(step, good, GOOD_TIMES) >= wanted
 
     def _list_lapsed(self, step, candidates, now):
         """List the workers that are good for a step but need a ticket anew."""
-        good = placing.list_good(step, candidates)
-        return [worker for worker in good if not placing.has_ticket(step, worker, now)]
+        good = eligibility.list_good(step, candidates)
+        return [
+            worker for worker in good if not eligibility.has_ticket(step, worker, now)
+        ]
 
     def _find_need(self, queue, is_overdue):
         """Find the asking.Need of a call for a step that has room."""
@@ -175,8 +175,8 @@
         """Have advice called for as soon as a process is free."""
         job = self.jobs_by_id.get(step.key.job_id)
         job = job or self._incoming_by_id[step.key.job_id]
-        workers = workers[:ASKED_WORKERS]
-        is_long = compute_cost_s(queue.advice, workers) >= advising.LONG_CALL_S
+        workers = workers[: advising.ASKED_WORKERS]
+        is_long = advising.compute_cost_s(queue.advice, workers) >= advising.LONG_CALL_S
         self._wanted_calls.add(
             asking.WantedCall(step, queue, workers, need, self._rank_job(job), is_long)
         )
@@ -229,7 +229,7 @@
         step = wanted.step
         known = self.workers_by_id
         workers = [w for w in wanted.workers if known.get(w.worker_id) is w]
-        cost_s = compute_cost_s(wanted.queue.advice, workers)
+        cost_s = advising.compute_cost_s(wanted.queue.advice, workers)
         may_help = wanted.need is not asking.Need.IN_TURN
         given = self.callers.choose(cost_s, now, may_help)
         if given is None:
@@ -306,60 +306,10 @@
             if worker_id in known and known[worker_id].fence == fence
         }
 
-    def _renew_lists(self, now, longest_s=0.0):
-        """Have the workers listed anew if they were listed too long ago.
-
-        Args:
-          now: A float.
-          longest_s: A float; 0 to list them anew in any case.
-        """
-        if not longest_s or now - self._listed_at > longest_s:
-            self._candidates_by_kind.clear()
-            self._listed_at = now
-
-    def _find_candidates(self, step, queue, now, with_suspects=False):
-        """Find the workers that steps like one may use, as they were listed last.
-
-        Args:
-          with_suspects: A bool, whether it may use suspect workers too.
-        Returns:
-          A placing.Candidates; `_is_there` tells which of them are so still.
-        """
-        kind = (queue.service, placing.read_kind(step), with_suspects)
-        candidates = self._candidates_by_kind.get(kind)
-        if candidates is None:
-            allowed = [
-                worker
-                for worker in self.workers_by_id.values()
-                if worker.entry.service == queue.service
-                and placing.is_allowed(step, worker, now, with_suspects)
-            ]
-            candidates = placing.Candidates(allowed, with_suspects)
-            self._candidates_by_kind[kind] = candidates
-        return candidates
-
-    def _find_listed(self, service):
-        """Find all workers of a service, as they were listed last; a Candidates."""
-        candidates = self._candidates_by_kind.get(service)
-        if candidates is None:
-            listed = [
-                worker
-                for worker in self.workers_by_id.values()
-                if worker.entry.service == service and worker.is_listed
-            ]
-            candidates = placing.Candidates(listed)
-            self._candidates_by_kind[service] = candidates
-        return candidates
-
-    def _is_there(self, worker, candidates, now):
-        """Whether a worker that was listed a moment ago still takes tasks."""
-        is_known = self.workers_by_id.get(worker.worker_id) is worker
-        return is_known and placing.is_taking(worker, now, candidates.has_suspects)
-
 
 def count_asked(step):
     """Count the workers that a short call for a step names at most, an int."""
-    return min(ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
+    return min(advising.ASKED_WORKERS, ASKED_MORE + ASKED_A_TASK * len(step.waiting))
 
 
 def walk_unknown(step, candidates):
@@ -414,15 +364,3 @@
     """
     demand = step.spec.demand
     return [w for w in workers if demand.fits(reserved.limit_room(step, w))]
-
-
-def compute_cost_s(advice, workers):
-    """Compute how long a call for advice takes.
-
-    Args:
-      advice: A queue.Advice.
-      workers: A list of the workers that it is about.
-    Returns:
-      A float, seconds.
-    """
-    return (advice.base_ms + advice.worker_ms * len(workers)) / clock.MS_PER_S
--- a/thornport/cell/decisions/ticketing_test.py
+++ b/thornport/cell/decisions/ticketing_test.py
@@ -8,7 +8,14 @@
 import unittest
 from unittest import mock
 
-from thornport.cell.decisions import core, messages, placing, ticketing
+from thornport.cell.decisions import (
+    advising,
+    core,
+    eligibility,
+    listing,
+    messages,
+    ticketing,
+)
 from thornport.jobs import queue, record, spec
 
 WORKERS = 270
@@ -105,7 +112,7 @@
     def count_checks(self, act):
         """How many workers are checked for being listed while something is done."""
         with mock.patch.object(
-            placing, "is_allowed", side_effect=placing.is_allowed
+            eligibility, "is_allowed", side_effect=eligibility.is_allowed
         ) as checked:
             act()
         return checked.call_count
@@ -128,7 +135,7 @@
         self.now += 0.01
         urgent = self.count_checks(lambda: self.place(only_urgent=True))
         self.assertEqual(urgent, 0)
-        self.now += 2 * ticketing.LISTED_S
+        self.now += 2 * listing.LISTED_S
         self.assertEqual(
             self.count_checks(lambda: self.place(only_urgent=True)), WORKERS
         )
@@ -227,7 +234,7 @@
 
     def test_as_many_as_may_be_are_asked_about_at_once(self):
         (asked,) = self.list_calls(self.first)
-        self.assertEqual(len(asked), ticketing.ASKED_WORKERS)
+        self.assertEqual(len(asked), advising.ASKED_WORKERS)
 
     def test_no_more_are_asked_about_once_enough_are_good(self):
         # 20 tasks, three to a worker: 7 workers hold it, and 45 are three times more.
