Choose processes whose calls for advice are answered while most fail

What callers could see: steps that need a long call for advice never start, beside idle workers, while more than half of the processes that can call get no answers though they greet.

Cause: a process whose calls fail is left out for a while, unless most are. Then all were used as if nothing was known of them, and long calls go to the first half by name: where those are the ones that fail, every long call did, and each failure kept the process among the left out.

Ruled out: half of the processes or fewer; they are left out and the others make all calls.

Change: processes that are not left out are chosen first, split into those for long and for short calls among themselves. Those that are left out get calls only while none of the others is free and most are left out, as after an outage of the service.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -178,6 +178,19 @@
         self.check_starts("job")
 
 
+class FailingProcesses(IdleCell):
+    """Calls of three of five processes fail, all those that make long calls."""
+
+    # While calls of most fail, all are used as before: long ones failed for ever.
+    def test_gang_is_asked_about_by_the_others(self):
+        self.world.failing_callers |= {"p0", "p1", "p2"}
+        for number in range(6):
+            self.submit(f"first{number}", "dear", spec.Step(1, SMALL, 300), ["w1"])
+            self.world.run(0.5)
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
 class LostAnswers(IdleCell):
     """Answers of the advice service are lost, one after the other."""
 
--- a/thornport/cell/decisions/advising.py
+++ b/thornport/cell/decisions/advising.py
@@ -9,7 +9,8 @@
 whoever is free first, and the foremost step first.
 
 A process whose calls fail is always free first, so it would draw most calls. It is left
-out for a while that doubles with each further failure, unless most others are too.
+out for a while that doubles with each further failure, unless most others are too; then
+it gets what the others have no time for.
 """
 
 import math
@@ -244,17 +245,16 @@
         # In a series of stops nobody who stays may be left for some seconds; a process
         # that stops works on until the end of its grace.
         fit = self.list_staying(now) or self._list_alive(now)
+        fit = sorted(fit, key=lambda caller: caller.name)
         trusted = [caller for caller in fit if caller.left_out_until <= now]
-        if 2 * len(trusted) < len(fit):
-            # Calls of most fail: it is the service, or the way to it.
-            trusted = fit
-        alive = sorted(trusted, key=lambda caller: caller.name)
-        half = (len(alive) + 1) // 2
         is_long = cost_s >= LONG_CALL_S
-        group = alive[:half] if is_long else alive[half:] or alive
-        caller = find_free(group, now)
+        caller = find_free(choose_group(trusted, is_long), now)
         if caller is None and is_long and may_help:
-            caller = find_helper(alive[half:], now)
+            caller = find_helper(trusted[count_long(trusted) :], now)
+        if caller is None and 2 * len(trusted) < len(fit):
+            # Calls of most fail: it may be the service, or the way to it.
+            left_out = [caller for caller in fit if caller.left_out_until > now]
+            caller = find_free(choose_group(left_out, is_long), now)
         if caller is None:
             return None
         caller.busy_until = max(caller.busy_until, now) + cost_s
@@ -300,6 +300,24 @@
             caller.left_out_until = max(caller.left_out_until, until)
 
 
+def count_long(alike):
+    """Count the processes that make long calls, of a list of Caller."""
+    return (len(alike) + 1) // 2
+
+
+def choose_group(alike, is_long):
+    """Choose the processes that make calls of a kind.
+
+    Args:
+      alike: A list of Caller.
+      is_long: Whether for long calls, or for short ones.
+    Returns:
+      A list of them; of a single one, the same for both.
+    """
+    count = count_long(alike)
+    return alike[:count] if is_long else alike[count:] or alike
+
+
 def find_free(group, now):
     """Find the process that is free first.
 
--- a/thornport/cell/decisions/advising_test.py
+++ b/thornport/cell/decisions/advising_test.py
@@ -128,6 +128,37 @@
         self.assertIsNotNone(self.callers.choose(LONG_S, 10.0))
 
 
+class MostFail(unittest.TestCase):
+    """Five processes; calls of the first three, all those for long calls, fail."""
+
+    def setUp(self):
+        self.callers = advising.Callers()
+        for name in "abcde":
+            self.callers.greet(name, name, True, 1.0, 10.0)
+        for name in "abc":
+            self.callers.end_call(name, 10.0, is_answered=False)
+
+    def choose_all(self, cost_s):
+        """The names of the processes that are chosen until none is free, in order."""
+        names = []
+        while (given := self.callers.choose(cost_s, 10.0)) is not None:
+            names.append(given.caller.name)
+        return names
+
+    # Long calls went to those that fail alone, for ever.
+    def test_processes_that_answer_are_chosen_first(self):
+        self.assertEqual(self.choose_all(LONG_S), ["d", "a", "b"])
+        names = self.choose_all(SHORT_S)
+        self.assertEqual(names, sorted(names, reverse=True))
+        self.assertEqual(set(names), {"c", "e"})
+
+    def test_single_process_that_answers_makes_calls_of_both_kinds(self):
+        self.callers.end_call("d", 10.0, is_answered=False)
+        self.assertEqual(self.choose_all(SHORT_S)[0], "e")
+        self.assertEqual(self.choose_all(LONG_S)[0], "a")
+        self.assertEqual(self.callers.choose(LONG_S, 10.1, False).caller.name, "e")
+
+
 class LossOfPower(unittest.TestCase):
     """Ten processes; all steps ask at the same moment, and urgent jobs come."""
 
