Try steps of which advice has come before those whose turn it is

What callers could see: beside many waiting steps an accepted job never starts, though most of the workers are idle.

Cause: of more than 80 steps that could have room a round tries the foremost 60, and 20 of the others in turn. A step behind asks for advice at one turn and starts at the next. Tickets hold for 2 s, so with 900 steps and rounds of 50 ms they lapse before it, and the step asks again.

Ruled out: advice, which came 0.2 s after each call, and the processes, which were idle.

Change: the round after an answer tries that step before those whose turn it is, ten at most, so that the others still get theirs.

What is left is the wait for the first turn.

Test: starvation_test.ManyKnownSteps failed before. thornport.cell (475), starvation, standstill and stallclock tests (35) pass.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -143,6 +143,31 @@
             self.check_starts(job_id, self.submit_waiting)
 
 
+class ManyKnownSteps(IdleCell):
+    """More steps wait than the rounds come to while a ticket holds."""
+
+    STEPS = 900
+
+    # Its tickets lapsed before its turn, each time again where still more steps wait.
+    def test_step_behind_many_others_starts_while_its_tickets_hold(self):
+        whole = spec.Step(1, spec.Demand(64_000, 1_000, 8), LONG_MS)
+        self.submit("long", "usual", whole, ["w0"])
+        self.world.run(1)
+        for number in range(self.STEPS):
+            step = spec.Step(1, SMALL, 3000)
+            self.submit(f"o{number}", "usual", step, ["w0"], is_told_before=False)
+        for job in self.world.owner.jobs_by_id.values():
+            for step in job.steps_by_key.values():
+                step.asked_ids = set(self.world.workers_by_id)
+                step.good_ids = {"w0"}
+        self.world.run(3)
+        for number in range(3):
+            job_id = f"job{number}"
+            step = spec.Step(2, SMALL, 300)
+            self.submit(job_id, "usual", step, ["w2", "w3"], is_told_before=False)
+            self.check_starts(job_id)
+
+
 class UnlikeCalls(IdleCell):
     """Calls of one queue may be long or short, by how many workers they name."""
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -320,6 +320,7 @@
       walked: An int, how far the workers were walked in vain for one with room that
         advice may be asked about.
       is_advising: Whether a call for advice is open.
+      is_answered: Whether advice came that no round has used yet.
       retry_advice_at: A float, no call for advice before.
       idle_since: A float, since when it may start and no run of its job is known to go
         on, or, if its tasks last, since when one of them waits; None while that is not
@@ -350,6 +351,7 @@
     good_ids: set[str] = msgspec.field(default_factory=set)
     walked: int = 0
     is_advising: bool = False
+    is_answered: bool = False
     retry_advice_at: float = 0.0
     idle_since: float | None = None
     waiting_since_by_index: dict[int, float] = msgspec.field(default_factory=dict)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -20,6 +20,9 @@
 # Of these, the foremost in each round. What can't start is tried there again and again;
 # the others take turns, or what comes behind would wait for as long.
 FOREMOST_STEPS = 60
+# Of the others, those tried first because advice about them came: tickets may lapse
+# before their turn.
+ANSWERED_STEPS = 10
 
 
 class Rounds(ticketing.Ticketing):
@@ -54,6 +57,7 @@
                 if not only_urgent:
                     self._resume_at = self._rank((job, step)), step
                 return
+            step.is_answered = False
             queue = self._queue_of(job)
             if yields.gives_way(job, queue):
                 continue
@@ -281,6 +285,8 @@
 def take_turns(ready, resumed_at, rank):
     """Order steps for a round: the foremost, then from where the last one ended.
 
+    Some of which advice has just come go before the latter.
+
     Args:
       ready: A list of pairs of a job and a step, by their rank.
       resumed_at: A pair of a rank and a step, the first that the last round did not
@@ -300,4 +306,9 @@
         if ready[number][1] is resumed:
             begin = number
             break
-    return ready[:FOREMOST_STEPS] + ready[begin:] + ready[FOREMOST_STEPS:begin]
+    others = ready[begin:] + ready[FOREMOST_STEPS:begin]
+    answered = [pair for pair in others if pair[1].is_answered][:ANSWERED_STEPS]
+    if answered:
+        steps = {pair[1] for pair in answered}
+        others = answered + [pair for pair in others if pair[1] not in steps]
+    return ready[:FOREMOST_STEPS] + others
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -265,6 +265,7 @@
         if answer is None:
             step.retry_advice_at = now + ADVICE_RETRY_S
             return
+        step.is_answered = True
         deadline = now + answer.valid_ms / 1000
         asked_ids = self._list_still_there(open_call)
         step.asked_ids |= asked_ids
