Take a late answer of advice for no later incarnation of a worker

What callers could see: a job never starts, beside the one worker that may run it.

Cause: a call for advice that is given up is made anew, mostly about the same workers, and its late answer is taken for that of the new call, for the requests are alike. If a worker restarted under its id meanwhile, what was said of its earlier incarnation counted for the new one: where it was not good before, the step never asked about it again.

Ruled out: to drop late answers. A process that is half a second slow would then bring none.

Change: the first call that was given up since the last answer is remembered. An answer that may be its own counts for the workers alone that are of the same incarnation as then.

--- a/tests/standstill_test.py
+++ b/tests/standstill_test.py
@@ -160,6 +160,19 @@
         self.world.owner.take_advice(call.request, answer, self.world.now)
         self.check_starts()
 
+    # It was taken for the answer to the call that was made anew after the restart.
+    def test_answer_to_a_call_that_was_given_up_comes_after_the_restart(self):
+        submit(self.world, "job", "dear", spec.Step(1, SMALL, LONG_MS), [])
+        self.world.run(0.2)
+        (late,) = self.world.take_open_advice()
+        self.world.restart("w0")
+        while not (again := self.world.take_open_advice()):
+            self.world.step()
+        self.assertEqual(again[0].request, late.request)
+        answer = messages.AdviceAnswer((), 2000)
+        self.world.owner.take_advice(late.request, answer, self.world.now)
+        self.check_starts()
+
     def test_worker_is_lost_and_comes_back_under_its_id(self):
         submit(self.world, "job", "dear", spec.Step(1, SMALL, LONG_MS), [])
         self.world.run(3)
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -80,6 +80,8 @@
         # Runs whose records are kept and whose tickets have lapsed meanwhile, by step.
         self._unticketed = {}
         self._open_advice_by_step = {}
+        # Calls for advice that were given up, the first since the last answer.
+        self._late_advice_by_step = {}
         self._wanted_calls = asking.WantedCalls()
         self._advice_shares = asking.FairShares()
         # Jobs that are being kept, and jobs whose end is not decided.
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -268,6 +268,10 @@
         step.is_answered = True
         deadline = now + answer.valid_ms / 1000
         asked_ids = self._list_still_there(open_call)
+        late_call = self._late_advice_by_step.pop(request.step, None)
+        if late_call is not None and late_call.request == request:
+            # It may be the answer to that call.
+            asked_ids &= self._list_still_there(late_call)
         step.asked_ids |= asked_ids
         step.good_ids -= asked_ids
         for ticket in answer.good:
@@ -289,6 +293,12 @@
             self.callers.distrust(call.name, now)
             if step is not None:
                 step.retry_advice_at = now
+                self._late_advice_by_step.setdefault(step.key, call)
+        self._late_advice_by_step = {
+            key: call
+            for key, call in self._late_advice_by_step.items()
+            if self._find_step(key) is not None
+        }
 
     def _list_still_there(self, call):
         """List the workers of a call that live on: another life may be of another kind.
