Let an overdue step start beside other steps' tasks on trial

What callers could see: after the crash of a worker that ran many jobs, an accepted job has nothing running for 4 s and more beside a nearly idle worker.

Cause: a task that may have crashed a worker is tried alone for half a second, and nothing else starts at that worker meanwhile. Trials of several steps follow one another there, so what comes behind them waits for their sum, also when it is overdue: this hold alone was not bounded by the clock of a step.

Change: a step of which no task has crash points may start there once it is overdue. What has such points is still tried alone.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -311,6 +311,35 @@
         self.check_starts("job")
 
 
+class ManyJobsOnTrial(IdleCell):
+    """A worker crashes under many jobs that may use one other worker besides."""
+
+    JOBS = 8
+
+    def setUp(self):
+        super().setUp()
+        self.world.back_s = LONG_MS
+        self.world.owner.workers_by_id["w1"].suspect(self.world.now + 1.5)
+        step = spec.Step(1, spec.Demand(2_000, 1_000, 0), LONG_MS)
+        for number in range(self.JOBS):
+            self.submit(f"job{number}", "usual", step, ["w0", "w1"])
+        self.world.run(5)
+        self.world.crash_for_a_while("w0")
+        while not self.is_waiting():
+            self.world.step()
+
+    def is_waiting(self):
+        """Whether a task waits to start anew."""
+        jobs = self.world.owner.jobs_by_id.values()
+        return any(step.waiting for job in jobs for step in job.steps_by_key.values())
+
+    # Each task of the others was tried there alone, and it came after all of them.
+    def test_job_that_was_not_there_starts_in_time(self):
+        step = spec.Step(1, spec.Demand(2_000, 1_000, 0), LONG_MS)
+        self.submit("new", "usual", step, ["w1"])
+        self.check_starts("new")
+
+
 class SitePlays(unittest.TestCase):
     """Seeded plays of troubles that follow one another, then calm."""
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -212,7 +212,8 @@
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
-        workers = self._list_without_trial(workers, now)
+        if step.crash_points_by_index or not is_overdue:
+            workers = self._list_without_trial(workers, now)
         indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
         return self._start_step(job, step, workers, reserved, indexes[:startable])
 
