Try as many suspect steps at a worker at once as have gone on there

What callers could see: after the crash of a worker that ran many jobs, the last of them have nothing running for 4 s and more beside a nearly idle worker.

Cause: within a step, as many tasks against which no more is said than that they were there are tried at once as have gone on. Steps of several jobs were tried one by one at a worker, half a second each, so where few workers are good for them the last waited for the sum.

Ruled out: to let what is overdue start beside a trial. All that a crash has ended is overdue when its leases are over, and would be crashed together again.

Change: the same rule for the steps at one worker. A step with more than one point is still tried alone, so a crash of several at once says no more than one point against each.

--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -333,6 +333,14 @@
         jobs = self.world.owner.jobs_by_id.values()
         return any(step.waiting for job in jobs for step in job.steps_by_key.values())
 
+    # Each was tried alone, whatever had gone on there before, the last after 4 s.
+    def test_last_of_them_starts_in_time(self):
+        began_at = self.world.now
+        for number in range(self.JOBS):
+            while not self.list_places(f"job{number}"):
+                self.assertLess(self.world.now - began_at, STUCK_S)
+                self.world.step()
+
     # Each task of the others was tried there alone, and it came after all of them.
     def test_job_that_was_not_there_starts_in_time(self):
         step = spec.Step(1, spec.Demand(2_000, 1_000, 0), LONG_MS)
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -390,6 +390,30 @@
     return suspects[: min(MOST_TRIALS, max(1, proven))]
 
 
+def may_be_tried(step, worker, now):
+    """Tell whether a task of a step that may crash a worker may start at it.
+
+    Of many steps against which no more is said than that they were there, as many
+    follow as have gone on at the worker, as within a step.
+
+    Args:
+      step: A model.StepState with crash points.
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    by_id = {worker.worker_id: worker}
+    tried = [run for run in worker.runs_by_key.values() if run.trial_points]
+    undecided = [run for run in tried if not is_proven(run, by_id, now)]
+    if not undecided:
+        return True
+    points = max(step.crash_points_by_index.values())
+    points = max(points, *(run.trial_points for run in undecided))
+    proven = len(tried) - len(undecided)
+    return points <= POINTS and len(undecided) < min(MOST_TRIALS, proven)
+
+
 def is_on_trial(worker_id, workers_by_id, now):
     """Tell whether a task that may crash a worker has just been sent there.
 
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -497,6 +497,57 @@
         self.assertEqual(self.count(None, None), 1)
 
 
+class TrialsOfManySteps(unittest.TestCase):
+    """How many steps that may crash a worker are tried there at once."""
+
+    def may_be_tried(self, points, proven, undecided, undecided_points=1):
+        """Whether a step's task may start beside others at a worker.
+
+        Args:
+          points: An int, its crash points.
+          proven, undecided: Ints, tasks of other steps on trial there.
+          undecided_points: An int, of each of the latter.
+        """
+        demand = spec.Demand(1000, 100, 0)
+        ready = messages.WorkerState.READY
+        entry = messages.WorkerEntry("w", "a:1", "press", "h", ready, demand)
+        worker = model.Worker(entry, 0.0)
+        for number in range(proven + undecided):
+            is_proven = number < proven
+            run = model.Run(
+                messages.TaskKey(f"j{number}", 0, 0, 0),
+                1,
+                "w",
+                spec.Step(1, demand),
+                model.RunState.RUNNING,
+                known_since=10.0 - (crashes.PROVEN_S if is_proven else 0.1),
+                trial_points=1 if is_proven else undecided_points,
+            )
+            worker.add_run(run)
+        key = messages.StepKey("new", 0, 0)
+        step = model.StepState(key, spec.Step(1, demand))
+        step.crash_points_by_index = {0: points}
+        return crashes.may_be_tried(step, worker, 10.0)
+
+    def test_first_is_tried_alone(self):
+        self.assertTrue(self.may_be_tried(1, proven=0, undecided=0))
+        self.assertFalse(self.may_be_tried(1, proven=0, undecided=1))
+
+    def test_as_many_follow_as_have_gone_on(self):
+        self.assertTrue(self.may_be_tried(1, proven=3, undecided=2))
+        self.assertFalse(self.may_be_tried(1, proven=3, undecided=3))
+
+    def test_so_many_at_the_most(self):
+        most = crashes.MOST_TRIALS
+        self.assertFalse(self.may_be_tried(1, proven=2 * most, undecided=most))
+
+    # Tried with others, a crash would say as much against each of them.
+    def test_step_that_was_there_twice_is_tried_alone(self):
+        self.assertTrue(self.may_be_tried(2, proven=3, undecided=0))
+        self.assertFalse(self.may_be_tried(2, proven=3, undecided=1))
+        self.assertFalse(self.may_be_tried(1, 3, 1, undecided_points=2))
+
+
 class WhatIsTold(unittest.TestCase):
     """The log tells which runs were lost with a worker, and why."""
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -63,6 +63,7 @@
         ticket has not come; None while it waits for none.
       is_joint_trial: Whether it was started on trial beside others of its step; see
         `crashes`.
+      trial_points: An int, the crash points of its task when it was started.
     """
 
     key: messages.TaskKey
@@ -80,6 +81,7 @@
     worker_started_at_ms: int | None = None
     ticket_until: float | None = None
     is_joint_trial: bool = False
+    trial_points: int = 0
 
     @property
     def step_key(self):
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -212,7 +212,9 @@
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
-        if step.crash_points_by_index or not is_overdue:
+        if step.crash_points_by_index:
+            workers = [w for w in workers if crashes.may_be_tried(step, w, now)]
+        elif not is_overdue:
             workers = self._list_without_trial(workers, now)
         indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
         return self._start_step(job, step, workers, reserved, indexes[:startable])
@@ -272,6 +274,7 @@
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
                 run.is_joint_trial = len(assigned) > 1
+                run.trial_points = step.crash_points_by_index[assignment.index]
                 self._trial_ids.add(worker.worker_id)
             self._recording.append(run)
         if not step.waiting:
