--- a/tests/starvation_test.py
+++ b/tests/starvation_test.py
@@ -143,6 +143,31 @@
             self.check_starts(job_id, self.submit_waiting)
 
 
+class ManyKnownSteps(IdleCell):
+    """More steps wait than the rounds come to while a ticket holds."""
+
+    STEPS = 900
+
+    # Its tickets lapsed before its turn, each time again where still more steps wait.
+    def test_step_behind_many_others_starts_while_its_tickets_hold(self):
+        whole = spec.Step(1, spec.Demand(64_000, 1_000, 8), LONG_MS)
+        self.submit("long", "usual", whole, ["w0"])
+        self.world.run(1)
+        for number in range(self.STEPS):
+            step = spec.Step(1, SMALL, 3000)
+            self.submit(f"o{number}", "usual", step, ["w0"], is_told_before=False)
+        for job in self.world.owner.jobs_by_id.values():
+            for step in job.steps_by_key.values():
+                step.asked_ids = set(self.world.workers_by_id)
+                step.good_ids = {"w0"}
+        self.world.run(3)
+        for number in range(3):
+            job_id = f"job{number}"
+            step = spec.Step(2, SMALL, 300)
+            self.submit(job_id, "usual", step, ["w2", "w3"], is_told_before=False)
+            self.check_starts(job_id)
+
+
 class UnlikeCalls(IdleCell):
     """Calls of one queue may be long or short, by how many workers they name."""
 
@@ -178,6 +203,19 @@
         self.check_starts("job")
 
 
+class FailingProcesses(IdleCell):
+    """Calls of three of five processes fail, all those that make long calls."""
+
+    # While calls of most fail, all are used as before: long ones failed for ever.
+    def test_gang_is_asked_about_by_the_others(self):
+        self.world.failing_callers |= {"p0", "p1", "p2"}
+        for number in range(6):
+            self.submit(f"first{number}", "dear", spec.Step(1, SMALL, 300), ["w1"])
+            self.world.run(0.5)
+        self.submit("job", "dear", spec.Step(1, WHOLE, 4000, gang=True), ["w2"])
+        self.check_starts("job")
+
+
 class LostAnswers(IdleCell):
     """Answers of the advice service are lost, one after the other."""
 
@@ -273,6 +311,43 @@
         self.check_starts("job")
 
 
+class ManyJobsOnTrial(IdleCell):
+    """A worker crashes under many jobs that may use one other worker besides."""
+
+    JOBS = 8
+
+    def setUp(self):
+        super().setUp()
+        self.world.back_s = LONG_MS
+        self.world.owner.workers_by_id["w1"].suspect(self.world.now + 1.5)
+        step = spec.Step(1, spec.Demand(2_000, 1_000, 0), LONG_MS)
+        for number in range(self.JOBS):
+            self.submit(f"job{number}", "usual", step, ["w0", "w1"])
+        self.world.run(5)
+        self.world.crash_for_a_while("w0")
+        while not self.is_waiting():
+            self.world.step()
+
+    def is_waiting(self):
+        """Whether a task waits to start anew."""
+        jobs = self.world.owner.jobs_by_id.values()
+        return any(step.waiting for job in jobs for step in job.steps_by_key.values())
+
+    # Each was tried alone, whatever had gone on there before, the last after 4 s.
+    def test_last_of_them_starts_in_time(self):
+        began_at = self.world.now
+        for number in range(self.JOBS):
+            while not self.list_places(f"job{number}"):
+                self.assertLess(self.world.now - began_at, STUCK_S)
+                self.world.step()
+
+    # Each task of the others was tried there alone, and it came after all of them.
+    def test_job_that_was_not_there_starts_in_time(self):
+        step = spec.Step(1, spec.Demand(2_000, 1_000, 0), LONG_MS)
+        self.submit("new", "usual", step, ["w1"])
+        self.check_starts("new")
+
+
 class SitePlays(unittest.TestCase):
     """Seeded plays of troubles that follow one another, then calm."""
 
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -391,6 +391,29 @@
     return suspects[: min(MOST_TRIALS, max(1, proven))]
 
 
+def may_be_tried(step, worker, now):
+    """Tell whether a suspect task of a step may start on trial at a worker.
+
+    Suspect tasks of several steps with one point each are tried together, up to as many
+    as have passed their trial at the worker; with more points they are tried alone.
+
+    Args:
+      step: A model.StepState with crash points.
+      worker: A model.Worker.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    tried = [run for run in worker.runs_by_key.values() if run.trial_points]
+    undecided = [run for run in tried if not is_proven(run, worker, now)]
+    if not undecided:
+        return True
+    points = max(step.crash_points_by_index.values())
+    points = max(points, *(run.trial_points for run in undecided))
+    passed = len(tried) - len(undecided)
+    return points <= SHARED_SUSPECT_POINTS and len(undecided) < min(MOST_TRIALS, passed)
+
+
 def is_on_trial(worker, now):
     """Tell whether the trial of a suspect task at a worker is undecided.
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -63,6 +63,7 @@
         ticket has not come; None while it waits for none.
       is_joint_trial: Whether it was started on trial beside others of its step; see
         `crashes`.
+      trial_points: An int, the crash points of its task when it was started.
     """
 
     key: messages.TaskKey
@@ -80,6 +81,7 @@
     worker_started_at_ms: int | None = None
     ticket_until: float | None = None
     is_joint_trial: bool = False
+    trial_points: int = 0
 
     @property
     def step_key(self):
@@ -320,6 +322,7 @@
       walked: An int, how far the workers were walked in vain for one with room that
         advice may be asked about.
       is_advising: Whether a call for advice is open.
+      is_answered: Whether advice came that no round has used yet.
       retry_advice_at: A float, no call for advice before.
       idle_since: A float, since when it may start and no run of its job is known to go
         on, or, if its tasks last, since when one of them waits; None while that is not
@@ -350,6 +353,7 @@
     good_ids: set[str] = msgspec.field(default_factory=set)
     walked: int = 0
     is_advising: bool = False
+    is_answered: bool = False
     retry_advice_at: float = 0.0
     idle_since: float | None = None
     waiting_since_by_index: dict[int, float] = msgspec.field(default_factory=dict)
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -22,6 +22,9 @@
 # Of these, the foremost in each round. What can't start is tried there again and again;
 # the others take turns, or what comes behind would wait for as long.
 FOREMOST_STEPS = 60
+# Of the others, those tried first because advice about them came: tickets may lapse
+# before their turn.
+ANSWERED_STEPS = 10
 
 
 class Rounds(ticketing.Ticketing):
@@ -56,6 +59,7 @@
                 if not only_urgent:
                     self._resume_at = self._rank((job, step)), step
                 return
+            step.is_answered = False
             queue = self._queue_of(job)
             if yields.gives_way(job, queue):
                 continue
@@ -205,7 +209,10 @@
         workers = [w for w in workers if self._is_there(w, candidates, now)]
         if not workers:
             return 0
-        workers = self._list_without_trial(workers, now)
+        if step.crash_points_by_index:
+            workers = [w for w in workers if crashes.may_be_tried(step, w, now)]
+        elif not is_overdue:
+            workers = self._list_without_trial(workers, now)
         indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
         return self._start_step(job, step, workers, reserved, indexes[:startable])
 
@@ -264,6 +271,7 @@
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
                 run.is_joint_trial = len(assigned) > 1
+                run.trial_points = step.crash_points_by_index[assignment.index]
                 self._trial_ids.add(worker.worker_id)
             self._recording.append(run)
         if not step.waiting:
@@ -278,6 +286,8 @@
 def take_turns(ready, resumed_at, rank):
     """Order steps for a round: the foremost, then from where the last one ended.
 
+    Some of which advice has just come go before the latter.
+
     Args:
       ready: A list of pairs of a job and a step, by their rank.
       resumed_at: A pair of a rank and a step, the first that the last round did not
@@ -297,4 +307,9 @@
         if ready[number][1] is resumed:
             begin = number
             break
-    return ready[:FOREMOST_STEPS] + ready[begin:] + ready[FOREMOST_STEPS:begin]
+    others = ready[begin:] + ready[FOREMOST_STEPS:begin]
+    answered = [pair for pair in others if pair[1].is_answered][:ANSWERED_STEPS]
+    if answered:
+        steps = {pair[1] for pair in answered}
+        others = answered + [pair for pair in others if pair[1] not in steps]
+    return ready[:FOREMOST_STEPS] + others
