Take a look that is reset at once for no sign that its worker was there

Cause, by the review (reading): a worker that loses power without a word and is there again resets what is sent on a connection of before. That was taken for the moment at which it was lost, though it may have been gone for as long as a look waits, so a run seemed to have gone on for longer than it did, and the crash under it could count nothing where workers are often lost.

Change: only a look that had waited there, and broke off then, tells until when the worker was there; else the last answer does.

--- a/thornport/cell/decisions/holds.py
+++ b/thornport/cell/decisions/holds.py
@@ -18,6 +18,8 @@
 # A worker that answers again so soon after a look that failed was not cut off: the
 # answer alone was lost.
 LOST_ANSWER_S = 1.6
+# A connection that the worker does not know any more is reset within this time.
+RESET_S = 0.1
 # An entry goes after three heartbeats of silence, 4.5 s; well below that, it went
 # because the worker ended.
 LEFT_S = 2.5
@@ -100,7 +102,7 @@
             # Orders would fail as this look did; the next look clears it.
             worker.avoid(now + ending.AVOID_S)
             worker.unanswered_at = now
-            worker.note_silence(answer, now)
+            worker.note_silence(now, has_broken_off(answer, sent_at, now))
             if isinstance(answer, messages.NotReached) and answer.is_refused:
                 self._stop_waiting_gangs(worker, now)
             if has_left(worker, answer, now):
@@ -239,6 +241,22 @@
         self._stop_run(run, now)
 
 
+def has_broken_off(answer, sent_at, now):
+    """Tell whether a look that waited at a worker broke off, as where its process ends.
+
+    A worker that lost power and is there again resets what is sent to it at once.
+
+    Args:
+      answer: A messages.NotReached or Unanswered.
+      sent_at: A float.
+      now: A float.
+    Returns:
+      A bool.
+    """
+    is_broken_off = isinstance(answer, messages.Unanswered) and answer.is_broken_off
+    return is_broken_off and now - sent_at > RESET_S
+
+
 def has_left(worker, answer, now):
     """Tell whether a worker has ended as it said it would.
 
--- a/thornport/cell/decisions/holds_test.py
+++ b/thornport/cell/decisions/holds_test.py
@@ -69,5 +69,25 @@
         self.assertEqual(self.look().wait_ms, holds.HOLD_WAIT_MS)
 
 
+class BrokenOff(unittest.TestCase):
+    """Whether a worker was there until a look at it broke off."""
+
+    broken_off = messages.Unanswered("reset", is_broken_off=True)
+
+    def test_look_that_waited_there(self):
+        self.assertTrue(holds.has_broken_off(self.broken_off, 10.0, 10.5))
+
+    # A worker lost power without a word a second before, and a run of then seemed long.
+    def test_look_on_a_connection_that_the_worker_has_forgotten(self):
+        self.assertFalse(holds.has_broken_off(self.broken_off, 10.0, 10.01))
+
+    def test_look_that_timed_out_or_was_refused(self):
+        for answer in (
+            messages.Unanswered("timeout"),
+            messages.NotReached("refused", is_refused=True),
+        ):
+            self.assertFalse(holds.has_broken_off(answer, 10.0, 11.0))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -154,8 +154,8 @@
       unanswered_at: A float, when the last look failed; None after an answer.
       silent_since: A float, when the first call failed since the worker answered a
         look; None after an answer.
-      is_broken_off: Whether its connection broke off at `silent_since`, so that it was
-        there until then.
+      is_broken_off: Whether a look that waited there broke off at `silent_since`, so
+        that it was there until then.
       filling_count, serving_count: Live runs that use what others leave, and
         live runs that serve users of their own.
       trial: The Run, started here last, of a task that may have crashed a worker; None
@@ -232,18 +232,16 @@
         sample = math.log(took_s * 1000 / estimate_ms)
         self.pace_log += (sample - self.pace_log) / self.pace_count
 
-    def note_silence(self, failure, now):
+    def note_silence(self, now, is_broken_off=False):
         """Take that a call failed: the worker may be gone since.
 
         Args:
-          failure: A messages.NotReached or Unanswered.
           now: A float.
+          is_broken_off: Whether it was there until then, see the attribute.
         """
         if self.silent_since is None:
             self.silent_since = now
-            self.is_broken_off = (
-                isinstance(failure, messages.Unanswered) and failure.is_broken_off
-            )
+            self.is_broken_off = is_broken_off
 
     def avoid(self, until):
         """Give it no starts before a time, a float; a later one holds."""
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -47,7 +47,7 @@
                 if step is not None:
                     step.waiting_since_by_index.pop(run.key.index, None)
         elif isinstance(outcome, messages.Unanswered):
-            worker.note_silence(outcome, now)
+            worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
             self._stop_run(run, now)
         elif isinstance(outcome, messages.NotReached):
