Tell a late dispatcher from a lost one

Callers saw nothing but a busier owner; a known red test saw it: a dispatcher whose process is not run for 0.2 to 1 s was taken for lost, got no calls for 2 s, and its workers were assigned anew twice.

Cause: six looks without a word (0.3 s) stood both for "make its calls here" and for "leave it out". The first has to be fast, for an urgent start waits; the second costs an assignment.

Ruled out: to wait longer before the owner makes the calls itself, for a frozen dispatcher would cost more. To leave a lost one out for 2 s from the moment that it is lost: a frozen one would be left out longer than before; the 2 s go on counting from when it fell silent.

Change: after six looks a dispatcher is late. Its open calls are made by the owner, as before, and new ones too, until it is heard; it keeps its workers. After 30 looks unheard (1.5 s) it is lost, as before. New lines: dispatcher-late, dispatcher-back.

What it costs: the owner itself calls the workers of a frozen dispatcher for 1.2 s instead of until its next tick. A dispatcher that stalls again and again delays calls by 0.3 s each time, where before it was left out for 2 s; not played.

Six of the new tests failed before; the others guard what holds already.

--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -21,12 +21,15 @@
 # Calls are gathered so long: urgent tasks are late after some tenths of a second.
 GATHER_S = 0.002
 SWEEP_PERIOD_S = 0.05  # between looks at what is open
-# A dispatcher with open calls that was not heard in so many looks is silent: three
-# signs of life are missing. Looks are counted, not time, so that an owner which falls
-# behind takes what has arrived first.
+# A dispatcher with open calls that was not heard in so many looks is late: three signs
+# of life are missing. Looks are counted, not time, so that an owner which falls behind
+# takes what has arrived first.
 SILENT_LOOKS = 6
-# A silent one gets nothing for so long: a process that was killed is back after some
-# seconds, and one that is listed all that time is not well.
+# A late dispatcher that was not heard in so many looks is lost: on a busy machine a
+# process is not run for up to a second.
+LOST_LOOKS = 30
+# A lost dispatcher gets nothing until so long after it fell silent: a process that was
+# killed is back after some seconds, and one that is listed all that time is not well.
 SUSPECT_S = 2.0
 # How much longer than the worker's own answer that of a dispatcher may take.
 HOLD_SLACK_S = 0.6
@@ -53,7 +56,9 @@
       address: A str, where it takes messages.
       unsent: NumberedCalls that are being gathered.
       open_by_number: Its OpenCalls.
-      unheard_looks: An int, how often in a row it was not heard with calls open.
+      unheard_looks: An int, how often in a row it was not heard with calls open, or
+        while it was late.
+      late_since: A float, when it was found late; None while it is not late.
       silent_until: A float, until when it gets no calls.
     """
 
@@ -61,6 +66,7 @@
     unsent: list = msgspec.field(default_factory=list)
     open_by_number: dict = msgspec.field(default_factory=dict)
     unheard_looks: int = 0
+    late_since: float | None = None
     silent_until: float = 0.0
 
 
@@ -185,6 +191,8 @@
         dispatcher = self._dispatcher_by_address.get(address)
         if dispatcher is None:
             dispatcher = self._dispatcher_by_address[address] = Dispatcher(address)
+        if dispatcher.late_since is not None:
+            return None
         number = next(self._numbers)
         waiting = defer.Deferred()
         dispatcher.open_by_number[number] = OpenCall(waiting, now + patience_s)
@@ -199,7 +207,7 @@
             return
         message = workercalls.WorkerCalls(calls)
         if not self._bus.send(dispatcher.address, "", message):
-            self._suspect(dispatcher, "not connected")
+            self._lose(dispatcher, "not connected", clock.read_monotonic())
 
     def take_outcomes(self, address, message):
         """Take what came of calls.
@@ -212,27 +220,63 @@
         if dispatcher is None:
             return
         dispatcher.unheard_looks = 0
+        if dispatcher.late_since is not None:
+            self._take_back(dispatcher)
         for numbered in message.outcomes:
             end_call(dispatcher, numbered.number, numbered.outcome)
 
     def _sweep(self):
-        """Give up what has been open for too long."""
+        """Find late and lost dispatchers; give up what has been open for too long."""
         now = clock.read_monotonic()
         for dispatcher in list(self._dispatcher_by_address.values()):
-            if not dispatcher.open_by_number:
+            is_late = dispatcher.late_since is not None
+            if not is_late and not dispatcher.open_by_number:
                 dispatcher.unheard_looks = 0
                 continue
             dispatcher.unheard_looks += 1
+            if is_late:
+                if dispatcher.unheard_looks >= LOST_LOOKS:
+                    self._lose(dispatcher, "silent", dispatcher.late_since)
+                continue
             if dispatcher.unheard_looks >= SILENT_LOOKS:
-                self._suspect(dispatcher, "silent")
+                self._bypass(dispatcher, now)
                 continue
             for number, open_call in list(dispatcher.open_by_number.items()):
                 if now > open_call.give_up_at:
                     end_call(dispatcher, number, None)
 
-    def _suspect(self, dispatcher, reason):
-        """Give no calls to a dispatcher for a while; its open ones are made here."""
-        dispatcher.silent_until = clock.read_monotonic() + SUSPECT_S
+    def _bypass(self, dispatcher, now):
+        """Make the calls of a late dispatcher here until it is heard again.
+
+        It keeps its workers: to assign them anew costs more than a short stall.
+        """
+        dispatcher.late_since = now
+        logs.log(
+            "dispatcher-late",
+            dispatcher=dispatcher.address,
+            open_calls=len(dispatcher.open_by_number),
+        )
+        end_all(dispatcher)
+
+    def _take_back(self, dispatcher):
+        late_s = clock.read_monotonic() - dispatcher.late_since
+        dispatcher.late_since = None
+        logs.log(
+            "dispatcher-back",
+            dispatcher=dispatcher.address,
+            late_ms=round(late_s * clock.MS_PER_S),
+        )
+
+    def _lose(self, dispatcher, reason, since):
+        """Leave a dispatcher out for a while; its open calls are made here.
+
+        Args:
+          dispatcher: A Dispatcher.
+          reason: A str for the log.
+          since: A float, when it fell silent.
+        """
+        dispatcher.silent_until = since + SUSPECT_S
+        dispatcher.late_since = None
         dispatcher.unheard_looks = 0
         logs.log(
             "dispatcher-lost",
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -8,9 +8,11 @@
 from thornport.cell.decisions import advising, messages
 from thornport.cell.dispatch import assignment, assignment_test, dispatching
 from thornport.cell.peers import workercalls
-from thornport.kernel import clock, tasks
+from thornport.kernel import clock, logs, tasks
 
 DISPATCHER = "h1:0"
+LATE_AFTER_S = dispatching.SILENT_LOOKS * dispatching.SWEEP_PERIOD_S
+LOST_AFTER_S = dispatching.LOST_LOOKS * dispatching.SWEEP_PERIOD_S
 KEY = messages.TaskKey("a", 0, 0, 1)
 DONE = messages.Done(5)
 LOOK = messages.HoldAnswer(7, [], [])
@@ -57,6 +59,9 @@
         patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
         patched.start()
         self.addCleanup(patched.stop)
+        logging = mock.patch.object(logs, "log")
+        self.log = logging.start()
+        self.addCleanup(logging.stop)
         self.bus = FakeBus()
         self.direct = FakeWorkers()
         self.workers = dispatching.DispatchedWorkers(self.clock, self.bus, self.direct)
@@ -102,6 +107,10 @@
         """The numbers of the calls that were sent."""
         return [call.number for _, sent in self.bus.sent for call in sent.calls]
 
+    def list_events(self):
+        """The names of the lines that were logged, but for the choice of setUp."""
+        return [logged.args[0] for logged in self.log.call_args_list[1:]]
+
     def answer(self, *numbered):
         """Let the dispatcher answer calls by their numbers."""
         outcomes = tuple(workercalls.NumberedOutcome(*pair) for pair in numbered)
@@ -216,6 +225,12 @@
         self.clock.advance(dispatching.GATHER_S)
         self.assertEqual(len(self.direct.open), 1)
 
+    def test_dispatcher_that_is_not_connected_is_lost_at_once(self):
+        self.bus.is_connected = False
+        self.begin_start()
+        self.clock.advance(dispatching.GATHER_S)
+        self.assertEqual(self.list_events(), ["dispatcher-lost"])
+
     def test_message_that_was_lost_costs_a_call_its_patience(self):
         self.begin_start()
         self.pass_time(dispatching.ORDER_S + 0.1, is_heard=True)
@@ -230,5 +245,95 @@
         self.workers.close()
 
 
+class Late(DispatchingCase):
+    """A dispatcher that is not run for a moment, on a busy machine."""
+
+    def setUp(self):
+        super().setUp()
+        self.begin_look()
+        self.pass_time(LATE_AFTER_S)
+
+    # Guards against leaving out a busy dispatcher for seconds after a short stall.
+    def test_late_dispatcher_is_used_again_as_soon_as_it_is_heard(self):
+        self.answer()
+        self.begin_look()
+        self.clock.advance(dispatching.GATHER_S)
+        self.assertEqual(len(self.direct.open), 1)
+        self.assertEqual(len(self.list_numbers()), 2)
+        self.assertEqual(self.list_events(), ["dispatcher-late", "dispatcher-back"])
+
+    # Guards against a further wait for each call while a dispatcher is late.
+    def test_calls_bypass_a_late_dispatcher(self):
+        for begin in (self.begin_look, self.begin_start, self.begin_stop):
+            begin()
+        self.assertEqual(len(self.direct.open), 4)
+        self.clock.advance(dispatching.GATHER_S)
+        self.assertEqual(len(self.list_numbers()), 1)
+
+    # Guards against an assignment that changes with each short stall.
+    def test_late_dispatcher_keeps_its_workers(self):
+        self.assign()
+        self.answer()
+        self.assign()
+        self.assertNotIn("dispatchers-chosen", self.list_events())
+
+    # Guards against taking a second answer to a call that the owner made itself.
+    def test_outcome_from_a_late_dispatcher_only_shows_that_it_is_back(self):
+        self.answer((self.list_numbers()[0], LOOK))
+        self.assertEqual(self.outcomes, [])
+        self.begin_look()
+        self.assertEqual(len(self.direct.open), 1)
+
+    def test_spell_is_logged_once_with_its_length(self):
+        self.pass_time(0.2)
+        self.answer()
+        self.answer()
+        late, back = self.log.call_args_list[1:]
+        self.assertEqual(
+            late, mock.call("dispatcher-late", dispatcher=DISPATCHER, open_calls=1)
+        )
+        self.assertEqual(
+            back, mock.call("dispatcher-back", dispatcher=DISPATCHER, late_ms=200)
+        )
+
+    # Guards against a frozen dispatcher that counts as late for ever.
+    def test_dispatcher_that_stays_unheard_is_lost(self):
+        self.pass_time(LOST_AFTER_S - LATE_AFTER_S)
+        self.assertEqual(self.list_events(), ["dispatcher-late", "dispatcher-lost"])
+        self.assign()
+        self.assertEqual(self.list_events()[2:], ["dispatchers-chosen"])
+        self.answer()
+        self.begin_look()
+        self.assertEqual(len(self.direct.open), 2)
+
+    # Guards against a frozen dispatcher that is left out longer than before.
+    def test_lost_dispatcher_is_left_out_from_when_it_fell_silent(self):
+        self.pass_time(dispatching.SUSPECT_S)
+        self.assign()
+        self.begin_look()
+        self.clock.advance(dispatching.GATHER_S)
+        self.assertEqual(len(self.list_numbers()), 2)
+
+    def test_dispatcher_that_is_back_can_be_late_again(self):
+        self.answer()
+        self.begin_look()
+        self.pass_time(LATE_AFTER_S + 0.05)
+        self.assertEqual(len(self.direct.open), 2)
+        self.assertEqual(self.list_events()[2:], ["dispatcher-late"])
+
+
+class Stalled(DispatchingCase):
+    """An owner that was not run itself."""
+
+    # Guards against dispatchers that are all late as the owner's own process stalls.
+    def test_owner_that_stalled_takes_what_has_arrived_first(self):
+        self.begin_start()
+        self.clock.advance(dispatching.GATHER_S)
+        self.clock.advance(LATE_AFTER_S + 0.1)
+        self.answer((self.list_numbers()[0], DONE))
+        self.assertEqual(self.outcomes, [DONE])
+        self.assertEqual(self.list_events(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
