Ask a late dispatcher for a sign of life

A dispatcher that ran half of the time was late and not back within 1.5 s, and so lost, though it ran meanwhile for half a second twice.

Cause: a dispatcher tells that it lives only while calls are open there. One that had answered all, or whose calls were lost with a connection that was replaced, has nothing to tell of, and the owner, which goes round it, gives it nothing. Trace: dispatcher-late with 2 and 5 open calls, the next line dispatcher-lost reason=silent 1.25 and 1.20 s later, in a trial that stopped one dispatcher for 0.5 s once a second.

Ruled out: signs of life without calls, from each dispatcher for ever.

Change: a late dispatcher gets a message without calls at each look, which it answers at once.

Both new tests failed before.

--- a/thornport/cell/dispatch/carrying.py
+++ b/thornport/cell/dispatch/carrying.py
@@ -75,6 +75,8 @@
         owner = self._owner_by_address.get(address)
         if owner is None:
             owner = self._owner_by_address[address] = Owner(address)
+        if not message.calls:
+            self._tell(owner)
         now = clock.read_monotonic()
         for numbered in message.calls:
             self._called_at_by_worker[numbered.call.address] = now
--- a/thornport/cell/dispatch/carrying_test.py
+++ b/thornport/cell/dispatch/carrying_test.py
@@ -93,6 +93,13 @@
         self.clock.pump([0.1] * 5)
         self.assertEqual(self.list_told(), [[], [], [], [1]])
 
+    # Guards against a dispatcher without open calls that can't show that it lives.
+    def test_message_without_calls_is_answered_at_once(self):
+        self.take()
+        self.assertEqual(self.list_told(), [[]])
+        self.clock.pump([0.1] * 5)
+        self.assertEqual(self.list_told(), [[]])
+
     def list_tell_times(self, seconds):
         """When the owner is told something in the time that passes."""
         times = []
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -225,7 +225,7 @@
             dispatcher.unheard_looks = 0
         else:
             dispatcher.is_heard = True
-            self._take_back(dispatcher)
+            self._check_late(dispatcher)
         for numbered in message.outcomes:
             end_call(dispatcher, numbered.number, numbered.outcome)
 
@@ -263,21 +263,20 @@
         end_all(dispatcher)
 
     def _check_late(self, dispatcher):
-        if dispatcher.unheard_looks >= LOST_LOOKS:
-            reason = "not connected" if dispatcher.is_heard else "silent"
-            self._lose(dispatcher, reason, dispatcher.late_since)
-        elif dispatcher.is_heard:
-            self._take_back(dispatcher)
-
-    def _take_back(self, dispatcher):
-        """Use a dispatcher again that was heard, if it is connected.
+        """Ask a late dispatcher for a sign of life; it is back once heard and reached.
 
         The bus replaces a connection that was silent for its heartbeat's time, and the
         first sign of life arrives before the new one is made.
         """
-        message = workercalls.WorkerCalls(())
-        if not self._bus.send(dispatcher.address, "", message):
-            return
+        question = workercalls.WorkerCalls(())
+        is_reached = self._bus.send(dispatcher.address, "", question)
+        if is_reached and dispatcher.is_heard:
+            self._take_back(dispatcher)
+        elif dispatcher.unheard_looks >= LOST_LOOKS:
+            reason = "not connected" if dispatcher.is_heard else "silent"
+            self._lose(dispatcher, reason, dispatcher.late_since)
+
+    def _take_back(self, dispatcher):
         late_s = clock.read_monotonic() - dispatcher.late_since
         dispatcher.late_since = None
         dispatcher.unheard_looks = 0
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -284,6 +284,17 @@
         self.begin_look()
         self.assertEqual(len(self.direct.open), 1)
 
+    # Guards against losing a dispatcher that lives and has no outcome to tell of.
+    def test_late_dispatcher_is_asked_for_a_sign_of_life_at_each_look(self):
+        self.bus.sent.clear()
+        self.pass_time(0.2)
+        asked = (DISPATCHER, workercalls.WorkerCalls(()))
+        self.assertEqual(self.bus.sent, [asked] * 4)
+        self.pass_time(LOST_AFTER_S)
+        self.bus.sent.clear()
+        self.pass_time(0.2)
+        self.assertEqual(self.bus.sent, [])
+
     # Guards against losing a dispatcher whose connection broke during a short stall.
     def test_dispatcher_that_is_heard_is_late_until_it_is_connected(self):
         self.bus.is_connected = False
--- a/thornport/cell/peers/workercalls.py
+++ b/thornport/cell/peers/workercalls.py
@@ -34,7 +34,7 @@
 
 
 class WorkerCalls(codec.Message, frozen=True):
-    """From the owner: make these calls."""
+    """From the owner: make these calls; an empty one asks for a sign of life."""
 
     calls: tuple[NumberedCall, ...]
 
