Log offers that are taken, and claims of the owner's key that fail

The lines tell of an offer that is made and of one that is refused, but not of one that is taken and then comes to nothing: the owner waits 0.6 s for it, and nothing says why.

Change: offer-taken, and owner-key-not-claimed with the revision and the reason.

--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -101,6 +101,7 @@
         """
         if not self.may_claim():
             return False
+        logs.log("offer-taken", token=token)
         self._offered_token = token
         self._standing.key_is_offered()
         return True
--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -221,10 +221,13 @@
         written = await self._write([transactions.Condition(OWNER_KEY, revision)])
         if isinstance(written, result.Success):
             return True
-        if port.is_failure(written, port.Unavailable):
-            return False
+        error = written.failure()
         # Refused or unknown: the key may be ours by this or an earlier claim.
-        return await self._find_own()
+        may_be_ours = not isinstance(error, port.Unavailable)
+        if may_be_ours and await self._find_own():
+            return True
+        logs.log("owner-key-not-claimed", revision=revision, reason=error.reason)
+        return False
 
     async def _write(self, conditions):
         """Write the key under a new lease; a Result, and it is taken if it is ours.
