Claim a key that ran out since it was offered as a free one

What callers saw: nearly all jobs late for seconds while the store turned some VMs away, the owner among them.

Cause, by its lines: the owner offered its cell at 18.26 s to a process that the store had turned away as well; at 18.96 s to the next one, when its key had run out. That one claimed the key at the revision that was offered and was refused ("a condition failed"); it would have tried again 0.2 s and its turn later. A smaller VM that claimed the free key had it at 19.13 s, and read the records until 20.51 s. A large VM that is offered a key as it runs out loses its turn the same way.

Ruled out: a large VM that claims too late by its turn; with no offer it claims 0.23 s before the smallest.

Change: a claim that is refused since nobody holds the key any more is made again as one of a free key, at once. It is as safe: the key is written on the condition that it is absent.

The new test failed before: the claim came to nothing.

--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -213,12 +213,16 @@
         """Try once to get the key.
 
         Args:
-          revision: An int, of the key to be replaced; ABSENT_REVISION if free.
+          revision: An int, of the key to be replaced; ABSENT_REVISION if free. One
+            that has run out since is claimed as a free one.
         Returns:
           A bool, whether the key is ours; `owner`, `token` and `lease_id` are
           set then.
         """
         written = await self._write([transactions.Condition(OWNER_KEY, revision)])
+        if revision != transactions.ABSENT_REVISION and is_key_gone(written):
+            free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
+            written = await self._write([free])
         if isinstance(written, result.Success):
             return True
         error = written.failure()
@@ -321,6 +325,19 @@
             logs.log("owner-key-released", ok=isinstance(ended, result.Success))
 
 
+def is_key_gone(written):
+    """Tell whether a write was refused since nobody holds the key any more.
+
+    Args:
+      written: A Result of a write of the key.
+    Returns:
+      A bool.
+    """
+    if not port.is_failure(written, transactions.Refused):
+        return False
+    return OWNER_KEY not in written.failure().by_key
+
+
 def decode_owner(value):
     """Decode the owner's key.
 
--- a/thornport/cell/owner/ownership_test.py
+++ b/thornport/cell/owner/ownership_test.py
@@ -10,6 +10,7 @@
 from thornport.kernel import tasks
 from thornport.store import transactions
 
+TOKEN = 7
 INPUTS = (
     "key_is_free",
     "key_is_offered",
@@ -159,5 +160,54 @@
         self.store.end_lease.assert_called_once_with(3)
 
 
+class Offered(unittest.TestCase):
+    """A process claims the key that an owner has offered to it."""
+
+    def setUp(self):
+        self.store = mock.Mock()
+        self.store.grant_lease.return_value = defer.succeed(
+            result.Success(transactions.Lease(3, 1000))
+        )
+        self.store.commit.side_effect = self.commit
+        self.store.read_key.side_effect = self.read_key
+        self.key = transactions.Item(ownership.OWNER_KEY, b"{}", TOKEN)
+        self.claimer = ownership.Claimer(task.Clock(), self.store, "vm-1", "10.0.0.1:1")
+
+    def commit(self, transaction):
+        """Write the key if its condition holds."""
+        (condition,) = transaction.conditions
+        if condition.revision != self.key.revision:
+            by_key = {self.key.key: self.key} if self.key.revision else {}
+            refused = transactions.Refused("a condition failed", by_key)
+            return defer.succeed(result.Failure(refused))
+        (put,) = transaction.puts
+        self.key = transactions.Item(put.key, put.value, condition.revision + 1)
+        return defer.succeed(result.Success(self.key.revision))
+
+    def read_key(self, key):
+        """Read the key as it is."""
+        return defer.succeed(result.Success(self.key))
+
+    def claim(self):
+        """Claim the key that was offered; a bool, whether it is ours."""
+        claimed = []
+        tasks.spawn(self.claimer.claim(TOKEN), "claim").addCallback(claimed.append)
+        return claimed[0]
+
+    def test_key_of_the_owner_is_replaced(self):
+        self.assertTrue(self.claim())
+        self.assertEqual(self.claimer.token, TOKEN + 1)
+
+    # A successor came back 0.4 s later, when a smaller VM had taken the cell.
+    def test_key_that_ran_out_since_the_offer_is_taken_at_once(self):
+        self.key = transactions.Item(ownership.OWNER_KEY, b"", 0)
+        self.assertTrue(self.claim())
+
+    def test_key_that_another_has_by_now_is_left_to_it(self):
+        self.key = transactions.Item(ownership.OWNER_KEY, b"{}", TOKEN + 1)
+        self.assertFalse(self.claim())
+        self.assertEqual(self.key.revision, TOKEN + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
