Tell the owner that a try to take its offered cell has failed

What callers saw: nearly all jobs late for seconds while the store turned some VMs away, the owner among them.

Cause: the owner notices the store's refusals 0.25 s after they begin, for it calls all the time; a process that is idle notices them 0.4 s after. In between it says yes to the offer, and its claim is refused ("status 429") within 10 ms. It told nobody, and the owner waited the 0.6 s that a slow store needs; meanwhile the key ran out, and a small VM that claimed it read the records for 1.4 s.

Ruled out: processes that notice sooner. They would have to ask the store more often, which is priced, and some answers are always older than the refusals.

Change: a process that has taken an offer and fails to get the key says no after all; the owner then asks the next process at once, as after any no.

The new test failed before: no word was sent.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -182,9 +182,9 @@
         """Whether this process could become the owner now."""
         return self.holding.may_claim()
 
-    def take_offer(self, token):
+    def take_offer(self, token, offered_by=""):
         """Claim the cell from its owner; see `holding.Holding.take_offer`."""
-        return self.holding.take_offer(token)
+        return self.holding.take_offer(token, offered_by)
 
 
 def describe(settings):
--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -35,6 +35,7 @@
         self._standing = ownership.Standing(self)
         self._claimer = None
         self._offered_token = transactions.ABSENT_REVISION
+        self._offered_by = ""
         self.owner = None
         self.session = None
         self.known_lapses = lapses.NONE
@@ -89,13 +90,15 @@
             and self._daemon.store_state.has_answered_lately()
         )
 
-    def take_offer(self, token):
+    def take_offer(self, token, offered_by=""):
         """Claim the cell from its owner, if the store answers us.
 
         The owner has offered it, or most peers agree that it is silent.
 
         Args:
           token: An int, the revision of the owner's key.
+          offered_by: A str, where the owner that offers it takes messages; empty
+            if none does.
         Returns:
           A bool, whether this process tries to get the key.
         """
@@ -103,6 +106,7 @@
             return False
         logs.log("offer-taken", token=token)
         self._offered_token = token
+        self._offered_by = offered_by
         self._standing.key_is_offered()
         return True
 
@@ -135,8 +139,8 @@
         now = clock.read_monotonic()
         wait_s = self._daemon.candidacy.compute_wait_s(now, is_offered)
         await tasks.sleep(self._reactor, wait_s)
-        offered = self._offered_token
-        self._offered_token = transactions.ABSENT_REVISION
+        offered, offered_by = self._offered_token, self._offered_by
+        self._offered_token, self._offered_by = transactions.ABSENT_REVISION, ""
         is_taken = self.owner is not None and offered == transactions.ABSENT_REVISION
         if is_taken or self._daemon.is_stopping:
             self._standing.claim_failed()
@@ -147,6 +151,10 @@
             self._standing.claim_won()
             return
         self._standing.claim_failed()
+        if offered_by:
+            # The store may have turned us away too: the owner asks the next one.
+            answer = peering.OfferAnswer(offered, is_taken=False)
+            self._daemon.bus.send(offered_by, "", answer)
         await tasks.sleep(self._reactor, ownership.RETRY_S)
         self._claim_if_free()
 
--- a/thornport/cell/owner/holding_test.py
+++ b/thornport/cell/owner/holding_test.py
@@ -112,6 +112,23 @@
         self.assertFalse(self.holding.take_offer(TOKEN))
         self.claimer.claim.assert_not_called()
 
+    # The owner waited 0.6 s for one that the store had turned away as well.
+    def test_one_that_fails_to_get_an_offered_key_tells_the_owner(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.assertTrue(self.holding.take_offer(TOKEN, OTHER.address))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_called_once_with(
+            OTHER.address, "", peering.OfferAnswer(TOKEN, False)
+        )
+
+    def test_nobody_is_told_of_a_key_that_nobody_offered(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.assertTrue(self.holding.take_offer(TOKEN))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_not_called()
+
     def test_claim_that_failed_is_made_again_while_the_key_is_free(self):
         self.tell_owner(None)
         self.answers[:] = [False, True]
--- a/thornport/cell/owner/offering_test.py
+++ b/thornport/cell/owner/offering_test.py
@@ -220,6 +220,11 @@
         look_again()
         self.assertEqual(self.read_sent(), [(LARGE, 7), (SECOND, 7)])
 
+    def test_next_one_is_asked_at_once_after_a_claim_that_failed(self):
+        self.answer(LARGE, is_taken=True)
+        self.answer(LARGE, is_taken=False)
+        self.assertEqual(self.read_sent(), [(LARGE, 7), (SECOND, 7)])
+
     def test_nobody_else_is_asked_while_one_claims(self):
         self.answer(LARGE, is_taken=True)
         self.now += succession.ANSWER_S
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -119,7 +119,8 @@
     """The answer to Offer.
 
     Attributes:
-      is_taken: Whether the process tries to get the key.
+      is_taken: Whether the process tries to get the key; false also after a try
+        that failed.
     """
 
     token: int
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -140,7 +140,7 @@
 @take.register
 def take_offer(message: peering.Offer, daemon, address):
     """An owner offers the cell: it stops, lacks the store, or its VM is smaller."""
-    is_taken = daemon.take_offer(message.token)
+    is_taken = daemon.take_offer(message.token, address)
     daemon.bus.send(address, "", peering.OfferAnswer(message.token, is_taken))
 
 
