Ask no further process once another holds the offered key

Cause: it offers again until its successor speaks to it. Since a process says no after a try that failed, each no that means "another has the key" brought the next offer at once.

Ruled out: the stale offers themselves; they were made before too, one in 0.7 s.

Change: a process says no after its try only if the store did not answer it. A key that another holds is left to the successor's own word, as it was.

The new test failed before: a no was sent.

--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -151,8 +151,8 @@
             self._standing.claim_won()
             return
         self._standing.claim_failed()
-        if offered_by:
-            # The store may have turned us away too: the owner asks the next one.
+        if offered_by and not self._claimer.is_anothers:
+            # The store has turned us away too: the owner asks the next one.
             answer = peering.OfferAnswer(offered, is_taken=False)
             self._daemon.bus.send(offered_by, "", answer)
         await tasks.sleep(self._reactor, ownership.RETRY_S)
--- a/thornport/cell/owner/holding_test.py
+++ b/thornport/cell/owner/holding_test.py
@@ -38,7 +38,9 @@
     def make_claimer(self, *_):
         """Make a claimer whose claims are answered as `answers` says."""
         self.answers = [True]
-        self.claimer = mock.Mock(incarnation=OWN.incarnation, owner=OWN, token=TOKEN)
+        self.claimer = mock.Mock(
+            incarnation=OWN.incarnation, owner=OWN, token=TOKEN, is_anothers=False
+        )
         self.claimer.claim.side_effect = lambda _: defer.succeed(self.answers.pop(0))
         self.claimer.renew.side_effect = lambda *_: defer.Deferred()
         self.claimer.release.side_effect = lambda: defer.succeed(None)
@@ -122,6 +124,15 @@
             OTHER.address, "", peering.OfferAnswer(TOKEN, False)
         )
 
+    # An owner that had been replaced asked eight more processes within 0.3 s.
+    def test_owner_is_not_told_of_a_key_that_another_has_by_now(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.claimer.is_anothers = True
+        self.assertTrue(self.holding.take_offer(TOKEN, OTHER.address))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_not_called()
+
     def test_nobody_is_told_of_a_key_that_nobody_offered(self):
         self.tell_owner(OTHER)
         self.answers[:] = [False]
--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -190,7 +190,11 @@
 
 
 class Claimer:
-    """Writes the owner's key and keeps its lease."""
+    """Writes the owner's key and keeps its lease.
+
+    Attributes:
+      is_anothers: Whether another process was found to hold the key at the last claim.
+    """
 
     def __init__(self, reactor, store, name, address):
         """Take the ways to the store.
@@ -208,6 +212,7 @@
         self.owner = None
         self.lease_id = 0
         self.token = 0
+        self.is_anothers = False
 
     async def claim(self, revision):
         """Try once to get the key.
@@ -219,6 +224,7 @@
           A bool, whether the key is ours; `owner`, `token` and `lease_id` are
           set then.
         """
+        self.is_anothers = False
         written = await self._write([transactions.Condition(OWNER_KEY, revision)])
         if revision != transactions.ABSENT_REVISION and is_key_gone(written):
             free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
@@ -230,6 +236,7 @@
         may_be_ours = not isinstance(error, port.Unavailable)
         if may_be_ours and await self._find_own():
             return True
+        self.is_anothers = isinstance(error, transactions.Refused)
         logs.log("owner-key-not-claimed", revision=revision, reason=error.reason)
         return False
 
--- a/thornport/cell/owner/ownership_test.py
+++ b/thornport/cell/owner/ownership_test.py
@@ -8,7 +8,7 @@
 
 from thornport.cell.owner import ownership
 from thornport.kernel import tasks
-from thornport.store import transactions
+from thornport.store import port, transactions
 
 TOKEN = 7
 INPUTS = (
@@ -207,6 +207,14 @@
         self.key = transactions.Item(ownership.OWNER_KEY, b"{}", TOKEN + 1)
         self.assertFalse(self.claim())
         self.assertEqual(self.key.revision, TOKEN + 1)
+        self.assertTrue(self.claimer.is_anothers)
+
+    def test_key_of_which_the_store_tells_nothing_is_not_known_as_anothers(self):
+        self.store.grant_lease.return_value = defer.succeed(
+            result.Failure(port.Unavailable("status 429"))
+        )
+        self.assertFalse(self.claim())
+        self.assertFalse(self.claimer.is_anothers)
 
 
 if __name__ == "__main__":
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -120,7 +120,7 @@
 
     Attributes:
       is_taken: Whether the process tries to get the key; false also after a try
-        that failed.
+        that the store did not answer.
     """
 
     token: int
