Merge offers of the cell that come to nothing at once

An owner that the store turns away hands its cell to one that has it without waiting for one that was turned away too.

--- a/thornport/cell/owner/holding_test.py
+++ b/thornport/cell/owner/holding_test.py
@@ -38,7 +38,9 @@
     def make_claimer(self, *_):
         """Make a claimer whose claims are answered as `answers` says."""
         self.answers = [True]
-        self.claimer = mock.Mock(incarnation=OWN.incarnation, owner=OWN, token=TOKEN)
+        self.claimer = mock.Mock(
+            incarnation=OWN.incarnation, owner=OWN, token=TOKEN, is_anothers=False
+        )
         self.claimer.claim.side_effect = lambda _: defer.succeed(self.answers.pop(0))
         self.claimer.renew.side_effect = lambda *_: defer.Deferred()
         self.claimer.release.side_effect = lambda: defer.succeed(None)
@@ -112,6 +114,32 @@
         self.assertFalse(self.holding.take_offer(TOKEN))
         self.claimer.claim.assert_not_called()
 
+    # The owner waited 0.6 s for one that the store had turned away as well.
+    def test_one_that_fails_to_get_an_offered_key_tells_the_owner(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.assertTrue(self.holding.take_offer(TOKEN, OTHER.address))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_called_once_with(
+            OTHER.address, "", peering.OfferAnswer(TOKEN, False)
+        )
+
+    # An owner that had been replaced asked eight more processes within 0.3 s.
+    def test_owner_is_not_told_of_a_key_that_another_has_by_now(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.claimer.is_anothers = True
+        self.assertTrue(self.holding.take_offer(TOKEN, OTHER.address))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_not_called()
+
+    def test_nobody_is_told_of_a_key_that_nobody_offered(self):
+        self.tell_owner(OTHER)
+        self.answers[:] = [False]
+        self.assertTrue(self.holding.take_offer(TOKEN))
+        self.clock.advance(LONG_S)
+        self.daemon.bus.send.assert_not_called()
+
     def test_claim_that_failed_is_made_again_while_the_key_is_free(self):
         self.tell_owner(None)
         self.answers[:] = [False, True]
--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -190,7 +190,11 @@
 
 
 class Claimer:
-    """Writes the owner's key and keeps its lease."""
+    """Writes the owner's key and keeps its lease.
+
+    Attributes:
+      is_anothers: Whether another process was found to hold the key at the last claim.
+    """
 
     def __init__(self, reactor, store, name, address):
         """Take the ways to the store.
@@ -208,23 +212,33 @@
         self.owner = None
         self.lease_id = 0
         self.token = 0
+        self.is_anothers = False
 
     async def claim(self, revision):
         """Try once to get the key.
 
         Args:
-          revision: An int, of the key to be replaced; ABSENT_REVISION if free.
+          revision: An int, of the key to be replaced; ABSENT_REVISION if free. One
+            that has run out since is claimed as a free one.
         Returns:
           A bool, whether the key is ours; `owner`, `token` and `lease_id` are
           set then.
         """
+        self.is_anothers = False
         written = await self._write([transactions.Condition(OWNER_KEY, revision)])
+        if revision != transactions.ABSENT_REVISION and is_key_gone(written):
+            free = transactions.Condition(OWNER_KEY, transactions.ABSENT_REVISION)
+            written = await self._write([free])
         if isinstance(written, result.Success):
             return True
-        if port.is_failure(written, port.Unavailable):
-            return False
+        error = written.failure()
         # Refused or unknown: the key may be ours by this or an earlier claim.
-        return await self._find_own()
+        may_be_ours = not isinstance(error, port.Unavailable)
+        if may_be_ours and await self._find_own():
+            return True
+        self.is_anothers = isinstance(error, transactions.Refused)
+        logs.log("owner-key-not-claimed", revision=revision, reason=error.reason)
+        return False
 
     async def _write(self, conditions):
         """Write the key under a new lease; a Result, and it is taken if it is ours.
@@ -318,6 +332,19 @@
             logs.log("owner-key-released", ok=isinstance(ended, result.Success))
 
 
+def is_key_gone(written):
+    """Tell whether a write was refused since nobody holds the key any more.
+
+    Args:
+      written: A Result of a write of the key.
+    Returns:
+      A bool.
+    """
+    if not port.is_failure(written, transactions.Refused):
+        return False
+    return OWNER_KEY not in written.failure().by_key
+
+
 def decode_owner(value):
     """Decode the owner's key.
 
