--- a/thornport/cell/decisions/listing.py
+++ b/thornport/cell/decisions/listing.py
@@ -7,9 +7,9 @@
 
 from thornport.cell.decisions import cellstate, eligibility, placing
 
-# Lists of workers serve the rounds of urgent steps, and jobs that come, for so long: to
-# list 3,000 workers takes 8 ms, and 600 jobs come a second there. Each round for all
-# steps lists them anew, every 20 ms in cells of some hundred workers.
+# Maximum age of a list that rounds for urgent steps, and jobs that come, may use: in a
+# cell of thousands more jobs come than lists can be made. Rounds for all steps make new
+# lists.
 LISTED_S = 0.1
 
 
--- a/thornport/cell/decisions/rounds.py
+++ b/thornport/cell/decisions/rounds.py
@@ -22,8 +22,8 @@
 # Of these, the foremost in each round. What can't start is tried there again and again;
 # the others take turns, or what comes behind would wait for as long.
 FOREMOST_STEPS = 60
-# Of the others, those tried first because advice about them came: tickets may lapse
-# before their turn.
+# Up to this many of the others are tried first if advice about them has come, since
+# their tickets might lapse before their turn.
 ANSWERED_STEPS = 10
 
 
@@ -286,7 +286,7 @@
 def take_turns(ready, resumed_at, rank):
     """Order steps for a round: the foremost, then from where the last one ended.
 
-    Some of which advice has just come go before the latter.
+    Between these go some steps about which advice has come since their last turn.
 
     Args:
       ready: A list of pairs of a job and a step, by their rank.
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -21,15 +21,15 @@
 # Calls are gathered so long: urgent tasks are late after some tenths of a second.
 GATHER_S = 0.002
 SWEEP_PERIOD_S = 0.05  # between looks at what is open
-# A dispatcher with open calls that was not heard in so many looks is late: three signs
-# of life are missing. Looks are counted, not time, so that an owner which falls behind
-# takes what has arrived first.
+# A dispatcher with open calls that was not heard in this many looks is late: three
+# signs of life are missing. Looks are counted, not time, so that an owner which falls
+# behind takes what has arrived first.
 SILENT_LOOKS = 6
-# A late dispatcher that was not heard in so many looks is lost: on a busy machine a
-# process is not run for up to a second.
+# One that is still not heard after this many looks is lost: a process on a busy machine
+# may not be run for up to a second.
 LOST_LOOKS = 30
-# A lost dispatcher gets nothing until so long after it fell silent: a process that was
-# killed is back after some seconds, and one that is listed all that time is not well.
+# A lost dispatcher gets no calls until this long after it fell silent: a process that
+# was killed is back after some seconds.
 SUSPECT_S = 2.0
 # How much longer than the worker's own answer that of a dispatcher may take.
 HOLD_SLACK_S = 0.6
