--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -41,11 +41,15 @@
 class SoakCase(unittest.TestCase):
     """Runs soaks."""
 
-    def check_kept(self, seed, seconds, size, kinds=()):
-        """Run a soak; versions have the time that a busy machine may need."""
+    def check_kept(self, seed, seconds, size, kinds=(), causes=()):
+        """Run a soak; versions have the time that a busy machine may need.
+
+        Args:
+          causes: Strs, why the seed failed before.
+        """
         drawn = plan.make_plan(seed, seconds, size, kinds)
         broken, told = soak.run_plan(seed, drawn, apply_s=harness.PATIENCE_S)
-        self.assertEqual(broken, [], told)
+        self.assertEqual(broken, [], f"{told} failed before: {causes}")
 
 
 class Soak(SoakCase):
@@ -63,32 +67,42 @@
             with self.subTest(seed=seed, cause=cause):
                 self.check_kept(seed, seconds, size)
 
-    # Each by itself, so that KNOWN-RED.txt can name it.
-    def check_seed(self, seed, size, *causes):
-        """Run a seed that failed before, for these causes."""
-        self.assertTrue(causes)
-        self.check_kept(seed, DRAWN_S, size)
-
+    # Each seed by itself, so that KNOWN-RED.txt can name one.
     def test_seed_50011(self):
-        self.check_seed(50011, sizes.SizeKind.DOZENS, RESTART, BEFELL)
+        self.check_kept(
+            50011,
+            DRAWN_S,
+            sizes.SizeKind.DOZENS,
+            causes=(RESTART, BEFELL),
+        )
 
     def test_seed_50012(self):
-        self.check_seed(50012, sizes.SizeKind.DOZENS, BEFELL)
+        self.check_kept(50012, DRAWN_S, sizes.SizeKind.DOZENS, causes=(BEFELL,))
 
     def test_seed_50112(self):
-        self.check_seed(50112, sizes.SizeKind.DOZENS, RESTART, BEFELL)
+        self.check_kept(
+            50112,
+            DRAWN_S,
+            sizes.SizeKind.DOZENS,
+            causes=(RESTART, BEFELL),
+        )
 
     def test_seed_60002(self):
-        self.check_seed(60002, sizes.SizeKind.DOZENS, RESTART, BEFELL)
+        self.check_kept(
+            60002,
+            DRAWN_S,
+            sizes.SizeKind.DOZENS,
+            causes=(RESTART, BEFELL),
+        )
 
     def test_seed_73008_whose_workers_restart_within_a_second(self):
-        self.check_seed(73008, sizes.SizeKind.DOZENS, BEFELL)
+        self.check_kept(73008, DRAWN_S, sizes.SizeKind.DOZENS, causes=(BEFELL,))
 
     def test_seed_81001(self):
-        self.check_seed(81001, sizes.SizeKind.DOZENS, BEFELL)
+        self.check_kept(81001, DRAWN_S, sizes.SizeKind.DOZENS, causes=(BEFELL,))
 
     def test_seed_82009(self):
-        self.check_seed(82009, sizes.SizeKind.DISPATCHERS, BEFELL)
+        self.check_kept(82009, DRAWN_S, sizes.SizeKind.DISPATCHERS, causes=(BEFELL,))
 
     def test_few_workers_that_restart_all_the_time(self):
         # Jobs were given up for crashes that only befell them, in each run.
