--- a/tests/siteplays.py
+++ b/tests/siteplays.py
@@ -137,7 +137,6 @@
         barred = lost | self._list_done()
         for worker in self.workers_by_id.values():
             barred |= worker.active_by_key.keys() | {row.key for row in worker.ended}
-        barred_by_step = collections.Counter(map(advisedworld.read_step, barred))
         lost_by_step = collections.Counter(map(advisedworld.read_step, lost))
         for service in (GPU_SERVICE, CPU_SERVICE):
             self._judged_service = service
@@ -148,9 +147,30 @@
                 # Tasks that may live on at a lost worker can't start.
                 step = kept.job.steps[key.step]
                 together = step.gang and lost_by_step[key]
-                if not together and barred_by_step[key] < step.count:
+                if not together and self._has_startable(key, step, barred):
                     yield key
 
+    def _has_startable(self, key, step, barred):
+        """Whether a task of a step is neither barred nor done by the job's record."""
+        done = self._read_recorded_done(key, step)
+        return any(
+            index not in done
+            and messages.TaskKey(key.job_id, key.time, key.step, index) not in barred
+            for index in range(step.count)
+        )
+
+    def _read_recorded_done(self, key, step):
+        """Read the indexes of the tasks of a step that its job's record has as done.
+
+        Their worker may have gone before it was told that their ends were taken.
+        """
+        value = self.progress_by_id.get(key.job_id)
+        steps = () if value is None else record.decode_progress(value).steps
+        for kept in steps:
+            if (kept.time, kept.step) == (key.time, key.step):
+                return range(step.count) if kept.all_done else kept.done
+        return ()
+
     def _is_over(self, job_id):
         """Whether the end of a job is kept, though runs of it may be live."""
         value = self.progress_by_id.get(job_id)
