Delay the next trial of a task whose worker was lost a moment after its start

Callers saw: a job shown as failed for crashes of workers that only befell it.

Cause: what is lost in a burst is started again within some hundredths of a second, so one burst can meet a task several times; each time counted as new evidence, since the rate of losses over 30 s says nothing of the last second.

Change: a task that was a suspect is tried again a second after the loss, unless its step has stood still past its grace. Tasks of which an earlier owner began the run are not delayed: all tasks of a lost worker are suspects there.

Ruled out: to judge a crash only once the second after it is over (the task would meet the rest of the burst meanwhile); to count crashes by their number alone (five are needed then for every crashing task).

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -9,7 +9,8 @@
 there.
 
 A suspect task starts on trial, where a crash costs least, and nothing else starts at
-that worker until the task has run for a while, so that a further crash tells more.
+that worker until the task has run for a while, so that a further crash tells more. A
+trial begins only after a delay, so that one burst of restarts meets the task once.
 
 Must not be given up: tasks that were merely at the same worker, and tasks whose workers
 lose power with their rack, leave as announced, crash after serving for long, or restart
@@ -44,6 +45,8 @@
 # The same for this share of all workers, whatever their racks: three of 24 lost at once
 # are seldom chance.
 OUTAGE_SHARE = 0.125
+# A suspect is tried again after this delay: a burst of restarts is over by then.
+TRIAL_DELAY_S = OUTAGE_S
 # A trial that has run for this long has passed, and other tasks of its step follow.
 PROVEN_S = 0.5
 # Maximum number of simultaneous trials of a step: each may cost a worker.
@@ -399,8 +402,11 @@
     """
     waiting = sorted(step.waiting)
     points_by_index = step.crash_points_by_index
-    if not points_by_index or step.spec.gang:
+    if not points_by_index:
         return waiting
+    if step.spec.gang:
+        is_delayed = any(is_trial_delayed(step, index, now) for index in waiting)
+        return waiting if is_overdue or not is_delayed else []
     tried = [
         run for index, run in step.live_by_index.items() if index in points_by_index
     ]
@@ -415,6 +421,10 @@
     suspects = [index for index in waiting if index in points_by_index]
     if not suspects:
         return waiting
+    if not is_overdue:
+        suspects = [i for i in suspects if not is_trial_delayed(step, i, now)]
+        if not suspects:
+            return []
     first = max(suspects, key=points_by_index.get)
     if points_by_index[first] > SHARED_SUSPECT_POINTS or len(suspects) <= FEW_TRIALS:
         return [first]
@@ -422,6 +432,27 @@
     return suspects[: min(MOST_TRIALS, max(1, proven))]
 
 
+def find_trial_due(worker, run, now):
+    """Find from when the task of a run that is lost with its worker may be tried again.
+
+    Args:
+      worker: A model.Worker.
+      run: A model.Run.
+      now: A float.
+    Returns:
+      A float; None without a delay: where the run outlasted the suspect window, or an
+      earlier owner started it, so that any task there may be a suspect.
+    """
+    if not is_within(compute_least_ran_s(worker, run), SUSPECT_WINDOW_S):
+        return None
+    return find_lost_at(worker, now) + TRIAL_DELAY_S
+
+
+def is_trial_delayed(step, index, now):
+    """Whether a task, by its index in a model.StepState, may not be tried yet."""
+    return now < step.trial_due_by_index.get(index, now)
+
+
 def may_be_tried(step, worker, now):
     """Tell whether a suspect task of a step may start on trial at a worker.
 
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -429,6 +429,26 @@
         world.run(1)
         self.assertEqual(world.read_states(), {"a": "running"})
 
+    def test_workers_restart_in_a_burst_under_one_task(self):
+        # Three restarts within 0.3 s, each just after a start of the task, gave it up.
+        for worker_count, calm_s in itertools.product((5, 24), (0.0, 30.0)):
+            with self.subTest(worker_count=worker_count, calm_s=calm_s):
+                world = make_world(worker_count)
+                world.breaks_off = True
+                world.run(calm_s)
+                world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 3000)))
+                self.restart_under_task(world, burst_s=0.9)
+                self.run_on(world, ["a"])
+
+    def restart_under_task(self, world, burst_s):
+        """Restart each worker that runs a task, for some time."""
+        burst_until = world.now + burst_s
+        while world.now < burst_until:
+            world.run(cellworld.STEP_S)
+            for worker_id, worker in list(world.workers_by_id.items()):
+                if worker.active_by_key:
+                    world.restart(worker_id)
+
     def test_one_host_that_fails_whatever_runs_there(self):
         # Points were counted again and again for crashes at the same host, which is
         # empty, so that it was chosen for each further try.
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -290,7 +290,7 @@
             )
             blames = crashes.judge_crash(worker, how, rates, now)
         for blame in blames:
-            self._take_blame(blame)
+            self._take_blame(worker, blame, now)
         return blames
 
     def _is_outage(self, worker, now):
@@ -308,7 +308,7 @@
         losses = [*self._recent_losses, *silent]
         return crashes.is_outage(loss, losses, rack_size, len(self.workers_by_id))
 
-    def _take_blame(self, blame):
+    def _take_blame(self, worker, blame, now):
         """Count the points of a task whose run has not ended by then."""
         run = blame.run
         step = self._find_step(run.key)
@@ -319,6 +319,9 @@
         points_by_index = step.crash_points_by_index
         points = points_by_index.get(run.key.index, 0) + blame.points
         points_by_index[run.key.index] = points
+        trial_due_at = crashes.find_trial_due(worker, run, now)
+        if trial_due_at is not None:
+            step.trial_due_by_index[run.key.index] = trial_due_at
         # Another crash at the same worker would say as much against the worker.
         step.avoided_by_index.setdefault(run.key.index, set()).add(run.worker_id)
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -310,6 +310,8 @@
       checkpoints_by_index: The latest checkpoint, likewise.
       crash_points_by_index: Evidence that a task crashes its workers, by task index,
         also in a gang; see `crashes`.
+      trial_due_by_index: Floats, when a task that may crash its workers may be tried
+        again, likewise; none where it need not be delayed.
       avoided_by_index: Ids of workers on which a task failed, likewise.
       last_run: An int, the highest run number given out.
       is_done: Whether every task is done.
@@ -340,6 +342,7 @@
     failures_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = msgspec.field(default_factory=dict)
     crash_points_by_index: dict[int, int] = msgspec.field(default_factory=dict)
+    trial_due_by_index: dict[int, float] = msgspec.field(default_factory=dict)
     avoided_by_index: dict[int, set[str]] = msgspec.field(default_factory=dict)
     last_run: int = 0
     is_done: bool = False
