Keep retries from holding an overload of the store up

Cause, told apart in simulated time with the modules of the product: 30 processes at a store that answers twice their calm load and turns slow for 3 s. Each call that is given up after 0.6 s is answered by the store all the same, its connection is aborted, and the next call needs a new one. Where a new connection costs nothing the store is back after 2.0 s; where it costs as much as two calls, never (98 of 102 calls a second in vain for 20 s). Neither a delay of retries of 0.1 to 1 s with jitter nor slower probes mended that by themselves. So the machine's load starts it, and the product keeps it up.

Change: a call to the store that was given up leaves its connection open for a late answer for 4 s (eight at most, short answers, none that had begun), and the connection is used again. Followers wait for the return that probes tell of, then for a delay with jitter (`store.backoff`).

Not changed: the loops of the owner alone, one process in a cell.

--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -36,7 +36,7 @@
         self._reactor = reactor
         self.silent = silent
 
-    def call(self, address, method, path, body, patience, on_bytes=None):
+    def call(self, address, method, path, body, patience, on_bytes=None, on_late=None):
         """Lose the answer, or give that of a watch."""
         if not self.silent:
             events = store.WireEvents([CANCEL], CANCEL.rev)
--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -22,6 +22,10 @@
 # An answer of which bytes keep coming is waited for up to this: 1.4 MB, the largest
 # that the store gives, takes 6 s at that rate; five times that serves nobody.
 LONGEST_ANSWER_S = 30.0
+# Connections to one address that are left open for late answers, and the most that one
+# of them may bring: a longer answer would take the link from the calls made since.
+MAX_LATE = 8
+MAX_LATE_BYTES = 64 * 1024
 
 
 class Patience(msgspec.Struct, frozen=True):
@@ -34,11 +38,14 @@
         until it begins.
       whole_s: A float, until the answer ends; less than the usual only where the answer
         is small and the call must be made again in time.
+      late_s: A float, how long the connection of a call that was given up is left open
+        for its answer: an overloaded server has no new connection to make then.
     """
 
     begin_s: float
     pause_s: float = 0.0
     whole_s: float = LONGEST_ANSWER_S
+    late_s: float = 0.0
 
 
 USUAL_PATIENCE = Patience(1.0)
@@ -94,6 +101,8 @@
         self._waiting = None
         self._body = []
         self._keeps = True
+        self._late_timer = None
+        self._on_late = None
         self.is_open = False
         self.heard_at = 0.0
         self.note_progress = None
@@ -116,16 +125,35 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self.received = 0
-        self._waiting = defer.Deferred(lambda _: self.transport.abortConnection())
+        self._waiting = defer.Deferred(self._give_up)
         self.transport.write(data)
         return self._waiting
 
+    def _give_up(self, _waiting):
+        if self._late_timer is None:
+            self.transport.abortConnection()
+
+    def leave_open(self, reactor, seconds, on_late):
+        """Leave the connection open for an answer that nobody waits for any more.
+
+        Args:
+          reactor: Twisted's reactor.
+          seconds: A float, for how long.
+          on_late: As for `HttpCalls.call`.
+        """
+        self._late_timer = reactor.callLater(seconds, self.transport.abortConnection)
+        self._on_late = on_late
+        self._pool.late.add(self)
+
     def dataReceived(self, data):
         """Feed the parser; bytes that are no answer end the connection."""
         if self._parser is None:
             self.transport.abortConnection()
             return
         self.received += len(data)
+        if self._late_timer is not None and self.received > MAX_LATE_BYTES:
+            self.transport.abortConnection()
+            return
         if self.note_progress is not None:
             self.note_progress()
         try:
@@ -140,6 +168,10 @@
 
     def on_message_complete(self):
         """Give the answer to the caller; called by the parser."""
+        is_late = self._late_timer is not None
+        self._end_late_timer()
+        if is_late and self._on_late is not None:
+            self._on_late(len(self._pool.late))
         parser, self._parser = self._parser, None
         self._keeps = parser.should_keep_alive()
         answer = Answer(parser.get_status_code(), b"".join(self._body))
@@ -150,6 +182,12 @@
             self.transport.loseConnection()
         self._finish(result.Success(answer))
 
+    def _end_late_timer(self):
+        timer, self._late_timer = self._late_timer, None
+        self._pool.late.discard(self)
+        if timer is not None and timer.active():
+            timer.cancel()
+
     def _finish(self, outcome):
         waiting, self._waiting = self._waiting, None
         if waiting is not None and not waiting.called:
@@ -158,6 +196,7 @@
     def connectionLost(self, reason):
         """Tell the caller whose answer will not come."""
         self.is_open = False
+        self._end_late_timer()
         self._pool.drop(self)
         is_ours = reason.check(ConnectionAborted) is not None
         text = "aborted" if is_ours else str(reason.value)
@@ -170,14 +209,23 @@
     Attributes:
       idle: Connections that are kept.
       last_used: The one whose answer came last, if it is kept; None else.
+      late: A set of the Connections that are left open for late answers.
     """
 
-    __slots__ = ("_reactor", "idle", "last_used")
+    __slots__ = ("_reactor", "idle", "last_used", "late")
 
     def __init__(self, reactor):
         self._reactor = reactor
         self.idle = collections.deque()
         self.last_used = None
+        self.late = set()
+
+    def may_leave_open(self, connection):
+        """Whether a connection may be left open when its call is given up.
+
+        An answer that has begun and stopped is no late one.
+        """
+        return not connection.received and len(self.late) < MAX_LATE
 
     def take(self):
         """Take an idle connection, the one used last; None if there is none."""
@@ -242,6 +290,7 @@
         patience=None,
         headers=(),
         on_bytes=None,
+        on_late=None,
     ):
         """Make one call.
 
@@ -257,6 +306,8 @@
           headers: An iterable of pairs of str.
           on_bytes: A callable, called whenever bytes of the answer come; None for
             none.
+          on_late: A callable, called when the answer comes after the call was given up,
+            with the number of calls of which the same is still expected; None for none.
         Returns:
           A Result of Answer, NotSent or NoAnswer.
         """
@@ -270,15 +321,17 @@
                 return opened
             connection = opened.unwrap()
         data = format_request(address, method, path, body, headers)
-        return await self._exchange(connection, pool, data, patience, on_bytes)
+        return await self._exchange(connection, pool, data, patience, on_bytes, on_late)
 
-    async def _exchange(self, connection, pool, data, patience, on_bytes):
+    async def _exchange(self, connection, pool, data, patience, on_bytes, on_late):
         """Send a request and wait for its answer."""
         sent_at = self._reactor.seconds()
         waiting = connection.send(data)
 
         def give_up():
             pool.drop_unheard(sent_at)
+            if patience.late_s and pool.may_leave_open(connection):
+                connection.leave_open(self._reactor, patience.late_s, on_late)
             waiting.cancel()
 
         sending_s = len(data) / SLOWEST_BYTES_PER_S
--- a/thornport/kernel/httpcalls_test.py
+++ b/thornport/kernel/httpcalls_test.py
@@ -112,6 +112,55 @@
         self.assertEqual(self.given[0].unwrap().status, 200)
 
 
+class LateAnswers(Calls):
+    """Calls that were given up and are answered after all."""
+
+    LATE_S = 10.0
+
+    def begin_late(self):
+        """Begin a call that is given up."""
+        connection = self.begin(late_s=self.LATE_S)
+        self.reactor.advance(TIMEOUT_S * 1.1)
+        self.assertIsInstance(self.given[-1], result.Failure)
+        self.reactor.advance(0)
+        return connection
+
+    # Each retry at an overloaded server cost it a new connection.
+    def test_connection_is_used_again(self):
+        connection = self.begin_late()
+        connection.dataReceived(HEAD + b"abcdef")
+        call = self.calls.call("10.0.0.1:80", "GET", "/")
+        tasks.spawn(call, "call").addCallback(self.given.append)
+        connection.dataReceived(HEAD + b"ghijkl")
+        self.assertEqual(self.given[-1].unwrap().body, b"ghijkl")
+        self.assertEqual(self.reactor.opened, 1)
+
+    def test_connection_without_one_is_ended(self):
+        connection = self.begin_late()
+        self.reactor.advance(self.LATE_S)
+        self.reactor.advance(0)
+        self.assertFalse(connection.is_open)
+        self.assertFalse(self.reactor.getDelayedCalls())
+
+    def test_answer_that_has_stopped_coming_is_not_awaited(self):
+        connection = self.begin(late_s=self.LATE_S)
+        connection.dataReceived(HEAD)
+        self.reactor.advance(TIMEOUT_S * 1.1)
+        self.reactor.advance(0)
+        self.assertFalse(connection.is_open)
+
+    def test_long_answer_is_ended(self):
+        connection = self.begin_late()
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+        connection.dataReceived(b"a" * httpcalls.MAX_LATE_BYTES)
+        self.reactor.advance(0)
+        self.assertFalse(connection.is_open)
+
+    def test_few_connections_are_left_open(self):
+        connections = [self.begin_late() for _ in range(httpcalls.MAX_LATE + 1)]
+        self.assertEqual([c.is_open for c in connections].count(False), 1)
+
+
 class BrokenOff(Calls):
     """Whether a connection ended before its call's time was over."""
 
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -48,10 +48,11 @@
       A ports.Ports.
     """
     services = process_settings.services
+    client = store.StoreClient(calls, services.store, STORE_TIMEOUT_S, counters)
+    checked = health.CheckedStore(client)
+    client.on_late = checked.note_late_answer
     return ports.Ports(
-        health.CheckedStore(
-            store.StoreClient(calls, services.store, STORE_TIMEOUT_S, counters)
-        ),
+        checked,
         workers.WorkerClient(calls, ORDER_TIMEOUT_S),
         advice.AdviceClient(calls, services.advice),
         config.CONFIG_KEY,
--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -40,6 +40,7 @@
         patience=None,
         headers=(),
         on_bytes=None,
+        on_late=None,
     ):
         """Note the call and answer."""
         self.patience = patience
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -10,6 +10,7 @@
 from thornport.store import port, transactions
 
 WATCH_SLACK_S = 0.6  # beyond the wait, for the way there and back
+LATE_S = 4.0  # for the answer to a call that was given up; see httpcalls.Patience
 MAX_WATCH_MS = 30_000  # the platform's limit on a waiting watch
 
 
@@ -75,7 +76,12 @@
 
 
 class StoreClient:
-    """Calls the store; every method gives a Result with errors of `port`."""
+    """Calls the store; every method gives a Result with errors of `port`.
+
+    Attributes:
+      on_late: A callable, called when a call that was given up is answered, with the
+        number of those that may still be; None for none.
+    """
 
     def __init__(self, calls, address, timeout_s, metrics):
         """Take the ways to call.
@@ -88,8 +94,9 @@
         """
         self._calls = calls
         self._address = address
-        self._patience = httpcalls.Patience(timeout_s, timeout_s)
+        self._patience = httpcalls.Patience(timeout_s, timeout_s, late_s=LATE_S)
         self._metrics = metrics
+        self.on_late = None
 
     async def read_key(self, key):
         """Read a key; a Result of Item, absent with ABSENT_REVISION."""
@@ -124,7 +131,7 @@
         path = "/-/kv-watch?" + urllib.parse.urlencode(query)
         # The wait is over when the answer begins, which may have 1 MB.
         begin_s = wait_ms / 1000 + WATCH_SLACK_S
-        patience = httpcalls.Patience(begin_s, self._patience.pause_s)
+        patience = httpcalls.Patience(begin_s, self._patience.pause_s, late_s=LATE_S)
         answer = await self._call("GET", path, patience=patience, on_bytes=on_bytes)
         if is_status(answer, 410):
             return result.Failure(transactions.HistoryGone("history is gone"))
@@ -152,7 +159,7 @@
         """Renew a lease; a Result of its time in milliseconds."""
         # A lease has time for three tries; the answer is small.
         begin_s = self._patience.begin_s
-        patience = httpcalls.Patience(begin_s, whole_s=begin_s)
+        patience = httpcalls.Patience(begin_s, whole_s=begin_s, late_s=LATE_S)
         answer = await self._call("POST", f"/-/kv-keep/{lease_id}", patience=patience)
         if is_status(answer, 404):
             return result.Failure(transactions.LeaseGone("no such lease"))
@@ -176,6 +183,7 @@
             body,
             patience or self._patience,
             on_bytes=on_bytes,
+            on_late=self.on_late,
         )
         if isinstance(answer, result.Failure):
             return result.Failure(turn_error(answer.failure(), is_write))
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -1,8 +1,10 @@
 """Whether the store answers this process, told by its calls and probes."""
 
 from returns import result
+from twisted.internet import defer
 
-from thornport.kernel import clock, logs
+from thornport.kernel import clock, logs, tasks
+from thornport.store import backoff as backoffs
 from thornport.store import port, watching
 
 # Failing for this long means away; a single refusal for the rate does not.
@@ -15,6 +17,11 @@
 # By each answer the slowest one counts for less, so that a slow store which is lost
 # after it was fast again for some seconds is soon known to be lost.
 FADING = 0.8
+# A store that answers calls after they were given up has more of them than it can bear;
+# the next late answer of one that still has too many comes within this time.
+OVERLOADED_S = 2.0
+# Callers that wait for the store's return call it again after this in any case.
+MAX_REST_S = 2.0
 
 
 class CheckedStore:
@@ -33,6 +40,9 @@
         self._open_since_by_id = {}
         self._was_away = False
         self._back_at = None
+        self._waiting_for_return = []
+        self._late_answer_at = None
+        self._waiting_for_late = []
 
     def was_away_within(self, seconds):
         """Tell whether the store is away, or was a moment ago.
@@ -56,6 +66,31 @@
         silent_s = max(SILENT_S, SILENT_TIMES * self._slowest_s)
         return now - max(oldest, self._answered_at) > silent_s and oldest < now
 
+    def note_late_answer(self, still_open):
+        """Take that a call was answered after it was given up.
+
+        Args:
+          still_open: An int, the calls that were given up and may still be answered.
+        """
+        self._late_answer_at = clock.read_monotonic()
+        if not still_open:
+            end_waits(self._waiting_for_late)
+
+    async def wait_for_late_answers(self, reactor, seconds):
+        """Wait until no call that was given up is open at the store any more.
+
+        Args:
+          reactor: Twisted's reactor.
+          seconds: A float, the longest wait.
+        """
+        await wait_in(self._waiting_for_late, reactor, seconds)
+
+    def is_overloaded(self):
+        """Whether the store is away, and late with its answers rather than silent."""
+        if self._late_answer_at is None or not self.is_away():
+            return False
+        return clock.read_monotonic() - self._late_answer_at < OVERLOADED_S
+
     def has_answered_within(self, seconds):
         """Tell whether the store answered a moment ago, and is not away since.
 
@@ -91,6 +126,8 @@
                 self._failing_since = began_at
         else:
             self._note_answer(clock.read_monotonic() if made_at is None else made_at)
+        if not self.is_away():
+            end_waits(self._waiting_for_return)
         if self.is_away() != self._was_away:
             self._was_away = not self._was_away
             if not self._was_away:
@@ -99,6 +136,16 @@
             logs.log(event, reason=outcome.failure().reason if has_failed else "")
         return outcome
 
+    async def wait_for_return(self, reactor):
+        """Wait while the store is away, MAX_REST_S at most.
+
+        Args:
+          reactor: Twisted's reactor.
+        """
+        if not self.is_away():
+            return
+        await wait_in(self._waiting_for_return, reactor, MAX_REST_S)
+
     def _note_answer(self, made_at):
         if self._failing_since is not None and self._failing_since <= made_at:
             self._failing_since = None
@@ -156,6 +203,36 @@
         return await self._check(self._store.end_lease(lease_id))
 
 
+async def wait_in(waits, reactor, seconds):
+    """Wait until `end_waits` is called for a list, or for a time.
+
+    Args:
+      waits: A list of the Deferreds that wait.
+      reactor: Twisted's reactor.
+      seconds: A float.
+    """
+    waiting = defer.Deferred()
+    waits.append(waiting)
+    await tasks.wait_timed(reactor, waiting, seconds, lambda: waiting.callback(None))
+    if waiting in waits:
+        waits.remove(waiting)
+
+
+def end_waits(waits):
+    """End what waits in a list."""
+    ended = waits.copy()
+    waits.clear()
+    for waiting in ended:
+        waiting.callback(None)
+
+
+@backoffs.rest.register
+async def rest_while_away(store: CheckedStore, reactor, backoff):
+    """Wait for the store's return, which probes tell, and then for a drawn delay."""
+    await store.wait_for_return(reactor)
+    await tasks.sleep(reactor, backoff.draw_delay_s())
+
+
 def is_lost(outcome):
     """Tell whether the store did not answer a call, or did not take it."""
     return port.is_failure(outcome, port.Unavailable) or port.is_failure(
--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -3,12 +3,13 @@
 from returns import result
 
 from thornport.kernel import clock, logs, tasks
+from thornport.store import backoff as backoffs
 from thornport.store import port, transactions
 
 WATCH_MS = 2000  # a silent store is noticed after this and a little more
 # A key that was confirmed within this is watched for the whole of WATCH_MS.
 FRESH_S = 0.2
-RETRY_S = 0.2  # after a call that the store did not answer
+SLOW_ANSWER_S = 0.2  # an answer that broke off after this had come slowly
 # An answer that broke off is asked for again, and has begun by then if it comes.
 AGAIN_S = 1.0
 # A watch that fails after this had an answer that kept coming: one that is silent or
@@ -79,6 +80,7 @@
         self._confirmed_at = None
         self._answer_began_at = None
         self._broke_off_at = None
+        self._backoff = backoffs.Backoff()
         self.told_to = transactions.ABSENT_REVISION
 
     def is_receiving(self):
@@ -151,7 +153,7 @@
                 if self._is_key and clock.read_monotonic() - asked_at > LONG_WATCH_S:
                     # It held more versions than come within the longest wait.
                     at = None
-                await tasks.sleep(self._reactor, RETRY_S)
+                await backoffs.rest(self._store, self._reactor, self._backoff)
 
     def _compute_wait_ms(self):
         """Compute how long the next watch waits for a change.
@@ -178,7 +180,7 @@
             return None
         if isinstance(read, result.Failure):
             self._lose(read.failure().reason, began_at)
-            await tasks.sleep(self._reactor, RETRY_S)
+            await backoffs.rest(self._store, self._reactor, self._backoff)
             return None
         self._regain(asked_at)
         items, at = read.unwrap()
@@ -209,7 +211,7 @@
         self._failures += 1
         now = clock.read_monotonic()
         is_first = self._broke_off_at is None
-        if began_at is not None and now - began_at > RETRY_S and is_first:
+        if began_at is not None and now - began_at > SLOW_ANSWER_S and is_first:
             self._broke_off_at = now
         if self._lost_at is None:
             self._lost_at = clock.read_monotonic()
@@ -224,6 +226,7 @@
         now = clock.read_monotonic()
         self._confirmed_at = made_at
         self._broke_off_at = None
+        self._backoff.reset()
         if self._lost_at is not None:
             logs.log(
                 "store-watch-regained",
--- a/thornport/store/watching_test.py
+++ b/thornport/store/watching_test.py
@@ -9,6 +9,8 @@
 from thornport.kernel import clock, httpcalls
 from thornport.store import port, transactions, watching
 
+RETRIED_S = 0.2  # the delays after the first two lost answers are no longer
+
 KEY = "op/config"
 WATCH_S = watching.WATCH_MS / clock.MS_PER_S
 PROMPT_S = 0.01  # from the end of a wait until its answer arrives
@@ -85,13 +87,13 @@
     def test_key_is_read_after_an_answer_that_did_not_end(self):
         self.clock.advance(httpcalls.LONGEST_ANSWER_S)
         self.store.lose()
-        self.clock.advance(watching.RETRY_S)
+        self.clock.advance(RETRIED_S)
         self.assertEqual(self.store.asked[-1], "read")
 
     def test_watch_that_was_cut_while_it_waited_goes_on(self):
         self.clock.advance(watching.WATCH_MS / 1000)
         self.store.lose()
-        self.clock.advance(watching.RETRY_S)
+        self.clock.advance(RETRIED_S)
         self.assertEqual(self.store.asked[-1], "watch 3")
 
     # A link froze and thawed, and an old answer passed for the newest.
@@ -187,7 +189,7 @@
             for _ in range(2):
                 self.clock.advance(1.0)
                 self.store.lose()
-                self.clock.advance(watching.RETRY_S)
+                self.clock.advance(RETRIED_S)
             self.assertAlmostEqual(self.follower.read_age_s(), 2.4)
             self.store.answer_watch()
         self.assertEqual(self.follower.read_age_s(), 0.0)
