--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -291,27 +291,22 @@
     return blames
 
 
-def judge_outage(worker, rates, now):
+def judge_outage(worker, now):
     """Judge an outage as evidence against each run at a worker.
 
-    Few get points, for several tasks that crash three workers within a second look like
-    an outage each time: suspects, and runs that an outage was unlikely to meet.
+    Only suspects get points, and few: several tasks that crash three workers within a
+    second look like an outage each time.
 
     Args:
       worker: A model.Worker, lost with its runs.
-      rates: A LossRates.
       now: A float.
     Returns:
       A list of Blame, one for each run that may have begun.
     """
-    blames = []
-    for run in list_begun(worker):
-        points = SHARED_SUSPECT_POINTS
-        if not may_be_young(worker, run, now):
-            ran_s = compute_ran_s(worker, run, now)
-            points = count_late_points(run, ran_s, rates, LOW_CHANCE)
-        blames.append(Blame(run, points))
-    return blames
+    return [
+        Blame(run, SHARED_SUSPECT_POINTS if may_be_young(worker, run, now) else 0)
+        for run in list_begun(worker)
+    ]
 
 
 def may_be_young(worker, run, now):
@@ -357,25 +352,11 @@
     if ran.least_s <= SUSPECT_WINDOW_S and ran.most_s <= WIDE_SUSPECT_WINDOW_S:
         # It may have started within the suspect window.
         return SHARED_SUSPECT_POINTS
-    most_chance = RARE_CHANCE if young_steps else LOW_CHANCE
-    return count_late_points(run, ran.most_s, rates, most_chance)
-
-
-def count_late_points(run, ran_s, rates, most_chance):
-    """Count the points that a crash some time after its start gives a task.
-
-    Args:
-      run: A model.Run.
-      ran_s: A float, the maximum time for which it went on.
-      rates: A LossRates.
-      most_chance: A float, the chance of a loss up to which it is evidence.
-    Returns:
-      An int.
-    """
     if run.step.lasting:
         # Any lasting task meets crashes of workers in the course of time.
         return 0
-    chance = compute_chance(ran_s, rates.estimate_elsewhere(run.step_key))
+    chance = compute_chance(ran.most_s, rates.estimate_elsewhere(run.step_key))
+    most_chance = RARE_CHANCE if young_steps else LOW_CHANCE
     return SHARED_SUSPECT_POINTS if chance <= most_chance else 0
 
 
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -282,32 +282,30 @@
         """Judge the runs at a worker that is lost; a list of crashes.Blame."""
         if not crashes.is_crash(worker, how):
             return [crashes.Blame(run, 0) for run in crashes.list_begun(worker)]
-        losses = self._list_losses(now)
-        rates = crashes.LossRates(losses, len(self.workers_by_id), self._began_at, now)
-        if self._is_outage(worker, losses, now):
-            blames = crashes.judge_outage(worker, rates, now)
+        if self._is_outage(worker, now):
+            blames = crashes.judge_outage(worker, now)
         else:
+            rates = crashes.LossRates(
+                self._recent_losses, len(self.workers_by_id), self._began_at, now
+            )
             blames = crashes.judge_crash(worker, how, rates, now)
         for blame in blames:
             self._take_blame(worker, blame, now)
         return blames
 
-    def _list_losses(self, now):
-        """List the losses of late, and those that silent workers may be."""
+    def _is_outage(self, worker, now):
+        """Whether a worker seems to have been lost with others, not by a task."""
         silent = [
             crashes.note_loss(other, now)
             for other in self.workers_by_id.values()
             if other.silent_since is not None
         ]
-        return [*self._recent_losses, *silent]
-
-    def _is_outage(self, worker, losses, now):
-        """Whether a worker seems to have been lost with others, not by a task."""
         rack_size = sum(
             other.entry.rack == worker.entry.rack
             for other in self.workers_by_id.values()
         )
         loss = crashes.note_loss(worker, now)
+        losses = [*self._recent_losses, *silent]
         return crashes.is_outage(loss, losses, rack_size, len(self.workers_by_id))
 
     def _take_blame(self, worker, blame, now):
