Count no failed end in the site plays that was told after its lease had lapsed

By the users an end does not count as taken note of where the lease lapsed in between, which the world observes for ends as done and now for failed ones too.

--- a/tests/advisedworld.py
+++ b/tests/advisedworld.py
@@ -100,6 +100,7 @@
         self._greeted_at = -GREET_S
         self._gang_began = {}
         self._void_by_life = {}
+        self._void_ends = set()
         self._idle_since = {}
         super().__init__(faults, worker_count, looks_wait=True)
         self.config = self.CONFIG
@@ -244,6 +245,19 @@
             if worker.read_clock_ms(self.now) >= worker._deadline_ms:
                 void = {row.key for row in worker.ended}
                 self._void_by_life.setdefault(worker, set()).update(void)
+                self._void_ends.update(
+                    (worker, row.number, row.key)
+                    for row in worker.ended
+                    if row.kind is messages.EndKind.FAILED
+                )
+
+    def count_noted_failures(self, key):
+        """As the world's, without ends that were told after the lease had lapsed."""
+        void = sum(
+            one == key and all(row.number != number for row in worker.ended)
+            for worker, number, one in self._void_ends
+        )
+        return super().count_noted_failures(key) - void
 
     def check_attempts(self, order):
         """As the world's; lasting tasks have no limit."""
