--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -131,6 +131,28 @@
                 self.assertEqual(states.pop("bad"), "failed")
                 self.assertEqual(set(states.values()), {"succeeded"})
 
+    def test_it_crashes_them_some_time_after_its_start_beside_restarts(self):
+        # Three workers lost within a second were an outage each time, and it went on.
+        world = make_world(worker_count=24)
+        world.breaks_off, world.back_s = True, 1.0
+        rng = random.Random(1)
+        world.run(5)
+        world.submit(cellworld.make_job("bad", cellworld.make_step(1, 8, 60_000)))
+        crashes = 0
+        for number in itertools.count():
+            step = cellworld.make_step(2, 8, 400)
+            world.submit(cellworld.make_job(f"j{number}", step))
+            world.run(0.1)
+            before = len(world.ended_lives)
+            crash_workers_of(world, "bad", [0], after_s=0.6)
+            if len(world.ended_lives) > before:
+                crashes += 1
+                for worker_id in rng.sample(sorted(world.workers_by_id), 2):
+                    world.crash_for_a_while(worker_id)
+            if world.read_states()["bad"] == "failed":
+                break
+            self.assertLessEqual(crashes, worldcalls.MOST_CRASHES)
+
     def test_owners_are_replaced_after_each_crash(self):
         # A successor comes before the crash is known, during it, or after it.
         for gap_s in (0.1, 1.0, 3.5):
--- a/thornport/cell/decisions/lives_test.py
+++ b/thornport/cell/decisions/lives_test.py
@@ -361,5 +361,28 @@
         self.assertEqual(len([k for k in started if k.job_id == "bad"]), 3)
 
 
+class LateStartsWithoutTickets(unittest.TestCase):
+    """Starts are carried out seconds late, at the incarnation that is there by then."""
+
+    # One at an incarnation that was not polled yet ran beside the next run of its task.
+    def test_no_task_runs_twice_beside_restarts(self):
+        rng = random.Random(22)
+        faults = cellworld.Faults(random.Random(22), late_s=(0.5, 6.0))
+        world = cellworld.World(faults, 4, looks_wait=True)
+        world.has_tickets = False
+        world.breaks_off = rng.random() < 0.5
+        world.run(0.5)
+        for number in range(80):
+            count = rng.randint(1, 3)
+            run_ms = rng.choice((300, 1500, 6000))
+            submit(world, f"j{number}", run_ms, count, cores=16)
+            world.faults.late = 0.3 if number % 10 < 5 else 0.0
+            world.run(rng.uniform(0.1, 0.4))
+            if rng.random() < 0.15:
+                world.restart(rng.choice(sorted(world.workers_by_id)))
+            if rng.random() < 0.03:
+                world.take_over()
+
+
 if __name__ == "__main__":
     unittest.main()
