Log that the store answers late, and rest for a second at most

A process whose store is overloaded said so nowhere: 'store-answers-late' is the first late answer for 2 s. A follower waited up to 2 s for the return that probes tell of; after a large answer that broke off on a narrow link that is longer than the second in which it counts as being asked for again, so it waits a second at most. An unused slot is gone.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -226,7 +226,7 @@
 class LossRates:
     """Estimates how often workers are lost, from the losses of late."""
 
-    __slots__ = ("_begin", "_losses", "_worker_time_s")
+    __slots__ = ("_losses", "_worker_time_s")
 
     def __init__(self, losses, workers, since, now):
         """Take what is known of losses.
@@ -253,7 +253,7 @@
     def estimate_elsewhere(self, step_key):
         """Estimate the rate of losses where no task of a step was.
 
-        Its own losses would make up for each other, if it is their cause.
+        If the step causes its losses, they would make each other look like chance.
 
         Args:
           step_key: A messages.StepKey.
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -21,7 +21,7 @@
 # the next late answer of one that still has too many comes within this time.
 OVERLOADED_S = 2.0
 # Callers that wait for the store's return call it again after this in any case.
-MAX_REST_S = 2.0
+MAX_REST_S = 1.0
 
 
 class CheckedStore:
@@ -72,7 +72,10 @@
         Args:
           still_open: An int, the calls that were given up and may still be answered.
         """
-        self._late_answer_at = clock.read_monotonic()
+        now = clock.read_monotonic()
+        if self._late_answer_at is None or now - self._late_answer_at > OVERLOADED_S:
+            logs.log("store-answers-late", still_open=still_open)
+        self._late_answer_at = now
         if not still_open:
             end_waits(self._waiting_for_late)
 
