Probe an overloaded store as often as before

Cause: where a store is late for a moment only, a process whose probes wait for late answers learns of the return a second later, and refuses until then.

Change: the pace of probes is as it was. Connections are still used again and followers still wait.

--- a/thornport/kernel/httpcalls.py
+++ b/thornport/kernel/httpcalls.py
@@ -171,7 +171,7 @@
         is_late = self._late_timer is not None
         self._end_late_timer()
         if is_late and self._on_late is not None:
-            self._on_late(len(self._pool.late))
+            self._on_late()
         parser, self._parser = self._parser, None
         self._keeps = parser.should_keep_alive()
         answer = Answer(parser.get_status_code(), b"".join(self._body))
@@ -306,8 +306,8 @@
           headers: An iterable of pairs of str.
           on_bytes: A callable, called whenever bytes of the answer come; None for
             none.
-          on_late: A callable, called when the answer comes after the call was given up,
-            with the number of calls of which the same is still expected; None for none.
+          on_late: A callable, called when the answer comes after the call was given up;
+            None for none.
         Returns:
           A Result of Answer, NotSent or NoAnswer.
         """
--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -79,8 +79,8 @@
     """Calls the store; every method gives a Result with errors of `port`.
 
     Attributes:
-      on_late: A callable, called when a call that was given up is answered, with the
-        number of those that may still be; None for none.
+      on_late: A callable, called when a call that was given up is answered; None for
+        none.
     """
 
     def __init__(self, calls, address, timeout_s, metrics):
--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -17,9 +17,8 @@
 # By each answer the slowest one counts for less, so that a slow store which is lost
 # after it was fast again for some seconds is soon known to be lost.
 FADING = 0.8
-# A store that answers calls after they were given up has more of them than it can bear;
-# the next late answer of one that still has too many comes within this time.
-OVERLOADED_S = 2.0
+# Late answers are told of anew after this time without one.
+LATE_AGAIN_S = 2.0
 # Callers that wait for the store's return call it again after this in any case.
 MAX_REST_S = 1.0
 
@@ -42,7 +41,6 @@
         self._back_at = None
         self._waiting_for_return = []
         self._late_answer_at = None
-        self._waiting_for_late = []
 
     def was_away_within(self, seconds):
         """Tell whether the store is away, or was a moment ago.
@@ -66,33 +64,12 @@
         silent_s = max(SILENT_S, SILENT_TIMES * self._slowest_s)
         return now - max(oldest, self._answered_at) > silent_s and oldest < now
 
-    def note_late_answer(self, still_open):
-        """Take that a call was answered after it was given up.
-
-        Args:
-          still_open: An int, the calls that were given up and may still be answered.
-        """
+    def note_late_answer(self):
+        """Take that a call was answered after it was given up."""
         now = clock.read_monotonic()
-        if self._late_answer_at is None or now - self._late_answer_at > OVERLOADED_S:
-            logs.log("store-answers-late", still_open=still_open)
+        if self._late_answer_at is None or now - self._late_answer_at > LATE_AGAIN_S:
+            logs.log("store-answers-late")
         self._late_answer_at = now
-        if not still_open:
-            end_waits(self._waiting_for_late)
-
-    async def wait_for_late_answers(self, reactor, seconds):
-        """Wait until no call that was given up is open at the store any more.
-
-        Args:
-          reactor: Twisted's reactor.
-          seconds: A float, the longest wait.
-        """
-        await wait_in(self._waiting_for_late, reactor, seconds)
-
-    def is_overloaded(self):
-        """Whether the store is away, and late with its answers rather than silent."""
-        if self._late_answer_at is None or not self.is_away():
-            return False
-        return clock.read_monotonic() - self._late_answer_at < OVERLOADED_S
 
     def has_answered_within(self, seconds):
         """Tell whether the store answered a moment ago, and is not away since.
--- a/thornport/store/overload_test.py
+++ b/thornport/store/overload_test.py
@@ -95,7 +95,7 @@
                 late_until.cancel()
                 end_late()
                 self._idle += 1
-                self.on_late(self._late)
+                self.on_late()
 
         def end():
             if timer.active():
--- a/thornport/store/probing.py
+++ b/thornport/store/probing.py
@@ -5,8 +5,6 @@
 renewal of a lease that holds no keys: it costs a tenth of another call.
 """
 
-import random
-
 from returns import result
 
 from thornport.kernel import tasks
@@ -14,10 +12,6 @@
 
 # Often enough to tell of the store's return while callers still try.
 PROBE_PERIOD_S = 0.3
-# Where the store is late with its answers, probes of many processes would keep it so.
-# So the next one waits until those before were answered, in any case for one of these.
-OVERLOADED_PERIODS_S = (0.6, 1.4)
-OVERLOADED_PAUSE_S = 0.2  # at most, after the last of them
 LEASE_TTL_MS = 60_000  # any that the store grants: it is renewed far more often
 
 
@@ -38,21 +32,11 @@
 
     def start(self):
         """Begin."""
-        tasks.spawn(self._run(), "probe")
-
-    async def _run(self):
-        while True:
-            await self._rest()
-            # A call that is not answered must not hold up the next one.
-            tasks.spawn(self.probe(), "probe the store")
+        tasks.call_periodically(self._reactor, PROBE_PERIOD_S, self._begin, "probe")
 
-    async def _rest(self):
-        if not self._store.is_overloaded():
-            await tasks.sleep(self._reactor, PROBE_PERIOD_S)
-            return
-        longest_s = random.uniform(*OVERLOADED_PERIODS_S)
-        await self._store.wait_for_late_answers(self._reactor, longest_s)
-        await tasks.sleep(self._reactor, random.uniform(0.0, OVERLOADED_PAUSE_S))
+    def _begin(self):
+        # A call that is not answered must not hold up the next one.
+        tasks.spawn(self.probe(), "probe the store")
 
     async def probe(self):
         """Make one call."""
