Tell once a call whether the store is away, and keep its one list of waits

Each answered call computed is_away up to three times, a look through the open calls each; now once. wait_in and end_waits served two lists until probes got their pace back; the one that is left has them in the class. Behaviour as before.

--- a/thornport/store/health.py
+++ b/thornport/store/health.py
@@ -106,13 +106,14 @@
                 self._failing_since = began_at
         else:
             self._note_answer(clock.read_monotonic() if made_at is None else made_at)
-        if not self.is_away():
-            end_waits(self._waiting_for_return)
-        if self.is_away() != self._was_away:
-            self._was_away = not self._was_away
-            if not self._was_away:
+        is_away = self.is_away()
+        if not is_away:
+            self._end_waits()
+        if is_away != self._was_away:
+            self._was_away = is_away
+            if not is_away:
                 self._back_at = clock.read_monotonic()
-            event = "store-lost" if self._was_away else "store-regained"
+            event = "store-lost" if is_away else "store-regained"
             logs.log(event, reason=outcome.failure().reason if has_failed else "")
         return outcome
 
@@ -124,7 +125,18 @@
         """
         if not self.is_away():
             return
-        await wait_in(self._waiting_for_return, reactor, MAX_REST_S)
+        waiting = defer.Deferred()
+        self._waiting_for_return.append(waiting)
+        await tasks.wait_timed(
+            reactor, waiting, MAX_REST_S, lambda: waiting.callback(None)
+        )
+        if waiting in self._waiting_for_return:
+            self._waiting_for_return.remove(waiting)
+
+    def _end_waits(self):
+        ended, self._waiting_for_return = self._waiting_for_return, []
+        for waiting in ended:
+            waiting.callback(None)
 
     def _note_answer(self, made_at):
         if self._failing_since is not None and self._failing_since <= made_at:
@@ -183,29 +195,6 @@
         return await self._check(self._store.end_lease(lease_id))
 
 
-async def wait_in(waits, reactor, seconds):
-    """Wait until `end_waits` is called for a list, or for a time.
-
-    Args:
-      waits: A list of the Deferreds that wait.
-      reactor: Twisted's reactor.
-      seconds: A float.
-    """
-    waiting = defer.Deferred()
-    waits.append(waiting)
-    await tasks.wait_timed(reactor, waiting, seconds, lambda: waiting.callback(None))
-    if waiting in waits:
-        waits.remove(waiting)
-
-
-def end_waits(waits):
-    """End what waits in a list."""
-    ended = waits.copy()
-    waits.clear()
-    for waiting in ended:
-        waiting.callback(None)
-
-
 @backoffs.rest.register
 async def rest_while_away(store: CheckedStore, reactor, backoff):
     """Wait for the store's return, which probes tell, and then for a drawn delay."""
