Bar a start without a ticket that arrives late from running a task twice

What callers saw: a task ran at two workers at once, or again after its end had counted.

Cause: an unanswered start was stopped, the stop confirmed, and the task started elsewhere. The stop, the fencing token and the deadline bar a copy that arrives late at the incarnation that was told of them. A worker that restarts under its id knows none of them before its first poll, its address and id are the same, and so the copy begins the run there. Nothing that a command can carry bars it, save a ticket.

Change: a task with a copy of a start in transit is kept at the one worker id that the copy can reach, until 13 s after it was sent (`decisions.latestarts`): - The start is sent again as the same run once a poll, sent after it went unanswered, does not list the run. A copy that arrives at this worker finds the run or its end. - When the run is over, the task starts at that worker only; an id has one incarnation at a time. A copy that begins the run again there is taken as the run of the task. - An end of the task is not acknowledged meanwhile, so a copy repeats no end that counts. - Records name runs that have begun, that were sent more than once, and that are over while a copy may arrive. A successor sends a start again that it can't find. - One copy that is seen to have begun can't arrive again, so nothing waits then; neither for starts with a ticket, nor at an id whose address another id has. - The owner sends a start without a ticket itself, once: a dispatcher that is held up could send it at any later time. The second copy is left to starts with tickets. - A run that was being stopped and ended as done counts as done.

Why it works: a copy can reach one worker id alone, and no run of its task is anywhere else while it can; there, at most one incarnation answers.

--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -73,6 +73,7 @@
             return None
         for job_id in job_ids:
             del self.dirty[job_id]
+            self._record_due_by_job.pop(job_id, None)
         jobs = [self.jobs_by_id[j] for j in job_ids if j in self.jobs_by_id]
         self._in_flight |= {job.job_id for job in jobs}
         return Batch(
@@ -112,15 +113,18 @@
         for worker_id in list(self._unacked_ids):
             worker = self.workers_by_id.get(worker_id)
             if worker is not None:
-                self._ack_ends(worker)
+                self._ack_ends(worker, now)
             if worker is None or not worker.unpersisted_ends:
                 self._unacked_ids.discard(worker_id)
 
-    def _ack_ends(self, worker):
+    def _ack_ends(self, worker, now):
         """Acknowledge the ends that are persisted, so a worker may forget them."""
         while worker.unpersisted_ends:
             end = worker.unpersisted_ends[0]
-            if end.job_id in self.dirty or end.job_id in self._in_flight:
+            job_id = end.key.job_id
+            if job_id in self.dirty or job_id in self._in_flight:
+                return
+            if self._is_end_withheld(end.key, now):
                 return
             worker.acked_number = end.number
             worker.unpersisted_ends.popleft()
@@ -263,6 +267,7 @@
         ticket, _ = step.tickets_by_worker.get(run.worker_id, model.NO_TICKET)
         run.state = model.RunState.ORDERED
         run.commanded_at = run.known_since = run.percent_at = now
+        self._note_start_sent(run, ticket, now)
         self.commands.append(
             messages.StartOrder(
                 run.worker_id,
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -79,6 +79,10 @@
         self._recording = []
         # Runs with persisted records whose tickets have lapsed meanwhile, by step.
         self._unticketed = {}
+        # Runs that are over, whose tasks wait since a start of them may still arrive.
+        self._late_runs_by_key = {}
+        # When the records of jobs are due to say that runs of theirs have begun.
+        self._record_due_by_job = {}
         self._open_advice_by_step = {}
         # Calls for advice that were given up: the first one since the last answer.
         self._late_advice_by_step = {}
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -59,6 +59,8 @@
             self._restore_waits(now, wall_ms)
         for worker in list(self.workers_by_id.values()):
             self._tick_worker(worker, now)
+        self._release_late_runs(now)
+        self._record_due_begun(now)
         self._give_up_advice(now)
         self._give_up_starts(now)
         for job in list(self._incoming_by_id.values()):
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -4,8 +4,8 @@
 """
 
 from thornport.cell.decisions import (
-    cellstate,
     crashes,
+    latestarts,
     messages,
     model,
     notes,
@@ -17,10 +17,12 @@
 STOP_RETRY_S = 0.4  # an unanswered stop command is sent again after this
 SUSPECT_FAILURES = 2  # failed runs in a row that make a worker suspect
 SUSPECT_S = 4.0  # for which a worker stays suspect
+# Ends that decide about a task; the others leave it as it was.
+RESULTS = frozenset({messages.EndKind.DONE, messages.EndKind.FAILED})
 AVOID_S = 0.5  # no starts for a worker after an unanswered or failed call
 
 
-class Ending(cellstate.CellState):
+class Ending(latestarts.LateStarts):
     """Ends and stops runs, and ends the jobs that are over by that."""
 
     # Ends of runs.
@@ -29,13 +31,15 @@
         if end.number <= worker.seen_number:
             return
         worker.seen_number = end.number
-        worker.unpersisted_ends.append(model.UnpersistedEnd(end.number, end.key.job_id))
+        worker.unpersisted_ends.append(model.UnpersistedEnd(end.number, end.key))
         self._unacked_ids.add(worker.worker_id)
         run = worker.runs_by_key.get(end.key)
         if run is None or run.run != end.run:
             if end.kind is messages.EndKind.DONE:
                 self._take_late_done(end.key, now)
             return
+        run.note_begun()
+        run.has_result = end.kind in RESULTS
         step = self._find_step(end.key)
         is_current = step is not None and step.live_by_index.get(end.key.index) is run
         self._count_worker_failures(worker, end, now)
@@ -46,6 +50,8 @@
             worker.remove_run(run)
             self.usage.remove(run)
             self.needs_pass = True
+            if end.kind is messages.EndKind.DONE:
+                self._take_late_done(end.key, now)
             return
         if end.kind is messages.EndKind.DONE and not step.spec.lasting:
             if run.commanded_at is not None and not step.checkpoints_by_index:
@@ -127,6 +133,10 @@
         if step is None or step.live_by_index.get(run.key.index) is not run:
             return
         del step.live_by_index[run.key.index]
+        if now < run.late_until and (run.has_result or not job.is_over()):
+            self._await_late_start(step, run, now)
+        if run.late_until:
+            self._mark_dirty(job)
         is_counted = step.is_done and step.is_advanced
         # A repetition of a job is over once the last member of its gangs has ended.
         if is_counted and (step.live_by_index or not job.record.job.repeats):
@@ -143,6 +153,22 @@
             step.waiting.add(run.key.index)
             self._check_failed(job, step, run.key.index, now)
 
+    def _release_late_runs(self, now):
+        """Free the tasks of which no start can arrive any more to start anywhere."""
+        for run in list(self._late_runs_by_key.values()):
+            if now < run.late_until:
+                continue
+            self._drop_late_run(run)
+            step = self._find_step(run.key)
+            if step is None:
+                continue
+            job = self.jobs_by_id[run.key.job_id]
+            self._mark_dirty(job)
+            self.needs_pass = True
+            if step.is_done and not job.is_over():
+                # A repetition of a job is not over before.
+                self._advance(job, step, now)
+
     def _restart_gang(self, job, step, now):
         """Stop a gang that lost a member before it was done, to start it again."""
         for run in list(step.live_by_index.values()):
@@ -179,7 +205,7 @@
             steps = [job.steps_by_key.get(key) for key in keys]
             if not all(s is not None and s.is_done for s in steps):
                 return
-            if any(step.live_by_index for step in steps):
+            if any(step.live_by_index or step.late_by_index for step in steps):
                 return
             for key in keys:
                 del job.steps_by_key[key]
@@ -371,6 +397,7 @@
             self.is_fenced = self.is_fenced or is_newest
         elif answer.reason is messages.Rejection.REPLACED:
             if is_newest:
+                self._note_replaced(worker)
                 self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
             worker.avoid(now + AVOID_S)
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -166,8 +166,8 @@
     def _lose_missing_runs(self, worker, runs, now):
         """End the runs that the first poll of an incarnation does not list.
 
-        Runs commanded at another incarnation are lost with it; whether the others began
-        is not known, so they are only released.
+        Runs commanded at another incarnation are lost with it. The others have not
+        begun, and are started again if their starts may still arrive.
 
         Args:
           worker: A model.Worker.
@@ -182,7 +182,11 @@
         }
         self._lose_runs(earlier, now, notes.WorkerEnd.RESTARTED)
         for run in runs:
-            if run.state is not model.RunState.OVER:
+            if run.state is model.RunState.OVER:
+                continue
+            if self._may_resend(run, now):
+                self._resend_start(run)
+            else:
                 self._release_run(run, now)
 
     def _switch_address(self, worker, now):
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -50,6 +50,7 @@
         self._earlier_over_at = min(self._earlier_over_at, over_at)
         for worker in self.workers_by_id.values():
             worker.unheard_until = min(worker.unheard_until, over_at)
+        self._limit_late_starts(now)
 
     def list_lapses(self):
         """List when the leases of the silent workers expire, for a successor.
@@ -301,6 +302,9 @@
                 self._begin_time(job, time)
         for saved_step in saved.steps:
             for run in progress.restore_step(job, saved_step):
+                self._restore_late_start(job, run)
+                if run.state is model.RunState.OVER:
+                    continue
                 self._attach_run(run)
                 if job.is_over():
                     # The stop does not wait for an answer of the worker: answers may be
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -28,11 +28,12 @@
 class RunState(enum.Enum):
     """The states of a run that may be live.
 
-    RECORDING: decided; the start command is sent only once the record is persisted.
+    RECORDING: decided; the start command is sent, or sent again, only once the record
+      is persisted.
     ORDERED: the start command was sent; RUNNING: the worker has confirmed the run.
     UNHEARD: recorded by an earlier owner; the worker has not been polled yet.
     STOPPING: being stopped; live until the stop is certain.
-    OVER: certainly not live any more.
+    OVER: certainly not live any more, unless a late start command begins it again.
     """
 
     RECORDING = "recording"
@@ -64,6 +65,14 @@
       is_joint_trial: Whether it was started as a trial together with other tasks of its
         step; see `crashes`.
       trial_points: An int, the crash points of its task when it was started.
+      unanswered_at: A float, when its start command went unanswered; None if it did not
+        or if the command was sent again since.
+      has_result: Whether its worker has reported it as done or failed.
+      has_begun: Whether a copy of its start command is known to have been carried out.
+      is_resent: Whether its start command was sent more than once, so that a copy may
+        still arrive after the run is known to have begun.
+      late_until: A float, until when a copy of its start command may still arrive at a
+        later incarnation of the worker; see `latestarts`.
     """
 
     key: messages.TaskKey
@@ -82,6 +91,21 @@
     ticket_until: float | None = None
     is_joint_trial: bool = False
     trial_points: int = 0
+    unanswered_at: float | None = None
+    has_result: bool = False
+    has_begun: bool = False
+    is_resent: bool = False
+    late_until: float = 0.0
+
+    def note_begun(self):
+        """Note that a copy of its start command was carried out or answered.
+
+        If it was the only copy, none can arrive late any more.
+        """
+        self.has_begun = True
+        self.unanswered_at = None
+        if not self.is_resent:
+            self.late_until = 0.0
 
     @property
     def step_key(self):
@@ -99,11 +123,11 @@
 
     Attributes:
       number: An int that acknowledges the end, so that the worker may forget it.
-      job_id: A str.
+      key: The messages.TaskKey of the run.
     """
 
     number: int
-    job_id: str
+    key: messages.TaskKey
 
 
 class ListedWorker(msgspec.Struct, frozen=True):
@@ -307,6 +331,8 @@
       waiting: Indexes of tasks that have no live run and are not done.
       done: Indexes of tasks that are done.
       live_by_index: Live Runs by task index.
+      late_by_index: Runs that are over, by task index, while a copy of their start
+        command may still arrive. The task starts only at that run's worker meanwhile.
       failures_by_index: Failed runs by task index; GANG_INDEX for a gang.
       checkpoints_by_index: The latest checkpoints, keyed likewise.
       crash_points_by_index: Evidence that a task crashes its workers, by task index,
@@ -340,6 +366,7 @@
     waiting: set[int] = msgspec.field(default_factory=set)
     done: set[int] = msgspec.field(default_factory=set)
     live_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
+    late_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
     failures_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = msgspec.field(default_factory=dict)
     crash_points_by_index: dict[int, int] = msgspec.field(default_factory=dict)
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -77,6 +77,27 @@
     worker_id: str
 
 
+class StartResent(msgspec.Struct, frozen=True):
+    """A start without an answer is sent again: its worker does not list the run."""
+
+    key: messages.TaskKey
+    run: int
+    worker_id: str
+
+
+class LateStartAwaited(msgspec.Struct, frozen=True):
+    """A run is over, but its task waits: a start of the run may still arrive.
+
+    Attributes:
+      left_ms: An int, how long it may still arrive.
+    """
+
+    key: messages.TaskKey
+    run: int
+    worker_id: str
+    left_ms: int
+
+
 class IncarnationOver(msgspec.Struct, frozen=True):
     """The incarnation of a worker is over.
 
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -6,8 +6,9 @@
 class Outcomes(ending.Ending):
     """Takes the answers to commands.
 
-    A start command without an answer may have arrived: its run counts as live until a
-    stop is confirmed or its lease is over.
+    A start command without an answer may have arrived, or may arrive later: its run
+    counts as live until a stop is confirmed or its lease is over, and its task waits as
+    long as the start may still arrive; see `latestarts`.
     """
 
     def take_stop_outcome(self, command, outcome, now):
@@ -36,11 +37,18 @@
           outcome: A messages.Done, Rejected, NotReached or Unanswered.
           now: A float.
         """
+        run = self._late_runs_by_key.get(command.key)
+        if run is not None and run.run == command.run:
+            self._take_late_outcome(run, outcome, now)
+            return
         worker = self.workers_by_id.get(command.worker_id)
         run = worker.runs_by_key.get(command.key) if worker else None
         if run is None or run.run != command.run:
             return
         if isinstance(outcome, messages.Done):
+            run.note_begun()
+            if not command.ticket:
+                self._record_begun(run, now)
             if run.state is model.RunState.ORDERED:
                 run.state = model.RunState.RUNNING
                 step = self._find_step(run.key)
@@ -49,14 +57,40 @@
         elif isinstance(outcome, messages.Unanswered):
             worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
-            self._stop_run(run, now)
+            if command.ticket:
+                self._stop_run(run, now)
+            else:
+                self._note_start_unanswered(run, now)
         elif isinstance(outcome, messages.NotReached):
             worker.avoid(now + ending.AVOID_S)
-            self._release_run(run, now)
+            self._take_unsent_start(run, now)
         else:
             self._take_rejected_start(worker, run, command, outcome, now)
 
+    def _take_late_outcome(self, run, outcome, now):
+        """Take the answer to a start whose run is over."""
+        if isinstance(outcome, messages.Unanswered):
+            self._note_start_unanswered(run, now)
+        else:
+            run.note_begun()
+
+    def _take_unsent_start(self, run, now):
+        """Handle a start that did not reach the worker."""
+        if run.is_resent:
+            # An earlier copy may have arrived, which the next poll shows.
+            run.unanswered_at = now
+            return
+        run.late_until = 0.0
+        self._release_run(run, now)
+
     def _take_rejected_start(self, worker, run, command, outcome, now):
+        if run.is_resent and outcome.reason is not messages.Rejection.REPLACED:
+            # An earlier copy may have begun the run, which may have ended since.
+            self._take_rejection(worker, command, outcome, now)
+            if run.state is model.RunState.ORDERED:
+                self._stop_run(run, now)
+            return
+        run.late_until = 0.0
         if outcome.reason is messages.Rejection.TICKET:
             step = self._find_step(run.key)
             if step is not None:
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -5,6 +5,7 @@
 from thornport.cell.decisions import (
     crashes,
     eligibility,
+    latestarts,
     listing,
     messages,
     model,
@@ -215,6 +216,10 @@
         elif not is_overdue:
             workers = self._list_without_trial(workers, now)
         indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
+        if step.late_by_index:
+            indexes = latestarts.list_placeable(step, indexes, self.workers_by_id)
+            if not indexes:
+                return 0
         return self._start_step(job, step, workers, reserved, indexes[:startable])
 
     def _ask_to_start(self, step, queue, candidates, reserved, need, now):
@@ -266,6 +271,7 @@
                 address=worker.entry.address,
                 worker_started_at_ms=worker.started_at_ms,
             )
+            self._take_on_late_start(step, run)
             step.live_by_index[assignment.index] = run
             reserved.note_placed(step, worker)
             self._charge_run(worker, run)
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -193,7 +193,11 @@
     heapq.heapify(places)
     assigned = []
     for index in sorted(step.waiting) if indexes is None else indexes:
-        best = pop_best(places, step.avoided_by_index.get(step.index_for(index), ()))
+        avoided = step.avoided_by_index.get(step.index_for(index), ())
+        late = step.late_by_index.get(index)
+        best = pop_best(places, avoided, late.worker_id if late is not None else None)
+        if best is None and late is not None:
+            continue
         if best is None:
             break
         assigned.append(Assignment(index, best.worker_id))
@@ -207,15 +211,23 @@
     return assigned
 
 
-def pop_best(places, avoided):
+def pop_best(places, avoided, only_id=None):
     """Pop the best place for one task.
 
     Args:
       places: A heap of Place.
       avoided: Ids of workers on which the task failed, used only if no other is left.
+      only_id: The id of the only worker that the task may start at, a str; None if it
+        may start anywhere.
     Returns:
-      A Place, or None if the heap is empty.
+      A Place, or None if the heap has none for the task.
     """
+    if only_id is not None:
+        best = next((place for place in places if place.worker_id == only_id), None)
+        if best is not None:
+            places.remove(best)
+            heapq.heapify(places)
+        return best
     skipped = []
     best = None
     while places and best is None:
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -35,6 +35,11 @@
 STALLED_S = 1.5
 MAX_STALLS = 8  # bound of the count; two reach the longest suspicion
 MAX_STALL_SUSPECT_S = 6.0  # for a worker on which tasks stall repeatedly
+# States of runs that the answer to a poll shows to have begun. One that is recorded
+# again for its second start may have begun by the first.
+STARTING_STATES = frozenset(
+    {model.RunState.RECORDING, model.RunState.ORDERED, model.RunState.UNHEARD}
+)
 
 
 class Polls(incarnations.Incarnations):
@@ -211,11 +216,14 @@
             run.worker_started_at_ms = worker.started_at_ms
             if run.key.job_id in self.jobs_by_id:
                 self._mark_dirty(self.jobs_by_id[run.key.job_id])
-        if run.state in (model.RunState.ORDERED, model.RunState.UNHEARD):
+        if run.late_until and not run.has_begun:
+            self._record_begun(run, now)
+        if run.state in STARTING_STATES:
             run.state = model.RunState.RUNNING
             run.percent_at = now
             if run.known_since is None:
                 run.known_since = now
+        run.note_begun()
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
@@ -226,18 +234,20 @@
 
     def _take_unlisted_run(self, run, sent_at, now):
         """Process a live run of which the worker lists neither the run nor its end."""
-        if run.state is model.RunState.UNHEARD or (
+        if self._is_unanswered(run, sent_at):
+            self._resend_start(run)
+        elif run.state is model.RunState.UNHEARD or (
             run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
         ):
             self._release_run(run, now)
 
     def _stop_unknown_run(self, worker, row, now):
-        """Stop a run of an earlier owner that no record names."""
+        """Stop a run that no record names, unless a late start has begun it."""
         step = self._find_step(row.key)
         # A run of an unknown job may use the whole worker.
         unknown = specs.Step(1, worker.entry.total)
         spec = step.spec if step is not None else unknown
-        if row.key in worker.runs_by_key:
+        if row.key in worker.runs_by_key or self._adopt_late_run(worker, row, now):
             return
         run = model.Run(
             row.key,
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -12,11 +12,11 @@
     Returns:
       A record.Progress.
     """
-    if job.state is record.JobState.SUCCEEDED:
-        return record.Progress(job.state, (), job.times_done)
     if job.is_over():
         live = tuple(
-            make_step(step) for step in job.steps_by_key.values() if step.live_by_index
+            make_step(step)
+            for step in job.steps_by_key.values()
+            if step.live_by_index or step.late_by_index
         )
         return record.Progress(job.state, live, job.times_done, job.cause)
     steps = (step for step in job.steps_by_key.values() if has_begun(step))
@@ -31,12 +31,18 @@
     Args:
       job: A model.JobEntry.
     Returns:
-      A bool; false while runs of a job that is over have yet to be stopped.
+      A bool; false while runs of a job that is over have yet to be stopped, or while
+      start commands of them may still arrive.
     """
+    if not job.is_over():
+        return False
+    steps = job.steps_by_key.values()
+    live = [run for step in steps for run in step.live_by_index.values()]
+    late = [run for step in steps for run in step.late_by_index.values()]
     if job.state is record.JobState.SUCCEEDED:
-        return True
-    live = (step.live_by_index for step in job.steps_by_key.values())
-    return job.is_over() and not any(live)
+        # The other members of a gang that is done end by themselves.
+        live = [run for run in live if run.late_until]
+    return not live and not any(run.has_result for run in late)
 
 
 def has_begun(step):
@@ -53,13 +59,20 @@
       A record.StepProgress.
     """
     key = step.key
-    if step.is_done and not step.live_by_index:
+    if step.is_done and not step.live_by_index and not step.late_by_index:
         return record.StepProgress(key.time, key.step, step.last_run, all_done=True)
     live = tuple(
         record.LiveRun(
-            index, run.run, run.worker_id, run.address, run.worker_started_at_ms
+            index,
+            run.run,
+            run.worker_id,
+            run.address,
+            run.worker_started_at_ms,
+            run.has_begun,
+            run.is_resent,
+            run.state is model.RunState.OVER,
         )
-        for index, run in step.live_by_index.items()
+        for index, run in (*step.live_by_index.items(), *step.late_by_index.items())
     )
     return record.StepProgress(
         key.time,
@@ -97,7 +110,8 @@
       job: A model.JobEntry.
       recorded: A record.StepProgress.
     Returns:
-      A list of the live Runs of the step, all UNHEARD; the step is added to the job.
+      A list of Runs: the live ones of the step, UNHEARD, and those whose start commands
+      may arrive late, OVER; the step is added to the job.
     """
     step = make_step_state(job, recorded.time, recorded.step)
     step.last_run = recorded.last_run
@@ -106,19 +120,26 @@
     step.failures_by_index = dict(recorded.failures)
     step.checkpoints_by_index = dict(recorded.checkpoints)
     step.crash_points_by_index = dict(recorded.crash_points)
+    runs = []
     for live in recorded.live:
         key = messages.TaskKey(job.job_id, recorded.time, recorded.step, live.index)
-        step.live_by_index[live.index] = model.Run(
+        run = model.Run(
             key,
             live.run,
             live.worker_id,
             step.spec,
-            model.RunState.UNHEARD,
+            model.RunState.OVER if live.is_over else model.RunState.UNHEARD,
             address=live.address,
             worker_started_at_ms=live.worker_started_at_ms,
+            has_begun=live.has_begun,
+            is_resent=live.is_resent,
+            has_result=live.is_over,
         )
+        runs.append(run)
+        of_kind = step.late_by_index if live.is_over else step.live_by_index
+        of_kind[live.index] = run
     if recorded.all_done:
         step.waiting.clear()
     step.waiting -= step.done
     step.waiting -= step.live_by_index.keys()
-    return list(step.live_by_index.values())
+    return runs
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -157,7 +157,12 @@
 
         A worker executes a repeated start command once. A refusal of the second copy
         does not rule out that the first one began a run that has ended since.
+
+        A start without a ticket is sent once, directly: a dispatcher that was held up
+        could send it at any later time, when the worker may have restarted.
         """
+        if not command.ticket:
+            return await executing.make_call(command, self._workers)
         return await self._call(command, COMMAND_TIMEOUT_S, resolve_repeated_start)
 
     async def stop(self, command):
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -15,6 +15,7 @@
 LOST_AFTER_S = dispatching.LOST_SWEEPS * dispatching.SWEEP_PERIOD_S
 KEY = messages.TaskKey("a", 0, 0, 1)
 DONE = messages.Done(5)
+UNANSWERED = messages.Unanswered("silent")
 POLLED = messages.HoldAnswer(7, [], [])
 
 
@@ -88,9 +89,11 @@
         request = messages.HoldRequest("w-h1-0", "h1:w0", 3, 1000, 4, 700)
         return self.begin(self.workers.hold, request)
 
-    def begin_start(self):
+    def begin_start(self, ticket="t"):
         """Send a start command."""
-        command = messages.StartOrder("w-h1-0", "h1:w0", KEY, 1, "text", 900, 3)
+        command = messages.StartOrder(
+            "w-h1-0", "h1:w0", KEY, 1, "text", 900, 3, ticket=ticket
+        )
         return self.begin(self.workers.start, command)
 
     def begin_stop(self):
@@ -153,6 +156,16 @@
         self.answer((open_one, POLLED))
         self.assertEqual(self.outcomes[1:], [POLLED])
 
+    # Guards against a start that a dispatcher, held up, sends at any later time.
+    def test_start_without_a_ticket_is_sent_once_and_directly(self):
+        self.begin_start(ticket="")
+        self.pass_time(1.0)
+        ((_, waiting),) = self.direct.open
+        self.assertEqual(self.list_numbers(), [])
+        waiting.callback(UNANSWERED)
+        self.assertEqual(self.outcomes, [UNANSWERED])
+        self.assertEqual(len(self.direct.open), 1)
+
     def test_owner_is_never_its_own_dispatcher(self):
         callers = [advising.Caller("own", self.bus.address, 0.0, hall="h1")]
         self.workers.assign(callers, self.entries, 0.0)
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -12,6 +12,8 @@
     notes.IncarnationOver: "workers.over",
     notes.LimitWait: "steps.at_limit",
     notes.StartGivenUp: "starts.given_up",
+    notes.StartResent: "starts.resent",
+    notes.LateStartAwaited: "starts.late_awaited",
 }
 
 
@@ -68,6 +70,31 @@
     )
 
 
+@log_note.register
+def log_start_resent(note: notes.StartResent):
+    """Log that a start without an answer is sent again."""
+    logs.log(
+        "start-resent",
+        job=note.key.job_id,
+        task=note.key.name_in_job(),
+        run=note.run,
+        worker=note.worker_id,
+    )
+
+
+@log_note.register
+def log_late_start_awaited(note: notes.LateStartAwaited):
+    """Log that a task waits until a start of its last run can't arrive any more."""
+    logs.log(
+        "late-start-awaited",
+        job=note.key.job_id,
+        task=note.key.name_in_job(),
+        run=note.run,
+        worker=note.worker_id,
+        left_ms=note.left_ms,
+    )
+
+
 @log_note.register
 def log_limit_wait(note: notes.LimitWait):
     """Log that a step starts or stops waiting for the limit of its workspace."""
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -126,6 +126,11 @@
       worker_started_at_ms: The start of the worker's incarnation that the run was given
         to, so that a successor too attributes a crash of that incarnation to the task.
         None if it is not known.
+      has_begun: Whether a copy of its start command was carried out.
+      is_resent: Whether its start command was sent more than once, so that a copy may
+        arrive after the run has begun.
+      is_over: Whether the run is over, and only a copy of its start command may still
+        arrive.
     """
 
     index: int
@@ -133,6 +138,9 @@
     worker_id: str
     address: str = ""
     worker_started_at_ms: int | None = None
+    has_begun: bool = False
+    is_resent: bool = False
+    is_over: bool = False
 
 
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
