Stop a run whose start was to be sent again but may not be any more

Cause: a run in state RECORDING was taken for one of which no start was sent, so it was released without a stop when its worker drained or a version forbade it. Since starts are sent again, an earlier copy may be on its way: it would have begun the run at a worker that may not have it, and beside the task's next run there. Change: such a run is stopped, which bars the copy at the worker. A start without an answer that is over since keeps its deadline only where more than one copy was sent. Evidence: `latestarts_test.ResentStarts.test_run_that_may_not_be_sent_again_is_stopped`, a worker that drains while the record of the second start waits for the store.

--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -204,7 +204,7 @@
                 self._send_starts(self._unticketed.pop(key), now)
 
     def _release_unfit(self, runs, now):
-        """Release the runs that may no longer start at their workers.
+        """Release or stop the runs that may no longer start at their workers.
 
         Args:
           runs: A list of model.Run.
@@ -212,7 +212,7 @@
         """
         for run in runs:
             if run.state is model.RunState.RECORDING and self._is_unfit(run):
-                self._release_run(run, now)
+                self._stop_run(run, now)
 
     def _is_unfit(self, run):
         """Whether a run may not start where it was placed, for its worker or a version.
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -17,7 +17,7 @@
 STOP_RETRY_S = 0.4  # an unanswered stop command is sent again after this
 SUSPECT_FAILURES = 2  # failed runs in a row that make a worker suspect
 SUSPECT_S = 4.0  # for which a worker stays suspect
-# Ends that decide about a task; the others leave it as it was.
+# Ends that count for the task; after any other it only starts again.
 RESULTS = frozenset({messages.EndKind.DONE, messages.EndKind.FAILED})
 AVOID_S = 0.5  # no starts for a worker after an unanswered or failed call
 
@@ -228,7 +228,7 @@
     def _stop_run(self, run, now):
         if run.state in (model.RunState.STOPPING, model.RunState.OVER):
             return
-        if run.state is model.RunState.RECORDING:
+        if run.state is model.RunState.RECORDING and not run.is_resent:
             # No start was sent, and none will be: only RECORDING runs are started.
             self._release_run(run, now)
             return
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -1,27 +1,28 @@
 """Start commands that a worker may carry out late, after it has restarted.
 
-A start command without an answer may be carried out seconds later, even by another
-incarnation under the same worker id. A ticket, a stop or a fencing token of the present
-incarnation bars it there; before its first poll, the next incarnation knows none of
-these but the ticket. So while a copy of a start without a ticket may still arrive:
-
-- the same run is started again at its worker. A copy that arrives there later finds the
-  run and does nothing;
-- once the run is over, its task starts only at the same worker, never beside a copy;
-- the end of such a run is not acknowledged, so that a copy that begins the run again
-  does not repeat an end that counts.
-
-A copy that arrived shows itself as a run that began. A single copy can't arrive twice,
-so nothing waits then.
+A start command without an answer may be carried out seconds later, even by the next
+incarnation under the same worker id. A stop and the fencing token bar the command at an
+incarnation that has received them, which the next one has not before its first poll.
+Only a ticket bars it there, since it holds for one incarnation.
+
+So while a copy of a start command without a ticket may still arrive:
+
+- The command is sent again, for the same run at the same worker. A copy that arrives
+  later finds the run and does nothing.
+- Once the run is over, its task starts at that worker only. A worker id has at most one
+  incarnation at a time, so a copy begins nothing beside the task's next run.
+- The end of the run is not acknowledged. If a copy begins the run again, it does not
+  repeat an end that counts.
+
+A run that has begun used up one copy. If only one was sent, nothing has to wait.
 """
 
 from thornport.cell.decisions import cellstate, leases, messages, model, notes
 from thornport.kernel import clock
 
-# How long after it was sent a start command may be carried out: by the users at most
-# 12 s after its arrival, which the time-out of the call follows.
+# How long after it was sent a start command may be carried out: the users' workers do
+# so at most 12 s after it arrived.
 LATE_START_S = 13.0
-
 # How long a record may not say that a run has begun. Short tasks end within this time,
 # so their records are written again anyway.
 RECORD_BEGUN_S = 0.5
@@ -116,6 +117,7 @@
         """
         is_single = run.has_begun and not run.is_resent
         if not is_single and not self._has_tickets(job):
+            # The last lease that an earlier owner grants ends at `_earlier_over_at`.
             sent_until = self._earlier_over_at - leases.EARLIER_LEASE_S
             run.late_until = sent_until + LATE_START_S
         if run.state is model.RunState.OVER:
@@ -132,7 +134,7 @@
                         run.late_until = min(run.late_until, late_until)
 
     def _has_tickets(self, job):
-        """Whether each start of a job has had a ticket, under earlier owners too."""
+        """Whether each start of a job has a ticket, now and when it was accepted."""
         queues = (self._queue_of(job), job.record.queue)
         return all(queue.advice is not None for queue in queues)
 
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -76,6 +76,16 @@
         self.assertEqual(self.list_starts(), [(worker_id, 1)] * 2)
         self.assertFalse(self.world.workers_by_id[worker_id].active_by_key)
 
+    def test_run_that_may_not_be_sent_again_is_stopped(self):
+        worker_id = self.submit(LONG_MS)
+        self.world.is_store_away = True
+        self.world.run(0.2)
+        self.world.list_worker(worker_id, messages.WorkerState.DRAINING)
+        self.world.is_store_away = False
+        self.world.run(LATE_S + 1.0)
+        self.assertFalse(self.world.late_calls)
+        self.assertEqual(self.list_starts(), [])
+
     def test_ticket_of_the_ended_incarnation_needs_no_wait(self):
         run = model.Run(KEY, 1, "w0", cellworld.make_step(1, 4, 1), None)
         self.world.owner._note_start_sent(run, "ticket", self.world.now)
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -71,8 +71,9 @@
         """Take the answer to a start whose run is over."""
         if isinstance(outcome, messages.Unanswered):
             self._note_start_unanswered(run, now)
-        else:
-            run.note_begun()
+        elif not run.is_resent:
+            # The only copy was answered.
+            run.late_until = 0.0
 
     def _take_unsent_start(self, run, now):
         """Handle a start that did not reach the worker."""
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -136,8 +136,8 @@
             has_result=live.is_over,
         )
         runs.append(run)
-        of_kind = step.late_by_index if live.is_over else step.live_by_index
-        of_kind[live.index] = run
+        by_index = step.late_by_index if live.is_over else step.live_by_index
+        by_index[live.index] = run
     if recorded.all_done:
         step.waiting.clear()
     step.waiting -= step.done
