--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -12,7 +12,7 @@
 from thornport.cell.decisions import latestarts, messages, model
 
 LONG_MS = 20_000
-LATE_S = 6.0
+LATE_S = 4.0  # within the lease of the first start
 KEY = messages.TaskKey("a", 0, 0, 0)
 
 
@@ -86,6 +86,15 @@
         self.assertFalse(self.world.late_calls)
         self.assertEqual(self.list_starts(), [])
 
+    # Guards against counting from a time before this process was held up.
+    def test_copy_may_arrive_late_after_its_time_out(self):
+        step = cellworld.make_step(1, 4, 1)
+        run = model.Run(KEY, 1, "w0", step, model.RunState.ORDERED)
+        owner, now = self.world.owner, self.world.now
+        owner._note_start_sent(run, "", now)
+        owner._note_start_unanswered(run, now + 8.0)
+        self.assertEqual(run.late_until, now + 8.0 + latestarts.LATE_START_S)
+
     def test_ticket_of_the_ended_incarnation_needs_no_wait(self):
         run = model.Run(KEY, 1, "w0", cellworld.make_step(1, 4, 1), None)
         self.world.owner._note_start_sent(run, "ticket", self.world.now)
@@ -102,6 +111,15 @@
         self.world.run(3.0)
         self.assertEqual(self.list_starts(), [(worker_id, 1), (worker_id, 2)])
 
+    def test_next_run_keeps_the_task_there_too(self):
+        worker_id = self.submit(LONG_MS)
+        self.world.run(1.0)
+        self.world.restart(worker_id)
+        self.world.run(2.0)
+        self.world.restart(worker_id, is_listed=False)
+        self.world.run(3.0)
+        self.assertEqual(self.list_starts(), [(worker_id, 1), (worker_id, 2)])
+
     def test_task_starts_elsewhere_once_no_copy_can_arrive(self):
         worker_id = self.submit(LONG_MS)
         self.world.run(1.0)
