Rename is_resent to has_more_copies

A run that takes on what may still arrive of the task's last run was not itself sent more than once. The name says what the decisions ask of it. No change of logic; the records hold no names.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -136,6 +136,7 @@
         if now < run.late_until and (run.has_result or not job.is_over()):
             self._await_late_start(step, run, now)
         if run.late_until:
+            # The record states whether a start may still arrive.
             self._mark_dirty(job)
         is_counted = step.is_done and step.is_advanced
         # A repetition of a job is over once the last member of its gangs has ended.
@@ -228,7 +229,7 @@
     def _stop_run(self, run, now):
         if run.state in (model.RunState.STOPPING, model.RunState.OVER):
             return
-        if run.state is model.RunState.RECORDING and not run.is_resent:
+        if run.state is model.RunState.RECORDING and not run.has_more_copies:
             # No start was sent, and none will be: only RECORDING runs are started.
             self._release_run(run, now)
             return
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -52,7 +52,7 @@
           run: A model.Run.
           now: A float.
         """
-        if run.has_begun and not run.is_resent:
+        if run.has_begun and not run.has_more_copies:
             return
         # The command may have left late, when this process was held up.
         run.late_until = now + LATE_START_S
@@ -100,7 +100,7 @@
           run: A model.Run of which a start command may still arrive.
         """
         run.unanswered_at = None
-        run.is_resent = True
+        run.has_more_copies = True
         run.state = model.RunState.RECORDING
         self._recording.append(run)
         self._mark_dirty(self.jobs_by_id[run.key.job_id])
@@ -115,7 +115,7 @@
           job: The model.JobEntry.
           run: A model.Run from a record.
         """
-        is_single = run.has_begun and not run.is_resent
+        is_single = run.has_begun and not run.has_more_copies
         if not is_single and not self._has_tickets(job):
             # The last lease that an earlier owner grants ends at `_earlier_over_at`.
             sent_until = self._earlier_over_at - leases.EARLIER_LEASE_S
@@ -234,7 +234,7 @@
         if late is not None:
             self._drop_late_run(late)
             run.late_until = late.late_until
-            run.is_resent = True
+            run.has_more_copies = True
 
     def _is_end_withheld(self, key, now):
         """Whether the ends of a task are not acknowledged yet.
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -69,8 +69,8 @@
         or if the command was sent again since.
       has_result: Whether its worker has reported it as done or failed.
       has_begun: Whether a copy of its start command is known to have been carried out.
-      is_resent: Whether its start command was sent more than once, so that a copy may
-        still arrive after the run is known to have begun.
+      has_more_copies: Whether another start command of its task may be in transit, so
+        that one may still arrive after the run is known to have begun.
       late_until: A float, until when a copy of its start command may still arrive at a
         later incarnation of the worker; see `latestarts`.
     """
@@ -94,7 +94,7 @@
     unanswered_at: float | None = None
     has_result: bool = False
     has_begun: bool = False
-    is_resent: bool = False
+    has_more_copies: bool = False
     late_until: float = 0.0
 
     def note_begun(self):
@@ -104,7 +104,7 @@
         """
         self.has_begun = True
         self.unanswered_at = None
-        if not self.is_resent:
+        if not self.has_more_copies:
             self.late_until = 0.0
 
     @property
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -71,13 +71,13 @@
         """Take the answer to a start whose run is over."""
         if isinstance(outcome, messages.Unanswered):
             self._note_start_unanswered(run, now)
-        elif not run.is_resent:
+        elif not run.has_more_copies:
             # The only copy was answered.
             run.late_until = 0.0
 
     def _take_unsent_start(self, run, now):
         """Handle a start that did not reach the worker."""
-        if run.is_resent:
+        if run.has_more_copies:
             # An earlier copy may have arrived, which the next poll shows.
             run.unanswered_at = now
             return
@@ -85,7 +85,7 @@
         self._release_run(run, now)
 
     def _take_rejected_start(self, worker, run, command, outcome, now):
-        if run.is_resent and outcome.reason is not messages.Rejection.REPLACED:
+        if run.has_more_copies and outcome.reason is not messages.Rejection.REPLACED:
             # An earlier copy may have begun the run, which may have ended since.
             self._take_rejection(worker, command, outcome, now)
             if run.state is model.RunState.ORDERED:
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -69,7 +69,7 @@
             run.address,
             run.worker_started_at_ms,
             run.has_begun,
-            run.is_resent,
+            run.has_more_copies,
             run.state is model.RunState.OVER,
         )
         for index, run in (*step.live_by_index.items(), *step.late_by_index.items())
@@ -132,7 +132,7 @@
             address=live.address,
             worker_started_at_ms=live.worker_started_at_ms,
             has_begun=live.has_begun,
-            is_resent=live.is_resent,
+            has_more_copies=live.has_more_copies,
             has_result=live.is_over,
         )
         runs.append(run)
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -127,8 +127,8 @@
         to, so that a successor too attributes a crash of that incarnation to the task.
         None if it is not known.
       has_begun: Whether a copy of its start command was carried out.
-      is_resent: Whether its start command was sent more than once, so that a copy may
-        arrive after the run has begun.
+      has_more_copies: Whether another start command of its task may be in transit, so
+        that one may still arrive after the run is known to have begun.
       is_over: Whether the run is over, and only a copy of its start command may still
         arrive.
     """
@@ -139,7 +139,7 @@
     address: str = ""
     worker_started_at_ms: int | None = None
     has_begun: bool = False
-    is_resent: bool = False
+    has_more_copies: bool = False
     is_over: bool = False
 
 
--- a/thornport/jobs/record_test.py
+++ b/thornport/jobs/record_test.py
@@ -30,7 +30,7 @@
         value = msgspec.msgpack.encode(EarlierLiveRun(1, 2, "w", "h:1", 5))
         read = msgspec.msgpack.decode(value, type=record.LiveRun)
         self.assertEqual(read, record.LiveRun(1, 2, "w", "h:1", 5))
-        self.assertFalse(read.has_begun or read.is_resent or read.is_over)
+        self.assertFalse(read.has_begun or read.has_more_copies or read.is_over)
 
 
 if __name__ == "__main__":
