Give a task to another worker when its start is never answered

What callers would have seen: on a queue without advice, a job that never ends. A worker that answers polls and no start kept the task for good, since the same start was sent again there without a deadline. Change: a start is sent again for 3 s from its first time without an answer. Then the run is stopped, and its task waits until no copy can arrive; it prefers other workers after. Why it works: the wait has a deadline at each stage, and the task is still kept from other workers for as long as a copy may arrive.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -79,7 +79,7 @@
         self._recording = []
         # Runs with persisted records whose tickets have lapsed meanwhile, by step.
         self._unticketed = {}
-        # Runs that are over, whose tasks wait since a start of them may still arrive.
+        # Runs that are over, of which a start may still arrive, by TaskKey.
         self._late_runs_by_key = {}
         # When the records of jobs are due to say that runs of theirs have begun.
         self._record_due_by_job = {}
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -23,6 +23,8 @@
 # How long after it was sent a start command may be carried out: the users' workers do
 # so at most 12 s after it arrived.
 LATE_START_S = 13.0
+# How long an unanswered start is sent again, until its task is given to another worker.
+RESEND_S = 3.0
 # How long a record may not say that a run has begun. Short tasks end within this time,
 # so their records are written again anyway.
 RECORD_BEGUN_S = 0.5
@@ -56,7 +58,7 @@
             return
         # The command may have left late, when this process was held up.
         run.late_until = now + LATE_START_S
-        run.unanswered_at = now
+        run.note_unanswered(now, now + RESEND_S)
         if run.state is model.RunState.ORDERED:
             self.commands.append(messages.PollAgain(run.worker_id))
 
@@ -267,14 +269,14 @@
       workers_by_id: Model.Workers by id.
     Returns:
       A list of those of the indexes that may start anywhere, or whose only worker
-      answers; of a gang, all or none.
+      answers polls and starts; of a gang, all or none.
     """
     placeable = []
     for index in indexes:
         late = step.late_by_index.get(index)
         worker = workers_by_id.get(late.worker_id) if late is not None else None
         is_answering = worker is not None and worker.silent_since is None
-        if late is None or is_answering:
+        if late is None or (is_answering and not late.is_given_up):
             placeable.append(index)
     if step.spec.gang and len(placeable) < step.spec.count:
         return []
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -86,6 +86,30 @@
         self.assertFalse(self.world.late_calls)
         self.assertEqual(self.list_starts(), [])
 
+    # Guards against a task that waits for ever at a worker that answers no start.
+    def test_worker_that_answers_no_start_loses_the_task(self):
+        owner = self.world.owner
+        take_commands, muted = owner.take_commands, []
+
+        def take_answered_commands():
+            """Leave all starts at the first worker unanswered for good."""
+            answered = []
+            for command in take_commands():
+                is_start = isinstance(command, messages.StartOrder)
+                if is_start and (not muted or command.worker_id == muted[0]):
+                    muted.append(command.worker_id)
+                    outcome = messages.Unanswered("silent")
+                    owner.take_start_outcome(command, outcome, self.world.now)
+                else:
+                    answered.append(command)
+            return answered
+
+        owner.take_commands = take_answered_commands
+        self.world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 500)))
+        self.world.run(latestarts.RESEND_S + latestarts.LATE_START_S + 2.0)
+        self.assertEqual(self.world.read_states(), {"a": "succeeded"})
+        self.assertNotIn((muted[0], 1), self.list_starts())
+
     # Guards against counting from a time before this process was held up.
     def test_copy_may_arrive_late_after_its_time_out(self):
         step = cellworld.make_step(1, 4, 1)
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -67,6 +67,10 @@
       trial_points: An int, the crash points of its task when it was started.
       unanswered_at: A float, when its start command went unanswered; None if it did not
         or if the command was sent again since.
+      resend_until: A float, until when an unanswered start command is sent again; None
+        while none went unanswered.
+      is_given_up: Whether its start command went unanswered for so long that it is not
+        sent again.
       has_result: Whether its worker has reported it as done or failed.
       has_begun: Whether a copy of its start command is known to have been carried out.
       has_more_copies: Whether another start command of its task may be in transit, so
@@ -92,11 +96,24 @@
     is_joint_trial: bool = False
     trial_points: int = 0
     unanswered_at: float | None = None
+    resend_until: float | None = None
+    is_given_up: bool = False
     has_result: bool = False
     has_begun: bool = False
     has_more_copies: bool = False
     late_until: float = 0.0
 
+    def note_unanswered(self, now, resend_until):
+        """Note that a start command of it has no answer.
+
+        Args:
+          now: A float.
+          resend_until: A float, as the attribute; the first one holds.
+        """
+        self.unanswered_at = now
+        if self.resend_until is None:
+            self.resend_until = resend_until
+
     def note_begun(self):
         """Note that a copy of its start command was carried out or answered.
 
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -1,6 +1,6 @@
 """Handling of the outcomes of start and stop commands."""
 
-from thornport.cell.decisions import ending, messages, model
+from thornport.cell.decisions import ending, latestarts, messages, model
 
 
 class Outcomes(ending.Ending):
@@ -79,7 +79,7 @@
         """Handle a start that did not reach the worker."""
         if run.has_more_copies:
             # An earlier copy may have arrived, which the next poll shows.
-            run.unanswered_at = now
+            run.note_unanswered(now, now + latestarts.RESEND_S)
             return
         run.late_until = 0.0
         self._release_run(run, now)
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -235,12 +235,23 @@
     def _take_unlisted_run(self, run, sent_at, now):
         """Process a live run of which the worker lists neither the run nor its end."""
         if self._is_unanswered(run, sent_at):
-            self._resend_start(run)
+            if now < run.resend_until:
+                self._resend_start(run)
+            else:
+                self._give_up_start(run, now)
         elif run.state is model.RunState.UNHEARD or (
             run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
         ):
             self._release_run(run, now)
 
+    def _give_up_start(self, run, now):
+        """Stop a run whose worker answers polls but no start; prefer other workers."""
+        run.is_given_up = True
+        step = self._find_step(run.key)
+        index = step.index_for(run.key.index)
+        step.avoided_by_index.setdefault(index, set()).add(run.worker_id)
+        self._stop_run(run, now)
+
     def _stop_unknown_run(self, worker, row, now):
         """Stop a run that no record names, unless a late start has begun it."""
         step = self._find_step(row.key)
