Send an unanswered start again until its first copy must have arrived

What callers would have seen: on a queue without advice, while workers carry out half of their commands late, jobs that wait 15 s for their first start. Cause: a start was sent again for 3 s. Polls go unanswered too then, so the worker was given up after three sends; its task was kept from other workers for 13 s more, while the first copy arrives within 12 s. Change: a start is sent again for 13 s from its first time without an answer. By then any worker that carries out starts has had the first copy. The line start-abandoned says that a run was stopped for it.

--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -8,7 +8,8 @@
 So while a copy of a start command without a ticket may still arrive:
 
 - The command is sent again, for the same run at the same worker. A copy that arrives
-  later finds the run and does nothing.
+  later finds the run and does nothing. A worker that has not begun the run when the
+  first copy is due at the latest carries out no starts, and the run is stopped.
 - Once the run is over, its task starts at that worker only. A worker id has at most one
   incarnation at a time, so a copy begins nothing beside the task's next run.
 - The end of the run is not acknowledged. If a copy begins the run again, it does not
@@ -23,8 +24,6 @@
 # How long after it was sent a start command may be carried out: the users' workers do
 # so at most 12 s after it arrived.
 LATE_START_S = 13.0
-# How long an unanswered start is sent again, until its task is given to another worker.
-RESEND_S = 3.0
 # How long a record may not say that a run has begun. Short tasks end within this time,
 # so their records are written again anyway.
 RECORD_BEGUN_S = 0.5
@@ -58,7 +57,7 @@
             return
         # The command may have left late, when this process was held up.
         run.late_until = now + LATE_START_S
-        run.note_unanswered(now, now + RESEND_S)
+        run.note_unanswered(now, now + LATE_START_S)
         if run.state is model.RunState.ORDERED:
             self.commands.append(messages.PollAgain(run.worker_id))
 
@@ -276,7 +275,7 @@
         late = step.late_by_index.get(index)
         worker = workers_by_id.get(late.worker_id) if late is not None else None
         is_answering = worker is not None and worker.silent_since is None
-        if late is None or (is_answering and not late.is_given_up):
+        if late is None or (is_answering and not late.is_abandoned):
             placeable.append(index)
     if step.spec.gang and len(placeable) < step.spec.count:
         return []
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -85,6 +85,14 @@
     worker_id: str
 
 
+class StartAbandoned(msgspec.Struct, frozen=True):
+    """A start without an answer is not sent again: its worker never carried it out."""
+
+    key: messages.TaskKey
+    run: int
+    worker_id: str
+
+
 class LateStartAwaited(msgspec.Struct, frozen=True):
     """A run is over, but its task waits: a start of the run may still arrive.
 
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -79,7 +79,7 @@
         """Handle a start that did not reach the worker."""
         if run.has_more_copies:
             # An earlier copy may have arrived, which the next poll shows.
-            run.note_unanswered(now, now + latestarts.RESEND_S)
+            run.note_unanswered(now, now + latestarts.LATE_START_S)
             return
         run.late_until = 0.0
         self._release_run(run, now)
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -238,15 +238,19 @@
             if now < run.resend_until:
                 self._resend_start(run)
             else:
-                self._give_up_start(run, now)
+                self._abandon_start(run, now)
         elif run.state is model.RunState.UNHEARD or (
             run.stop_confirmed_at is not None and sent_at > run.stop_confirmed_at
         ):
             self._release_run(run, now)
 
-    def _give_up_start(self, run, now):
-        """Stop a run whose worker answers polls but no start; prefer other workers."""
-        run.is_given_up = True
+    def _abandon_start(self, run, now):
+        """Stop a run whose worker answers polls but no start; prefer other workers.
+
+        A worker that carries out late starts would have carried out the first copy.
+        """
+        run.is_abandoned = True
+        self.notes.append(notes.StartAbandoned(run.key, run.run, run.worker_id))
         step = self._find_step(run.key)
         index = step.index_for(run.key.index)
         step.avoided_by_index.setdefault(index, set()).add(run.worker_id)
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -13,6 +13,7 @@
     notes.LimitWait: "steps.at_limit",
     notes.StartGivenUp: "starts.given_up",
     notes.StartResent: "starts.resent",
+    notes.StartAbandoned: "starts.abandoned",
     notes.LateStartAwaited: "starts.late_awaited",
 }
 
@@ -82,6 +83,18 @@
     )
 
 
+@log_note.register
+def log_start_abandoned(note: notes.StartAbandoned):
+    """Log that a start without an answer is not sent again, and its run is stopped."""
+    logs.log(
+        "start-abandoned",
+        job=note.key.job_id,
+        task=note.key.name_in_job(),
+        run=note.run,
+        worker=note.worker_id,
+    )
+
+
 @log_note.register
 def log_late_start_awaited(note: notes.LateStartAwaited):
     """Log that a task waits until a start of its last run can't arrive any more."""
--- a/thornport/cell/owner/noting_test.py
+++ b/thornport/cell/owner/noting_test.py
@@ -21,11 +21,13 @@
         task = {"job": "a", "task": "0.1.2", "run": 3, "worker": "w0"}
         with mock.patch.object(logs, "log") as log:
             noting.log_note(notes.StartResent(KEY, 3, "w0"))
+            noting.log_note(notes.StartAbandoned(KEY, 3, "w0"))
             noting.log_note(notes.LateStartAwaited(KEY, 3, "w0", 1500))
         self.assertEqual(
             log.call_args_list,
             [
                 mock.call("start-resent", **task),
+                mock.call("start-abandoned", **task),
                 mock.call("late-start-awaited", **task, left_ms=1500),
             ],
         )
