Count a job as waiting until a run of it is known to have begun

What callers would have seen: while workers carry out half of their commands late, a queue without advice that says 0 or 1 of its jobs wait when five have waited for 5 s. Cause: the count left out each job whose start had been decided. Since such a start is sent again at the same worker, seconds may pass before it begins; before, the task went elsewhere within a second, so the count was wrong for a moment only. Change: a job notes that a run of it was answered, listed or has ended; the counts of a queue and of a workspace go by that. A successor takes it from the record, then from the polls. Why it works: what the users mean by waiting is that no task has begun, and the note is set by what a worker said and nothing else.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -120,6 +120,14 @@
             return None
         return job.steps_by_key.get(messages.StepKey(key.job_id, key.time, key.step))
 
+    def _note_run_begun(self, run):
+        """Note that a run is known to have begun, for its job too."""
+        if not run.has_begun:
+            job = self.jobs_by_id.get(run.key.job_id)
+            if job is not None:
+                job.has_run = True
+        run.note_begun()
+
     def _mark_dirty(self, job):
         """Have the record of a job written again."""
         self.dirty[job.job_id] = None
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -153,7 +153,7 @@
         """Count the jobs of a queue of which no task has begun."""
         return sum(
             job.record.queue.name == queue_name
-            and not job.has_begun
+            and not job.has_run
             and not job.record.job.repeats
             for job in self._unended_by_id.values()
         )
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -38,7 +38,7 @@
             if end.kind is messages.EndKind.DONE:
                 self._take_late_done(end.key, now)
             return
-        run.note_begun()
+        self._note_run_begun(run)
         run.has_result = end.kind in RESULTS
         step = self._find_step(end.key)
         is_current = step is not None and step.live_by_index.get(end.key.index) is run
@@ -94,6 +94,7 @@
         # The persisted record of a step that is done lists no tasks.
         if step.is_done or key.index in step.done:
             return
+        job.has_run = True
         self._take_done(step, key)
         step.waiting -= step.done
         self._mark_dirty(job)
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -132,7 +132,7 @@
         at_limit = collections.Counter()
         for job in self._unended_by_id.values():
             name = job.record.workspace
-            waiting[name] += not job.has_begun
+            waiting[name] += not job.has_run
             steps = job.steps_by_key.values()
             at_limit[name] += sum(s.is_at_limit for s in steps if s.waiting)
         weight_by_name = self._shares.weight_by_name
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -180,7 +180,7 @@
         self._drop_late_run(run)
         step.waiting.discard(row.key.index)
         step.live_by_index[row.key.index] = run
-        run.note_begun()
+        self._note_run_begun(run)
         run.state = model.RunState.RUNNING
         run.has_result = False
         run.stop_confirmed_at = None
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -106,7 +106,9 @@
 
         owner.take_commands = take_answered_commands
         self.world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 500)))
-        self.world.run(2 * latestarts.LATE_START_S + 2.0)
+        self.world.run(latestarts.LATE_START_S - 1.0)
+        self.assertEqual(self.world.owner.count_waiting("press"), 1)
+        self.world.run(latestarts.LATE_START_S + 3.0)
         self.assertEqual(self.world.read_states(), {"a": "succeeded"})
         self.assertNotIn((muted[0], 1), self.list_starts())
 
@@ -125,6 +127,39 @@
         self.assertEqual(run.late_until, 0.0)
 
 
+class WaitingJobs(LateCase):
+    """The count of jobs of which no task has begun."""
+
+    def count(self):
+        """Count the waiting jobs."""
+        return self.world.owner.count_waiting("press")
+
+    # Guards against a count that leaves out jobs whose starts go unanswered.
+    def test_job_whose_start_is_unanswered_waits_until_it_has_begun(self):
+        self.submit(LONG_MS)
+        self.assertEqual(self.count(), 1)
+        self.world.run(1.0)
+        self.assertEqual(self.count(), 0)
+
+    def test_job_that_has_lost_its_run_does_not_wait_again(self):
+        worker_id = self.submit(LONG_MS)
+        self.world.run(1.0)
+        self.world.restart(worker_id, is_listed=False)
+        self.world.run(0.5)
+        self.assertEqual(self.count(), 0)
+
+    def test_successor_counts_likewise(self):
+        for before_s, count in ((0.0, 1), (1.0, 0)):
+            with self.subTest(before_s=before_s):
+                self.setUp()
+                worker_id = self.submit(LONG_MS)
+                self.world.run(before_s)
+                self.world.silenced.add(worker_id)
+                self.world.take_over()
+                self.world.step()
+                self.assertEqual(self.count(), count)
+
+
 class LostRuns(LateCase):
     """The run is lost with its worker while a copy of its start may still arrive."""
 
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -292,6 +292,7 @@
         job.times_done = saved.times_done
         job.cause = saved.cause
         job.has_begun = saved.state is not record.JobState.QUEUED
+        job.has_run = job.has_begun and progress.has_run(saved)
         if job.is_over():
             job.ended_at = now
             job.steps_by_key.clear()
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -444,6 +444,7 @@
       steps_by_key: Its StepStates created so far, by StepKey.
       times_done: An int, how many of its times are over, counted from the first.
       has_begun: Whether a start of any task has been decided.
+      has_run: Whether a run of any task is known to have begun.
       ended_at: A float, when its end was persisted; None before.
       arrived_at: A float, when this owner learned of it.
       is_within_share: Whether the job is owed, as its workspace had not exceeded its
@@ -463,6 +464,7 @@
     )
     times_done: int = 0
     has_begun: bool = False
+    has_run: bool = False
     ended_at: float | None = None
     is_within_share: bool = True
     last_active_at: float = 0.0
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -46,7 +46,7 @@
         if run is None or run.run != command.run:
             return
         if isinstance(outcome, messages.Done):
-            run.note_begun()
+            self._note_run_begun(run)
             if not command.ticket:
                 self._record_begun(run, now)
             if run.state is model.RunState.ORDERED:
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -223,7 +223,7 @@
             run.percent_at = now
             if run.known_since is None:
                 run.known_since = now
-        run.note_begun()
+        self._note_run_begun(run)
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -50,6 +50,19 @@
     return bool(step.is_done or step.last_run)
 
 
+def has_run(saved):
+    """Whether a run of a job that has been started may have begun, by its record.
+
+    Args:
+      saved: A record.Progress.
+    Returns:
+      A bool; false if the record names only runs that are not known to have begun.
+    """
+    live = [run for step in saved.steps for run in step.live]
+    is_done = any(step.all_done or step.done for step in saved.steps)
+    return not live or is_done or any(run.has_begun for run in live)
+
+
 def make_step(step):
     """Make the record of a step.
 
