--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -84,7 +84,7 @@
           wall_ms: As for `tick`.
         """
         for job in self._unended_by_id.values():
-            if job.has_begun or job.record.job.repeats:
+            if job.was_placed or job.record.job.repeats:
                 continue
             waited_s = (wall_ms - job.record.accepted_at_ms) / clock.MS_PER_S
             stalls.restore_idle(job, waited_s, now)
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -255,7 +255,7 @@
             runs = (*step.live_by_index.values(), *step.late_by_index.values())
         else:
             by_index = (step.live_by_index, step.late_by_index)
-            runs = [runs[key.index] for runs in by_index if key.index in runs]
+            runs = [found[key.index] for found in by_index if key.index in found]
         return any(now < run.late_until for run in runs)
 
 
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -199,7 +199,7 @@
         job.persisted_state = job_record.end_state
         job.cause = job_record.cause
         job.ended_at = now
-        job.has_begun = True
+        job.was_placed = True
         self.jobs_by_id[job_record.job_id] = job
 
     def _make_job(self, job_record, now):
@@ -291,8 +291,8 @@
         job.state = job.persisted_state = saved.state
         job.times_done = saved.times_done
         job.cause = saved.cause
-        job.has_begun = saved.state is not record.JobState.QUEUED
-        job.has_run = job.has_begun and progress.has_run(saved)
+        job.was_placed = saved.state is not record.JobState.QUEUED
+        job.has_run = job.was_placed and progress.has_run(saved)
         if job.is_over():
             job.ended_at = now
             job.steps_by_key.clear()
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -443,7 +443,7 @@
       cause: The record.FailureCause of a job that has failed; None otherwise.
       steps_by_key: Its StepStates created so far, by StepKey.
       times_done: An int, how many of its times are over, counted from the first.
-      has_begun: Whether a start of any task has been decided.
+      was_placed: Whether a start of any task has been decided.
       has_run: Whether a run of any task is known to have begun.
       ended_at: A float, when its end was persisted; None before.
       arrived_at: A float, when this owner learned of it.
@@ -463,7 +463,7 @@
         default_factory=dict
     )
     times_done: int = 0
-    has_begun: bool = False
+    was_placed: bool = False
     has_run: bool = False
     ended_at: float | None = None
     is_within_share: bool = True
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -283,7 +283,7 @@
             self._recording.append(run)
         if not step.waiting:
             step.idle_since = None
-        job.has_begun = True
+        job.was_placed = True
         if job.state is record.JobState.QUEUED:
             job.state = record.JobState.RUNNING
         self._mark_dirty(job)
--- a/thornport/cell/decisions/yielding.py
+++ b/thornport/cell/decisions/yielding.py
@@ -57,7 +57,7 @@
           A bool; false for a job that has started: finishing it frees its room sooner.
         """
         top_priority = self._priority_by_service.get(queue.service, queue.priority)
-        if job.has_begun or queue.priority <= top_priority:
+        if job.was_placed or queue.priority <= top_priority:
             return False
         spare_s = job.record.compute_slack_ms() / clock.MS_PER_S
         yield_s = min(MAX_YIELD_S, YIELD_SHARE * spare_s)
--- a/thornport/cell/decisions/yielding_test.py
+++ b/thornport/cell/decisions/yielding_test.py
@@ -38,13 +38,13 @@
     """Which jobs yield while a gang waits."""
 
     def must_yield(
-        self, job_queue, now=0.0, has_begun=False, step=STEP, used_millicores=60_000
+        self, job_queue, now=0.0, was_placed=False, step=STEP, used_millicores=60_000
     ):
         """Whether a job that arrived at 0 must yield."""
         yields = yielding.Yielding(now)
         yields.note_waiting_gang(GANGS, [make_worker(used_millicores)])
         job = make_entry(job_queue, step)
-        job.has_begun = has_begun
+        job.was_placed = was_placed
         return yields.must_yield(job, job_queue)
 
     def test_lower_priority_job_yields(self):
@@ -67,7 +67,7 @@
         self.assertFalse(self.must_yield(CHEAP, used_millicores=40_000))
 
     def test_started_job_does_not_yield(self):
-        self.assertFalse(self.must_yield(CHEAP, has_begun=True))
+        self.assertFalse(self.must_yield(CHEAP, was_placed=True))
 
     def test_jobs_of_higher_or_equal_priority_do_not_yield(self):
         self.assertFalse(self.must_yield(URGENT))
