Test that a worker keeps a task until its first start must have arrived

The one beside it now checks where the task went, by starts that were carried out: its check before held with any code.

--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -5,6 +5,7 @@
 asserts both at each start.
 """
 
+import math
 import random
 import unittest
 
@@ -86,18 +87,23 @@
         self.assertFalse(self.world.late_calls)
         self.assertEqual(self.list_starts(), [])
 
-    # Guards against a task that waits for ever at a worker that answers no start.
-    def test_worker_that_answers_no_start_loses_the_task(self):
-        owner = self.world.owner
+    def mute_starts(self, for_s):
+        """Leave all starts at the first worker unanswered for a time, in seconds.
+
+        Returns:
+          A list that has the worker's id once a start was sent.
+        """
+        owner, until = self.world.owner, self.world.now + for_s
         take_commands, muted = owner.take_commands, []
 
         def take_answered_commands():
-            """Leave all starts at the first worker unanswered for good."""
             answered = []
             for command in take_commands():
                 is_start = isinstance(command, messages.StartOrder)
-                if is_start and (not muted or command.worker_id == muted[0]):
+                if is_start and not muted:
                     muted.append(command.worker_id)
+                is_muted = is_start and command.worker_id in muted
+                if is_muted and self.world.now < until:
                     outcome = messages.Unanswered("silent")
                     owner.take_start_outcome(command, outcome, self.world.now)
                 else:
@@ -105,12 +111,26 @@
             return answered
 
         owner.take_commands = take_answered_commands
+        return muted
+
+    # Guards against a task that waits for ever at a worker that answers no start.
+    def test_worker_that_answers_no_start_loses_the_task(self):
+        muted = self.mute_starts(for_s=math.inf)
         self.world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 500)))
         self.world.run(latestarts.LATE_START_S - 1.0)
         self.assertEqual(self.world.owner.count_waiting("press"), 1)
         self.world.run(latestarts.LATE_START_S + 3.0)
         self.assertEqual(self.world.read_states(), {"a": "succeeded"})
-        self.assertNotIn((muted[0], 1), self.list_starts())
+        ((worker_id, _),) = self.list_starts()
+        self.assertNotIn(worker_id, muted)
+
+    # Guards against giving up a worker before the first copy must have arrived.
+    def test_worker_that_answers_starts_again_keeps_the_task(self):
+        muted = self.mute_starts(for_s=latestarts.LATE_START_S - 1.0)
+        self.world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 500)))
+        self.world.run(latestarts.LATE_START_S + 1.0)
+        self.assertEqual(self.world.read_states(), {"a": "succeeded"})
+        self.assertEqual(self.list_starts(), [(muted[0], 1)])
 
     # Guards against counting from a time before this process was held up.
     def test_copy_may_arrive_late_after_its_time_out(self):
