Bind a task for its unanswered starts only, not for those answered since

What callers would have seen: on a queue without advice, a task that waits for a silent worker, or goes back to one that restarts again and again, long after any copy of its unanswered start can arrive. The wait had no deadline: it was renewed at each restart. Cause: one deadline stood for all copies. Each start of the next run at the worker set it to 13 s from then, and its answer did not take that back, as an earlier copy was in transit. Evidence: the core's world. The first start of a task goes unanswered; its worker restarts after 10 s, the second run is answered there; the worker restarts at 14 s and is not polled. The task stayed bound until 23.1 s, while the last copy can arrive until 13.1 s. Change: a run keeps the deadline of the copies before the newest one apart. Once the newest was answered, rejected or not sent, that one holds. A time-out that is reported after the next run has taken over still extends it. Why it works: the worker's answer to a command shows that this command is not in transit. Result: test_answered_start_at_the_restarted_worker_does_not_extend_the_wait fails before, and the test of the time-out fails without the line that it guards.

--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -42,9 +42,7 @@
           ticket: A str; with one, only the present incarnation takes the command.
           now: A float.
         """
-        run.unanswered_at = None
-        if not ticket:
-            run.late_until = now + LATE_START_S
+        run.note_sent(run.late_until if ticket else now + LATE_START_S)
 
     def _note_start_unanswered(self, run, now):
         """Have a worker polled whether a start without an answer has begun.
@@ -61,6 +59,21 @@
         if run.state is model.RunState.ORDERED:
             self.commands.append(messages.PollAgain(run.worker_id))
 
+    def _note_earlier_unanswered(self, command, now):
+        """Note that a start of a task's last run has no answer, after the next began.
+
+        Args:
+          command: A messages.StartOrder of a run that is over.
+          now: A float.
+        """
+        step = self._find_step(command.key)
+        if step is None or command.ticket:
+            return
+        for run in step.list_runs(command.key.index):
+            if run.worker_id == command.worker_id:
+                run.earlier_until = now + LATE_START_S
+                run.late_until = max(run.late_until, run.earlier_until)
+
     def _record_begun(self, run, now):
         """Have the record say soon that a run has begun, for a successor.
 
@@ -182,7 +195,7 @@
         step.live_by_index[row.key.index] = run
         self._note_run_begun(run)
         run.state = model.RunState.RUNNING
-        run.has_result = False
+        run.has_result = run.is_abandoned = False
         run.stop_confirmed_at = None
         run.known_since = run.percent_at = now
         run.percent = row.percent
@@ -200,7 +213,7 @@
         late = self._late_runs_by_key.values()
         for run in (*worker.runs_by_key.values(), *late):
             if run.worker_id == worker.worker_id:
-                run.late_until = 0.0
+                run.late_until = run.earlier_until = 0.0
 
     def _await_late_start(self, step, run, now):
         """Note that a run is over of which a start may still arrive.
@@ -254,8 +267,7 @@
         if step.spec.gang:
             runs = (*step.live_by_index.values(), *step.late_by_index.values())
         else:
-            by_index = (step.live_by_index, step.late_by_index)
-            runs = [found[key.index] for found in by_index if key.index in found]
+            runs = step.list_runs(key.index)
         return any(now < run.late_until for run in runs)
 
 
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -199,6 +199,34 @@
         self.world.run(3.0)
         self.assertEqual(self.list_starts(), [(worker_id, 1), (worker_id, 2)])
 
+    # Guards against a task that stays at a worker for as long as that one restarts.
+    def test_answered_start_at_the_restarted_worker_does_not_extend_the_wait(self):
+        worker_id = self.submit(LONG_MS)
+        self.world.run(latestarts.LATE_START_S - 3.0)
+        self.world.restart(worker_id)
+        self.world.run(4.0)
+        self.world.restart(worker_id, is_listed=False)
+        self.world.run(2.0)
+        *first, last = self.list_starts()
+        self.assertEqual(first, [(worker_id, 1), (worker_id, 2)])
+        self.assertNotEqual(last[0], worker_id)
+
+    # Guards against counting from the time of a command that left late.
+    def test_start_of_the_last_run_that_is_found_unanswered_extends_the_wait(self):
+        worker_id = self.submit(LONG_MS)
+        self.world.run(0.5)
+        order = messages.StartOrder(worker_id, "", KEY, 1, "text", 0, 0)
+        self.world.restart(worker_id)
+        self.world.run(2.0)
+        unanswered = messages.Unanswered("late")
+        self.world.owner.take_start_outcome(order, unanswered, self.world.now)
+        self.world.run(latestarts.LATE_START_S - 1.0)
+        self.world.restart(worker_id, is_listed=False)
+        self.world.run(0.5)
+        self.assertEqual(self.list_starts(), [(worker_id, 1), (worker_id, 2)])
+        self.world.run(1.5)
+        self.assertEqual(len(self.list_starts()), 3)
+
     def test_task_starts_elsewhere_once_no_copy_can_arrive(self):
         worker_id = self.submit(LONG_MS)
         self.world.run(1.0)
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -77,6 +77,7 @@
         that one may still arrive after the run is known to have begun.
       late_until: A float, until when a copy of its start command may still arrive at a
         later incarnation of the worker; see `latestarts`.
+      earlier_until: A float, the same for the copies before the newest one.
     """
 
     key: messages.TaskKey
@@ -102,6 +103,21 @@
     has_begun: bool = False
     has_more_copies: bool = False
     late_until: float = 0.0
+    earlier_until: float = 0.0
+
+    def note_sent(self, late_until):
+        """Note that a start command of it is sent.
+
+        Args:
+          late_until: A float, until when this copy may arrive.
+        """
+        self.unanswered_at = None
+        self.earlier_until = self.late_until
+        self.late_until = late_until
+
+    def note_newest_settled(self):
+        """Note that the newest copy was answered or not sent, so it is not late."""
+        self.late_until = self.earlier_until
 
     def note_unanswered(self, now, resend_until):
         """Note that a start command of it has no answer.
@@ -427,6 +443,17 @@
         for avoided in self.avoided_by_index.values():
             avoided.discard(worker_id)
 
+    def list_runs(self, index):
+        """List the live run of a task, and the one of which a start may arrive late.
+
+        Args:
+          index: An int, the task's.
+        Returns:
+          A list of Run.
+        """
+        by_index = (self.live_by_index, self.late_by_index)
+        return [runs[index] for runs in by_index if index in runs]
+
     def index_for(self, index):
         """The index under which a task's failures and checkpoints are stored."""
         return GANG_INDEX if self.spec.gang else index
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -44,9 +44,12 @@
         worker = self.workers_by_id.get(command.worker_id)
         run = worker.runs_by_key.get(command.key) if worker else None
         if run is None or run.run != command.run:
+            if isinstance(outcome, messages.Unanswered):
+                self._note_earlier_unanswered(command, now)
             return
         if isinstance(outcome, messages.Done):
             self._note_run_begun(run)
+            run.note_newest_settled()
             if not command.ticket:
                 self._record_begun(run, now)
             if run.state is model.RunState.ORDERED:
@@ -71,20 +74,20 @@
         """Take the answer to a start whose run is over."""
         if isinstance(outcome, messages.Unanswered):
             self._note_start_unanswered(run, now)
-        elif not run.has_more_copies:
-            # The only copy was answered.
-            run.late_until = 0.0
+        else:
+            run.note_newest_settled()
 
     def _take_unsent_start(self, run, now):
         """Handle a start that did not reach the worker."""
+        run.note_newest_settled()
         if run.has_more_copies:
             # An earlier copy may have arrived, which the next poll shows.
             run.note_unanswered(now, now + latestarts.LATE_START_S)
-            return
-        run.late_until = 0.0
-        self._release_run(run, now)
+        else:
+            self._release_run(run, now)
 
     def _take_rejected_start(self, worker, run, command, outcome, now):
+        run.note_newest_settled()
         if run.has_more_copies and outcome.reason is not messages.Rejection.REPLACED:
             # An earlier copy may have begun the run, which may have ended since.
             self._take_rejection(worker, command, outcome, now)
