Keep a task with two crash points from the worker that it is bound to

What callers would have seen: on a queue without advice, a job that fails (cause crashes) within seconds since one worker crashes at each start before it answers, and is back under its id. Other workers were idle. Cause: an unanswered start binds the task to that worker, which overrules that it avoids a worker where it may have crashed. Five crashes there gave the five points of giving up. Change: a bound task with the points of more than one crash waits until no start of it can arrive, and starts elsewhere then. After one crash it is tried there once more, as restarts at the moment of a start are mostly chance. Why it works: crashes of one worker give two points at the most, and the wait has a deadline.

--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -18,7 +18,14 @@
 A run that has begun used up one copy. If only one was sent, nothing has to wait.
 """
 
-from thornport.cell.decisions import cellstate, leases, messages, model, notes
+from thornport.cell.decisions import (
+    cellstate,
+    crashes,
+    leases,
+    messages,
+    model,
+    notes,
+)
 from thornport.kernel import clock
 
 # How long after it was sent a start command may be carried out: the users' workers do
@@ -279,16 +286,35 @@
       indexes: A list of indexes of waiting tasks.
       workers_by_id: Model.Workers by id.
     Returns:
-      A list of those of the indexes that may start anywhere, or whose only worker
-      answers polls and starts; of a gang, all or none.
+      A list of those of the indexes that may start anywhere, or that may start at their
+      only worker now; of a gang, all or none.
     """
-    placeable = []
-    for index in indexes:
-        late = step.late_by_index.get(index)
-        worker = workers_by_id.get(late.worker_id) if late is not None else None
-        is_answering = worker is not None and worker.silent_since is None
-        if late is None or (is_answering and not late.is_abandoned):
-            placeable.append(index)
+    placeable = [
+        index
+        for index in indexes
+        if index not in step.late_by_index
+        or may_start_there(step, step.late_by_index[index], workers_by_id)
+    ]
     if step.spec.gang and len(placeable) < step.spec.count:
         return []
     return placeable
+
+
+def may_start_there(step, late, workers_by_id):
+    """Tell whether a task may start at the only worker that it may start at.
+
+    A task with the points of more than one crash waits until it may start elsewhere:
+    the worker may crash at each start, and the task would be given up for that.
+
+    Args:
+      step: A model.StepState.
+      late: The model.Run of which a start may still arrive at that worker.
+      workers_by_id: Model.Workers by id.
+    Returns:
+      A bool; false also if the worker answers no polls or carries out no starts.
+    """
+    worker = workers_by_id.get(late.worker_id)
+    if worker is None or worker.silent_since is not None or late.is_abandoned:
+        return False
+    points = step.crash_points_by_index.get(late.key.index, 0)
+    return points <= crashes.SHARED_SUSPECT_POINTS
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -5,6 +5,7 @@
 asserts both at each start.
 """
 
+import collections
 import math
 import random
 import unittest
@@ -272,6 +273,36 @@
         self.assertEqual(len(self.list_starts()), 2)
 
 
+class CrashingWorkers(LateCase):
+    """The only worker that a task may start at crashes at each start."""
+
+    # Guards against failing a job for one worker that crashes whatever starts there.
+    def test_job_is_not_given_up_for_the_crashes_of_one_worker(self):
+        owner = self.world.owner
+        take_commands, crashes_by_id = owner.take_commands, collections.Counter()
+
+        def take_other_commands():
+            """Crash the first worker at each start; it restarts under its id."""
+            others = []
+            for command in take_commands():
+                is_start = isinstance(command, messages.StartOrder)
+                crashing = crashes_by_id or {command.worker_id}
+                if is_start and command.worker_id in crashing:
+                    crashes_by_id[command.worker_id] += 1
+                    outcome = messages.Unanswered("broken off", is_broken_off=True)
+                    owner.take_start_outcome(command, outcome, self.world.now)
+                    self.world.restart(command.worker_id)
+                else:
+                    others.append(command)
+            return others
+
+        owner.take_commands = take_other_commands
+        self.world.submit(cellworld.make_job("a", cellworld.make_step(1, 4, 500)))
+        self.world.run(2 * latestarts.LATE_START_S)
+        self.assertEqual(self.world.read_states(), {"a": "succeeded"})
+        self.assertEqual(list(crashes_by_id.values()), [2])
+
+
 class Successors(LateCase):
     """A successor takes over while a copy may still arrive."""
 
