Share the fields and the log line of notes on one run; reword comments

Four notes repeated the same three fields and their log functions the same four lines. The lines are unchanged (test_lines_of_late_starts). Comments of late starts name their subject. No change of logic.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -134,8 +134,8 @@
         if step is None or step.live_by_index.get(run.key.index) is not run:
             return
         del step.live_by_index[run.key.index]
-        # Of a job that is over, a run that a late start begins is stopped by the next
-        # poll, unless an end of it counts: it may not be repeated.
+        # Once its job is over, a run that a late start begins is stopped when a poll
+        # lists it. An end that counts stays unacknowledged, so that none follows it.
         if now < run.late_until and (run.has_result or not job.is_over()):
             self._await_late_start(step, run, now)
         if run.late_until:
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -8,8 +8,8 @@
 So while a copy of a start command without a ticket may still arrive:
 
 - The command is sent again, for the same run at the same worker. A copy that arrives
-  later finds the run and does nothing. A worker that has not begun the run when the
-  first copy is due at the latest carries out no starts, and the run is stopped.
+  later finds the run and does nothing. If the worker has not begun the run once the
+  first copy must have arrived, it carries out no starts, and the run is stopped.
 - Once the run is over, its task starts at that worker only. A worker id has at most one
   incarnation at a time, so a copy begins nothing beside the task's next run.
 - The end of the run is not acknowledged. If a copy begins the run again, it does not
@@ -28,11 +28,11 @@
 )
 from thornport.kernel import clock
 
-# How long after it was sent a start command may be carried out: the users' workers do
-# so at most 12 s after it arrived.
+# A worker carries out a start command within this time of its sending: the users'
+# workers take at most 12 s from its arrival.
 LATE_START_S = 13.0
-# How long a record may not say that a run has begun. Short tasks end within this time,
-# so their records are written again anyway.
+# Delay until the record of a run states that it has begun. The records of short tasks
+# are written again within this time anyway.
 RECORD_BEGUN_S = 0.5
 
 
@@ -82,10 +82,10 @@
                 run.late_until = max(run.late_until, run.earlier_until)
 
     def _record_begun(self, run, now):
-        """Have the record say soon that a run has begun, for a successor.
+        """Schedule a write of the record that states that a run has begun.
 
         Without it, a successor that finds the worker lost would have the task wait for
-        a start that may arrive late. Most records are written again by then.
+        a start that may arrive late.
 
         Args:
           run: A model.Run whose start command is answered.
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -69,40 +69,33 @@
     version: int
 
 
-class StartGivenUp(msgspec.Struct, frozen=True):
-    """A start with a persisted record is not sent: no ticket came for it in time."""
+class RunNote(msgspec.Struct, frozen=True):
+    """A decision on one run at its worker."""
 
     key: messages.TaskKey
     run: int
     worker_id: str
 
 
-class StartResent(msgspec.Struct, frozen=True):
-    """A start without an answer is sent again: its worker does not list the run."""
+class StartGivenUp(RunNote, frozen=True):
+    """A start with a persisted record is not sent: no ticket came for it in time."""
 
-    key: messages.TaskKey
-    run: int
-    worker_id: str
 
+class StartResent(RunNote, frozen=True):
+    """A start without an answer is sent again: its worker does not list the run."""
 
-class StartAbandoned(msgspec.Struct, frozen=True):
-    """A start without an answer is not sent again: its worker never carried it out."""
 
-    key: messages.TaskKey
-    run: int
-    worker_id: str
+class StartAbandoned(RunNote, frozen=True):
+    """A start without an answer is not sent again: its worker never carried it out."""
 
 
-class LateStartAwaited(msgspec.Struct, frozen=True):
+class LateStartAwaited(RunNote, frozen=True):
     """A run is over, but its task waits: a start of the run may still arrive.
 
     Attributes:
       left_ms: An int, how long it may still arrive.
     """
 
-    key: messages.TaskKey
-    run: int
-    worker_id: str
     left_ms: int
 
 
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -247,7 +247,7 @@
     def _abandon_start(self, run, now):
         """Stop a run whose worker answers polls but no start; prefer other workers.
 
-        A worker that carries out late starts would have carried out the first copy.
+        By now the first copy has arrived at any worker that carries out starts.
         """
         run.is_abandoned = True
         self.notes.append(notes.StartAbandoned(run.key, run.run, run.worker_id))
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -146,7 +146,7 @@
             worker_started_at_ms=live.worker_started_at_ms,
             has_begun=live.has_begun,
             has_more_copies=live.has_more_copies,
-            # The record does not say so, and the end may count.
+            # Records omit how a run ended, so its end is taken to count.
             has_result=live.is_over,
         )
         runs.append(run)
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -62,50 +62,25 @@
 @log_note.register
 def log_start_given_up(note: notes.StartGivenUp):
     """Log that no ticket for a start arrived in time."""
-    logs.log(
-        "start-given-up",
-        job=note.key.job_id,
-        task=note.key.name_in_job(),
-        run=note.run,
-        worker=note.worker_id,
-    )
+    log_run("start-given-up", note)
 
 
 @log_note.register
 def log_start_resent(note: notes.StartResent):
     """Log that a start without an answer is sent again."""
-    logs.log(
-        "start-resent",
-        job=note.key.job_id,
-        task=note.key.name_in_job(),
-        run=note.run,
-        worker=note.worker_id,
-    )
+    log_run("start-resent", note)
 
 
 @log_note.register
 def log_start_abandoned(note: notes.StartAbandoned):
     """Log that a start without an answer is not sent again, and its run is stopped."""
-    logs.log(
-        "start-abandoned",
-        job=note.key.job_id,
-        task=note.key.name_in_job(),
-        run=note.run,
-        worker=note.worker_id,
-    )
+    log_run("start-abandoned", note)
 
 
 @log_note.register
 def log_late_start_awaited(note: notes.LateStartAwaited):
     """Log that a task waits until a start of its last run can't arrive any more."""
-    logs.log(
-        "late-start-awaited",
-        job=note.key.job_id,
-        task=note.key.name_in_job(),
-        run=note.run,
-        worker=note.worker_id,
-        left_ms=note.left_ms,
-    )
+    log_run("late-start-awaited", note, left_ms=note.left_ms)
 
 
 @log_note.register
@@ -139,3 +114,21 @@
 def format_start(started_at_ms):
     """Format the start time of a worker; empty if unknown."""
     return "" if started_at_ms is None else started_at_ms
+
+
+def log_run(event, note, **fields):
+    """Log a decision on one run.
+
+    Args:
+      event: A str.
+      note: A notes.RunNote.
+      fields: Further fields of the line.
+    """
+    logs.log(
+        event,
+        job=note.key.job_id,
+        task=note.key.name_in_job(),
+        run=note.run,
+        worker=note.worker_id,
+        **fields,
+    )
