--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -6,7 +6,7 @@
 import collections
 
 from thornport.cell.decisions import advising, asking, messages, shares, usage
-from thornport.cell.decisions.contention import durations, prospects
+from thornport.cell.decisions.contention import durations, prospects, speeds
 
 # Recently lost workers that are remembered, to detect that many are lost at once: more
 # than a rack holds, and more than an eighth of a large cell.
@@ -30,7 +30,9 @@
       needs_pass: Whether a scheduling pass could start more.
     """
 
-    def __init__(self, token, now, earlier_over_at, status_s, overshoot=0.0):
+    def __init__(
+        self, token, now, earlier_over_at, status_s, overshoot=0.0, stop_s=None
+    ):
         """Initialize the state.
 
         Args:
@@ -41,6 +43,8 @@
           status_s: A float, how long callers may read a job's state after its end.
           overshoot: A float, the share of a workspace's limit by which usage may
             exceed it.
+          stop_s: A float, how long a worker takes to stop and save a run at most; None
+            if that is not known, and no run is stopped for another.
         """
         self.token = token
         self._earlier_over_at = earlier_over_at
@@ -58,8 +62,10 @@
         self.callers = advising.Callers()
         self.usage = usage.Usage()
         self._overshoot = overshoot
+        self._stop_s = stop_s
         self._shares = shares.Shares()
         self._durations = durations.Durations()
+        self.speeds = speeds.Speeds()
         self._config_version = 0
         self._queues_by_name = {}
         self._services = frozenset()
@@ -137,11 +143,14 @@
         """
         if job.record.job.repeats:
             return
+        steps = list(job.steps_by_key.values())
+        name = job.record.queue.name
+        for step in steps:
+            step.usual_s = self._durations.predict_s(name, step.spec.estimate_ms)
         job.bounds = prospects.compute_bounds(
-            list(job.steps_by_key.values()),
+            steps,
             job.accepted_at,
             self._queue_of(job),
-            self._durations,
         )
 
     def _mark_dirty(self, job):
--- /dev/null
+++ b/thornport/cell/decisions/contention/preempting.py
@@ -0,0 +1,319 @@
+"""Makes room for urgent work: holds back starts of lower priority and stops runs: pure.
+
+While urgent tasks wait for room, work of lower priority takes each piece of room that
+becomes free as soon as a ticket of the urgent step has lapsed or does not name the
+worker, and long runs keep the rest for seconds. So the room that waiting urgent tasks
+need is left to them, and runs that save their progress are stopped and resumed later,
+if that makes room sooner than their ends would.
+
+A stop loses no work: the run is saved at its end. It costs the time of the stop, in
+which the room is used by nobody, and that of the resumption. Both are weighed against
+the wait: a run is stopped only for a task that waits in time and is still of use after
+the stop, only if runs that end by themselves don't make the room meanwhile, and only
+while its own job has more than half of its spare time left.
+"""
+
+import collections
+
+import msgspec
+
+from thornport.cell.decisions import model, placing, reserving
+from thornport.cell.decisions.contention import prospects
+from thornport.jobs import spec
+
+# A job gives way to urgent work for this share of the time that it can spare. The rest
+# is for its own waits, and for the load of the next seconds.
+SPARE_SHARE = 0.5
+# A run is not stopped until it has run for this multiple of the time of a stop, so that
+# most of the time that it holds its room goes into its work.
+MIN_RUN_STOPS = 3.0
+# Stops decided in one scheduling pass: passes follow one another within tenths of a
+# second, and each stop frees less than a worker.
+MAX_STOPS = 24
+# Workers that are examined for a waiting step, to bound the time of a pass.
+MAX_WORKERS = 60
+
+
+class WaitingStep(msgspec.Struct, frozen=True):
+    """A step whose tasks wait for room and can still be in time.
+
+    Attributes:
+      step: A model.StepState.
+      priority: An int, of its queue.
+      start_by: A float, after which a start is of no use to the job's callers.
+      workers: The model.Workers that may run it, by advice if its queue has any.
+    """
+
+    step: model.StepState
+    priority: int
+    start_by: float
+    workers: list[model.Worker]
+
+
+class Pressure:
+    """The urgent work that waits in one scheduling pass, by service."""
+
+    __slots__ = ("_free_by_service", "_now", "_waiting_by_service")
+
+    def __init__(self, now):
+        """Begin with nothing waiting.
+
+        Args:
+          now: A float.
+        """
+        self._now = now
+        self._waiting_by_service = collections.defaultdict(list)
+        self._free_by_service = {}
+
+    def note_waiting(self, job, step, queue, workers):
+        """Note a step with tasks that a pass could not start.
+
+        Args:
+          job: A model.JobEntry.
+          step: A model.StepState of it.
+          queue: Its queue.Queue.
+          workers: A list of model.Worker, as for WaitingStep.
+        """
+        if job.prospect is not prospects.Prospect.IN_TIME or step.spec.gang:
+            return
+        if job.bounds is prospects.UNBOUNDED:
+            return
+        waiting = WaitingStep(step, queue.priority, job.bounds.late_until, workers)
+        self._waiting_by_service[queue.service].append(waiting)
+
+    def is_on(self, queue):
+        """Whether work of higher priority than a queue's waits for the same workers."""
+        waiting = self._waiting_by_service.get(queue.service, ())
+        return any(one.priority < queue.priority for one in waiting)
+
+    def limit_tasks(self, job, step, queue, count, free_millicores):
+        """Limit how many tasks of a step may start beside waiting urgent work.
+
+        Args:
+          job: A model.JobEntry.
+          step: A model.StepState of it.
+          queue: Its queue.Queue.
+          count: An int, how many may start otherwise.
+          free_millicores: A callable that returns how many millicores of the service
+            are free, an int.
+        Returns:
+          An int; of a gang, all or none.
+        """
+        if step.spec.lasting or not self.is_on(queue) or not can_spare(job, self._now):
+            return count
+        demand = step.spec.demand.millicores
+        if not demand:
+            return count
+        left = self._read_free(queue.service, free_millicores)
+        left -= sum(
+            len(one.step.waiting) * one.step.spec.demand.millicores
+            for one in self._waiting_by_service[queue.service]
+            if one.priority < queue.priority
+        )
+        limited = min(count, max(0, left) // demand)
+        return 0 if step.spec.gang and limited < count else limited
+
+    def note_started(self, queue, step, count):
+        """Note that a pass started tasks of a step after `limit_tasks`.
+
+        Args:
+          queue: A queue.Queue.
+          step: A model.StepState.
+          count: An int.
+        """
+        if queue.service in self._free_by_service:
+            used = count * step.spec.demand.millicores
+            self._free_by_service[queue.service] -= used
+
+    def _read_free(self, service, free_millicores):
+        if service not in self._free_by_service:
+            self._free_by_service[service] = free_millicores()
+        return self._free_by_service[service]
+
+    def list_waiting(self):
+        """List the WaitingSteps that noted their workers, the most urgent first."""
+        steps = [one for steps in self._waiting_by_service.values() for one in steps]
+        return sorted(steps, key=lambda one: (one.priority, one.start_by))
+
+
+def can_spare(job, now):
+    """Tell whether a job may give way to urgent work.
+
+    Args:
+      job: A model.JobEntry.
+      now: A float.
+    Returns:
+      A bool; false once it has used its share of spare time, or has none.
+    """
+    if job.bounds is prospects.UNBOUNDED:
+        return False
+    spare_s = job.bounds.in_time_until - job.accepted_at
+    return now < job.accepted_at + SPARE_SHARE * spare_s
+
+
+class Victim(msgspec.Struct, frozen=True):
+    """A model.Run to be stopped, and the WaitingStep that it makes room for."""
+
+    run: model.Run
+    waiting: WaitingStep
+
+
+class Victims:
+    """Chooses the runs to be stopped in one scheduling pass.
+
+    Attributes:
+      chosen: The Victims, in order.
+    """
+
+    __slots__ = ("_find_job", "_now", "_promised_by_worker", "_stop_s", "chosen")
+
+    def __init__(self, find_job, stop_s, now):
+        """Begin with none.
+
+        Args:
+          find_job: A callable that returns the model.JobEntry and the priority of a
+            model.Run, or None if its job is not known.
+          stop_s: A float, how long a stop takes at most.
+          now: A float.
+        """
+        self._find_job = find_job
+        self._stop_s = stop_s
+        self._now = now
+        # What the workers will have free after the stops chosen and the ends expected,
+        # less what waiting steps were promised.
+        self._promised_by_worker = {}
+        self.chosen = []
+
+    def choose(self, waiting):
+        """Choose runs to stop for the tasks of a waiting step.
+
+        Args:
+          waiting: A WaitingStep.
+        """
+        if waiting.start_by < self._now + self._stop_s:
+            return
+        demand = waiting.step.spec.demand
+        needed = len(waiting.step.waiting)
+        workers = waiting.workers[:MAX_WORKERS]
+        for worker in workers:
+            needed -= self._promise(worker, demand, needed)
+        for worker in self._list_by_cost(waiting, workers):
+            if needed <= 0 or len(self.chosen) >= MAX_STOPS:
+                return
+            needed -= self._stop_for(worker, waiting, needed)
+
+    def _read_coming(self, worker):
+        """The room that a worker will have by the end of a stop that begins now."""
+        coming = self._promised_by_worker.get(worker.worker_id)
+        if coming is None:
+            coming = worker.compute_free()
+            until = self._now + self._stop_s
+            for run in worker.runs_by_key.values():
+                is_stopping = run.state is model.RunState.STOPPING
+                if is_stopping or (
+                    not run.step.lasting
+                    and reserving.predict_end(run, worker, self._now) <= until
+                ):
+                    coming = coming.add(run.demand)
+            self._promised_by_worker[worker.worker_id] = coming
+        return coming
+
+    def _promise(self, worker, demand, needed):
+        """Set aside coming room for tasks; return for how many."""
+        coming = self._read_coming(worker)
+        count = demand.count_in(coming, needed)
+        if count:
+            self._promised_by_worker[worker.worker_id] = coming.subtract(
+                multiply(demand, count)
+            )
+        return count
+
+    def _list_by_cost(self, waiting, workers):
+        """List the workers where stops would make room, least work stopped first."""
+        costs = []
+        for worker in workers:
+            runs = self._choose_at(worker, waiting)
+            if runs:
+                cost = sum(run.demand.millicores for run in runs)
+                costs.append((cost, worker.worker_id, worker))
+        costs.sort(key=lambda one: one[:2])
+        return [worker for _, _, worker in costs]
+
+    def _choose_at(self, worker, waiting):
+        """Choose the runs whose stops make room for a task at a worker; may be none."""
+        demand = waiting.step.spec.demand
+        room = self._read_coming(worker)
+        chosen = []
+        for run in self._list_stoppable(worker, waiting.priority):
+            if demand.fits(room):
+                break
+            chosen.append(run)
+            room = room.add(run.demand)
+        return chosen if demand.fits(room) else []
+
+    def _list_stoppable(self, worker, priority):
+        """List the runs that may be stopped for work of a priority, the best first."""
+        found = []
+        taken = [victim.run for victim in self.chosen]
+        for run in worker.runs_by_key.values():
+            if run in taken or not self._is_stoppable(run, priority):
+                continue
+            job, _ = self._find_job(run)
+            # The job with most time left gives way first.
+            found.append((-job.bounds.in_time_until, run.key.job_id, run))
+        found.sort(key=lambda one: one[:2])
+        return [run for _, _, run in found]
+
+    def _is_stoppable(self, run, priority):
+        if run.state is not model.RunState.RUNNING or run.commanded_at is None:
+            return False
+        if run.step.lasting or run.step.gang or not run.step.checkpoints:
+            return False
+        if self._now - run.commanded_at < MIN_RUN_STOPS * self._stop_s:
+            return False
+        found = self._find_job(run)
+        if found is None:
+            return False
+        job, own_priority = found
+        return own_priority > priority and can_spare(job, self._now)
+
+    def _stop_for(self, worker, waiting, needed):
+        """Choose stops at a worker; return for how many tasks they make room."""
+        runs = self._choose_at(worker, waiting)
+        coming = self._read_coming(worker)
+        for run in runs:
+            coming = coming.add(run.demand)
+        self.chosen += [Victim(run, waiting) for run in runs]
+        self._promised_by_worker[worker.worker_id] = coming
+        return self._promise(worker, waiting.step.spec.demand, needed)
+
+
+def multiply(demand, count):
+    """Multiply a spec.Demand by an int."""
+    return spec.Demand(
+        count * demand.millicores,
+        count * demand.memory_mb,
+        count * demand.accelerators,
+    )
+
+
+def list_usable(step, candidates, needs_advice):
+    """List the workers on which room would help a step.
+
+    Args:
+      step: A model.StepState.
+      candidates: Its placing.Candidates.
+      needs_advice: Whether only workers that advice permits may run it.
+    Returns:
+      A list of model.Worker.
+    """
+    if not needs_advice:
+        return candidates.workers
+    by_id = candidates.by_id
+    return [by_id[one] for one in sorted(step.permitted_ids) if one in by_id]
+
+
+def count_free_millicores(candidates):
+    """Count the free millicores of a placing.Candidates, an int."""
+    total, used = placing.sum_room(candidates.workers)
+    return total.millicores - used.millicores
--- a/thornport/cell/decisions/contention/prospects.py
+++ b/thornport/cell/decisions/contention/prospects.py
@@ -70,7 +70,7 @@
     return Prospect.LATE if now <= bounds.late_until else Prospect.EXPIRED
 
 
-def compute_bounds(steps, accepted_at, step_queue, durations):
+def compute_bounds(steps, accepted_at, step_queue):
     """Compute until when the waiting tasks of a job may start.
 
     Args:
@@ -78,7 +78,6 @@
         objective to miss.
       accepted_at: A float, when the job was accepted.
       step_queue: The queue.Queue of the job.
-      durations: A durations.Durations.
     Returns:
       A Bounds.
     """
@@ -91,8 +90,8 @@
         if step.is_done:
             took_s, left_s = step.longest_s + advice_s, 0.0
         else:
-            run_s = durations.predict_s(step_queue.name, step.spec.estimate_ms)
-            took_s, left_s = run_s + advice_s, run_s + STEP_DELAY_S
+            took_s = step.usual_s + advice_s
+            left_s = step.usual_s + STEP_DELAY_S
             if after:
                 left_s += advice_s
         chain_s_by_number[number] = took_s + find_longest(chain_s_by_number, after)
--- a/thornport/cell/decisions/contention/prospects_test.py
+++ b/thornport/cell/decisions/contention/prospects_test.py
@@ -12,7 +12,7 @@
 
 from tests import cellworld
 from thornport.cell.decisions import core, messages, model
-from thornport.cell.decisions.contention import durations, prospects
+from thornport.cell.decisions.contention import prospects
 from thornport.jobs import queue, record, spec
 
 URGENT = queue.Queue("urgent", service="press", stretch=1.5, target_ms=300)
@@ -32,9 +32,7 @@
 
 def compute(steps, accepted_at=0.0, step_queue=URGENT):
     """Compute the bounds of a job from its estimates."""
-    return prospects.compute_bounds(
-        steps, accepted_at, step_queue, durations.Durations()
-    )
+    return prospects.compute_bounds(steps, accepted_at, step_queue)
 
 
 class JobBounds(unittest.TestCase):
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -633,6 +633,12 @@
         self.assertFalse(self.may_be_tried(1, 3, 1, undecided_points=2))
 
 
+def list_losses(world):
+    """List the notes of an owner, but for those on how long its jobs wait and run."""
+    others = (notes.ProspectChanged, notes.StepDone, notes.SpeedChanged)
+    return [n for n in world.owner.take_notes() if not isinstance(n, others)]
+
+
 class LossNotes(unittest.TestCase):
     """Notes for the log on the runs that were lost with a worker."""
 
@@ -644,7 +650,7 @@
         world.owner.take_notes()
         world.crash_for_a_while(place.worker_id)
         world.run(4)
-        over, note = world.owner.take_notes()
+        over, note = list_losses(world)
         self.assertIs(over.how, note.how)
         self.assertEqual((over.worker_id, over.runs), (note.worker_id, 1))
         self.assertEqual(note.worker_id, place.worker_id)
@@ -661,7 +667,7 @@
         world.run(0.1)
         world.take_over()
         world.run(5)
-        over, note = world.owner.take_notes()
+        over, note = list_losses(world)
         self.assertIs(over.how, note.how)
         self.assertEqual((over.worker_id, over.runs), (note.worker_id, 1))
         self.assertIsNone(note.ran_ms)
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -3,6 +3,8 @@
 A run that may be live keeps its reserved capacity and its task until it is proven over.
 """
 
+import math
+
 from thornport.cell.decisions import (
     crashes,
     latestarts,
@@ -55,9 +57,7 @@
             return
         if end.kind is messages.EndKind.DONE and not step.spec.lasting:
             if run.commanded_at is not None and not run.is_resumed:
-                took_s = now - run.commanded_at
-                worker.note_pace(took_s, step.spec.estimate_ms)
-                step.longest_s = max(step.longest_s, took_s)
+                self._note_run_time(worker, step, now - run.commanded_at)
             self._take_done(step, run.key)
         elif end.kind is messages.EndKind.FAILED and not step.spec.lasting:
             self._take_failed(step, run)
@@ -119,13 +119,27 @@
             step.forget_advice()
             self._learn_duration(step)
 
+    def _note_run_time(self, worker, step, took_s):
+        """Note how long a task ran from its beginning to its end."""
+        if took_s <= 0:
+            return
+        usual_s = took_s * math.exp(worker.speed.log)
+        step.longest_s = max(step.longest_s, usual_s)
+        if not step.spec.gang and not step.spec.near_rack:
+            # Members of a gang end together, and tasks away from their data late.
+            step.run_logs.append((worker.machine, math.log(took_s)))
+
     def _learn_duration(self, step):
-        """Learn how long the tasks of a step that is done ran."""
+        """Learn how long the tasks of a step that is done ran, and where."""
         job = self.jobs_by_id[step.key.job_id]
         name = job.record.queue.name
         predicted_s = self._durations.predict_s(name, step.spec.estimate_ms)
         self._durations.note_step(name, step.spec.estimate_ms, step.longest_s)
         self._update_bounds(job)
+        for machine in self.speeds.learn_step(step.run_logs):
+            known = self.speeds.find(machine)
+            self.notes.append(notes.SpeedChanged(machine, known.log, known.runs))
+        step.run_logs.clear()
         self.notes.append(
             notes.StepDone(
                 step.key,
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -46,13 +46,15 @@
         if self._last_fence >> FENCE_BITS:
             # The next owner has another token, and its numbers begin anew.
             self.is_fenced = True
-        return model.Worker(
+        worker = model.Worker(
             entry,
             self._earlier_over_at,
             is_listed=is_listed,
             started_at_ms=entry.started_at_ms,
             fence=self._last_fence,
         )
+        worker.speed = self.speeds.find(worker.machine)
+        return worker
 
     def make_token(self, worker):
         """Make the fencing token of calls to a worker's incarnation, an int."""
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -128,6 +128,8 @@
             self.needs_pass = True
         else:
             self._take_entry(worker, listed, now)
+            # A worker that was known from records alone has named no machine before.
+            worker.speed = self.speeds.find(worker.machine)
 
     def drop_worker(self, worker_id, now, may_come_back=False):
         """Note that the store no longer lists a worker, which may still run.
--- a/thornport/cell/decisions/leaving.py
+++ b/thornport/cell/decisions/leaving.py
@@ -44,7 +44,7 @@
         return None
     if run.percent < MIN_PROGRESS_PERCENT:
         took_s = now - run.commanded_at
-        return max(0.0, run.step.estimate_ms / 1000 - took_s)
+        return max(0.0, run.usual_s - took_s)
     took_s = run.percent_at - run.commanded_at
     whole_s = took_s * 100 / run.percent
     return max(0.0, run.commanded_at + whole_s - now)
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -60,6 +60,7 @@
       leaves_in_ms: An int, the minimum time until it leaves; 0 if unknown.
       started_at_ms: An int, milliseconds since 1970, when this incarnation of the
         worker started; None if not stated. A worker may restart under its id.
+      machine: A str, the machine that it runs on; empty if not stated.
     """
 
     worker_id: str
@@ -72,6 +73,7 @@
     rack: str = ""
     leaves_in_ms: int = 0
     started_at_ms: int | None = None
+    machine: str = ""
 
     def read_leaves_at(self, now):
         """Compute when the worker leaves.
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -11,19 +11,15 @@
 import msgspec
 
 from thornport.cell.decisions import messages
-from thornport.cell.decisions.contention import prospects
+from thornport.cell.decisions.contention import prospects, speeds
 from thornport.jobs import record, spec
+from thornport.kernel import clock
 
 # The users' bound: the least rate of a worker's clock against the owner's.
 MIN_CLOCK_RATE = 0.98
 LAPSE_MARGIN_S = 0.1  # allows for timers that fire late, the owner's and the worker's
 NO_TICKET = ("", -math.inf)  # text and deadline where advice has issued no ticket
 GANG_INDEX = -1  # stands for all tasks of a gang
-# Job estimates are rough, so a worker's pace is averaged over many ended tasks. Old
-# samples fade, since a worker may become slow.
-MAX_PACE_SAMPLES = 40
-MIN_PACE_SAMPLES = 6  # below it the pace is taken as unknown
-PACE_GRADE_WIDTH = 0.12  # in log units, less than the workers' paces differ
 
 
 class RunState(enum.Enum):
@@ -77,6 +73,8 @@
       has_begun: Whether a copy of its start command is known to have been carried out.
       has_more_copies: Whether another start command of its task may be in transit, so
         that one may still arrive after the run is known to have begun.
+      usual_s: A float, how long a task of its step is expected to run on a machine of
+        the usual speed.
       late_until: A float, until when a copy of its start command may still arrive at a
         later incarnation of the worker; see `latestarts`.
       earlier_until: A float, the same for the copies before the newest one.
@@ -107,6 +105,11 @@
     has_more_copies: bool = False
     late_until: float = 0.0
     earlier_until: float = 0.0
+    usual_s: float = 0.0
+
+    def __post_init__(self):
+        """Expect the job's own estimate unless more is known."""
+        self.usual_s = self.usual_s or self.step.estimate_ms / clock.MS_PER_S
 
     def note_sent(self, late_until):
         """Note that a start command of it is sent.
@@ -221,8 +224,7 @@
         live runs that serve users of their own.
       trial: The last Run started here of a task that may have crashed a worker, or
         None. Nothing else starts until it has run for a while.
-      pace_count, pace_log: The number of samples, and the mean logarithm of the ratio
-        of a task's run time to its estimate.
+      speed: The speeds.MachineSpeed of its machine.
     """
 
     entry: messages.WorkerEntry
@@ -252,8 +254,7 @@
     filling_count: int = 0
     serving_count: int = 0
     trial: Run | None = None
-    pace_count: int = 0
-    pace_log: float = 0.0
+    speed: speeds.MachineSpeed = msgspec.field(default_factory=speeds.MachineSpeed)
     started_at_ms: int | None = None
     fence: int = 0
     other_listed: ListedWorker | None = None
@@ -280,19 +281,6 @@
         is_own = self.entry.started_at_ms == self.started_at_ms
         return is_own and self.doubted_at is None
 
-    def note_pace(self, took_s, estimate_ms):
-        """Add the run time of a task to the worker's pace.
-
-        Args:
-          took_s: A float, seconds.
-          estimate_ms: An int, the job's estimate.
-        """
-        if took_s <= 0 or estimate_ms <= 0:
-            return
-        self.pace_count = min(MAX_PACE_SAMPLES, self.pace_count + 1)
-        sample = math.log(took_s * 1000 / estimate_ms)
-        self.pace_log += (sample - self.pace_log) / self.pace_count
-
     def note_silence(self, now, is_broken_off=False):
         """Note that a call failed: the worker may be gone since then.
 
@@ -312,17 +300,16 @@
         """Give it few starts before a time, a float; the latest such time holds."""
         self.suspected_until = max(self.suspected_until, until)
 
-    def grade_pace(self):
-        """Grade the worker's pace, an int: lower is faster; 0 if unknown."""
-        if self.pace_count < MIN_PACE_SAMPLES:
-            return 0
-        return round(self.pace_log / PACE_GRADE_WIDTH)
-
     @property
     def worker_id(self):
         """A str, the worker's id."""
         return self.entry.worker_id
 
+    @property
+    def machine(self):
+        """A str that names its machine; its own id if its entry names none."""
+        return self.entry.machine or self.entry.worker_id
+
     def compute_free(self):
         """The free capacity, a Demand; cached, since passes ask for it often."""
         if self._free is None:
@@ -378,7 +365,9 @@
       avoided_by_index: Ids of workers on which a task failed, keyed likewise.
       last_run: An int, the highest run number assigned.
       longest_s: A float, the longest run of its tasks that are done, of runs that this
-        owner commanded.
+        owner commanded, as if all machines were of the usual speed.
+      run_logs: Pairs of the name of a machine and the logarithm of how long a task that
+        is done ran there, likewise; emptied once the step is done.
       is_done: Whether every task is done.
       is_advanced: Whether its job has processed that.
       tickets_by_worker: Pairs of ticket text and its deadline.
@@ -397,6 +386,8 @@
       stall_due_at: A float, when its blockers are checked again.
       is_late_reported: Whether its wait past its job's objective was reported.
       is_at_limit: Whether its wait for its workspace's limit was reported.
+      usual_s: A float, how long a task of it is expected to run on a machine of the
+        usual speed.
     """
 
     key: messages.StepKey
@@ -412,6 +403,7 @@
     avoided_by_index: dict[int, set[str]] = msgspec.field(default_factory=dict)
     last_run: int = 0
     longest_s: float = 0.0
+    run_logs: list[tuple[str, float]] = msgspec.field(default_factory=list)
     is_done: bool = False
     is_advanced: bool = False
     tickets_by_worker: dict[str, tuple[str, float]] = msgspec.field(
@@ -429,6 +421,11 @@
     stall_due_at: float = 0.0
     is_late_reported: bool = False
     is_at_limit: bool = False
+    usual_s: float = 0.0
+
+    def __post_init__(self):
+        """Expect the job's own estimate unless more is known."""
+        self.usual_s = self.usual_s or self.spec.estimate_ms / clock.MS_PER_S
 
     def read_ticket_deadline(self, worker_id):
         """When a worker's ticket lapses, a float; minus infinity if it has none."""
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -85,6 +85,20 @@
     took_ms: int
 
 
+class SpeedChanged(msgspec.Struct, frozen=True):
+    """A machine is learned to be faster or slower than was reported of it.
+
+    Attributes:
+      machine: A str.
+      speed_log: A float, the logarithm of its speed; 0 is usual.
+      runs: An int, the runs that this is learned from.
+    """
+
+    machine: str
+    speed_log: float
+    runs: int
+
+
 class ProspectChanged(msgspec.Struct, frozen=True):
     """A waiting job is not expected to meet its objective any more, or to be of use.
 
@@ -108,6 +122,20 @@
     worker_id: str
 
 
+class RunPreempted(RunNote, frozen=True):
+    """A run is stopped and saved to make room for an urgent job.
+
+    Attributes:
+      for_job: A str, the ID of that job.
+      percent: An int, the progress last reported.
+      ran_ms: An int, since its start.
+    """
+
+    for_job: str
+    percent: int
+    ran_ms: int
+
+
 class StartGivenUp(RunNote, frozen=True):
     """A start with a persisted record is not sent: no ticket came for it in time."""
 
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -1,6 +1,7 @@
 """Scheduling passes: start the waiting tasks that fit, highest-ranked steps first."""
 
 import bisect
+import functools
 
 from thornport.cell.decisions import (
     crashes,
@@ -17,7 +18,7 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import prospects
+from thornport.cell.decisions.contention import preempting, prospects
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -28,6 +29,8 @@
 # Of the others, up to this many with new advice are tried first: their tickets might
 # lapse before their turn.
 MAX_ANSWERED_STEPS = 10
+# Allows for tasks that run longer than predicted.
+RUN_DOUBT = 2.0
 
 
 class Passes(ticketing.Ticketing):
@@ -51,6 +54,7 @@
         self._renew_recording_tickets(now)
         reserved = reserving.Reservations(now)
         yields = yielding.Yielding(now)
+        pressure = preempting.Pressure(now)
         tried = 0
         ready = self._list_ready(only_urgent, now)
         if not only_urgent:
@@ -61,7 +65,7 @@
             if tried >= MAX_PASS_STEPS:
                 if not only_urgent:
                     self._resume_at = self._rank((job, step)), step
-                return
+                break
             step.has_unused_advice = False
             queue = self._queue_of(job)
             if yields.must_yield(job, queue):
@@ -71,13 +75,67 @@
             if not startable:
                 # The step waits for its workspace's limit, so no worker is considered.
                 continue
+            startable = pressure.limit_tasks(
+                job,
+                step,
+                queue,
+                startable,
+                functools.partial(self._count_free_millicores, queue.service),
+            )
+            if not startable:
+                continue
+            waiting = len(step.waiting)
             candidates = self._try_step(job, step, queue, reserved, startable, now)
+            pressure.note_started(queue, step, waiting - len(step.waiting))
             tried += self._may_fit(step, candidates, now)
             is_full = not self.usage.count_startable(step, job.record.workspace)
             if step.waiting and not is_full and reserved.may_reserve():
                 starts_at = self._reserve(step, queue, candidates, reserved, now)
                 if step.spec.gang and starts_at is not None:
                     yields.note_waiting_gang(queue, candidates.workers)
+            if step.waiting and not is_full:
+                needs_advice = queue.advice is not None
+                workers = preempting.list_usable(step, candidates, needs_advice)
+                workers = self._list_fast_enough(job, step, workers, now)
+                pressure.note_waiting(job, step, queue, workers)
+        self._preempt(pressure, now)
+
+    def _count_free_millicores(self, service):
+        """Count the free millicores of a service, an int."""
+        return preempting.count_free_millicores(self._find_listed(service))
+
+    def _preempt(self, pressure, now):
+        """Stop runs of lower priority for urgent tasks that wait for room.
+
+        Args:
+          pressure: The preempting.Pressure of the pass.
+          now: A float.
+        """
+        if self._stop_s is None:
+            return
+        victims = preempting.Victims(self._find_job_of_run, self._stop_s, now)
+        for waiting in pressure.list_waiting():
+            victims.choose(waiting)
+        for victim in victims.chosen:
+            run, step = victim.run, victim.waiting.step
+            self.notes.append(
+                notes.RunPreempted(
+                    run.key,
+                    run.run,
+                    run.worker_id,
+                    step.key.job_id,
+                    run.percent,
+                    int((now - run.commanded_at) * clock.MS_PER_S),
+                )
+            )
+            self._stop_run(run, now)
+
+    def _find_job_of_run(self, run):
+        """Find the model.JobEntry and the priority of a run; None if it is unknown."""
+        job = self.jobs_by_id.get(run.key.job_id)
+        if job is None or job.is_over():
+            return None
+        return job, self._queue_of(job).priority
 
     def _try_step(self, job, step, queue, reserved, startable, now):
         """Start the tasks of a step that fit; ask for advice if some do not start.
@@ -237,6 +295,8 @@
         else:
             workers = eligibility.list_ticketed(step, candidates, now)
         workers = [w for w in workers if self._is_still_eligible(w, candidates, now)]
+        if not is_overdue:
+            workers = self._list_fast_enough(job, step, workers, now)
         if not workers:
             return 0
         if step.crash_points_by_index:
@@ -250,6 +310,21 @@
                 return 0
         return self._start_step(job, step, workers, reserved, indexes[:startable])
 
+    def _list_fast_enough(self, job, step, workers, now):
+        """List the workers on which a step would not make its job late.
+
+        Once no worker would do, the job is late anyway and takes any.
+        """
+        if job.prospect is not prospects.Prospect.IN_TIME:
+            return workers
+        spare_s = job.bounds.in_time_until - now
+        return [
+            worker
+            for worker in workers
+            if RUN_DOUBT * (reserving.estimate_s(step.usual_s, worker) - step.usual_s)
+            <= spare_s
+        ]
+
     def _ask_to_start(self, step, queue, candidates, reserved, need, now):
         """Ask for advice on workers with room for a step, if its queue has advice."""
         if queue.advice is not None and self._may_ask(step, now):
@@ -298,6 +373,7 @@
                 model.RunState.RECORDING,
                 address=worker.entry.address,
                 worker_started_at_ms=worker.started_at_ms,
+                usual_s=step.usual_s,
             )
             self._take_on_late_start(step, run)
             step.live_by_index[assignment.index] = run
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from thornport.cell.decisions import eligibility
+from thornport.cell.decisions.contention import speeds
 from thornport.jobs import spec
 
 
@@ -261,10 +262,10 @@
     Returns:
       A triple that is lower for a better worker: the cores in use that a crash would
       put at risk, if the step may crash the worker; whether the worker is away from
-      the step's data; its pace.
+      the step's data; the grade of its speed.
     """
     is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
-    grade = worker.grade_pace()
+    grade = speeds.grade(worker.speed)
     at_risk = worker.used.millicores if step.crash_points_by_index else 0
     return at_risk, is_away, grade if wants_fast else -grade
 
--- a/thornport/cell/decisions/reserving.py
+++ b/thornport/cell/decisions/reserving.py
@@ -119,7 +119,7 @@
     def _ends_by(self, step, worker, at):
         if step.spec.lasting:
             return False
-        return self._now + estimate_s(step.spec, worker) <= at
+        return self._now + estimate_s(step.usual_s, worker) <= at
 
     def reserve(self, step, workers):
         """Reserve room for the waiting tasks of a step where they can start soonest.
@@ -230,16 +230,16 @@
     return step.spec.demand.compute_dominant_share(median_total) >= WIDE_SHARE
 
 
-def estimate_s(step_spec, worker):
+def estimate_s(usual_s, worker):
     """Estimate how long a task takes on a worker.
 
     Args:
-      step_spec: A spec.Step.
+      usual_s: A float, how long it takes on a machine of the usual speed.
       worker: A model.Worker.
     Returns:
-      A float, seconds, from the job's own estimate and the worker's pace.
+      A float, seconds.
     """
-    return step_spec.estimate_ms / 1000 * math.exp(worker.pace_log)
+    return usual_s * math.exp(-worker.speed.log)
 
 
 def predict_end(run, worker, now):
@@ -254,7 +254,7 @@
     """
     if run.stop_due_at:
         return now + STOPPING_S
-    whole_s = estimate_s(run.step, worker)
+    whole_s = estimate_s(run.usual_s, worker)
     began_at = now if run.commanded_at is None else run.commanded_at
     if run.percent > 0 and run.percent_at > began_at:
         whole_s = (run.percent_at - began_at) * 100 / run.percent
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -1,6 +1,7 @@
 """Log lines for the notes of the decisions; see `decisions.notes`."""
 
 import functools
+import math
 
 from thornport.cell.decisions import notes
 from thornport.jobs import workspace
@@ -12,7 +13,9 @@
     notes.IncarnationOver: "workers.over",
     notes.LimitWait: "steps.at_limit",
     notes.StepDone: "steps.done",
+    notes.SpeedChanged: "machines.speed_changed",
     notes.ProspectChanged: "jobs.prospect_changed",
+    notes.RunPreempted: "runs.preempted",
     notes.StartGivenUp: "starts.given_up",
     notes.StartResent: "starts.resent",
     notes.StartAbandoned: "starts.abandoned",
@@ -61,6 +64,18 @@
     )
 
 
+@log_note.register
+def log_run_preempted(note: notes.RunPreempted):
+    """Log that a run is stopped to make room for an urgent job."""
+    log_run(
+        "run-preempted",
+        note,
+        for_job=note.for_job,
+        percent=note.percent,
+        ran_ms=note.ran_ms,
+    )
+
+
 @log_note.register
 def log_start_given_up(note: notes.StartGivenUp):
     """Log that no ticket for a start arrived in time."""
@@ -97,6 +112,17 @@
     )
 
 
+@log_note.register
+def log_speed_changed(note: notes.SpeedChanged):
+    """Log the learned speed of a machine, in percent of the usual one."""
+    logs.log(
+        "machine-speed",
+        machine=note.machine,
+        percent=round(100 * math.exp(note.speed_log)),
+        runs=note.runs,
+    )
+
+
 @log_note.register
 def log_prospect_changed(note: notes.ProspectChanged):
     """Log that a waiting job goes behind those that can still be in time."""
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -72,6 +72,7 @@
             now + EARLIER_OWNER_S,
             settings.bounds.status_s,
             settings.bounds.limit_overshoot,
+            settings.bounds.stop_s,
         )
         self._following = following.Following(reactor, self)
         self.workers = dispatching.DispatchedWorkers(reactor, bus, ports.workers)
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from thornport.kernel import inifile
+from thornport.kernel import clock, inifile
 
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=60_000)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
@@ -63,11 +64,19 @@
       status_s: How long after the end of a job callers may ask for it.
       grace_s: The time from the request to stop until the process is killed.
       limit_overshoot: The share of its limit by which a workspace may exceed it.
+      stop_ms: How long a worker takes to stop and save a run at most, in milliseconds.
+        None if the platform does not say; then no run is stopped for urgent work.
     """
 
     status_s: Seconds = 120.0
     grace_s: Seconds = 6.0
     limit_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    stop_ms: Milliseconds | None = None
+
+    @property
+    def stop_s(self):
+        """The same in seconds, a float; None if it is not known."""
+        return None if self.stop_ms is None else self.stop_ms / clock.MS_PER_S
 
 
 class SchedulerSettings(msgspec.Struct, frozen=True):
--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -46,6 +46,7 @@
     labels: list[str]  # the worker's kind, then its rack
     remaining_ms: Count = 0
     born: Born = msgspec.UNSET
+    machine: str = ""
 
 
 class EntryError(Exception):
@@ -97,6 +98,7 @@
         wire.labels[1] if len(wire.labels) > 1 else "",
         wire.remaining_ms,
         read_start(wire.born),
+        wire.machine,
     )
 
 
