--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -6,7 +6,12 @@
 import collections
 
 from thornport.cell.decisions import advising, asking, messages, shares, usage
-from thornport.cell.decisions.contention import durations, prospects, speeds
+from thornport.cell.decisions.contention import (
+    durations,
+    forecasting,
+    prospects,
+    speeds,
+)
 
 # Recently lost workers that are remembered, to detect that many are lost at once: more
 # than a rack holds, and more than an eighth of a large cell.
@@ -27,6 +32,8 @@
       jobs_by_id, workers_by_id: The model.JobEntry and model.Worker by id.
       callers: The advising.Callers.
       usage: The usage.Usage of the workspaces.
+      speeds: The speeds.Speeds of the machines.
+      forecaster: The forecasting.Forecaster of overloaded queues.
       needs_pass: Whether a scheduling pass could start more.
     """
 
@@ -66,6 +73,7 @@
         self._shares = shares.Shares()
         self._durations = durations.Durations()
         self.speeds = speeds.Speeds()
+        self.forecaster = forecasting.Forecaster(now)
         self._config_version = 0
         self._queues_by_name = {}
         self._services = frozenset()
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -1,7 +1,9 @@
 """Scheduling passes: start the waiting tasks that fit, highest-ranked steps first."""
 
 import bisect
+import collections
 import functools
+import itertools
 
 from thornport.cell.decisions import (
     crashes,
@@ -18,7 +20,7 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import preempting, prospects
+from thornport.cell.decisions.contention import forecasting, preempting, prospects
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -86,7 +88,10 @@
                 continue
             waiting = len(step.waiting)
             candidates = self._try_step(job, step, queue, reserved, startable, now)
-            pressure.note_started(queue, step, waiting - len(step.waiting))
+            started = waiting - len(step.waiting)
+            pressure.note_started(queue, step, started)
+            if started:
+                self.forecaster.note_started(queue.name, step, started)
             tried += self._may_fit(step, candidates, now)
             is_full = not self.usage.count_startable(step, job.record.workspace)
             if step.waiting and not is_full and reserved.may_reserve():
@@ -100,6 +105,38 @@
                 pressure.note_waiting(job, step, queue, workers)
         self._preempt(pressure, now)
 
+    def _update_forecasts(self, now, wall_s):
+        """Forecast which queues find no room for new jobs.
+
+        Args:
+          now: A float.
+          wall_s: A float, seconds since 1970.
+        """
+        if not self.forecaster.is_due(now):
+            return
+        backlogs = collections.defaultdict(forecasting.Backlog)
+        stride = 1 + len(self._unended_by_id) // forecasting.MAX_COUNTED
+        jobs = itertools.islice(self._unended_by_id.values(), None, None, stride)
+        for job in jobs:
+            if job.bounds is prospects.UNBOUNDED:
+                continue
+            work = forecasting.compute_work(job.steps_by_key.values())
+            if work:
+                backlogs[job.record.queue.name].add(job, work, stride)
+        full_queues = {
+            name
+            for name in backlogs
+            if name in self._queues_by_name and self._is_full(name)
+        }
+        beyond = tuple(self._shares.list_beyond(wall_s))
+        self.forecaster.update(backlogs, full_queues, beyond, now)
+
+    def _is_full(self, name):
+        """Whether the service of a queue has little room left."""
+        listed = self._find_listed(self._queues_by_name[name].service)
+        total, used = listed.sum_room()
+        return used.millicores >= forecasting.FULL_SHARE * total.millicores
+
     def _count_free_millicores(self, service):
         """Count the free millicores of a service, an int."""
         return preempting.count_free_millicores(self._find_listed(service))
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -4,7 +4,14 @@
 
 from thornport.cell.decisions import core, leases
 from thornport.cell.dispatch import dispatching
-from thornport.cell.owner import commands, following, ledger, noting, polling
+from thornport.cell.owner import (
+    commands,
+    following,
+    ledger,
+    noting,
+    polling,
+    speedkeeping,
+)
 from thornport.cell.peers import lapses, peering
 from thornport.jobs import record
 from thornport.kernel import clock, logs, tasks
@@ -74,6 +81,9 @@
             settings.bounds.limit_overshoot,
             settings.bounds.stop_s,
         )
+        self._speed_keeper = speedkeeping.SpeedKeeper(
+            ports.store, lambda: self.core.token, self.core.speeds, now
+        )
         self._following = following.Following(reactor, self)
         self.workers = dispatching.DispatchedWorkers(reactor, bus, ports.workers)
         self.polling = polling.Polling(reactor, self)
@@ -117,6 +127,7 @@
         began = clock.read_monotonic()
         self.core.take_config(config, began)
         self.core.start_reading()
+        tasks.spawn(self._speed_keeper.read(), "read-speeds")
         # Concurrently, since each answer of a slow store takes long.
         registering = tasks.spawn(self._register(), "register")
         await self._following.read()
@@ -256,6 +267,7 @@
         entries = [worker.entry for worker in self.core.workers_by_id.values()]
         self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.polling.poll_new_workers()
+        self._speed_keeper.save_due(now)
         self.pump()
 
     def _log_late(self):
