--- a/thornport/cell/decisions/contention/speeds.py
+++ b/thornport/cell/decisions/contention/speeds.py
@@ -1,5 +1,8 @@
 """Learns how fast each machine is from the tasks of one step on many machines: pure.
 
+An urgent job ends with its slowest task, so its tasks go to fast machines first, and to
+none on which the job would be late while it can wait for another.
+
 The tasks of a step are alike, so the ratios of their run times to one another tell of
 the machines that they ran on, while the estimate of a job is off by a factor of two and
 more for all of its tasks alike. A speed belongs to a machine: the next incarnation of a
@@ -18,6 +21,9 @@
 MAX_LOG = math.log(8.0)  # beyond it a run was held up by something else
 # In log units; machines differ by more, the error of a learned speed is less.
 GRADE_WIDTH = 0.12
+# A task may well run for twice as long as predicted, and then takes twice as much
+# longer on a slow machine.
+RUN_DOUBT = 2.0
 TOLD_CHANGE = math.log(1.2)  # a change of speed that is reported
 
 
@@ -89,3 +95,29 @@
 def grade(speed):
     """Grade a machine by its MachineSpeed, an int: lower is faster, 0 is usual."""
     return -round(speed.log / GRADE_WIDTH)
+
+
+def estimate_s(speed, usual_s):
+    """Estimate how long a task takes on a machine.
+
+    Args:
+      speed: The MachineSpeed.
+      usual_s: A float, how long it takes on a machine of the usual speed.
+    Returns:
+      A float, seconds.
+    """
+    return usual_s * math.exp(-speed.log)
+
+
+def is_fast_enough(speed, usual_s, spare_s):
+    """Tell whether a task on a machine leaves its job in time.
+
+    Args:
+      speed, usual_s: As for `estimate_s`.
+      spare_s: A float, how long the task may still wait for a machine of the usual
+        speed.
+    Returns:
+      A bool.
+    """
+    longer_s = estimate_s(speed, usual_s) - usual_s
+    return RUN_DOUBT * longer_s <= spare_s
--- a/thornport/cell/decisions/contention/speeds_test.py
+++ b/thornport/cell/decisions/contention/speeds_test.py
@@ -11,7 +11,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests import smallcell
 from thornport.cell.decisions.contention import speeds
+from thornport.jobs import queue, spec
+
+URGENT = queue.Queue("urgent", service="press", stretch=1.5, target_ms=600)
+TASK = spec.Demand(16_000, 10, 0)
+SPEEDS = (0.4, 1.0)  # of the two workers
 
 SPEED_BY_MACHINE = {f"m{n}": 0.55 if n % 4 == 0 else 1.2 for n in range(40)}
 UNEVEN = 0.2  # of tasks of one step on equal machines, as a standard deviation
@@ -93,5 +99,56 @@
             self.assertLessEqual(known.runs, speeds.MAX_RUNS)
 
 
+class Placing(unittest.TestCase):
+    """Where urgent tasks start in a cell of one slow and one fast worker."""
+
+    def make_cell(self, stop_s=None):
+        """Make the cell; the owner knows the speeds."""
+        cell = smallcell.SmallCell((URGENT,), [TASK, TASK], SPEEDS, stop_s)
+        for number, speed in enumerate(SPEEDS):
+            known = cell.core.speeds.find(f"w{number}")
+            known.log, known.runs = math.log(speed), speeds.MAX_RUNS
+        return cell
+
+    def list_workers(self, cell):
+        """List where tasks started, in order."""
+        return [worker_id for _, worker_id in cell.started]
+
+    def test_task_waits_for_the_fast_worker_while_it_can(self):
+        cell = self.make_cell()
+        cell.submit("a", URGENT, spec.Step(1, TASK, 1000), run_s=0.3)
+        cell.run(0.1)
+        cell.submit("b", URGENT, spec.Step(1, TASK, 1000), run_s=0.3)
+        cell.run(0.5)
+        self.assertEqual(self.list_workers(cell), ["w1", "w1"])
+
+    def test_task_that_is_late_anyway_takes_the_slow_worker(self):
+        cell = self.make_cell()
+        cell.submit("a", URGENT, spec.Step(1, TASK, 1000), run_s=30.0)
+        cell.run(0.1)
+        cell.submit("b", URGENT, spec.Step(1, TASK, 1000))
+        cell.run(0.5)
+        self.assertEqual(self.list_workers(cell), ["w1"])
+        cell.run(1.0)
+        self.assertEqual(self.list_workers(cell), ["w1", "w0"])
+
+    def test_task_that_has_time_takes_the_slow_worker(self):
+        cell = self.make_cell()
+        cell.submit("a", URGENT, spec.Step(1, TASK, 1000), run_s=30.0)
+        cell.submit("b", URGENT, spec.Step(1, TASK, 100))
+        cell.run(0.1)
+        self.assertEqual(sorted(self.list_workers(cell)), ["w0", "w1"])
+
+    def test_job_does_not_stand_still_beside_a_free_worker(self):
+        # Users allow three seconds, in a cell that is half free.
+        slow = queue.Queue("slow", service="press", stretch=4.0, target_ms=3000)
+        cell = smallcell.SmallCell((slow,), [TASK] * 3, (0.2, 0.2, 0.2))
+        for number in range(3):
+            cell.core.speeds.find(f"w{number}").log = math.log(0.2)
+        cell.submit("a", slow, spec.Step(1, TASK, 20_000), waited_s=0.0)
+        cell.run(3.0)
+        self.assertTrue(cell.started)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -20,7 +20,12 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import forecasting, preempting, prospects
+from thornport.cell.decisions.contention import (
+    forecasting,
+    preempting,
+    prospects,
+    speeds,
+)
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -31,8 +36,6 @@
 # Of the others, up to this many with new advice are tried first: their tickets might
 # lapse before their turn.
 MAX_ANSWERED_STEPS = 10
-# Allows for tasks that run longer than predicted.
-RUN_DOUBT = 2.0
 
 
 class Passes(ticketing.Ticketing):
@@ -358,8 +361,7 @@
         return [
             worker
             for worker in workers
-            if RUN_DOUBT * (reserving.estimate_s(step.usual_s, worker) - step.usual_s)
-            <= spare_s
+            if speeds.is_fast_enough(worker.speed, step.usual_s, spare_s)
         ]
 
     def _ask_to_start(self, step, queue, candidates, reserved, need, now):
--- a/thornport/cell/decisions/reserving.py
+++ b/thornport/cell/decisions/reserving.py
@@ -6,11 +6,10 @@
 steps are backfilled there only if they are expected to end by then, or fit beside.
 """
 
-import math
-
 import msgspec
 
 from thornport.cell.decisions import placing
+from thornport.cell.decisions.contention import speeds
 from thornport.jobs import spec
 
 # A task that needs at least this share of a worker is wide. Smaller ones find room as
@@ -119,7 +118,7 @@
     def _ends_by(self, step, worker, at):
         if step.spec.lasting:
             return False
-        return self._now + estimate_s(step.usual_s, worker) <= at
+        return self._now + speeds.estimate_s(worker.speed, step.usual_s) <= at
 
     def reserve(self, step, workers):
         """Reserve room for the waiting tasks of a step where they can start soonest.
@@ -230,18 +229,6 @@
     return step.spec.demand.compute_dominant_share(median_total) >= WIDE_SHARE
 
 
-def estimate_s(usual_s, worker):
-    """Estimate how long a task takes on a worker.
-
-    Args:
-      usual_s: A float, how long it takes on a machine of the usual speed.
-      worker: A model.Worker.
-    Returns:
-      A float, seconds.
-    """
-    return usual_s * math.exp(-worker.speed.log)
-
-
 def predict_end(run, worker, now):
     """Predict when a run ends.
 
@@ -254,7 +241,7 @@
     """
     if run.stop_due_at:
         return now + STOPPING_S
-    whole_s = estimate_s(run.usual_s, worker)
+    whole_s = speeds.estimate_s(worker.speed, run.usual_s)
     began_at = now if run.commanded_at is None else run.commanded_at
     if run.percent > 0 and run.percent_at > began_at:
         whole_s = (run.percent_at - began_at) * 100 / run.percent
