--- a/thornport/cell/decisions/contention/forecasting.py
+++ b/thornport/cell/decisions/contention/forecasting.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import itertools
 
 import msgspec
 
@@ -171,6 +172,23 @@
             self._rate_by_queue[name] = known + weight * (rate - known)
 
 
+def collect_backlogs(jobs_by_id):
+    """Collect the waiting work of each queue.
+
+    Args:
+      jobs_by_id: The model.JobEntries whose end is not decided, by id.
+    Returns:
+      A dict of Backlog by the name of a queue.
+    """
+    backlogs = collections.defaultdict(Backlog)
+    stride = 1 + len(jobs_by_id) // MAX_COUNTED
+    for job in itertools.islice(jobs_by_id.values(), None, None, stride):
+        work = compute_work(job.steps_by_key.values())
+        if work and job.bounds is not prospects.UNBOUNDED:
+            backlogs[job.record.queue.name].add(job, work, stride)
+    return backlogs
+
+
 def compute_work(steps):
     """Compute the work of the waiting tasks of steps.
 
--- a/thornport/cell/decisions/contention/preempting.py
+++ b/thornport/cell/decisions/contention/preempting.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import model, placing, reserving
+from thornport.cell.decisions import model, reserving
 from thornport.cell.decisions.contention import prospects
 from thornport.jobs import spec
 
@@ -27,10 +27,13 @@
 # A run is not stopped until it has run for this multiple of the time of a stop, so that
 # most of the time that it holds its room goes into its work.
 MIN_RUN_STOPS = 3.0
+# Share of the cores in use from which starts are held back.
+FULL_SHARE = 0.65
 # Stops decided in one scheduling pass: passes follow one another within tenths of a
 # second, and each stop frees less than a worker.
 MAX_STOPS = 24
-# Workers that are examined for a waiting step, to bound the time of a pass.
+# Waiting steps, and workers of each, that are examined in a pass, to bound its time.
+MAX_STEPS = 8
 MAX_WORKERS = 60
 
 
@@ -53,14 +56,17 @@
 class Pressure:
     """The urgent work that waits in one scheduling pass, by service."""
 
-    __slots__ = ("_free_by_service", "_now", "_waiting_by_service")
+    __slots__ = ("_find_listed", "_free_by_service", "_now", "_waiting_by_service")
 
-    def __init__(self, now):
+    def __init__(self, find_listed, now):
         """Begin with nothing waiting.
 
         Args:
+          find_listed: A callable that returns the placing.Candidates of all workers of
+            a service, by its name.
           now: A float.
         """
+        self._find_listed = find_listed
         self._now = now
         self._waiting_by_service = collections.defaultdict(list)
         self._free_by_service = {}
@@ -86,7 +92,7 @@
         waiting = self._waiting_by_service.get(queue.service, ())
         return any(one.priority < queue.priority for one in waiting)
 
-    def limit_tasks(self, job, step, queue, count, free_millicores):
+    def limit_tasks(self, job, step, queue, count):
         """Limit how many tasks of a step may start beside waiting urgent work.
 
         Args:
@@ -94,17 +100,15 @@
           step: A model.StepState of it.
           queue: Its queue.Queue.
           count: An int, how many may start otherwise.
-          free_millicores: A callable that returns how many millicores of the service
-            are free, an int.
         Returns:
           An int; of a gang, all or none.
         """
         if step.spec.lasting or not self.is_on(queue) or not can_spare(job, self._now):
             return count
         demand = step.spec.demand.millicores
-        if not demand:
+        left = self._read_free(queue.service)
+        if not demand or left is None:
             return count
-        left = self._read_free(queue.service, free_millicores)
         left -= sum(
             len(one.step.waiting) * one.step.spec.demand.millicores
             for one in self._waiting_by_service[queue.service]
@@ -121,13 +125,20 @@
           step: A model.StepState.
           count: An int.
         """
-        if queue.service in self._free_by_service:
+        if self._free_by_service.get(queue.service) is not None:
             used = count * step.spec.demand.millicores
             self._free_by_service[queue.service] -= used
 
-    def _read_free(self, service, free_millicores):
+    def _read_free(self, service):
+        """Count the free millicores of a service; None if it is not full.
+
+        Users consider a job lost that waits for seconds in a half-empty cell.
+        """
         if service not in self._free_by_service:
-            self._free_by_service[service] = free_millicores()
+            total, used = self._find_listed(service).sum_room()
+            is_full = used.millicores >= FULL_SHARE * total.millicores
+            free = total.millicores - used.millicores
+            self._free_by_service[service] = free if is_full else None
         return self._free_by_service[service]
 
     def list_waiting(self):
@@ -311,9 +322,3 @@
         return candidates.workers
     by_id = candidates.by_id
     return [by_id[one] for one in sorted(step.permitted_ids) if one in by_id]
-
-
-def count_free_millicores(candidates):
-    """Count the free millicores of a placing.Candidates, an int."""
-    total, used = placing.sum_room(candidates.workers)
-    return total.millicores - used.millicores
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -1,9 +1,6 @@
 """Scheduling passes: start the waiting tasks that fit, highest-ranked steps first."""
 
 import bisect
-import collections
-import functools
-import itertools
 
 from thornport.cell.decisions import (
     crashes,
@@ -59,7 +56,7 @@
         self._renew_recording_tickets(now)
         reserved = reserving.Reservations(now)
         yields = yielding.Yielding(now)
-        pressure = preempting.Pressure(now)
+        pressure = preempting.Pressure(self._find_listed, now)
         tried = 0
         ready = self._list_ready(only_urgent, now)
         if not only_urgent:
@@ -80,13 +77,7 @@
             if not startable:
                 # The step waits for its workspace's limit, so no worker is considered.
                 continue
-            startable = pressure.limit_tasks(
-                job,
-                step,
-                queue,
-                startable,
-                functools.partial(self._count_free_millicores, queue.service),
-            )
+            startable = pressure.limit_tasks(job, step, queue, startable)
             if not startable:
                 continue
             waiting = len(step.waiting)
@@ -101,7 +92,7 @@
                 starts_at = self._reserve(step, queue, candidates, reserved, now)
                 if step.spec.gang and starts_at is not None:
                     yields.note_waiting_gang(queue, candidates.workers)
-            if step.waiting and not is_full:
+            if step.waiting and not is_full and not only_urgent:
                 needs_advice = queue.advice is not None
                 workers = preempting.list_usable(step, candidates, needs_advice)
                 workers = self._list_fast_enough(job, step, workers, now)
@@ -117,15 +108,7 @@
         """
         if not self.forecaster.is_due(now):
             return
-        backlogs = collections.defaultdict(forecasting.Backlog)
-        stride = 1 + len(self._unended_by_id) // forecasting.MAX_COUNTED
-        jobs = itertools.islice(self._unended_by_id.values(), None, None, stride)
-        for job in jobs:
-            if job.bounds is prospects.UNBOUNDED:
-                continue
-            work = forecasting.compute_work(job.steps_by_key.values())
-            if work:
-                backlogs[job.record.queue.name].add(job, work, stride)
+        backlogs = forecasting.collect_backlogs(self._unended_by_id)
         full_queues = {
             name
             for name in backlogs
@@ -137,12 +120,7 @@
     def _is_full(self, name):
         """Whether the service of a queue has little room left."""
         listed = self._find_listed(self._queues_by_name[name].service)
-        total, used = listed.sum_room()
-        return used.millicores >= forecasting.FULL_SHARE * total.millicores
-
-    def _count_free_millicores(self, service):
-        """Count the free millicores of a service, an int."""
-        return preempting.count_free_millicores(self._find_listed(service))
+        return yielding.compute_used_share(listed.workers) >= forecasting.FULL_SHARE
 
     def _preempt(self, pressure, now):
         """Stop runs of lower priority for urgent tasks that wait for room.
@@ -154,7 +132,7 @@
         if self._stop_s is None:
             return
         victims = preempting.Victims(self._find_job_of_run, self._stop_s, now)
-        for waiting in pressure.list_waiting():
+        for waiting in pressure.list_waiting()[: preempting.MAX_STEPS]:
             victims.choose(waiting)
         for victim in victims.chosen:
             run, step = victim.run, victim.waiting.step
