--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,9 @@
 UNKNOWN_STATUSES = frozenset({0, 504})
 PAUSE_S = 0.1  # between the jobs of a caller
 CANCEL_SHARE = 0.15  # of accepted jobs
+URGENT_SHARE = 0.2  # of jobs
+SAVING_SHARE = 0.5  # of the steps that are not the last one of a job
+PATH = "/editions/"
 LASTING_TASKS = 2
 LASTING_MILLICORES = 250  # so that what lasts leaves room for the others
 
@@ -82,9 +85,11 @@
 
     def _submit(self, job_id):
         body = self._make_job(job_id)
+        is_urgent = self._rng.random() < URGENT_SHARE
+        prefix = schedulers.URGENT_PATH if is_urgent else PATH
         statuses = set()
         for _ in range(TRIES):
-            status = self._call("POST", job_id, body)
+            status = self._call("POST", job_id, body, prefix)
             statuses.add(status)
             if status == 200:
                 self._book.accepted.add(job_id)
@@ -101,8 +106,11 @@
             self._book.lasting.add(job_id)
             return make_lasting_job()
         count = self._rng.randint(1, 6)
+        is_gang = self._rng.random() < 0.3
+        # Runs that save their progress are stopped for urgent jobs.
+        saves = self._rng.random() < SAVING_SHARE
         return schedulers.make_job(
-            count, self._rng.randint(50, 2500), gang=self._rng.random() < 0.3
+            count, self._rng.randint(50, 2500), gang=is_gang, checkpointing=saves
         )
 
     def _cancel(self, job_id):
@@ -116,9 +124,9 @@
         if statuses & UNKNOWN_STATUSES:
             self._book.maybe_cancelled.add(job_id)
 
-    def _call(self, method, job_id, body):
+    def _call(self, method, job_id, body, prefix=PATH):
         """Call any scheduler; returns the status, 0 for no answer."""
-        url = self._cell.url(self._rng.choice(self._cell.names), f"/editions/{job_id}")
+        url = self._cell.url(self._rng.choice(self._cell.names), prefix + job_id)
         data = msgspec.json.encode(body) if body is not None else None
         headers = schedulers.make_headers(self._cell.key)
         try:
--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -26,10 +26,12 @@
 [bounds]
 grace_s = {grace_s}
 status_s = {status_s}
+stop_ms = 300
 """
 STATUS_S = 120.0  # as the platform promises
 GRACE_S = 1.5  # short, so that tests of planned stops take no longer than they must
 HOST = "press.example"
+URGENT_PATH = "/editions/urgent/"  # a job there is shown and cancelled as the others
 CONFIG = {
     "version": 1,
     "routes": [
@@ -43,7 +45,18 @@
             "stretch": 2.0,
             "target_latency_ms": 1000,
             "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500},
-        }
+        },
+        {
+            "name": "urgent",
+            "host": HOST,
+            "path_prefix": URGENT_PATH,
+            "service": "press-desk",
+            "priority": 0,
+            "max_attempts": 3,
+            "stretch": 2.0,
+            "target_latency_ms": 1000,
+            "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500},
+        },
     ],
     "services": [{"name": "press-desk", "rejects_overload": False}],
     "limits": {"max_body_bytes": 262144},
