--- a/thornport/cell/decisions/contention/speeds.py
+++ b/thornport/cell/decisions/contention/speeds.py
@@ -24,6 +24,9 @@
 # A task may well run for twice as long as predicted, and then takes twice as much
 # longer on a slow machine.
 RUN_DOUBT = 2.0
+# Machines are forgotten beyond this many for each that is there, and in addition.
+GONE_FACTOR = 2
+GONE_BASE = 100
 TOLD_CHANGE = math.log(1.2)  # a change of speed that is reported
 
 
@@ -68,6 +71,22 @@
         """Find the MachineSpeed of a machine, by its name; a new one if unknown."""
         return self.by_machine.setdefault(machine, MachineSpeed())
 
+    def forget_gone(self, present):
+        """Forget the machines that are gone, once they are many.
+
+        A machine is without a worker for some seconds when its worker restarts.
+
+        Args:
+          present: A set of the names of the machines that have a worker.
+        """
+        if len(self.by_machine) <= GONE_FACTOR * len(present) + GONE_BASE:
+            return
+        self.by_machine = {
+            machine: known
+            for machine, known in self.by_machine.items()
+            if machine in present
+        }
+
     def learn_step(self, runs):
         """Learn from the tasks of one step.
 
--- a/thornport/cell/decisions/contention/speeds_test.py
+++ b/thornport/cell/decisions/contention/speeds_test.py
@@ -67,6 +67,16 @@
         off = learned.find("m1").log - learned.find("m0").log
         self.assertLess(abs(off), 0.2)
 
+    def test_machines_that_are_gone_are_forgotten_once_they_are_many(self):
+        learned = speeds.Speeds()
+        for number in range(speeds.GONE_BASE + 2):
+            learned.find(f"m{number}")
+        learned.forget_gone({"m1"})
+        self.assertEqual(len(learned.by_machine), speeds.GONE_BASE + 2)
+        learned.find("last")
+        learned.forget_gone({"m1"})
+        self.assertEqual(set(learned.by_machine), {"m1"})
+
     def test_step_of_one_task_teaches_nothing(self):
         learned = speeds.Speeds()
         self.assertEqual(learned.learn_step([("m0", 3.0)]), [])
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -267,7 +267,7 @@
         entries = [worker.entry for worker in self.core.workers_by_id.values()]
         self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.polling.poll_new_workers()
-        self._speed_keeper.save_due(now)
+        self._speed_keeper.save_due(self.core.workers_by_id.values(), now)
         self.pump()
 
     def _log_late(self):
--- a/thornport/cell/owner/speedkeeping.py
+++ b/thornport/cell/owner/speedkeeping.py
@@ -74,15 +74,17 @@
         taken = restore(self._speeds, saved)
         logs.log("speeds-read", machines=len(saved), taken=taken)
 
-    def save_due(self, now):
+    def save_due(self, workers, now):
         """Write the speeds if they have changed and the last write is a while ago.
 
         Args:
+          workers: The model.Workers that are known.
           now: A float.
         """
         if now < self._save_at or self._is_saving:
             return
         self._save_at = now + SAVE_PERIOD_S
+        self._speeds.forget_gone({worker.machine for worker in workers})
         value = encode(self._speeds)
         if value == self._saved:
             return
--- a/thornport/cell/owner/speedkeeping_test.py
+++ b/thornport/cell/owner/speedkeeping_test.py
@@ -67,14 +67,14 @@
         return defer.ensureDeferred(self.make_keeper(known).read())
 
     def test_successor_knows_the_machines(self):
-        self.make_keeper(learn()).save_due(speedkeeping.SAVE_PERIOD_S)
+        self.make_keeper(learn()).save_due([], speedkeeping.SAVE_PERIOD_S)
         successor = speeds.Speeds()
         self.read(successor)
         self.assertAlmostEqual(math.exp(successor.find("m1").log), 0.6)
 
     def test_write_names_the_key_of_the_owner(self):
         # A process that has lost the cell writes nothing over its successor's speeds.
-        self.make_keeper(learn()).save_due(speedkeeping.SAVE_PERIOD_S)
+        self.make_keeper(learn()).save_due([], speedkeeping.SAVE_PERIOD_S)
         (written,) = self.store.transactions
         condition = transactions.Condition(ownership.OWNER_KEY, TOKEN)
         self.assertEqual(written.conditions, [condition])
@@ -82,17 +82,17 @@
     def test_unchanged_speeds_are_not_written_again(self):
         keeper = self.make_keeper(learn())
         for number in range(1, 6):
-            keeper.save_due(number * speedkeeping.SAVE_PERIOD_S)
+            keeper.save_due([], number * speedkeeping.SAVE_PERIOD_S)
         self.assertEqual(len(self.store.transactions), 1)
 
     def test_write_that_failed_is_tried_again_later(self):
         keeper = self.make_keeper(learn())
         self.store.failure = port.Unavailable("away")
-        keeper.save_due(speedkeeping.SAVE_PERIOD_S)
-        keeper.save_due(speedkeeping.SAVE_PERIOD_S + 0.1)
+        keeper.save_due([], speedkeeping.SAVE_PERIOD_S)
+        keeper.save_due([], speedkeeping.SAVE_PERIOD_S + 0.1)
         self.assertEqual(len(self.store.transactions), 1)
         self.store.failure = None
-        keeper.save_due(2 * speedkeeping.SAVE_PERIOD_S)
+        keeper.save_due([], 2 * speedkeeping.SAVE_PERIOD_S)
         self.assertIsNotNone(self.store.value)
 
     def test_owner_decides_without_speeds_while_the_store_is_away(self):
@@ -109,7 +109,7 @@
             self.assertEqual(successor.find("m1").log, 0.0)
 
     def test_what_was_learned_meanwhile_counts_more(self):
-        self.make_keeper(learn(60, 10)).save_due(speedkeeping.SAVE_PERIOD_S)
+        self.make_keeper(learn(60, 10)).save_due([], speedkeeping.SAVE_PERIOD_S)
         successor = learn(90, 11)
         self.read(successor)
         self.assertAlmostEqual(math.exp(successor.find("m1").log), 0.9)
