Read a job that is over without its other steps

Cause: a successor computed until when the tasks of each job that it reads may start, also of a cancelled one whose record has a later step alone (a run that is being stopped). The property of troubles_test.FaultyCell found it too.

Change: jobs that are over have no bounds; steps are taken by their number.

Evidence: prospects_test.Takeover fails before with the same error.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -148,11 +148,12 @@
     def _update_bounds(self, job):
         """Update until when the waiting tasks of a job may start.
 
-        Repetitions have due times of their own, which no backlog delays for long.
+        Repetitions have due times of their own, which no backlog delays for long. A job
+        that is over may lack the steps of which nothing runs.
         """
-        if job.record.job.repeats:
+        if job.record.job.repeats or job.is_over():
             return
-        steps = list(job.steps_by_key.values())
+        steps = [job.steps_by_key[key] for key in job.list_step_keys(0)]
         name = job.record.queue.name
         for step in steps:
             step.usual_s = self._durations.predict_s(name, step.spec.estimate_ms)
--- a/thornport/cell/decisions/contention/prospects_test.py
+++ b/thornport/cell/decisions/contention/prospects_test.py
@@ -158,6 +158,24 @@
         self.assertEqual(started, {f"new{number:02}" for number in range(WORKERS)})
 
 
+class Takeover(unittest.TestCase):
+    """A successor reads jobs in any state."""
+
+    def test_cancelled_job_with_a_run_of_a_later_step_is_read(self):
+        # Its record has the step with the run that is being stopped, and no other.
+        cell = smallcell.SmallCell((URGENT,), [TASK], stop_s=5.0)
+        steps = spec.Step(1, TASK, 1000), spec.Step(1, TASK, 1000, after=(0,))
+        cell.submit("a", URGENT, *steps)
+        cell.run(1.5)
+        (key,) = cell.live
+        self.assertEqual(key.step, 1)
+        cell.core.take_cancel("a", cell.now)
+        cell.step()
+        cell.take_over()
+        cell.run(6.0)
+        self.assertEqual(cell.live, {})
+
+
 class CalmCell(unittest.TestCase):
     """Without a backlog, nothing changes."""
 
