Revert the refusals by forecast

The owner learns that a job can't be served only after its acceptance, since the order of service lets new jobs go before late ones.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -21,7 +21,7 @@
     receiving,
     relaying,
 )
-from thornport.jobs import admission, intake
+from thornport.jobs import intake
 from thornport.kernel import clock, logs, looplag, tasks
 
 # A stopping owner releases the cell this long before it would be killed: just before
@@ -44,7 +44,6 @@
       handover_deadline: A float, until when a stopping owner may wait for the best
         successor.
       serving: The serving.Serving of callers.
-      admission: The admission.Admission of jobs, by the owner's forecasts.
       store_state: The storestate.StoreState.
       holding: The holding.Holding of the cell.
       relayed: The relaying.RelayedStore.
@@ -77,10 +76,7 @@
         self.handover_deadline = math.inf
         self.relayed = relaying.RelayedStore(reactor, ports.store, bus)
         peer_notifier = notifying.PeerNotifier(reactor, self)
-        self.admission = admission.Admission()
-        job_intake = intake.Intake(
-            reactor, self.relayed, metrics, peer_notifier, self.admission
-        )
+        job_intake = intake.Intake(reactor, self.relayed, metrics, peer_notifier)
         self.serving = serving.Serving(reactor, self, job_intake)
         self._make_peer_parts(reactor)
         self.holding = holding.Holding(reactor, self, metrics)
@@ -183,27 +179,6 @@
         """The lapses.Lapses of this process's previous ownership."""
         return self.holding.known_lapses
 
-    def take_forecasts(self, message):
-        """Take the owner's forecasts of queues that find no room for new jobs.
-
-        Args:
-          message: A peering.Alive.
-        """
-        if message.forecasts is None:
-            return
-        now = clock.read_monotonic()
-        overloads = [
-            admission.Overload(
-                one.queue,
-                now + one.drained_ms / clock.MS_PER_S,
-                one.waiting,
-                one.takes_owed,
-                one.beyond,
-            )
-            for one in message.forecasts
-        ]
-        self.admission.take(overloads, message.forecast_version, now)
-
     def get_core(self):
         """Return the core of the cell if this process decides, else None."""
         return self.holding.get_core()
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -7,12 +7,7 @@
 import math
 
 from thornport.cell.decisions import advising, asking, messages, shares, usage
-from thornport.cell.decisions.contention import (
-    durations,
-    forecasting,
-    prospects,
-    speeds,
-)
+from thornport.cell.decisions.contention import durations, prospects, speeds
 
 # Recently lost workers that are remembered, to detect that many are lost at once: more
 # than a rack holds, and more than an eighth of a large cell.
@@ -34,7 +29,6 @@
       callers: The advising.Callers.
       usage: The usage.Usage of the workspaces.
       speeds: The speeds.Speeds of the machines.
-      forecaster: The forecasting.Forecaster of overloaded queues.
       needs_pass: Whether a scheduling pass could start more.
     """
 
@@ -74,7 +68,6 @@
         self._shares = shares.Shares()
         self._durations = durations.Durations()
         self.speeds = speeds.Speeds()
-        self.forecaster = forecasting.Forecaster(now)
         self._config_version = 0
         self._queues_by_name = {}
         self._services = frozenset()
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -73,7 +73,6 @@
             if job.record.job.repeats:
                 self._begin_due_times(job, now, wall_ms)
         self._remove_expired(now)
-        self._update_forecasts(now, wall_ms / clock.MS_PER_S)
         self.needs_pass = True
 
     def _restore_waits(self, now, wall_ms):
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -17,12 +17,7 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import (
-    forecasting,
-    preempting,
-    prospects,
-    speeds,
-)
+from thornport.cell.decisions.contention import preempting, prospects, speeds
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -87,7 +82,6 @@
             started = waiting - len(step.waiting)
             if started:
                 pressure.note_started(queue, step, started)
-                self.forecaster.note_started(queue.name, step, started)
             tried += self._may_fit(step, candidates, now)
             is_full = not self.usage.count_startable(step, job.record.workspace)
             if step.waiting and not is_full and reserved.may_reserve():
@@ -98,29 +92,6 @@
                 pressure.note_waiting(job, step, queue, candidates)
         self._preempt(pressure, now, only_urgent)
 
-    def _update_forecasts(self, now, wall_s):
-        """Forecast which queues find no room for new jobs.
-
-        Args:
-          now: A float.
-          wall_s: A float, seconds since 1970.
-        """
-        if not self.forecaster.is_due(now):
-            return
-        backlogs = forecasting.collect_backlogs(self._unended_by_id)
-        full_queues = {
-            name
-            for name in backlogs
-            if name in self._queues_by_name and self._is_full(name)
-        }
-        beyond = tuple(self._shares.list_beyond(wall_s))
-        self.forecaster.update(backlogs, full_queues, beyond, now)
-
-    def _is_full(self, name):
-        """Whether the service of a queue has little room left."""
-        listed = self._find_listed(self._queues_by_name[name].service)
-        return yielding.compute_used_share(listed.workers) >= forecasting.FULL_SHARE
-
     def _preempt(self, pressure, now, only_urgent):
         """Stop runs of lower priority for urgent tasks that wait for room.
 
--- a/thornport/cell/decisions/shares.py
+++ b/thornport/cell/decisions/shares.py
@@ -40,20 +40,6 @@
             name: one.weight for name, one in by_name.items() if one.weight > 0
         }
 
-    def list_beyond(self, now_s):
-        """List the workspaces whose next job would not be owed.
-
-        Args:
-          now_s: A float, seconds since 1970.
-        Returns:
-          A sorted list of str.
-        """
-        return sorted(
-            name
-            for name, paid_until in self._paid_until_by_name.items()
-            if name in self.weight_by_name and paid_until - now_s > WINDOW_S
-        )
-
     def charge_job(self, name, accepted_at_ms):
         """Charge an accepted job to its workspace and tell whether it is owed.
 
--- a/thornport/cell/peers/liveness.py
+++ b/thornport/cell/peers/liveness.py
@@ -79,8 +79,7 @@
         addresses = self._daemon.peers.addresses.union(
             greeted.with_store, greeted.others, greeted.stopping
         )
-        alive = make_heartbeat(self._daemon.lag.read_s(), session)
-        self._daemon.take_forecasts(alive)
+        alive = peering.Alive(self._daemon.lag.read_s())
         self._bus.send_to_all(addresses - {self._bus.address}, alive)
 
     def _check(self):
@@ -137,18 +136,3 @@
                 peers=len(vote.peer_addresses),
             )
             self._daemon.take_offer(self._revision)
-
-
-def make_heartbeat(lag_s, session):
-    """Make the heartbeat of an owner; one that does not decide yet forecasts nothing.
-
-    Args:
-      lag_s: A float, how late the timers of this process fire.
-      session: The owner.OwnerSession.
-    Returns:
-      A peering.Alive.
-    """
-    if not session.is_deciding:
-        return peering.Alive(lag_s)
-    forecaster = session.core.forecaster
-    return peering.Alive(lag_s, forecaster.forecasts, forecaster.version)
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -2,7 +2,6 @@
 
 import math
 
-from thornport.cell.decisions.contention import forecasting
 from thornport.cell.peers import workercalls
 from thornport.jobs import workspace
 from thornport.kernel import codec
@@ -54,14 +53,9 @@
 
     Attributes:
       lag_s: How late the owner's timers fire; a busy owner is heard less often.
-      forecasts: The queues that find no room for new jobs; those of the heartbeat
-        before hold no more. None in an answer to a greeting, which tells none.
-      forecast_version: An int that rises with each change of the forecasts.
     """
 
     lag_s: float = 0.0
-    forecasts: tuple[forecasting.Forecast, ...] | None = None
-    forecast_version: int = 0
 
 
 class AskOwnerHeard(codec.Message, frozen=True):
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -122,11 +122,9 @@
 
 @take.register
 def take_alive(message: peering.Alive, daemon, address):
-    """Record a heartbeat of the owner, and what it forecasts."""
+    """Record a heartbeat of the owner."""
     daemon.relayed.hear_peer()
     daemon.liveness.hear(address, message.lag_s)
-    if address == daemon.owner_address:
-        daemon.take_forecasts(message)
 
 
 @take.register
--- a/thornport/cell/peers/receiving_test.py
+++ b/thornport/cell/peers/receiving_test.py
@@ -103,14 +103,6 @@
         self.assertTrue(self.is_heard(peering.Alive()))
         self.assertTrue(self.is_heard(peering.Peers((ADDRESS,))))
 
-    def test_only_the_owner_forecasts(self):
-        daemon = mock.Mock(owner_address="10.0.0.9:1")
-        receiving.take(peering.Alive(0.0, (), 3), daemon, ADDRESS)
-        daemon.take_forecasts.assert_not_called()
-        daemon.owner_address = ADDRESS
-        receiving.take(peering.Alive(0.0, (), 3), daemon, ADDRESS)
-        daemon.take_forecasts.assert_called_once()
-
     def test_votes_about_a_silent_owner_do_not_count(self):
         self.assertFalse(self.is_heard(peering.AskOwnerHeard(7)))
         self.assertFalse(self.is_heard(peering.OwnerHeard(7, True)))
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -92,7 +92,7 @@
 class Intake:
     """Writes submissions and cancels to the store."""
 
-    def __init__(self, reactor, store, metrics, notifier, job_admission):
+    def __init__(self, reactor, store, metrics, notifier):
         """Create an intake without pending submissions.
 
         Args:
@@ -100,13 +100,11 @@
           store: A relaying.RelayedStore.
           metrics: A metrics.Metrics.
           notifier: A Notifier of the other processes.
-          job_admission: An admission.Admission.
         """
         self._reactor = reactor
         self._store = store
         self._metrics = metrics
         self._notifier = notifier
-        self._admission = job_admission
         self._unresolved_until_by_id = {}
         self._open_count_by_id = collections.Counter()
         self._gathered = []
@@ -140,11 +138,6 @@
         if self._store.is_unavailable() and not pending.may_be_persisted:
             self._settle(pending, self._refuse("the store is away"), "refused")
             return pending.outcome
-        refusal = self._find_refusal(pending)
-        if refusal is not None:
-            outcome = Refused("no room in time to be of use", refusal.retry_s)
-            self._settle(pending, outcome, "refused")
-            return pending.outcome
         pending.value = record.encode_record(job_record)
         self._notifier.notify_incoming(pending.value)
         if not self._gathered:
@@ -152,34 +145,6 @@
         self._gathered.append(pending)
         return pending.outcome
 
-    def _find_refusal(self, pending):
-        """Find out whether the owner forecasts that a job finds no room.
-
-        A job that an earlier try may have persisted may run, so it is never refused.
-
-        Args:
-          pending: A Pending.
-        Returns:
-          An admission.Refusal, or None.
-        """
-        if pending.may_be_persisted:
-            return None
-        job_record = pending.job_record
-        refusal = self._admission.find_refusal(job_record, clock.read_monotonic())
-        if refusal is not None:
-            self._metrics.count("jobs.rejected")
-            logs.log(
-                "job-rejected",
-                job=job_record.job_id,
-                queue=job_record.queue.name,
-                workspace=job_record.workspace,
-                version=refusal.version,
-                age_ms=int(refusal.age_s * clock.MS_PER_S),
-                waiting=refusal.waiting,
-                retry_s=refusal.retry_s,
-            )
-        return refusal
-
     def give_up(self, job_id, reason):
         """Report the outcome of a submission as unknown.
 
--- a/thornport/jobs/intake_test.py
+++ b/thornport/jobs/intake_test.py
@@ -6,7 +6,7 @@
 from returns import result
 from twisted.internet import task
 
-from thornport.jobs import admission, intake, queue, record, spec
+from thornport.jobs import intake, queue, record, spec
 from thornport.kernel import clock, metrics
 from thornport.store import port, transactions
 
@@ -48,9 +48,8 @@
         self.addCleanup(patched.stop)
         self.store = FakeStore()
         self.notifier = mock.Mock(spec=intake.Notifier)
-        self.admission = admission.Admission()
         self.intake = intake.Intake(
-            self.clock, self.store, metrics.Metrics(), self.notifier, self.admission
+            self.clock, self.store, metrics.Metrics(), self.notifier
         )
 
     def make_record(self, job_id):
@@ -102,28 +101,6 @@
         self.assertEqual(self.submit()[0], intake.Unknown("no answer", 0))
 
 
-class Overload(IntakeCase):
-    """A queue that finds no room for new jobs, by the owner's forecast."""
-
-    def setUp(self):
-        super().setUp()
-        self.store.outcomes = [result.Success(5)]
-        overload = admission.Overload("press", self.clock.seconds() + 30.0, 90, False)
-        self.admission.take([overload], 1, self.clock.seconds())
-
-    def test_job_is_refused_at_once_and_never_runs(self):
-        outcome, took_s = self.submit()
-        self.assertIsInstance(outcome, intake.Refused)
-        self.assertGreaterEqual(outcome.retry_s, 30)
-        self.assertEqual((took_s, self.store.commits), (0.0, 0))
-        self.notifier.notify_incoming.assert_not_called()
-
-    def test_job_that_an_earlier_try_may_have_persisted_is_not_refused(self):
-        self.intake.note_unresolved("a")
-        outcome, _ = self.submit()
-        self.assertIsInstance(outcome, intake.Accepted)
-
-
 class Outcomes(IntakeCase):
     """Accepted, Refused or Unknown, and the time until each."""
 
