Count a step that an earlier owner ran as predicted

Cause: after a takeover, a step that is done and was run by an earlier owner counted nothing in its job's chain, as its record does not tell how long it took. So the objective of a job of several steps seemed shorter, and the job late too early.

--- a/thornport/cell/decisions/contention/preempting.py
+++ b/thornport/cell/decisions/contention/preempting.py
@@ -14,6 +14,7 @@
 """
 
 import collections
+import heapq
 
 import msgspec
 
@@ -163,9 +164,11 @@
             self._free_by_service[service] = free if is_full else None
         return self._free_by_service[service]
 
-    def list_waiting(self):
-        """List the WaitingSteps, the most urgent first."""
-        return sorted(self.waiting, key=lambda one: (one.priority, one.start_by))
+    def list_first(self):
+        """List the most urgent WaitingSteps, MAX_STEPS of them at most."""
+        return heapq.nsmallest(
+            MAX_STEPS, self.waiting, key=lambda one: (one.priority, one.start_by)
+        )
 
 
 def can_spare(job, now):
--- a/thornport/cell/decisions/contention/prospects.py
+++ b/thornport/cell/decisions/contention/prospects.py
@@ -135,7 +135,7 @@
     for number, step in enumerate(steps):
         after = step.spec.after
         if step.is_done:
-            took_s, left_s = step.longest_s + advice_s, 0.0
+            took_s, left_s = (step.longest_s or step.usual_s) + advice_s, 0.0
         else:
             took_s = step.usual_s + advice_s
             left_s = step.usual_s + STEP_DELAY_S
--- a/thornport/cell/decisions/contention/prospects_test.py
+++ b/thornport/cell/decisions/contention/prospects_test.py
@@ -54,6 +54,14 @@
         later = compute([done, make_step(1)]).in_time_until
         self.assertGreater(later, compute([quick, make_step(1)]).in_time_until + 3.0)
 
+    def test_step_that_an_earlier_owner_ran_counts_as_predicted(self):
+        # Its record does not tell how long it took.
+        known = make_step(0, is_done=True, longest_s=1.0)
+        unknown = make_step(0, is_done=True)
+        self.assertEqual(
+            compute([unknown, make_step(1)]), compute([known, make_step(1)])
+        )
+
     def test_lasting_job_has_no_objective_to_miss(self):
         step = make_step(0)
         step.spec = spec.Step(1, TASK, 1000, lasting=True)
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -103,7 +103,7 @@
         if self._stop_s is None or only_urgent:
             return
         victims = preempting.Victims(self._find_job_of_run, self._stop_s, now)
-        for waiting in pressure.list_waiting()[: preempting.MAX_STEPS]:
+        for waiting in pressure.list_first():
             workers = preempting.list_usable(waiting)
             job = waiting.job
             workers = self._list_fast_enough(job, waiting.step, workers, now)
