--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -311,11 +311,13 @@
         return self._start_step(job, step, workers, reserved, indexes[:startable])
 
     def _list_fast_enough(self, job, step, workers, now):
-        """List the workers on which a step would not make its job late.
+        """List the workers on which an urgent step would not make its job late.
 
-        Once no worker would do, the job is late anyway and takes any.
+        Once no worker would do, the job is late anyway and takes any. Other work can
+        wait for seconds, in which users would consider it lost beside free workers.
         """
-        if job.prospect is not prospects.Prospect.IN_TIME:
+        is_urgent = self._queue_of(job).priority == 0
+        if not is_urgent or job.prospect is not prospects.Prospect.IN_TIME:
             return workers
         spare_s = job.bounds.in_time_until - now
         return [
