Give a run half a second before it may be stopped, also where stops take no time

The least time between stops of a run was three times the time of a stop, so nothing where a platform states that stops take no time (stop_ms = 0, a valid setting): each resumption would read its checkpoint only to be stopped again.

Change: half a second at least. The share of the cores from which a service counts as full is that of yielding, which stood there twice.

--- a/tests/smallcell.py
+++ b/tests/smallcell.py
@@ -42,6 +42,9 @@
       live: Lives by messages.TaskKey.
       started: Pairs of a messages.TaskKey and a worker id, in order.
       submitted_at, ended_at: Floats by job id.
+      records: The persisted record.JobRecords by job id.
+      progress: The persisted progress of jobs, bytes by job id.
+      silent: Ids of workers that answer nothing.
     """
 
     def __init__(self, queues, totals, speeds=(), stop_s=None):
--- a/thornport/cell/decisions/contention/preempting.py
+++ b/thornport/cell/decisions/contention/preempting.py
@@ -18,7 +18,13 @@
 
 import msgspec
 
-from thornport.cell.decisions import eligibility, model, placing, reserving
+from thornport.cell.decisions import (
+    eligibility,
+    model,
+    placing,
+    reserving,
+    yielding,
+)
 from thornport.cell.decisions.contention import prospects
 from thornport.jobs import queue as queues
 from thornport.jobs import spec
@@ -29,8 +35,8 @@
 # A run is not stopped until it has run for this multiple of the time of a stop, so that
 # most of the time that it holds its room goes into its work.
 MIN_RUN_STOPS = 3.0
-# Share of the cores in use from which starts are held back.
-FULL_SHARE = 0.65
+# The same where stops take no time: a run that is resumed has to read its checkpoint.
+MIN_RUN_S = 0.5
 # Stops decided in one scheduling pass: passes follow one another within tenths of a
 # second, and each stop frees less than a worker.
 MAX_STOPS = 24
@@ -159,7 +165,7 @@
         """
         if service not in self._free_by_service:
             total, used = self._find_listed(service).sum_room()
-            is_full = used.millicores >= FULL_SHARE * total.millicores
+            is_full = used.millicores >= yielding.FULL_SHARE * total.millicores
             free = total.millicores - used.millicores
             self._free_by_service[service] = free if is_full else None
         return self._free_by_service[service]
@@ -305,7 +311,8 @@
             return False
         if run.step.lasting or run.step.gang or not run.step.checkpoints:
             return False
-        if self._now - run.commanded_at < MIN_RUN_STOPS * self._stop_s:
+        least_s = max(MIN_RUN_S, MIN_RUN_STOPS * self._stop_s)
+        if self._now - run.commanded_at < least_s:
             return False
         found = self._find_job(run)
         if found is None:
--- a/thornport/cell/decisions/contention/preempting_test.py
+++ b/thornport/cell/decisions/contention/preempting_test.py
@@ -79,6 +79,17 @@
     def test_run_that_has_just_begun_is_not_stopped(self):
         self.assertEqual(self.count_stops(before_s=0.1), 0)
 
+    def test_run_that_has_just_begun_is_not_stopped_where_stops_take_no_time(self):
+        cell = make_cell(stop_s=0.0)
+        cell.submit("long", BATCH, make_long(), run_s=LONG_S)
+        cell.run(0.1)
+        cell.submit("now", URGENT, spec.Step(2, HALF, 500), run_s=0.5)
+        cell.run(0.7)
+        taken = cell.core.take_notes()
+        ran_ms = [n.ran_ms for n in taken if isinstance(n, notes.RunPreempted)]
+        self.assertTrue(ran_ms)
+        self.assertGreaterEqual(min(ran_ms), int(preempting.MIN_RUN_S * 1000) - 1)
+
     def test_job_without_time_to_spare_is_not_stopped(self):
         spare_s = 3.0 + 3 * LONG_S
         self.assertEqual(self.count_stops(waited_s=0.7 * spare_s), 0)
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -366,8 +366,8 @@
       last_run: An int, the highest run number assigned.
       longest_s: A float, the longest run of its tasks that are done, of runs that this
         owner commanded, as if all machines were of the usual speed.
-      run_logs: Pairs of the name of a machine and the logarithm of how long a task that
-        is done ran there, likewise; emptied once the step is done.
+      run_logs: Pairs of the name of a machine and the logarithm of the seconds that a
+        task ran there, of the same runs; emptied once the step is done.
       is_done: Whether every task is done.
       is_advanced: Whether its job has processed that.
       tickets_by_worker: Pairs of ticket text and its deadline.
