Review, case 1: tasks that were done run again after the owner is killed

Cause: a worker lists 500 ends at once. A successor takes a run that the first answer of a worker lists neither as running nor as ended for lost, and starts its task again, though its end may be beyond the first 500.

--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""An independent review: cases, and the stand-ins that they share."""
--- /dev/null
+++ b/review/cell.py
@@ -0,0 +1,231 @@
+"""Starts scheduler processes as the deploy file says, and ends them all."""
+
+import asyncio
+import os
+import pathlib
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+from review import standin
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = "press.example"
+QUEUES = {"builds": "/builds/", "photos": "/photos/"}
+# The bounds of the settings example of the users' pages.
+BOUNDS = {"status_s": 120, "grace_s": 6, "stop_ms": 200}
+RESTART_S = 0.5
+DEADLINE_MS = 3000
+EXIT_BROKEN = 1
+EXIT_NOT_RUN = 2
+
+
+class NotRun(Exception):
+    """The case could not be brought about."""
+
+
+def make_config(version):
+    """Make a version of the configuration with two queues that want no advice."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "path_prefix": prefix,
+            "service": "press-desk",
+            "priority": priority,
+            "max_attempts": 3,
+            "stretch": 4.0,
+            "target_latency_ms": 3000,
+        }
+        for priority, (name, prefix) in enumerate(QUEUES.items())
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "press-desk", "rejects_overload": False}],
+        "limits": {"max_body_bytes": 262144},
+    }
+
+
+def find_ports(count):
+    """Find free ports."""
+    sockets = [socket.create_server((standin.HOST, 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def fill(template, fields):
+    """Fill a template of settings with plain values, as the platform does."""
+
+    def find(match):
+        value = fields
+        for part in match[1].split("."):
+            value = value[int(part)] if part.isdigit() else value[part]
+        return str(value)
+
+    return re.sub(r"\{\{([\w.]+)\}\}", find, template)
+
+
+class Cell:
+    """Scheduler processes on loopback.
+
+    Attributes:
+      addresses: Where callers reach each scheduler, by its name.
+    """
+
+    def __init__(self, world, count, store_addresses=None):
+        """Prepare the processes.
+
+        Args:
+          world: A standin.World that has been started.
+          count: An int, how many schedulers.
+          store_addresses: The store's address as each scheduler knows it, by name; the
+            store's own for all others.
+        """
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        role = deploy["roles"]["scheduler"]
+        self._run = role["run"].split()
+        self._template = (ROOT / role["template"]).read_text()
+        self._world = world
+        self._stores = store_addresses or {}
+        self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+        self._processes = {}
+        self._ports = {}
+        self.addresses = {}
+        for number in range(count):
+            name = f"front-{number}"
+            ports = find_ports(4)
+            self._ports[name] = ports
+            self.addresses[name] = f"{standin.HOST}:{ports[0]}"
+
+    def start(self, name):
+        """Start a scheduler, or start it again at its addresses."""
+        ports = self._ports[name]
+        fields = {
+            "node_name": name,
+            "zone": "nyarugenge",
+            "ip": standin.HOST,
+            "limits": {"cpu_share": 0.537, "cores": 2},
+            "listen": {
+                "front": f"{standin.HOST}:{ports[0]}",
+                "ready": f"{standin.HOST}:{ports[1]}",
+            },
+            "port_range": ports[2:],
+            "platform": {
+                "address": self._stores.get(name, self._world.store.server.address)
+            },
+            "advice": "",
+            "bounds": BOUNDS,
+        }
+        path = self._folder / f"{name}.ini"
+        path.write_text(fill(self._template, fields))
+        environment = {
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
+        }
+        environment["PYTHONPATH"] = str(ROOT / "target/deps")
+        environment["THORNPORT_SETTINGS"] = str(path)
+        log = (self._folder / f"{name}.log").open("ab")
+        self._processes[name] = subprocess.Popen(
+            self._run, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        log.close()
+
+    async def start_all(self):
+        """Start all schedulers and wait until each is ready."""
+        for name in self.addresses:
+            self.start(name)
+        for name in self.addresses:
+            await self.wait_ready(name)
+        await wait_until(self._world.find_owner, "an owner", 15)
+        await asyncio.sleep(1)
+
+    async def wait_ready(self, name):
+        """Wait until a scheduler calls itself ready."""
+        address = f"{standin.HOST}:{self._ports[name][1]}"
+        for _ in range(300):
+            status, _ = await standin.call(address, "GET", "/-/ready", timeout_s=1)
+            if status == 200:
+                return
+            await asyncio.sleep(0.05)
+        raise NotRun(f"{name} is not ready")
+
+    def signal(self, name, number):
+        """Send a signal to a scheduler."""
+        self._world.note(f"signal {signal.Signals(number).name} to {name}")
+        self._processes[name].send_signal(number)
+
+    async def kill(self, name):
+        """Kill a scheduler; the platform starts it again shortly."""
+        self.signal(name, signal.SIGKILL)
+        self._processes[name].wait()
+        await asyncio.sleep(RESTART_S)
+        self.start(name)
+
+    async def call(self, name, method, queue, job_id, body=None, **more):
+        """Call a scheduler as a caller does; returns the status and the body."""
+        headers = {"Host": HOST, "Thornport-Deadline-Ms": str(DEADLINE_MS)}
+        if method == "POST":
+            headers["Content-Type"] = "application/json"
+            self._world.add_job(job_id, body)
+        path = QUEUES[queue] + job_id
+        timeout_s = more.pop("timeout_s", DEADLINE_MS / 1000)
+        self._world.note(f"sent {method} {path} to {name}")
+        answer = await standin.call(
+            self.addresses[name], method, path, body, headers, timeout_s
+        )
+        self._world.note(f"answered {method} {path} by {name}: {answer}")
+        return answer
+
+    def close(self):
+        """End the processes that were started here."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        kept = os.environ.get("KEEP_LOGS")
+        if kept:
+            shutil.copytree(self._folder, kept, dirs_exist_ok=True)
+        shutil.rmtree(self._folder, ignore_errors=True)
+
+
+async def wait_until(find, what, patience_s):
+    """Wait until a callable returns something true, and return that."""
+    for _ in range(int(patience_s / 0.01)):
+        found = find()
+        if found:
+            return found
+        await asyncio.sleep(0.01)
+    raise NotRun(f"never came: {what}")
+
+
+def main(case, folder, seconds=110):
+    """Run a case and end with its status.
+
+    Args:
+      case: A coroutine function of a standin.World and of whether there is trouble;
+        returns a list of texts, what broke the rule.
+      folder: The pathlib.Path of the case.
+      seconds: An int, after which the case counts as not run.
+    """
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    with (folder / "record.txt").open("w") as record:
+        world = standin.World(record)
+        try:
+            broken = asyncio.run(asyncio.wait_for(case(world, has_trouble), seconds))
+        except (NotRun, TimeoutError) as error:
+            world.note(f"not run: {error!r}")
+            print(f"not run: {error!r}")
+            sys.exit(EXIT_NOT_RUN)
+        for text in broken:
+            world.note(f"broken: {text}")
+    print(f"broken: {len(broken)}", *broken[:5], sep="\n  ")
+    sys.exit(EXIT_BROKEN if broken else 0)
