--- a/review/cell.py
+++ b/review/cell.py
@@ -1,8 +1,10 @@
 """Starts scheduler processes as the deploy file says, and ends them all."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -16,9 +18,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "press.example"
-QUEUES = {"builds": "/builds/", "photos": "/photos/"}
+QUEUES = {"photos": "/photos/", "builds": "/builds/"}  # by priority, from 0
 # The bounds of the settings example of the users' pages.
 BOUNDS = {"status_s": 120, "grace_s": 6, "stop_ms": 200}
+PORTS = (20_000, 32_000)
 RESTART_S = 0.5
 DEADLINE_MS = 3000
 EXIT_BROKEN = 1
@@ -53,11 +56,12 @@
 
 
 def find_ports(count):
-    """Find free ports."""
-    sockets = [socket.create_server((standin.HOST, 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Find free ports, below those that the kernel gives to connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.create_server((standin.HOST, port)):
+            ports.append(port)
     return ports
 
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 import urllib.parse
@@ -18,6 +19,10 @@
 TICK_S = 0.01
 SHORTEST_S = 0.02  # of a task that gives no estimate
 LASTING_S = 3600.0
+WARM_UP_S = 0.5  # of a lasting task, until it is at work
+TAIL_MS = 20  # well under the target of any serving task
+GANG_S = 3.0  # bound `gang_ms`: how long a member waits for the others
+FAIL_S = 0.05  # from the beginning of work to its end at a worker that fails all
 
 
 class Silence(Exception):
@@ -31,8 +36,14 @@
         """Take what answers; the address is known after `start`."""
         self._handle = handle
         self._server = None
+        self._opened = 0
+        self._silent_up_to = 0
         self.address = ""
 
+    def silence_open(self):
+        """Let all open connections be silent from now on; new ones work."""
+        self._silent_up_to = self._opened
+
     async def start(self):
         """Listen."""
         self._server = await asyncio.start_server(
@@ -41,9 +52,13 @@
         self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
     async def _serve(self, reader, writer):
+        self._opened += 1
+        number = self._opened
         try:
             while True:
                 request = await read_message(reader)
+                if number <= self._silent_up_to:
+                    raise Silence
                 if request is None:
                     break
                 line, headers, body = request
@@ -53,13 +68,15 @@
                 status, answer = await self._handle(
                     method, parts.path, query, headers, body
                 )
+                if number <= self._silent_up_to:
+                    raise Silence
                 data = json.dumps(answer).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                 writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode())
                 writer.write(data)
                 await writer.drain()
         except Silence:
-            await reader.read()
+            await stay_silent(reader)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # The peer is gone, or the test is over.
             pass
@@ -67,6 +84,12 @@
             writer.close()
 
 
+async def stay_silent(reader):
+    """Say nothing until the peer is gone or the test is over."""
+    with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        await reader.read()
+
+
 async def read_message(reader):
     """Read a request or an answer; None at the end of the connection.
 
@@ -287,8 +310,9 @@
         self.worker = worker
         self.task = task
         self.number = number
+        self.gang = None
         self.began_at = began_at
-        self.ends_at = began_at + lasts_s
+        self.work_began_at = began_at
         self.lasts_s = lasts_s
         self.ended_at = None
         self.how = ""
@@ -296,6 +320,14 @@
         self.noted_at = None
         self.lapsed_before_noted = False
 
+    def find_end(self, now):
+        """How it ends by itself now; empty if it goes on."""
+        if self.work_began_at is None:
+            return "alone" if now >= self.began_at + GANG_S else ""
+        if self.worker.fails_all and now >= self.work_began_at + FAIL_S:
+            return "failed"
+        return "done" if now >= self.work_began_at + self.lasts_s else ""
+
     def describe(self):
         """Describe it in a line of the record."""
         return f"{self.task} run {self.number} at {self.worker.worker_id}"
@@ -317,6 +349,8 @@
         self.ended = []
         self.barred = {}
         self.deadline_ms = 0
+        self.is_gone = False
+        self.fails_all = False
         self._began_at = time.monotonic()
         self._last_number = 0
         self._seq = 0
@@ -353,14 +387,27 @@
         """End the runs that are due, or all if the lease is over."""
         now = time.monotonic()
         for run in list(self.running.values()):
-            if run.ends_at <= now:
-                self._end(run, "done")
+            how = run.find_end(now)
+            if how and run.task in self.running:
+                self._end(run, how)
+                self._break_rest(run, how)
         if self.read_clock_ms() >= self.deadline_ms:
             for run in list(self.running.values()):
                 self._end(run, "lapsed")
             for run in self.ended:
                 run.lapsed_before_noted = True
 
+    def _break_rest(self, ended, how):
+        """End the other members of a gang that are here with one that has ended."""
+        for run in list(self.running.values()):
+            if run.gang is not None and run.gang == ended.gang:
+                self._end(run, "done" if how == "done" else "broken")
+
+    def break_run(self, run):
+        """End a member of a gang of which another has ended."""
+        if self.running.get(run.task) is run:
+            self._end(run, "broken")
+
     def _end(self, run, how):
         del self.running[run.task]
         self.barred[run.task] = max(self.barred.get(run.task, 0), run.number)
@@ -375,8 +422,19 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def crash(self):
+        """End without a word, for good; what ran here is over."""
+        self.is_gone = True
+        self._world.note(f"crash {self.worker_id}")
+        for run in self.running.values():
+            run.ended_at, run.how = time.monotonic(), "crashed"
+        self.running = {}
+        self._changed.set()
+
     async def handle(self, method, path, query, headers, body):
         """Answer a call."""
+        if self.is_gone:
+            raise Silence
         decoded = json.loads(body) if body else {}
         if headers.get("thornport-expect-instance", self.worker_id) != self.worker_id:
             return 421, {}
@@ -442,6 +500,8 @@
                 await asyncio.wait_for(self._changed.wait(), max(0.001, left_s))
             except TimeoutError:
                 break
+        if self.is_gone:
+            raise Silence
         if request["fencing_token"] < self.token:
             return self._refuse("fence")
         now = time.monotonic()
@@ -450,8 +510,8 @@
                 run.task,
                 run.number,
                 "",
-                min(99, int(100 * (now - run.began_at) / run.lasts_s)),
-                0,
+                self._world.read_percent(run, now),
+                self._world.read_figure(run.task),
             ]
             for run in self.running.values()
         ]
@@ -482,6 +542,7 @@
         self.workers = []
         self.runs = []
         self._jobs = {}
+        self._gangs = {}
 
     def note(self, text):
         """Write a line of the record."""
@@ -503,30 +564,73 @@
             self.store.expire()
             for worker in self.workers:
                 worker.advance()
+            self._break_gangs()
             await asyncio.sleep(TICK_S)
 
+    def _break_gangs(self):
+        """Tell the members of a gang, a little later, that another has ended."""
+        for key, runs in list(self._gangs.items()):
+            if any(run.ended_at for run in runs):
+                del self._gangs[key]
+                loop = asyncio.get_running_loop()
+                for run in runs:
+                    loop.call_later(TICK_S, run.worker.break_run, run)
+
     async def _beat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for worker in self.workers:
-                worker.write_entry()
+                if not worker.is_gone:
+                    worker.write_entry()
+
+    async def crash(self, worker):
+        """Crash a worker for good; its entry goes after three silent heartbeats."""
+        worker.crash()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.store.remove("servers/" + worker.worker_id)
 
     def add_job(self, job_id, job):
         """Note a job that callers hand in, so that its tasks' times are known."""
         self._jobs[job_id] = job
 
+    def _find_step(self, task):
+        job_id, _, number, _ = task.split(".")
+        return self._jobs[job_id]["steps"][int(number)]
+
     def find_run_s(self, task):
         """How long a task runs."""
-        job_id, _, number, _ = task.split(".")
-        step = self._jobs[job_id]["steps"][int(number)]
+        step = self._find_step(task)
         if step.get("long_running"):
             return LASTING_S
         return max(SHORTEST_S, step.get("est_runtime_ms", 0) / 1000)
 
+    def read_percent(self, run, now):
+        """The percent that a worker lists of a run: 100 of a lasting one at work."""
+        if run.work_began_at is None:
+            return 0
+        ran_s = now - run.work_began_at
+        if self._find_step(run.task).get("long_running"):
+            return 100 if ran_s >= WARM_UP_S else 0
+        return min(99, int(100 * ran_s / run.lasts_s))
+
+    def read_figure(self, task):
+        """The fifth entry of a row: the tail of a serving task, else the use of cpu."""
+        step = self._find_step(task)
+        return TAIL_MS if step.get("target_ms") else step.get("cpu", 0)
+
     def note_start(self, run):
-        """Note that a run was started."""
+        """Note that a run was started; a gang begins to work once it is whole."""
         self.runs.append(run)
         self.note(f"start {run.describe()}")
+        step = self._find_step(run.task)
+        if not step.get("gang"):
+            return
+        run.gang = run.task.rpartition(".")[0], run.number
+        members = self._gangs.setdefault(run.gang, [])
+        members.append(run)
+        is_whole = len(members) == step["count"]
+        for member in members:
+            member.work_began_at = run.began_at if is_whole else None
 
     def find_owner(self):
         """The name of the process that last wrote the owner's key; None if nobody."""
