--- a/review/1/drive.py
+++ b/review/1/drive.py
@@ -14,6 +14,7 @@
 TASKS = 200
 RUN_MS = 4000
 WAIT_S = 45
+KILL_S = 0.15  # from the first end to the kill
 STEP = {"count": TASKS, "cpu": 100, "mem_mb": 100, "est_runtime_ms": RUN_MS}
 
 
@@ -30,6 +31,7 @@
             lambda: any(run.how for run in world.runs), "the first end", 15
         )
         if has_trouble:
+            await asyncio.sleep(KILL_S)
             await schedulers.kill(world.find_owner())
         await wait_over(schedulers, ids)
         await asyncio.sleep(2)
--- a/review/cell.py
+++ b/review/cell.py
@@ -22,6 +22,7 @@
 # The bounds of the settings example of the users' pages.
 BOUNDS = {"status_s": 120, "grace_s": 6, "stop_ms": 200}
 PORTS = (20_000, 32_000)
+PORTS_EACH = 4  # for callers, the balancer, other schedulers and counters
 RESTART_S = 0.5
 DEADLINE_MS = 3000
 EXIT_BROKEN = 1
@@ -57,12 +58,12 @@
 
 def find_ports(count):
     """Find free ports, below those that the kernel gives to connections."""
-    ports = []
+    ports = set()
     while len(ports) < count:
         port = random.randrange(*PORTS)
         with contextlib.suppress(OSError), socket.create_server((standin.HOST, port)):
-            ports.append(port)
-    return ports
+            ports.add(port)
+    return list(ports)
 
 
 def fill(template, fields):
@@ -103,11 +104,11 @@
         self._processes = {}
         self._ports = {}
         self.addresses = {}
+        ports = find_ports(PORTS_EACH * count)
         for number in range(count):
             name = f"front-{number}"
-            ports = find_ports(4)
-            self._ports[name] = ports
-            self.addresses[name] = f"{standin.HOST}:{ports[0]}"
+            self._ports[name] = [ports.pop() for _ in range(PORTS_EACH)]
+            self.addresses[name] = f"{standin.HOST}:{self._ports[name][0]}"
 
     def start(self, name):
         """Start a scheduler, or start it again at its addresses."""
@@ -160,7 +161,8 @@
             if status == 200:
                 return
             await asyncio.sleep(0.05)
-        raise NotRun(f"{name} is not ready")
+        log = (self._folder / f"{name}.log").read_text()
+        raise NotRun(f"{name} is not ready: {log[-500:]}")
 
     def signal(self, name, number):
         """Send a signal to a scheduler."""
--- a/review/standin.py
+++ b/review/standin.py
@@ -403,10 +403,10 @@
             if run.gang is not None and run.gang == ended.gang:
                 self._end(run, "done" if how == "done" else "broken")
 
-    def break_run(self, run):
-        """End a member of a gang of which another has ended."""
+    def break_run(self, run, how):
+        """End a member of a gang of which another has ended; all are done at once."""
         if self.running.get(run.task) is run:
-            self._end(run, "broken")
+            self._end(run, "done" if how == "done" else "broken")
 
     def _end(self, run, how):
         del self.running[run.task]
@@ -570,11 +570,13 @@
     def _break_gangs(self):
         """Tell the members of a gang, a little later, that another has ended."""
         for key, runs in list(self._gangs.items()):
-            if any(run.ended_at for run in runs):
+            ends = [run.how for run in runs if run.how]
+            if ends:
                 del self._gangs[key]
+                how = "done" if "done" in ends else ends[0]
                 loop = asyncio.get_running_loop()
                 for run in runs:
-                    loop.call_later(TICK_S, run.worker.break_run, run)
+                    loop.call_later(TICK_S, run.worker.break_run, run, how)
 
     async def _beat(self):
         while True:
