--- a/review/cell.py
+++ b/review/cell.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 
 from review import standin
 
@@ -227,9 +228,11 @@
         world = standin.World(record)
         try:
             broken = asyncio.run(asyncio.wait_for(case(world, has_trouble), seconds))
-        except (NotRun, TimeoutError) as error:
-            world.note(f"not run: {error!r}")
-            print(f"not run: {error!r}")
+        except Exception as error:
+            # Also a fault of the script itself, which says nothing about the rule.
+            text = "".join(traceback.format_exception(error))
+            world.note(f"not run: {text}")
+            print(f"not run: {text}")
             sys.exit(EXIT_NOT_RUN)
         for text in broken:
             world.note(f"broken: {text}")
