--- a/review/standin.py
+++ b/review/standin.py
@@ -17,6 +17,7 @@
 PAGE_ITEMS = 500  # items of a page of the store, and ends of one answer of a worker
 MAX_ENTRIES = 32  # of a transaction
 MAX_HOLD_MS = 6000
+MAX_CONNECTIONS = 64  # of a worker
 HEARTBEAT_S = 1.5
 TICK_S = 0.01
 SHORTEST_S = 0.02  # of a task that gives no estimate
@@ -34,9 +35,16 @@
 class HttpServer:
     """Serves a coroutine of method, path, query, headers and body on a free port."""
 
-    def __init__(self, handle):
-        """Take what answers; the address is known after `start`."""
+    def __init__(self, handle, most=None):
+        """Take what answers; the address is known after `start`.
+
+        Args:
+          handle: The coroutine function.
+          most: An int, how many connections are served at once; further ones wait
+            until one of these is closed. None for any number.
+        """
         self._handle = handle
+        self._places = asyncio.Semaphore(most or 2**31)
         self._server = None
         self._opened = 0
         self._silent_up_to = 0
@@ -70,6 +78,11 @@
         self._opened += 1
         number = self._opened
         self._writers.add(writer)
+        try:
+            await self._places.acquire()
+        except asyncio.CancelledError:
+            writer.close()
+            return
         try:
             while True:
                 request = await read_message(reader)
@@ -97,6 +110,7 @@
             # The peer is gone, or the test is over.
             pass
         finally:
+            self._places.release()
             self._writers.discard(writer)
             writer.close()
 
@@ -372,7 +386,7 @@
         self._last_number = 0
         self._seq = 0
         self._changed = asyncio.Event()
-        self.server = HttpServer(self.handle)
+        self.server = HttpServer(self.handle, MAX_CONNECTIONS)
         # As of the store.
         self.trouble = None
 
