Review, case 1: wait until the last ends are acknowledged

Cause: an end counts once it is acknowledged. Beside 8 busy processes on 8 cores the script ended 2 s after the last job, before the ends of the repeated tasks were, and took the rule for held in 2 of 3 runs, though its record has the repeated starts.

Evidence: the polls of one run beside that load: last_seen passes the first hidden end at 20.2 s, the script ended at some 20 s.

Result: it waits for 6 s now.

--- a/review/1/drive.py
+++ b/review/1/drive.py
@@ -22,6 +22,7 @@
 TROUBLE_S = 2.0  # from the first job to the unanswered start
 LATE_S = 2.0
 WAIT_S = 30
+LAST_ENDS_S = 6  # until the last ends are acknowledged
 
 
 async def run(world, has_trouble):
@@ -41,7 +42,7 @@
         ]
         ids = await asyncio.gather(*submitting)
         await cell.wait_over(schedulers, ids, "builds", WAIT_S)
-        await asyncio.sleep(2)
+        await asyncio.sleep(LAST_ENDS_S)
     finally:
         schedulers.close()
     return twice.find_repeated(world)
