Stand-ins: members of a gang work and end together

The members of a gang ran each for itself at the stand-in workers, in the core's world too; only the advised world held them together. By the users' pages they work once all are there, end as done together, and end as broken once another has ended, so no test could see what several ends of one run do.

At one worker the first member that fails ends the others as broken.

--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -10,6 +10,7 @@
 in; tests find what they use of these under its name here.
 """
 
+from standins import gangs
 from tests import worldcalls, worldchecks, worldjobs, worldlives
 from thornport.cell.decisions import core
 from thornport.jobs import queue, record, spec, workspace
@@ -55,6 +56,7 @@
         self.token = 0
         self.noted_done = set()
         self.is_store_away = False
+        self._gangs = gangs.Gangs()
         self._set_up_calls(faults, looks_wait)
         self._set_up_lives(worker_count, clock_rate)
         self.owner = None
@@ -136,6 +138,7 @@
 
     def _pass_time(self):
         self.now += STEP_S
+        self._gangs.advance(self.workers_by_id.values(), self.now)
         for worker in self.workers_by_id.values():
             worker.advance(self.now)
         doomed, self._doomed = self._doomed, []
