Count a failed run of a gang as one attempt

Callers saw a gang shown as failed half a second after it was accepted, though its queue allows three attempts and 21 of 24 workers were sound and idle: it had started once, on three workers that fail all that they start.

Cause: the end 'failed' of each member counted as an attempt of the whole gang. Its members share a run, so one run used up all attempts. A successor that heard further ends of a run that its predecessor had counted did the same.

A step now remembers the last run that it has counted, in its record too, so that each run adds one, whatever ends tell of it: those of other members, or that of a run which a late copy of its start began again. Likewise one run of a gang is one failure of its worker.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -73,11 +73,19 @@
         """Count failures in a row, to suspect workers on which every run fails."""
         if end.kind is messages.EndKind.DONE:
             worker.failures = 0
-        elif end.kind is messages.EndKind.FAILED:
+        elif end.kind is messages.EndKind.FAILED and not self._is_counted(worker, end):
             worker.failures += 1
+            worker.last_failure = end
             if worker.failures >= SUSPECT_FAILURES:
                 worker.suspect(now + SUSPECT_S)
 
+    def _is_counted(self, worker, end):
+        """Whether another member's failure in the same run was counted for a worker."""
+        step, last = self._find_step(end.key), worker.last_failure
+        if step is None or not step.spec.gang or last is None:
+            return False
+        return last.run == end.run and self._find_step(last.key) is step
+
     def _take_late_done(self, key, now):
         """Mark a task as done whose run already counts as over.
 
@@ -150,8 +158,8 @@
         )
 
     def _take_failed(self, step, run):
+        step.count_failure(run)
         index = step.index_for(run.key.index)
-        step.failures_by_index[index] = step.failures_by_index.get(index, 0) + 1
         step.avoided_by_index.setdefault(index, set()).add(run.worker_id)
 
     def _release_run(self, run, now):
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -211,6 +211,7 @@
         that is persisted.
       unpersisted_ends: UnpersistedEnds, in order of their numbers.
       failures: An int, failed runs since the last one that was done.
+      last_failure: The messages.EndRow of the last one counted; None before the first.
       stalls: An int, how often all its tasks stalled since any made progress.
       avoid_until: A float; it gets no starts before then, because calls to it fail.
       suspected_until: A float; tasks failed or stalled there, so until then it gets
@@ -245,6 +246,7 @@
         default_factory=collections.deque
     )
     failures: int = 0
+    last_failure: messages.EndRow | None = None
     stalls: int = 0
     avoid_until: float = 0.0
     suspected_until: float = 0.0
@@ -356,7 +358,10 @@
       live_by_index: Live Runs by task index.
       late_by_index: Runs that are over, by task index, while a copy of their start
         command may still arrive. The task starts only at that run's worker meanwhile.
-      failures_by_index: Failed runs by task index; GANG_INDEX for a gang.
+      failures_by_index: Failed runs by task index; GANG_INDEX for a gang, whose members
+        share a run.
+      failed_run_by_index: The number of the last run that is counted there, keyed
+        likewise, so that its other ends are not counted.
       checkpoints_by_index: The latest checkpoints, keyed likewise.
       crash_points_by_index: Evidence that a task crashes its workers, by task index,
         also in a gang; see `crashes`.
@@ -397,6 +402,7 @@
     live_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
     late_by_index: dict[int, Run] = msgspec.field(default_factory=dict)
     failures_by_index: dict[int, int] = msgspec.field(default_factory=dict)
+    failed_run_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints_by_index: dict[int, str] = msgspec.field(default_factory=dict)
     crash_points_by_index: dict[int, int] = msgspec.field(default_factory=dict)
     trial_due_by_index: dict[int, float] = msgspec.field(default_factory=dict)
@@ -427,6 +433,20 @@
         """Expect the job's own estimate unless more is known."""
         self.usual_s = self.usual_s or self.spec.estimate_ms / clock.MS_PER_S
 
+    def count_failure(self, run):
+        """Count a run that has failed as an attempt, once for all of its ends.
+
+        Several members of a gang may fail in one run, and a late copy of a start
+        command may begin a run again that has failed.
+
+        Args:
+          run: A Run of it.
+        """
+        index = self.index_for(run.key.index)
+        if run.run > self.failed_run_by_index.get(index, 0):
+            self.failed_run_by_index[index] = run.run
+            self.failures_by_index[index] = self.failures_by_index.get(index, 0) + 1
+
     def read_ticket_deadline(self, worker_id):
         """When a worker's ticket lapses, a float; minus infinity if it has none."""
         _, deadline = self.tickets_by_worker.get(worker_id, NO_TICKET)
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -97,6 +97,7 @@
         live,
         tuple(step.checkpoints_by_index.items()),
         tuple(step.crash_points_by_index.items()),
+        tuple(step.failed_run_by_index.items()),
     )
 
 
@@ -131,6 +132,7 @@
     step.is_done = step.is_advanced = recorded.all_done
     step.done = set(recorded.done)
     step.failures_by_index = dict(recorded.failures)
+    step.failed_run_by_index = dict(recorded.failed_runs)
     step.checkpoints_by_index = dict(recorded.checkpoints)
     step.crash_points_by_index = dict(recorded.crash_points)
     runs = []
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -157,6 +157,8 @@
       checkpoints: Pairs of task index and the latest checkpoint known.
       crash_points: Pairs of task index and the points of evidence that the task
         crashes its workers.
+      failed_runs: Pairs of task index and the last run that `failures` counts, keyed
+        likewise. Empty in records of earlier versions.
     """
 
     time: int
@@ -168,6 +170,7 @@
     live: tuple[LiveRun, ...] = ()
     checkpoints: tuple[tuple[int, str], ...] = ()
     crash_points: tuple[tuple[int, int], ...] = ()
+    failed_runs: tuple[tuple[int, int], ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
