Conclude nothing for runs whose ends an answer may omit

Cause: a worker lists at most 500 ends in an answer. A run in neither list was taken for lost by a successor, for stalled by the owner, and for over once its stop was confirmed, so its task started elsewhere. And one unanswered start held back the acknowledgement of all later ends of its worker for 13 s, until 500 stood there.

Now an answer with 500 ends proves nothing about a run that it does not list: the run keeps its room and its task until an answer has all ends. Earlier runs are settled by the first such answer. The end of a run waits for a late start only at workers that state their start, as another's id names one incarnation, which rejects the copy; and a worker with 250 ends that wait so gets no starts. ends-omitted and ends-complete tell of it in the log.

Two tests of latestarts_test name the incarnation of their run now, as a run without one has no late start to wait for; what they check is unchanged.

--- a/standins/leased_worker.py
+++ b/standins/leased_worker.py
@@ -2,7 +2,8 @@
 
 It keeps the platform's rules: it follows the highest fencing token it has
 seen, kills everything when its lease is over, bars a run that was stopped
-before it came, and lists each end until it is told that the end was seen.
+before it came, and lists each end until it is told that the end was seen, but
+not too many at once.
 What it counts (tasks running twice is for the caller to see) is `over_room`.
 """
 
@@ -13,6 +14,7 @@
 from thornport.jobs import spec
 
 MAX_HOLD_MS = 6000
+MAX_LISTED_ENDS = 500  # in one answer, the oldest ones
 
 
 class Active(msgspec.Struct):
@@ -233,5 +235,5 @@
             for active in self.active_by_key.values()
         ]
         return messages.HoldAnswer(
-            clock_ms, running, list(self.ended), self.started_at_ms
+            clock_ms, running, self.ended[:MAX_LISTED_ENDS], self.started_at_ms
         )
--- a/tests/cellworld.py
+++ b/tests/cellworld.py
@@ -36,7 +36,14 @@
       limits: Pairs of a time and the limits from then on, in millicores by workspace.
     """
 
-    def __init__(self, faults, worker_count=3, clock_rate=1.0, looks_wait=False):
+    def __init__(
+        self,
+        faults,
+        worker_count=3,
+        clock_rate=1.0,
+        looks_wait=False,
+        states_starts=True,
+    ):
         """Begin.
 
         Args:
@@ -45,6 +52,7 @@
           clock_rate: A float, how fast the clocks of workers run.
           looks_wait: A bool, whether looks wait for ends as they ask to; else each is
             answered at once.
+          states_starts: A bool, whether workers say when they started.
         """
         self.now = 100.0
         self.config = worldjobs.CONFIG
@@ -58,7 +66,7 @@
         self.is_store_away = False
         self._gangs = gangs.Gangs()
         self._set_up_calls(faults, looks_wait)
-        self._set_up_lives(worker_count, clock_rate)
+        self._set_up_lives(worker_count, clock_rate, states_starts)
         self.owner = None
         self.take_over()
 
--- a/tests/worldlives.py
+++ b/tests/worldlives.py
@@ -27,17 +27,20 @@
       unlisted: Ids of workers that the store does not list, though they live.
       back_s: A float, after what time a worker that crashed has another life.
       keeps_id: A bool, whether that has the id of the life before.
+      states_starts: A bool, whether workers say when their lives began. Those that do
+        not have a new id after each.
       refusing: Ids of workers whose port refuses.
       breaks_off: A bool, whether the end of a life is seen at once where a look waits,
         as the connection breaks off; else the look is lost.
     """
 
-    def _set_up_lives(self, worker_count, clock_rate):
+    def _set_up_lives(self, worker_count, clock_rate, states_starts):
         """Begin.
 
         Args:
           worker_count: An int.
           clock_rate: A float, how fast the clocks of workers run.
+          states_starts: A bool, as the attribute.
         """
         self.workers_by_id = {}
         self.ended_lives = []
@@ -45,6 +48,7 @@
         self.unlisted = set()
         self.back_s = BACK_S
         self.keeps_id = False
+        self.states_starts = states_starts
         self.refusing = set()
         self.breaks_off = False
         self.racks_by_worker = {}
@@ -58,8 +62,9 @@
 
     def _begin_life(self, worker_id, began_at):
         """Start a life of a worker; nobody lists it yet."""
+        started_at_ms = int(self.now * 1000) if self.states_starts else None
         self.workers_by_id[worker_id] = leased_worker.LeasedWorker(
-            worker_id, ROOM, self._clock_rate, int(self.now * 1000), began_at
+            worker_id, ROOM, self._clock_rate, started_at_ms, began_at
         )
 
     def _end_life(self, worker_id):
--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -119,12 +119,14 @@
 
     def _ack_ends(self, worker, now):
         """Acknowledge the ends that are persisted, so a worker may forget them."""
+        worker.has_withheld_ends = False
         while worker.unpersisted_ends:
             end = worker.unpersisted_ends[0]
             job_id = end.key.job_id
             if job_id in self.dirty or job_id in self._in_flight:
                 return
             if self._is_end_withheld(end.key, now):
+                worker.has_withheld_ends = True
                 return
             worker.acked_number = end.number
             worker.unpersisted_ends.popleft()
--- a/thornport/cell/decisions/eligibility.py
+++ b/thornport/cell/decisions/eligibility.py
@@ -9,6 +9,9 @@
 from thornport.cell.decisions import messages
 
 TICKET_MARGIN_S = 0.1  # time for the commit and the call to the worker
+# Withheld ends that a worker may have. The other half of its list is left for the ends
+# of the runs that are live there, so that none is omitted.
+MAX_WITHHELD_ENDS = messages.MAX_LISTED_ENDS // 2
 
 
 class WorkerBlocker(enum.Enum):
@@ -18,6 +21,8 @@
     UNHEARD: the worker has not answered this owner yet.
     UNDESCRIBED: the store has no entry of the worker's current incarnation.
     SILENT: the last calls to the worker failed.
+    ENDS_WITHHELD: the worker lists many ends that are not acknowledged, as a start may
+      arrive late there.
     SUSPECT: tasks failed or stalled on the worker.
     DISTURBED: steps that fill leftover capacity and serving steps may not share the
       worker.
@@ -33,6 +38,7 @@
     UNHEARD = "unheard"
     UNDESCRIBED = "undescribed"
     SILENT = "silent"
+    ENDS_WITHHELD = "ends-withheld"
     SUSPECT = "suspect"
     DISTURBED = "disturbed"
     FULL = "full"
@@ -61,6 +67,8 @@
         return WorkerBlocker.UNDESCRIBED
     if now < worker.avoid_until:
         return WorkerBlocker.SILENT
+    if worker.has_withheld_ends and len(worker.unpersisted_ends) >= MAX_WITHHELD_ENDS:
+        return WorkerBlocker.ENDS_WITHHELD
     if not with_suspects and now < worker.suspected_until:
         return WorkerBlocker.SUSPECT
     return None
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -166,7 +166,7 @@
             worker.update_entry(listed, now)
 
     def _lose_missing_runs(self, worker, runs, now):
-        """End the runs that the first poll of an incarnation does not list.
+        """End the earlier runs that the first list of all ends does not account for.
 
         Runs commanded at another incarnation are lost with it. The others have not
         begun, and are started again if their starts may still arrive.
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -15,7 +15,9 @@
 - The end of the run is not acknowledged. If a copy begins the run again, it does not
   repeat an end that counts.
 
-A run that has begun used up one copy. If only one was sent, nothing has to wait.
+A run that has begun used up one copy. If only one was sent, nothing has to wait. Nor
+does anything at a worker that does not state when it started: it has a new id after
+each restart, and a command names the id.
 """
 
 from thornport.cell.decisions import (
@@ -49,7 +51,8 @@
           ticket: A str; with one, only the present incarnation takes the command.
           now: A float.
         """
-        run.note_sent(run.late_until if ticket else now + LATE_START_S)
+        is_barred = bool(ticket) or not run.has_shared_id()
+        run.note_sent(run.late_until if is_barred else now + LATE_START_S)
 
     def _note_start_unanswered(self, run, now):
         """Have a worker polled whether a start without an answer has begun.
@@ -60,8 +63,9 @@
         """
         if run.has_begun and not run.has_more_copies:
             return
-        # The command may have left late, when this process was held up.
-        run.late_until = now + LATE_START_S
+        if run.has_shared_id():
+            # The command may have left late, when this process was held up.
+            run.late_until = now + LATE_START_S
         run.note_unanswered(now, now + LATE_START_S)
         if run.state is model.RunState.ORDERED:
             self.commands.append(messages.PollAgain(run.worker_id))
@@ -77,7 +81,7 @@
         if step is None or command.ticket:
             return
         for run in step.list_runs(command.key.index):
-            if run.worker_id == command.worker_id:
+            if run.worker_id == command.worker_id and run.has_shared_id():
                 run.earlier_until = now + LATE_START_S
                 run.late_until = max(run.late_until, run.earlier_until)
 
@@ -137,7 +141,7 @@
           run: A model.Run from a record.
         """
         is_single = run.has_begun and not run.has_more_copies
-        if not is_single and not self._has_tickets(job):
+        if not is_single and run.has_shared_id() and not self._has_tickets(job):
             # The last lease that an earlier owner grants ends at `_earlier_over_at`.
             sent_until = self._earlier_over_at - leases.EARLIER_LEASE_S
             run.late_until = sent_until + LATE_START_S
--- a/thornport/cell/decisions/latestarts_test.py
+++ b/thornport/cell/decisions/latestarts_test.py
@@ -137,6 +137,7 @@
     def test_copy_may_arrive_late_after_its_time_out(self):
         step = cellworld.make_step(1, 4, 1)
         run = model.Run(KEY, 1, "w0", step, model.RunState.ORDERED)
+        run.worker_started_at_ms = 1
         owner, now = self.world.owner, self.world.now
         owner._note_start_sent(run, "", now)
         owner._note_start_unanswered(run, now + 8.0)
@@ -144,9 +145,20 @@
 
     def test_ticket_of_the_ended_incarnation_needs_no_wait(self):
         run = model.Run(KEY, 1, "w0", cellworld.make_step(1, 4, 1), None)
+        run.worker_started_at_ms = 1
         self.world.owner._note_start_sent(run, "ticket", self.world.now)
         self.assertEqual(run.late_until, 0.0)
 
+    # Guards against a task that waits for a start which no later incarnation can take.
+    def test_worker_that_has_a_new_id_after_each_restart_needs_no_wait(self):
+        run = model.Run(KEY, 1, "w0", cellworld.make_step(1, 4, 1), None)
+        owner, now = self.world.owner, self.world.now
+        owner._note_start_sent(run, "", now)
+        self.assertEqual(run.late_until, 0.0)
+        owner._note_start_unanswered(run, now)
+        self.assertEqual(run.late_until, 0.0)
+        self.assertEqual(run.resend_until, now + latestarts.LATE_START_S)
+
 
 class WaitingJobs(LateCase):
     """The count of jobs of which no task has begun."""
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -38,6 +38,11 @@
         return f"{self.time}.{self.step}.{self.index}"
 
 
+# The users' workers list at most this many ends in an answer, the oldest ones; the
+# others follow once these are acknowledged.
+MAX_LISTED_ENDS = 500
+
+
 class WorkerState(enum.Enum):
     """The state that a worker reports of itself."""
 
@@ -157,6 +162,10 @@
     ended: list[EndRow]
     started_at_ms: int | None = None
 
+    def may_omit_ends(self):
+        """Whether runs may have ended whose ends it does not list."""
+        return len(self.ended) >= MAX_LISTED_ENDS
+
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Start a run."""
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -28,7 +28,8 @@
     RECORDING: decided; the start command is sent, or sent again, only once the record
       is persisted.
     ORDERED: the start command was sent; RUNNING: the worker has confirmed the run.
-    UNHEARD: recorded by an earlier owner; the worker has not been polled yet.
+    UNHEARD: recorded by an earlier owner, or commanded at an earlier incarnation; no
+      complete answer of the worker has shown yet what became of it.
     STOPPING: being stopped; live until the stop is certain.
     OVER: certainly not live any more, unless a late start command begins it again.
     """
@@ -146,6 +147,10 @@
         if not self.has_more_copies:
             self.late_until = 0.0
 
+    def has_shared_id(self):
+        """Whether later incarnations of its worker may have the same id."""
+        return self.worker_started_at_ms is not None
+
     @property
     def step_key(self):
         """The messages.StepKey of its step."""
@@ -210,6 +215,12 @@
       seen_number, acked_number: Numbers of the last end taken in and of the last one
         that is persisted.
       unpersisted_ends: UnpersistedEnds, in order of their numbers.
+      doubtful_by_key: Runs from before its first answer, by TaskKey, that its answers
+        have neither listed nor ruled out, as they omitted ends; None once an answer
+        has listed all ends.
+      omits_ends: Whether its last answer may have omitted ends.
+      has_withheld_ends: Whether the acknowledgement of its ends waits for a start that
+        may arrive late; see `latestarts`.
       failures: An int, failed runs since the last one that was done.
       last_failure: The messages.EndRow of the last one counted; None before the first.
       stalls: An int, how often all its tasks stalled since any made progress.
@@ -245,6 +256,9 @@
     unpersisted_ends: collections.deque[UnpersistedEnd] = msgspec.field(
         default_factory=collections.deque
     )
+    doubtful_by_key: dict[messages.TaskKey, Run] | None = None
+    omits_ends: bool = False
+    has_withheld_ends: bool = False
     failures: int = 0
     last_failure: messages.EndRow | None = None
     stalls: int = 0
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -158,6 +158,24 @@
     left_ms: int
 
 
+class EndsOmitted(msgspec.Struct, frozen=True):
+    """The answers of a worker begin or cease to omit ends.
+
+    Attributes:
+      is_omitting: Whether they begin to.
+      listed: An int, the ends in the answer.
+      unlisted: An int, the live runs of which the answer lists neither the run nor its
+        end.
+      is_withheld: Whether the acknowledgement of its ends waits for a late start.
+    """
+
+    worker_id: str
+    is_omitting: bool
+    listed: int
+    unlisted: int
+    is_withheld: bool
+
+
 class IncarnationOver(msgspec.Struct, frozen=True):
     """The incarnation of a worker is over.
 
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -168,27 +168,52 @@
 
     def _take_running(self, worker, answer, sent_at, now):
         rows_by_key = {(row.key, row.run): row for row in answer.running}
-        absent = []
+        unlisted_by_key = {}
         for run in list(worker.runs_by_key.values()):
             row = rows_by_key.pop((run.key, run.run), None)
             if row is not None:
                 self._take_listed_run(worker, run, row, now)
-            elif not worker.is_heard:
-                absent.append(run)
             else:
-                self._take_unlisted_run(run, sent_at, now)
+                unlisted_by_key[run.key] = run
         if not worker.is_heard:
-            self._lose_missing_runs(worker, absent, now)
+            worker.doubtful_by_key = dict(unlisted_by_key)
+        self._note_omitted_ends(worker, answer, len(unlisted_by_key))
+        if not answer.may_omit_ends():
+            self._take_unlisted_runs(worker, unlisted_by_key, sent_at, now)
+            unlisted_by_key = {}
         for row in rows_by_key.values():
             self._stop_unknown_run(worker, row, now)
-        self._stop_stalled_runs(worker, now)
+        self._stop_stalled_runs(worker, unlisted_by_key, now)
+
+    def _note_omitted_ends(self, worker, answer, unlisted):
+        """Note that the answers of a worker begin or cease to omit ends."""
+        may_omit_ends = answer.may_omit_ends()
+        if may_omit_ends != worker.omits_ends:
+            worker.omits_ends = may_omit_ends
+            self.notes.append(
+                notes.EndsOmitted(
+                    worker.worker_id,
+                    may_omit_ends,
+                    len(answer.ended),
+                    unlisted,
+                    worker.has_withheld_ends,
+                )
+            )
+
+    def _stop_stalled_runs(self, worker, unknown_by_key, now):
+        """Suspect a worker on which all tasks stall, and stop those not of gangs.
 
-    def _stop_stalled_runs(self, worker, now):
-        """Suspect a worker on which all tasks stall, and stop those not of gangs."""
+        Args:
+          worker: A model.Worker.
+          unknown_by_key: The model.Runs that may have ended, by TaskKey, as the answer
+            may omit ends.
+          now: A float.
+        """
         running = [
             run
             for run in worker.runs_by_key.values()
             if run.state is model.RunState.RUNNING
+            and run.key not in unknown_by_key
             # A gang's member waits for the others before it makes progress.
             and (run.percent > 0 or not run.step.gang)
             and not run.step.lasting
@@ -232,6 +257,31 @@
         if step is not None and row.checkpoint:
             step.checkpoints_by_index[step.index_for(run.key.index)] = row.checkpoint
 
+    def _take_unlisted_runs(self, worker, unlisted_by_key, sent_at, now):
+        """Process the live runs that an answer with all ends does not list.
+
+        An answer that may omit ends proves nothing about them: each may have ended as
+        done, and would run again if its task were started elsewhere.
+
+        Args:
+          worker: A model.Worker.
+          unlisted_by_key: Model.Runs by TaskKey.
+          sent_at: A float, when the poll was sent.
+          now: A float.
+        """
+        doubtful_by_key, worker.doubtful_by_key = worker.doubtful_by_key, None
+        if doubtful_by_key is not None:
+            missing = [
+                run
+                for key, run in unlisted_by_key.items()
+                if doubtful_by_key.get(key) is run
+            ]
+            self._lose_missing_runs(worker, missing, now)
+        doubtful_by_key = doubtful_by_key or {}
+        for key, run in unlisted_by_key.items():
+            if doubtful_by_key.get(key) is not run:
+                self._take_unlisted_run(run, sent_at, now)
+
     def _take_unlisted_run(self, run, sent_at, now):
         """Process a live run of which the worker lists neither the run nor its end."""
         if self._is_unanswered(run, sent_at):
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -11,6 +11,7 @@
 COUNTER_BY_NOTE = {
     notes.RunLost: "runs.lost",
     notes.IncarnationOver: "workers.over",
+    notes.EndsOmitted: "workers.ends_omitted",
     notes.LimitWait: "steps.at_limit",
     notes.StepDone: "steps.done",
     notes.SpeedChanged: "machines.speed_changed",
@@ -64,6 +65,18 @@
     )
 
 
+@log_note.register
+def log_ends_omitted(note: notes.EndsOmitted):
+    """Log that the answers of a worker begin or cease to omit ends."""
+    logs.log(
+        "ends-omitted" if note.is_omitting else "ends-complete",
+        worker=note.worker_id,
+        listed=note.listed,
+        unlisted=note.unlisted,
+        withheld=note.is_withheld,
+    )
+
+
 @log_note.register
 def log_run_preempted(note: notes.RunPreempted):
     """Log that a run is stopped to make room for an urgent job."""
