--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -37,6 +37,7 @@
 BURST_TASK = {"count": 80, "cpu": 20, "mem_mb": 1}
 BURST_GAP_S = 0.4
 BURST_LAST_MS = 1000  # how long the tasks of the last one run
+KILL_AHEAD_S = 0.2  # of the end of those tasks
 SHORT_MS = 50  # the jobs of those callers: many come in a second
 ACCEPTED_STATUS = 200
 REFUSED_STATUS = 503
@@ -257,6 +258,13 @@
             self._note_answer(job_id, answer.status if answer is not None else 0)
             time.sleep(BURST_GAP_S)
 
+    def _kill_owner(self, after_s):
+        """Kill the process that owns the cell, after a time in seconds."""
+        time.sleep(after_s)
+        owner = next((n for n in self._cell.names if self._cell.is_deciding(n)), "")
+        if owner:
+            self._strike(plan.Fault(0.0, plan.Kind.KILL, owner, 0.0))
+
     def _strike_platform(self, fault):
         if fault.kind is plan.Kind.CONFIG:
             self._add_routes()
@@ -277,6 +285,8 @@
             harness.call("POST", self._cell.url("platform", query))
         elif fault.kind is plan.Kind.BURST:
             self._submit_burst(fault.pick)
+            if fault.pick % 2:
+                self._kill_owner(BURST_LAST_MS / 1000 - BURST_GAP_S - KILL_AHEAD_S)
         elif fault.kind is plan.Kind.WORKERS_FAIL:
             self._set_for_a_while(fault)
         elif fault.kind in HARMLESS:
--- a/thornport/cell/decisions/attempts_test.py
+++ b/thornport/cell/decisions/attempts_test.py
@@ -47,7 +47,7 @@
             for life in self.world.workers_by_id.values()
             if life.worker_id in self.world.failing
         ):
-            self.world._pass_time()
+            self.world.run_without_owner(cellworld.STEP_S)
 
 
 class GangAttempts(GangCase):
--- a/thornport/cell/decisions/omittedends_test.py
+++ b/thornport/cell/decisions/omittedends_test.py
@@ -49,7 +49,7 @@
     def run_until_ended(self, life):
         """Let time pass, without an owner, until nothing runs at a worker."""
         while life.active_by_key:
-            self.world._pass_time()
+            self.world.run_without_owner(cellworld.STEP_S)
         self.assertGreater(len(life.ended), leased_worker.MAX_LISTED_ENDS)
 
     def check_done(self, starts, *job_ids):
@@ -132,7 +132,7 @@
         life = self.start(make_tasks(ENDS, RUN_MS))
         worker = self.world.owner.workers_by_id[life.worker_id]
         while not life.ended:
-            self.world._pass_time()
+            self.world.run_without_owner(cellworld.STEP_S)
         self.world.is_store_away = True
         self.world.run(STORE_AWAY_S)
         self.assertTrue(worker.omits_ends)
@@ -147,7 +147,7 @@
         self.make_world()
         life = self.start(make_tasks(ENDS, RUN_MS))
         while not life.ended:
-            self.world._pass_time()
+            self.world.run_without_owner(cellworld.STEP_S)
         self.world.is_store_away = True
         self.world.run(0.2)
         owner = self.world.owner.workers_by_id[life.worker_id]
