Name what an incomplete answer leaves unsettled

has_reusable_id says whether an id may be used again; the runs that an answer may omit are unsettled until an answer has all ends.

--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -51,7 +51,7 @@
           ticket: A str; with one, only the present incarnation takes the command.
           now: A float.
         """
-        is_barred = bool(ticket) or not run.has_shared_id()
+        is_barred = bool(ticket) or not run.has_reusable_id()
         run.note_sent(run.late_until if is_barred else now + LATE_START_S)
 
     def _note_start_unanswered(self, run, now):
@@ -63,7 +63,7 @@
         """
         if run.has_begun and not run.has_more_copies:
             return
-        if run.has_shared_id():
+        if run.has_reusable_id():
             # The command may have left late, when this process was held up.
             run.late_until = now + LATE_START_S
         run.note_unanswered(now, now + LATE_START_S)
@@ -81,7 +81,7 @@
         if step is None or command.ticket:
             return
         for run in step.list_runs(command.key.index):
-            if run.worker_id == command.worker_id and run.has_shared_id():
+            if run.worker_id == command.worker_id and run.has_reusable_id():
                 run.earlier_until = now + LATE_START_S
                 run.late_until = max(run.late_until, run.earlier_until)
 
@@ -141,7 +141,7 @@
           run: A model.Run from a record.
         """
         is_single = run.has_begun and not run.has_more_copies
-        if not is_single and run.has_shared_id() and not self._has_tickets(job):
+        if not is_single and run.has_reusable_id() and not self._has_tickets(job):
             # The last lease that an earlier owner grants ends at `_earlier_over_at`.
             sent_until = self._earlier_over_at - leases.EARLIER_LEASE_S
             run.late_until = sent_until + LATE_START_S
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -147,8 +147,11 @@
         if not self.has_more_copies:
             self.late_until = 0.0
 
-    def has_shared_id(self):
-        """Whether later incarnations of its worker may have the same id."""
+    def has_reusable_id(self):
+        """Whether a later incarnation of its worker may have the same id.
+
+        A worker that states no start has a new id after each restart.
+        """
         return self.worker_started_at_ms is not None
 
     @property
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -178,12 +178,12 @@
         if not worker.is_heard:
             worker.doubtful_by_key = dict(unlisted_by_key)
         self._note_omitted_ends(worker, answer, len(unlisted_by_key))
-        if not answer.may_omit_ends():
-            self._take_unlisted_runs(worker, unlisted_by_key, sent_at, now)
-            unlisted_by_key = {}
+        unsettled_by_key = unlisted_by_key if answer.may_omit_ends() else {}
+        if not unsettled_by_key:
+            self._settle_unlisted_runs(worker, unlisted_by_key, sent_at, now)
         for row in rows_by_key.values():
             self._stop_unknown_run(worker, row, now)
-        self._stop_stalled_runs(worker, unlisted_by_key, now)
+        self._stop_stalled_runs(worker, unsettled_by_key, now)
 
     def _note_omitted_ends(self, worker, answer, unlisted):
         """Note that the answers of a worker begin or cease to omit ends."""
@@ -200,20 +200,20 @@
                 )
             )
 
-    def _stop_stalled_runs(self, worker, unknown_by_key, now):
+    def _stop_stalled_runs(self, worker, unsettled_by_key, now):
         """Suspect a worker on which all tasks stall, and stop those not of gangs.
 
         Args:
           worker: A model.Worker.
-          unknown_by_key: The model.Runs that may have ended, by TaskKey, as the answer
-            may omit ends.
+          unsettled_by_key: The model.Runs that may have ended, by TaskKey, as the
+            answer may omit ends.
           now: A float.
         """
         running = [
             run
             for run in worker.runs_by_key.values()
             if run.state is model.RunState.RUNNING
-            and run.key not in unknown_by_key
+            and run.key not in unsettled_by_key
             # A gang's member waits for the others before it makes progress.
             and (run.percent > 0 or not run.step.gang)
             and not run.step.lasting
@@ -257,7 +257,7 @@
         if step is not None and row.checkpoint:
             step.checkpoints_by_index[step.index_for(run.key.index)] = row.checkpoint
 
-    def _take_unlisted_runs(self, worker, unlisted_by_key, sent_at, now):
+    def _settle_unlisted_runs(self, worker, unlisted_by_key, sent_at, now):
         """Process the live runs that an answer with all ends does not list.
 
         An answer that may omit ends proves nothing about them: each may have ended as
@@ -269,18 +269,16 @@
           sent_at: A float, when the poll was sent.
           now: A float.
         """
-        doubtful_by_key, worker.doubtful_by_key = worker.doubtful_by_key, None
-        if doubtful_by_key is not None:
-            missing = [
-                run
-                for key, run in unlisted_by_key.items()
-                if doubtful_by_key.get(key) is run
-            ]
-            self._lose_missing_runs(worker, missing, now)
-        doubtful_by_key = doubtful_by_key or {}
+        doubtful_by_key = worker.doubtful_by_key or {}
+        missing, others = [], []
         for key, run in unlisted_by_key.items():
-            if doubtful_by_key.get(key) is not run:
-                self._take_unlisted_run(run, sent_at, now)
+            is_doubtful = doubtful_by_key.get(key) is run
+            (missing if is_doubtful else others).append(run)
+        if worker.doubtful_by_key is not None:
+            worker.doubtful_by_key = None
+            self._lose_missing_runs(worker, missing, now)
+        for run in others:
+            self._take_unlisted_run(run, sent_at, now)
 
     def _take_unlisted_run(self, run, sent_at, now):
         """Process a live run of which the worker lists neither the run nor its end."""
