List a gang of hundreds whose worker drains before its starts are sent

Found by random plays of bursts: RecursionError in _stop_run, _release_run and _restart_gang, as each member that is released before its start releases the next one.

--- a/thornport/cell/decisions/ending_test.py
+++ b/thornport/cell/decisions/ending_test.py
@@ -13,8 +13,9 @@
 from hypothesis import strategies as st
 
 from tests import cellworld
-from thornport.jobs import record
+from thornport.jobs import record, spec
 
+SMALL = spec.Demand(100, 100, 0)
 LONG_MS = 60_000  # for tasks that only end when they are stopped
 # Later than this, a worker refuses a start, since its deadline is over.
 LAST_START_S = 5.5
@@ -263,6 +264,24 @@
         self.check_runs_on()
 
 
+class LargeGangs(unittest.TestCase):
+    """A gang of hundreds of tasks whose worker leaves before its starts are sent."""
+
+    # Guards against a release of its members that exceeds the recursion limit.
+    def test_gang_of_hundreds_starts_elsewhere(self):
+        world = make_world()
+        world.run(0.1)
+        world.is_store_away = True
+        world.submit(cellworld.make_job("a", spec.Step(400, SMALL, 500, gang=True)))
+        world.run(0.1)
+        (step,) = world.owner.jobs_by_id["a"].steps_by_key.values()
+        place = step.live_by_index[0].worker_id
+        world.list_worker(place, cellworld.messages.WorkerState.DRAINING)
+        world.is_store_away = False
+        world.run(3)
+        self.assertEqual(world.read_states(), {"a": "succeeded"})
+
+
 class AnyTrouble(unittest.TestCase):
     """Cancels beside lost and late commands, replaced owners and unlisted workers."""
 
--- a/thornport/cell/decisions/omittedends_test.py
+++ b/thornport/cell/decisions/omittedends_test.py
@@ -267,7 +267,7 @@
 
 
 class AnyTrouble(unittest.TestCase):
-    """Bursts of ends beside takeovers, an absent store, restarts and lost answers."""
+    """Bursts of ends beside takeovers, an absent store, lost and late answers."""
 
     @settings(max_examples=10, deadline=None)
     @given(
