--- a/thornport/cell/decisions/omittedends_test.py
+++ b/thornport/cell/decisions/omittedends_test.py
@@ -80,6 +80,7 @@
                 self.world.run(SETTLE_S)
                 self.check_done(ENDS)
 
+    # Guards against a second successor that takes for lost what the first left open.
     def test_owners_that_follow_one_another_before_all_ends_are_listed(self):
         self.make_world()
         life = self.start(make_tasks(ENDS, RUN_MS))
@@ -252,6 +253,7 @@
         self.world.run(1.5)
         self.check_done(1)
 
+    # Guards against starts that fill the list of a worker whose ends are withheld.
     def test_worker_with_many_withheld_ends_gets_no_starts(self):
         self.make_world(states_starts=True)
         worker = next(iter(self.world.owner.workers_by_id.values()))
@@ -305,6 +307,7 @@
 class HeldAnswers(unittest.TestCase):
     """What the list of ends in an answer proves."""
 
+    # Guards against a full list that passes for a complete one.
     def test_only_a_list_below_the_bound_has_all_ends(self):
         key = messages.TaskKey("a", 0, 0, 0)
         rows = [
