Free the unsent members of a gang without recursion

A gang of over some 300 tasks whose worker drained before the starts were sent raised RecursionError in the owner, halfway through a pass or a poll; found by random plays of bursts. Each member that was released restarted the gang, which released the next one, three frames for each.

_restart_gang frees such members itself now; _release_run is parted into what frees the run and what goes on with its task.

--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -164,16 +164,30 @@
 
     def _release_run(self, run, now):
         """Free the capacity of a run that is proven over, and advance its task."""
+        job = self.jobs_by_id.get(run.key.job_id)
+        step = self._find_step(run.key)
+        if self._free_run(job, step, run, now):
+            self._advance_task(job, step, run, now)
+
+    def _free_run(self, job, step, run, now):
+        """Free the capacity of a run that is proven over.
+
+        Args:
+          job: The model.JobEntry of its task, or None.
+          step: The model.StepState of its task, or None.
+          run: A model.Run.
+          now: A float.
+        Returns:
+          A bool, whether it was the live run of its task.
+        """
         run.state = model.RunState.OVER
         self.usage.remove(run)
         worker = self.workers_by_id.get(run.worker_id)
         if worker is not None:
             worker.remove_run(run)
         self.needs_pass = True
-        job = self.jobs_by_id.get(run.key.job_id)
-        step = self._find_step(run.key)
         if step is None or step.live_by_index.get(run.key.index) is not run:
-            return
+            return False
         del step.live_by_index[run.key.index]
         # Once its job is over, a run that a late start begins is stopped when a poll
         # lists it. An end that counts stays unacknowledged, so that none follows it.
@@ -182,6 +196,14 @@
         if run.late_until:
             # The record states whether a start may still arrive.
             self._mark_dirty(job)
+        return True
+
+    def _advance_task(self, job, step, run, now):
+        """Go on with a task whose live run is over: its step, its gang or another run.
+
+        Args:
+          job, step, run, now: As for `_free_run`.
+        """
         is_counted = step.is_done and step.is_advanced
         # A repetition of a job is over once the last member of its gangs has ended.
         if is_counted and (step.live_by_index or not job.record.job.repeats):
@@ -217,7 +239,11 @@
     def _restart_gang(self, job, step, now):
         """Stop a gang that lost a member before it was done, to start it again."""
         for run in list(step.live_by_index.values()):
-            self._stop_run(run, now)
+            if is_unsent(run):
+                # Releasing it would restart the gang again, once for each such member.
+                self._free_run(job, step, run, now)
+            else:
+                self._stop_run(run, now)
         if self._check_failed(job, step, model.GANG_INDEX, now):
             return
         if not step.live_by_index:
@@ -273,8 +299,7 @@
     def _stop_run(self, run, now):
         if run.state in (model.RunState.STOPPING, model.RunState.OVER):
             return
-        if run.state is model.RunState.RECORDING and not run.has_more_copies:
-            # No start was sent, and none will be: only RECORDING runs are started.
+        if is_unsent(run):
             self._release_run(run, now)
             return
         worker = self.workers_by_id.get(run.worker_id)
@@ -446,3 +471,15 @@
                 self.end_worker(worker, now, notes.WorkerEnd.REPLACED)
         else:
             worker.avoid(now + AVOID_S)
+
+
+def is_unsent(run):
+    """Tell whether no start of a run was sent, nor will be once it is over.
+
+    Args:
+      run: A model.Run.
+    Returns:
+      A bool.
+    """
+    # Only RECORDING runs are started.
+    return run.state is model.RunState.RECORDING and not run.has_more_copies
