--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -279,7 +279,7 @@
                 run.key,
                 run.run,
                 job.record.job.text,
-                leases.extend(worker, now),
+                leases.extend(worker, now, leases.START_LEASE_MS),
                 self.make_token(worker),
                 checkpoint,
                 ticket,
