Request advice for the tasks of silent workers before their leases are over

What callers saw: a lasting task whose worker was lost, or whose start met a worker that had just been lost, was down for longer than users allow although most of the cell was free. Cause: advice was requested only once the lost worker's lease was over, and a call takes 1.2 to 2.2 s there. When the lease ends is known from the first failed poll on. Change: full passes request tickets for the runs at silent workers, in time for the end of the lease (decisions/lapsing.py), for all steps but gangs, whose room is in use until their members are stopped. Nothing starts earlier: a task is placed once its lost run is over, as before. The same cause elsewhere: a batch job of which nothing else runs (7.65 s after the loss, of 7 s allowed); it has a test of its own that failed before. A worker that is cut off for 2 s costs no call.

--- a/tests/lastingtasks_test.py
+++ b/tests/lastingtasks_test.py
@@ -16,6 +16,7 @@
 DOWN_S = 9.0
 AFTER_LOSS_S = 7.0
 PATIENCE_S = 60.0
+LONG_MS = 60_000  # its percent still changes between polls
 DEMAND = spec.Demand(12_000, 30_000)
 
 
@@ -44,6 +45,7 @@
     Attributes:
       loses_next_start: Whether the worker of the next start command is lost for good
         just before the command arrives.
+      advice_calls: An int, how many calls for advice were made.
     """
 
     CONFIG = queue.Config(1, (ADVISED,))
@@ -56,6 +58,7 @@
           seed: An int.
         """
         self.loses_next_start = False
+        self.advice_calls = 0
         faults = cellworld.Faults(random.Random(seed))
         super().__init__(faults, WORKERS, sizes=(1.0, 2.0), good_share=0.3)
 
@@ -78,15 +81,19 @@
             return cellworld.World._do(self, worker, order)
         return super()._do(worker, order)
 
+    def _call_advice(self, call):
+        self.advice_calls += 1
+        super()._call_advice(call)
+
     def lose(self, worker_id):
         """Lose a worker for good; nothing answers at its address any more."""
         self._end_life(worker_id)
         entry, _ = self.entries_by_id[worker_id]
         self._lapsing.append((self.now + worldlives.ENTRY_S, entry))
 
-    def submit_standing(self, job_id, count, **more):
-        """Submit a job of lasting tasks to the first queue."""
-        step = spec.Step(count, DEMAND, 620, lasting=True, **more)
+    def submit_standing(self, job_id, count, lasting=True):
+        """Submit a job of one step of long tasks to the first queue."""
+        step = spec.Step(count, DEMAND, LONG_MS, lasting=lasting)
         self.submit(
             record.JobRecord(
                 job_id,
@@ -156,6 +163,18 @@
 
         self.assertEqual(self.find_late(measure, DOWN_S), {})
 
+    # Guards against the same of a job that has nothing else running.
+    def test_batch_job_of_a_lost_worker_goes_on_in_time(self):
+        def measure(seed):
+            world = StandingWorld(seed)
+            world.submit_standing("job", 1, lasting=False)
+            world.measure_until_at_work("job", 1)
+            world.run(5 + 0.15 * seed)
+            world.lose(*world.list_workers_of("job"))
+            return world.measure_until_at_work("job", 1)
+
+        self.assertEqual(self.find_late(measure, AFTER_LOSS_S), {})
+
     # Guards against an unanswered start that binds its task to a lost worker for longer
     # than allowed, as the start itself extended the worker's lease.
     def test_task_whose_start_meets_a_lost_worker_is_back_in_time(self):
@@ -167,6 +186,18 @@
 
         self.assertEqual(self.find_late(measure, AFTER_LOSS_S), {})
 
+    # Guards against calls for advice that each short silence of a worker would cost.
+    def test_worker_that_answers_again_costs_no_call_for_advice(self):
+        world = self.run_standing(seed=0)
+        worker_id = world.list_workers_of("job")[0]
+        calls = world.advice_calls
+        world.cut.add(worker_id)
+        world.run(2)
+        world.reach_again(worker_id)
+        world.run(10)
+        self.assertEqual(world.advice_calls, calls)
+        self.assertEqual(len(world.list_workers_of("job")), self.COUNT)
+
     # Guards against the same where starts need no ticket: the start counted as one that
     # may be carried out for 13 s.
     def test_start_without_a_ticket_that_meets_a_lost_worker(self):
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -97,6 +97,8 @@
         # Calls for advice that were given up: the first one since the last answer.
         self._late_advice_by_step = {}
         self._wanted_calls = asking.WantedCalls()
+        # StepKeys of steps with runs at silent workers; see `lapsing`.
+        self._lapsing_keys = frozenset()
         self._advice_shares = asking.FairShares()
         # Jobs being accepted; `_unended_by_id` has the jobs whose end is not decided.
         self._incoming_by_id = {}
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -5,6 +5,7 @@
 from thornport.cell.decisions import (
     crashes,
     eligibility,
+    lapsing,
     latestarts,
     listing,
     messages,
@@ -13,7 +14,6 @@
     placing,
     reserving,
     stalls,
-    ticketing,
     usage,
     yielding,
 )
@@ -30,7 +30,7 @@
 MAX_ANSWERED_STEPS = 10
 
 
-class Passes(ticketing.Ticketing):
+class Passes(lapsing.Lapsing):
     """Decides which tasks start where; starts are sent once recorded durably."""
 
     def place(self, now, only_urgent=False):
@@ -90,6 +90,8 @@
                     yields.note_waiting_gang(queue, candidates.workers)
             if job.prospect is in_time and step.waiting and not is_full:
                 pressure.note_waiting(job, step, queue, candidates)
+        if not only_urgent:
+            self._ask_before_lapses(reserved, now)
         self._preempt(pressure, now, only_urgent)
 
     def _preempt(self, pressure, now, only_urgent):
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -63,7 +63,7 @@
 class Ticketing(listing.Listing):
     """Requests advice for steps and processes the answers."""
 
-    def _ask_advice(self, step, queue, candidates, reserved, need, now):
+    def _ask_advice(self, step, queue, candidates, reserved, need, now, tasks=None):
         """Request advice for a step that could start now, first on workers with room.
 
         The fixed part dominates a long call, so a long call names more workers.
@@ -75,13 +75,14 @@
           reserved: A reserving.Reservations.
           need: An asking.Need.
           now: A float.
+          tasks: An int, how many tasks are to start; None for all that wait.
         """
+        tasks = len(step.waiting) if tasks is None else tasks
         ticketed = eligibility.list_ticketed(step, candidates, now)
         ticketless = self._list_ticketless(step, candidates, now)
         is_long = queue.advice.base_ms / clock.MS_PER_S >= advising.LONG_CALL_S
-        count = advising.MAX_ASKED_WORKERS if is_long else count_asked(step)
+        count = advising.MAX_ASKED_WORKERS if is_long else count_asked(tasks)
         with_room = list_with_room(step, ticketless, reserved)
-        tasks = len(step.waiting)
         if not placing.has_room(step, [*ticketed, *with_room], reserved, tasks):
             # The workers known to be good are full; some of the others may be good.
             unknown = itertools.islice(
@@ -131,7 +132,7 @@
                 self._want_advice(step, queue, asked, asking.Need.IN_TURN)
                 return
         ticketless = self._list_ticketless(step, candidates, now)
-        lead_s = advising.compute_cost_s(queue.advice, ticketless) + TICKET_LEAD_S
+        lead_s = compute_lead_s(queue.advice, ticketless)
         if ticketless and starts_at is not None and starts_at - now <= lead_s:
             self._want_advice(step, queue, ticketless, asking.Need.IN_TURN)
 
@@ -237,7 +238,11 @@
         """Whether a call that has waited for a process is still useful."""
         step = call.step
         is_known = self._find_step(step.key) is step
-        is_open = step.waiting or step.key in self._unticketed
+        is_open = (
+            step.waiting
+            or step.key in self._unticketed
+            or step.key in self._lapsing_keys
+        )
         may_ask = not step.is_advising and now >= step.retry_advice_at
         known = self.workers_by_id
         has_workers = any(known.get(w.worker_id) is w for w in call.workers)
@@ -346,11 +351,22 @@
         }
 
 
-def count_asked(step):
-    """Return the most workers that a short call for a step names, an int."""
-    return min(
-        advising.MAX_ASKED_WORKERS, ASKED_BASE + ASKED_PER_TASK * len(step.waiting)
-    )
+def compute_lead_s(advice, workers):
+    """Compute how long before room is expected a call for advice is made.
+
+    Args:
+      advice: A queue.Advice.
+      workers: A list of the model.Worker that it may name.
+    Returns:
+      A float, seconds.
+    """
+    asked = workers[: advising.MAX_ASKED_WORKERS]
+    return advising.compute_cost_s(advice, asked) + TICKET_LEAD_S
+
+
+def count_asked(tasks):
+    """Return the most workers that a short call for some tasks names, an int."""
+    return min(advising.MAX_ASKED_WORKERS, ASKED_BASE + ASKED_PER_TASK * tasks)
 
 
 def iterate_unasked(step, candidates):
