--- a/tests/worldcalls.py
+++ b/tests/worldcalls.py
@@ -135,12 +135,14 @@
                     outcome = messages.Unanswered("lost")
                 elif not is_start:
                     self.open_looks.pop(order.worker_id, None)
-            take = (
-                self.owner.take_start_outcome
-                if is_start
-                else self.owner.take_stop_outcome
-            )
-            take(order, outcome, self.now)
+            self._take_outcome(order, outcome)
+
+    def _take_outcome(self, order, outcome):
+        """Give the owner the outcome of a start or a stop."""
+        if isinstance(order, messages.StartOrder):
+            self.owner.take_start_outcome(order, outcome, self.now)
+        else:
+            self.owner.take_stop_outcome(order, outcome, self.now)
 
     def _do(self, worker, order):
         if isinstance(order, messages.StopOrder):
