--- a/tests/standingplays_test.py
+++ b/tests/standingplays_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from tests import cellworld, standingplays
+from thornport.cell.decisions import messages
 from thornport.jobs import spec
 
 SEEDS = (0, 1, 2)
@@ -54,5 +55,46 @@
         self.assertEqual(list_down(world), [])
 
 
+class LosingWorld(standingplays.PlayWorld):
+    """Loses the worker of the next start of a task just before the start arrives.
+
+    Attributes:
+      is_start_to_meet_loss: Whether the next start is to meet such a loss.
+    """
+
+    is_start_to_meet_loss = False
+
+    def _carry_out(self):
+        starts = [
+            command
+            for command in self.owner.commands
+            if isinstance(command, messages.StartOrder)
+        ]
+        if starts and self.is_start_to_meet_loss:
+            self.is_start_to_meet_loss = False
+            self.lose(starts[0].worker_id, is_refusing=False)
+        super()._carry_out()
+
+
+class LostBeforeStart(unittest.TestCase):
+    """Workers state their starts, and starts need no ticket."""
+
+    # Guards against a task that waits 13 s for a start that may arrive late at a worker
+    # that is lost for good.
+    def test_task_whose_start_meets_a_lost_worker_is_back_in_time(self):
+        faults = cellworld.Faults(random.Random(1))
+        world = LosingWorld(faults, 40, 8, True)
+        world.run(2)
+        step = spec.Step(1, spec.Demand(20_000, 60_000), 620, lasting=True)
+        standingplays.submit(world, standingplays.PLAIN, step)
+        world.run(8)
+        lost_id = next(w for w, one in world.workers_by_id.items() if one.active_by_key)
+        world.lose(lost_id, is_refusing=False)
+        world.is_start_to_meet_loss = True
+        world.run(PATIENCE_S)
+        self.assertFalse(world.is_start_to_meet_loss)
+        self.assertEqual(list_down(world), [])
+
+
 if __name__ == "__main__":
     unittest.main()
