Hold no loss against lasting tasks of which a successor knows no start

What callers saw: lasting tasks of workers that were lost about when their owner was replaced came back up to 0.7 s later than the 9 s that users allow, and up to 1.8 s later with dear advice. Cause: a successor that has not heard a lost worker doesn't know for how long its tasks ran, so each got a crash point. Suspects are tried one after the other, 0.5 s each, and tickets lapse meanwhile. Under one owner a lasting task that ran for more than two seconds gets no point. Change: a lasting task gets none either where its worker fell silent and nothing is known of its start. One that crashes its workers gets its points at the next crash under the same owner.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -319,8 +319,12 @@
 
 
 def may_be_crash_suspect(worker, run, now):
-    """Whether a run is a suspect, or may be: an earlier owner started it."""
-    return run.known_since is None or is_crash_suspect(worker, run, now)
+    """Whether a run is a suspect, or may be: an earlier owner started it.
+
+    A lasting task that an earlier owner started has mostly run for long.
+    """
+    is_unknown = run.known_since is None and not run.step.lasting
+    return is_unknown or is_crash_suspect(worker, run, now)
 
 
 def is_crash_suspect(worker, run, now):
@@ -359,7 +363,9 @@
         is_rare = chance <= RARE_CHANCE
         return SOLE_SUSPECT_POINTS if is_alone and is_rare else SHARED_SUSPECT_POINTS
     if ran.max_s is None:
-        return SHARED_SUSPECT_POINTS
+        # A successor knows neither when the run began nor when the worker was gone.
+        may_have_run_long = run.step.lasting and not is_timed
+        return 0 if may_have_run_long else SHARED_SUSPECT_POINTS
     if ran.min_s <= SUSPECT_WINDOW_S and ran.max_s <= WIDE_SUSPECT_WINDOW_S:
         # It may have started within the suspect window.
         return SHARED_SUSPECT_POINTS
