Count the first order to stop and log further ones

What callers saw: a scheduler that got SIGTERM again while it stopped cut requests. Cause: each SIGTERM ran the whole stop. The second one moved the time until which requests are accepted behind the end that the first had set, after the last answers of the first. Change: the first signal counts. A further one is logged as stop-repeated and changes nothing, in schedulers, entries and placers.

--- a/tests/stopping_test.py
+++ b/tests/stopping_test.py
@@ -21,7 +21,7 @@
 
 
 class StopCase(unittest.TestCase):
-    """A scheduler that stops while callers use open connections, beside a slow store."""
+    """A scheduler that stops, with callers on open connections and a slow store."""
 
     grace_s = GRACE_S
 
--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -79,6 +79,33 @@
     os._exit(0)
 
 
+class StopOrder:
+    """The order to stop a process: the first signal counts, further ones are logged."""
+
+    def __init__(self, reactor, daemon):
+        """Create an order that was not given yet.
+
+        Args:
+          reactor: Twisted's reactor.
+          daemon: An object with `stop()`, returning a Deferred.
+        """
+        self._reactor = reactor
+        self._daemon = daemon
+        self._is_given = False
+
+    def take_signal(self, number, _):
+        """Take a signal, as a handler of `signal.signal`."""
+        self._reactor.callFromThread(self._take, number)
+
+    def _take(self, number):
+        if self._is_given:
+            # The grace period began with the first signal and does not begin again.
+            logs.log("stop-repeated", signal=signal.Signals(number).name)
+            return
+        self._is_given = True
+        self._daemon.stop().addBoth(lambda _: self._reactor.stop())
+
+
 def stop_on_term(reactor, daemon):
     """Handle SIGTERM: finish the work in flight, then stop the reactor.
 
@@ -86,8 +113,4 @@
       reactor: Twisted's reactor.
       daemon: An object with `stop()`.
     """
-
-    def stop():
-        daemon.stop().addBoth(lambda _: reactor.stop())
-
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
+    signal.signal(signal.SIGTERM, StopOrder(reactor, daemon).take_signal)
