Count the grace period from the signal, not from when the loop takes it

What callers saw: requests cut by the kill at the end of the grace of a process whose loop was in a long step when it was told to stop. Cause: the end was set when the loop ran the order, so it came after the kill. Change: the signal handler, which also runs within a step, reads the clock; all deadlines of the stop count from then. The line stopping says how long the order waited (held_up_ms). An entry is not bound: its balancer can't notice before it says that it stops.

--- a/bench/thin.py
+++ b/bench/thin.py
@@ -169,7 +169,7 @@
         period_s = self._settings.platform.vms_period_s
         tasks.call_periodically(self._reactor, period_s, self._read, "read-vms")
 
-    def stop(self):
+    def stop(self, _):
         """Stop at once."""
         return defer.succeed(None)
 
--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -118,20 +118,23 @@
         self.offering.start(self._reactor)
         logs.log("started", peer=self.bus.address, **describe(self.settings))
 
-    def stop(self):
+    def stop(self, ordered_at):
         """Stop in the planned way: hand the cell over and serve until the end.
 
         An owner, or a process that is becoming it, continues until another has the
         key: in a rolling restart its peers may be stopping too, and the cell would
         have no owner.
 
+        Args:
+          ordered_at: A float, when the order came, from which the grace period counts.
         Returns:
           A Deferred that fires when the process may end.
         """
         grace_s = self.settings.bounds.grace_s
-        logs.log("stopping", grace_s=grace_s)
+        held_up_ms = int((clock.read_monotonic() - ordered_at) * clock.MS_PER_S)
+        logs.log("stopping", grace_s=grace_s, held_up_ms=held_up_ms)
         self.is_stopping = True
-        end_at = clock.read_monotonic() + grace_s
+        end_at = ordered_at + grace_s
         self.handover_deadline = end_at - HANDOVER_MARGIN_S
         # Greeting at once keeps offers and calls for advice away from this process.
         self.greeting.greet()
--- a/thornport/entry/daemon.py
+++ b/thornport/entry/daemon.py
@@ -212,9 +212,12 @@
             "counts": dict(self._metrics.count_by_name),
         }
 
-    def stop(self):
+    def stop(self, ordered_at):
         """Stop gracefully, without interrupting requests in flight.
 
+        Args:
+          ordered_at: A float, when the order came. Not used: the load balancer can't
+            notice before this process says that it stops.
         Returns:
           A Deferred that fires when the entry has stopped.
         """
--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from thornport.kernel import logs, problem, procconf
+from thornport.kernel import clock, logs, problem, procconf
 
 EXIT_BAD_SETTINGS = 2
 
@@ -53,7 +53,7 @@
 
     Args:
       make_daemon: A callable of a reactor and settings that returns an object with
-        `start()`, and `stop()` returning a Deferred.
+        `start()`, and `stop(ordered_at)` returning a Deferred.
       path: A str, the settings file of the process.
     """
     settings = load_or_exit(path, procconf.parse_settings)
@@ -79,7 +79,7 @@
     os._exit(0)
 
 
-class StopOrder:
+class PlannedStop:
     """The order to stop a process: the first signal counts, further ones are logged."""
 
     def __init__(self, reactor, daemon):
@@ -87,23 +87,26 @@
 
         Args:
           reactor: Twisted's reactor.
-          daemon: An object with `stop()`, returning a Deferred.
+          daemon: An object with `stop(ordered_at)`, returning a Deferred.
         """
         self._reactor = reactor
         self._daemon = daemon
         self._is_given = False
 
     def take_signal(self, number, _):
-        """Take a signal, as a handler of `signal.signal`."""
-        self._reactor.callFromThread(self._take, number)
+        """Take a signal, as a handler of `signal.signal`.
 
-    def _take(self, number):
+        The handler also runs within a long step, after which the loop takes the order.
+        """
+        self._reactor.callFromThread(self._take, number, clock.read_monotonic())
+
+    def _take(self, number, at):
         if self._is_given:
             # The grace period began with the first signal and does not begin again.
             logs.log("stop-repeated", signal=signal.Signals(number).name)
             return
         self._is_given = True
-        self._daemon.stop().addBoth(lambda _: self._reactor.stop())
+        self._daemon.stop(at).addBoth(lambda _: self._reactor.stop())
 
 
 def stop_on_term(reactor, daemon):
@@ -111,6 +114,6 @@
 
     Args:
       reactor: Twisted's reactor.
-      daemon: An object with `stop()`.
+      daemon: An object with `stop(ordered_at)`.
     """
-    signal.signal(signal.SIGTERM, StopOrder(reactor, daemon).take_signal)
+    signal.signal(signal.SIGTERM, PlannedStop(reactor, daemon).take_signal)
--- a/thornport/placement/daemon.py
+++ b/thornport/placement/daemon.py
@@ -92,9 +92,11 @@
             tasks.call_periodically(self._reactor, period_s, action, what)
         self._read_vms()
 
-    def stop(self):
+    def stop(self, ordered_at):
         """Leave the ring; runs continue under their leases until a placer adopts them.
 
+        Args:
+          ordered_at: A float, when the order came; leaving takes no set time.
         Returns:
           A Deferred that fires when done.
         """
