Count the grace period from before a pause in which SIGTERM came

What callers saw: requests cut by the kill at the end of the grace of a process whose VM did not run when it was told to stop. Cause: such a process takes the signal only when it runs again, and counted from then. Change: the lag meter says by how much its next timer is late already, without the processor time that was used meanwhile. The order is taken to have come that much earlier. A process that runs, also one in a long step, stays as long as before.

--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -82,23 +82,29 @@
 class PlannedStop:
     """The order to stop a process: the first signal counts, further ones are logged."""
 
-    def __init__(self, reactor, daemon):
+    def __init__(self, reactor, daemon, read_suspended_s):
         """Create an order that was not given yet.
 
         Args:
           reactor: Twisted's reactor.
           daemon: An object with `stop(ordered_at)`, returning a Deferred.
+          read_suspended_s: A callable giving for how many seconds this process may not
+            have run until now.
         """
         self._reactor = reactor
         self._daemon = daemon
+        self._read_suspended_s = read_suspended_s
         self._is_given = False
 
     def take_signal(self, number, _):
         """Take a signal, as a handler of `signal.signal`.
 
         The handler also runs within a long step, after which the loop takes the order.
+        A process that does not run takes the signal late: it may have arrived at any
+        time since then.
         """
-        self._reactor.callFromThread(self._take, number, clock.read_monotonic())
+        ordered_at = clock.read_monotonic() - self._read_suspended_s()
+        self._reactor.callFromThread(self._take, number, ordered_at)
 
     def _take(self, number, at):
         if self._is_given:
@@ -109,11 +115,14 @@
         self._daemon.stop(at).addBoth(lambda _: self._reactor.stop())
 
 
-def stop_on_term(reactor, daemon):
+def stop_on_term(reactor, daemon, read_suspended_s=lambda: 0.0):
     """Handle SIGTERM: finish the work in flight, then stop the reactor.
 
     Args:
       reactor: Twisted's reactor.
       daemon: An object with `stop(ordered_at)`.
+      read_suspended_s: A callable giving for how many seconds this process may not have
+        run until now; without one the order counts from when its signal is handled.
     """
-    signal.signal(signal.SIGTERM, PlannedStop(reactor, daemon).take_signal)
+    planned = PlannedStop(reactor, daemon, read_suspended_s)
+    signal.signal(signal.SIGTERM, planned.take_signal)
--- a/thornport/kernel/looplag.py
+++ b/thornport/kernel/looplag.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 import time
 
 from thornport.kernel import clock, logs, tasks
@@ -20,7 +21,7 @@
 class LagMeter:
     """Measures the lag of the reactor of this process."""
 
-    __slots__ = ("_late_s", "_reactor")
+    __slots__ = ("_due_at", "_late_s", "_reactor", "_worked_s")
 
     def __init__(self, reactor):
         """Create a meter that is not started yet.
@@ -30,6 +31,8 @@
         """
         self._reactor = reactor
         self._late_s = collections.deque(maxlen=SAMPLES)
+        self._due_at = math.inf  # on the clock of deadlines, which is never set
+        self._worked_s = 0.0
 
     def start(self):
         """Start measuring."""
@@ -38,12 +41,25 @@
     async def _measure(self):
         while True:
             due_at = self._reactor.seconds() + SAMPLE_PERIOD_S
-            worked_s = time.process_time()
+            self._due_at = clock.read_monotonic() + SAMPLE_PERIOD_S
+            self._worked_s = time.process_time()
             await tasks.sleep(self._reactor, SAMPLE_PERIOD_S)
             late_s = self._reactor.seconds() - due_at
             self.take_sample(late_s)
             if late_s >= STALL_S:
-                log_stall(late_s, time.process_time() - worked_s)
+                log_stall(late_s, time.process_time() - self._worked_s)
+
+    def read_suspended_s(self):
+        """Return for how long this process may not have run until now.
+
+        A signal that arrived meanwhile is handled only now.
+
+        Returns:
+          A float, seconds by which the next timer is late already, without the
+          processor time that was used meanwhile.
+        """
+        late_s = clock.read_monotonic() - self._due_at
+        return max(0.0, late_s - (time.process_time() - self._worked_s))
 
     def take_sample(self, late_s):
         """Record how late a timer fired, a float in seconds."""
--- a/thornport/kernel/looplag_test.py
+++ b/thornport/kernel/looplag_test.py
@@ -38,6 +38,22 @@
         self.run_reactor(0.25, looplag.SAMPLES - 1)
         self.assertEqual(self.meter.read_s(), 0.0)
 
+    # Guards against a long step, in which signals are handled, that passes for a pause.
+    def test_time_without_processor_counts_as_suspended(self):
+        now = mock.patch.object(looplag.clock, "read_monotonic", lambda: self.now_s)
+        worked = mock.patch.object(looplag.time, "process_time", lambda: self.worked_s)
+        self.now_s, self.worked_s = 0.0, 0.0
+        with now, worked:
+            meter = looplag.LagMeter(task.Clock())
+            self.assertEqual(meter.read_suspended_s(), 0.0)
+            meter.start()
+            self.now_s = looplag.SAMPLE_PERIOD_S
+            self.assertEqual(meter.read_suspended_s(), 0.0)
+            self.now_s += 1.0
+            self.assertAlmostEqual(meter.read_suspended_s(), 1.0)
+            self.worked_s = 1.2
+            self.assertEqual(meter.read_suspended_s(), 0.0)
+
     def test_stall_is_logged_with_the_work_that_was_done_in_it(self):
         reactor = task.Clock()
         worked_s = iter((1.0, 1.02, 1.05, 1.05))
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -121,7 +121,8 @@
         bound["metrics"] = listen(metrics_address, internal, open_requests)
     reactor.callWhenRunning(scheduler.start)
     reactor.callWhenRunning(lambda: logs.log("listening", **bound))
-    reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
+    suspended = scheduler.lag.read_suspended_s
+    reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler, suspended)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     reactor.run()
     daemons.end_process()
