Stop as planned though a step of the stop fails

What callers saw: after an error in the stop a scheduler went on until it was killed, and its open requests were cut. Cause: greeting, release and offer were called one after the other; an error in one skipped the rest, the end among it, and left the order without an end. Change: an error in one is logged (task-failed, stop-greet, stop-leave, stop-offer) and the others follow. An order whose daemon fails altogether ends the loop.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -137,9 +137,10 @@
         end_at = ordered_at + grace_s
         self.handover_deadline = end_at - HANDOVER_MARGIN_S
         # Greeting at once keeps offers and calls for advice away from this process.
-        self.greeting.greet()
-        self.holding.leave(end_at - RELEASE_MARGIN_S)
-        self.offering.offer()
+        tasks.attempt(self.greeting.greet, "stop-greet")
+        release_at = end_at - RELEASE_MARGIN_S
+        tasks.attempt(lambda: self.holding.leave(release_at), "stop-leave")
+        tasks.attempt(self.offering.offer, "stop-offer")
         return tasks.spawn(self.serving.stop(end_at), "serve-out")
 
     def _take_message(self, sender, address, message):
--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 
-from thornport.kernel import clock, logs, problem, procconf
+from twisted.internet import defer
+
+from thornport.kernel import clock, logs, problem, procconf, tasks
 
 EXIT_BAD_SETTINGS = 2
 
@@ -112,11 +114,13 @@
             logs.log("stop-repeated", signal=signal.Signals(number).name)
             return
         self._is_given = True
-        self._daemon.stop(at).addBoth(lambda _: self._reactor.stop())
+        stopping = defer.maybeDeferred(self._daemon.stop, at)
+        stopping.addErrback(tasks.log_failure, "stop")
+        stopping.addBoth(lambda _: self._reactor.stop())
 
 
 def stop_on_term(reactor, daemon, read_suspended_s=lambda: 0.0):
-    """Handle SIGTERM: finish the work in flight, then stop the reactor.
+    """Handle SIGTERM and SIGINT: finish the work in flight, then stop the reactor.
 
     Args:
       reactor: Twisted's reactor.
--- a/thornport/kernel/tasks.py
+++ b/thornport/kernel/tasks.py
@@ -3,6 +3,7 @@
 import traceback
 
 from twisted.internet import defer, task
+from twisted.python import failure
 
 from thornport.kernel import logs
 
@@ -24,17 +25,30 @@
     return running
 
 
-def log_failure(failure, what):
+def attempt(action, what):
+    """Call an action and log what it raises, so that the steps after it are taken.
+
+    Args:
+      action: A callable of no arguments.
+      what: A str for the log.
+    """
+    try:
+        action()
+    except Exception:
+        log_failure(failure.Failure(), what)
+
+
+def log_failure(failed, what):
     """Log a failure that nobody else handles.
 
     Args:
-      failure: A twisted Failure.
+      failed: A twisted Failure.
       what: A str, the name of the work that failed.
     """
-    if failure.check(defer.CancelledError):
+    if failed.check(defer.CancelledError):
         return
-    trace = "".join(traceback.format_tb(failure.getTracebackObject())[-3:])
-    logs.log("task-failed", task=what, error=repr(failure.value), trace=trace)
+    trace = "".join(traceback.format_tb(failed.getTracebackObject())[-3:])
+    logs.log("task-failed", task=what, error=repr(failed.value), trace=trace)
 
 
 def call_periodically(reactor, period_s, action, what):
