Stop as planned on SIGINT, and take SIGHUP from the start

What callers saw: a scheduler that got SIGINT cut all open requests; one that got SIGHUP in its first half second was killed. Cause: Twisted's handler of SIGINT ends the loop at once. SIGHUP was handled only after all modules were imported and all parts made. Change: SIGINT stops as SIGTERM does, in all daemons. SIGHUP is ignored while the program imports its modules, as the settings are read later, and handled before they are read.

--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -51,7 +51,7 @@
 
 
 def run(make_daemon, path):
-    """Run a daemon until SIGTERM.
+    """Run a daemon until SIGTERM or SIGINT.
 
     Args:
       make_daemon: A callable of a reactor and settings that returns an object with
@@ -129,4 +129,5 @@
         run until now; without one the order counts from when its signal is handled.
     """
     planned = PlannedStop(reactor, daemon, read_suspended_s)
-    signal.signal(signal.SIGTERM, planned.take_signal)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, planned.take_signal)
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -6,6 +6,9 @@
 
 from thornport.kernel import lean
 
+if __name__ == "__main__":
+    # The settings are not read yet, and `main` takes the signal before it reads them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 lean.leave_out_tls()
 
 import msgspec  # noqa: E402
@@ -92,6 +95,7 @@
 def main():
     """Run the scheduler process."""
     path = os.environ.get(SETTINGS_VARIABLE) or sys.argv[1]
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     process_settings = daemons.load_or_exit(path, settings.parse_settings)
     logs.start_logging(
         logs.NonBlockingStream(sys.stdout.fileno()),
@@ -124,7 +128,6 @@
     reactor.callWhenRunning(lambda: logs.log("listening", **bound))
     suspended = scheduler.lag.read_suspended_s
     reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler, suspended)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     reactor.run()
     daemons.end_process()
 
