Decode the loads of runs and encode pace commands

The users' workers report a fifth field of each running task, the tail of one that serves or the cores of another, and take a pace for a run. Neither was read or sent. RunningRow.load and PaceOrder carry them; nothing decides by them yet.

A pace is sent directly and once, as starts without a ticket are: unlike a stop, an older pace that a held-up dispatcher sends late would undo a newer one.

test_poll expected the fifth field to be dropped; it expects its value now.

--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -104,12 +104,16 @@
 
     Attributes:
       percent: An int, its progress.
+      load: An int, a rough figure of the last half second: the tail latency in
+        milliseconds of a task that serves, the millicores in use of any other; None if
+        the worker reports none.
     """
 
     key: TaskKey
     run: int
     checkpoint: str
     percent: int
+    load: int | None = None
 
 
 class EndKind(enum.Enum):
@@ -191,8 +195,26 @@
     token: int
 
 
+class PaceOrder(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Have a run work, and disturb others, at a share.
+
+    Attributes:
+      percent: An int from 0 to 100.
+    """
+
+    worker_id: str
+    address: str
+    key: TaskKey
+    run: int
+    percent: int
+    token: int
+
+
 class Rejection(enum.Enum):
-    """Why a worker rejected a command; nothing was done."""
+    """Why a worker rejected a command; nothing was done.
+
+    UNKNOWN_RUN: the run that is to be paced is not there.
+    """
 
     FENCED = "fence"
     OLD = "old"
@@ -202,6 +224,7 @@
     UNHEALTHY = "unhealthy"
     REPLACED = "replaced"
     INVALID = "invalid"
+    UNKNOWN_RUN = "unknown-run"
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/thornport/cell/dispatch/dispatching.py
+++ b/thornport/cell/dispatch/dispatching.py
@@ -169,6 +169,14 @@
         """Stop a run, as the worker client's `stop`; repeating it has no effect."""
         return await self._call(command, COMMAND_TIMEOUT_S)
 
+    async def pace(self, command):
+        """Pace a run, as the worker client's `pace`.
+
+        It is sent once, directly: a dispatcher that was held up could send it after a
+        newer pace of the run.
+        """
+        return await executing.make_call(command, self._workers)
+
     async def _call(self, call, timeout_s, resolve_repeated=None):
         """Make a call through a dispatcher; directly if none is usable or it gives up.
 
--- a/thornport/cell/dispatch/executing.py
+++ b/thornport/cell/dispatch/executing.py
@@ -124,7 +124,7 @@
     """Make a call to a worker.
 
     Args:
-      call: A messages.HoldRequest, StartOrder or StopOrder.
+      call: A messages.HoldRequest, StartOrder, StopOrder or PaceOrder.
       workers: The worker client.
     Returns:
       An awaitable of its outcome.
@@ -152,3 +152,9 @@
 def stop(call: messages.StopOrder, workers):
     """Stop a run."""
     return workers.stop(call)
+
+
+@make_call.register
+def pace(call: messages.PaceOrder, workers):
+    """Pace a run."""
+    return workers.pace(call)
--- a/thornport/platform/workermessages.py
+++ b/thornport/platform/workermessages.py
@@ -44,8 +44,17 @@
     fencing_token: int
 
 
+class WirePace(msgspec.Struct, frozen=True):
+    """The body of a pace command."""
+
+    task: str
+    run: int
+    percent: int
+    fencing_token: int
+
+
 class WireOutcome(msgspec.Struct, frozen=True):
-    """The answer to a start or stop command."""
+    """The answer to a start, stop or pace command."""
 
     clock_ms: int = 0
     reason: str = ""
@@ -67,7 +76,9 @@
     """
     wire = HOLD_DECODER.decode(body)
     running = [
-        messages.RunningRow(names.parse_task(row[0]), row[1], row[2], row[3])
+        messages.RunningRow(
+            names.parse_task(row[0]), row[1], row[2], row[3], read_load(row)
+        )
         for row in wire.running
     ]
     ended = [
@@ -81,6 +92,17 @@
     )
 
 
+def read_load(row):
+    """Read the load of a row of running tasks, its fifth field.
+
+    Args:
+      row: A list.
+    Returns:
+      An int; None if the row has none.
+    """
+    return row[4] if len(row) > 4 and isinstance(row[4], int) else None
+
+
 def decode_done(body):
     """Decode the answer to a command that the worker accepted.
 
@@ -94,6 +116,19 @@
     return messages.Done(OUTCOME_DECODER.decode(body).clock_ms)
 
 
+def decode_pace_rejection(answer):
+    """Decode an answer to a pace command whose status is not 200.
+
+    Args:
+      answer: An httpcalls.Answer.
+    Returns:
+      As `decode_rejection`.
+    """
+    if answer.status == 404:
+        return messages.Rejected(messages.Rejection.UNKNOWN_RUN)
+    return decode_rejection(answer)
+
+
 def decode_rejection(answer):
     """Decode an answer whose status is not 200.
 
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -22,8 +22,8 @@
 
         Args:
           calls: An httpcalls.HttpCalls.
-          command_timeout_s: A float, seconds to wait for the answer to a start or
-            stop command.
+          command_timeout_s: A float, seconds to wait for the answer to a start, stop
+            or pace command.
         """
         self._calls = calls
         self._command_timeouts = httpcalls.CallTimeouts(
@@ -94,6 +94,26 @@
             command, "/-/run-stop", body, timeouts, workermessages.decode_done
         )
 
+    async def pace(self, command):
+        """Send a pace command.
+
+        Args:
+          command: A messages.PaceOrder.
+        Returns:
+          A Done, Rejected, NotReached or Unanswered.
+        """
+        body = workermessages.WirePace(
+            names.format_task(command.key), command.run, command.percent, command.token
+        )
+        return await self._ask(
+            command,
+            "/-/pace",
+            body,
+            self._command_timeouts,
+            workermessages.decode_done,
+            workermessages.decode_pace_rejection,
+        )
+
     def has_polled(self, address):
         """Whether the next call to a worker uses a connection that answered a poll.
 
@@ -106,12 +126,20 @@
         """Close the idle connections to a worker that is gone."""
         self._calls.forget(address)
 
-    async def _ask(self, request, path, body, timeouts, decode):
+    async def _ask(
+        self,
+        request,
+        path,
+        body,
+        timeouts,
+        decode,
+        decode_rejection=workermessages.decode_rejection,
+    ):
         answer = await self._call(request, path, body, timeouts)
         if not isinstance(answer, httpcalls.Answer):
             return answer
         if answer.status != 200:
-            return workermessages.decode_rejection(answer)
+            return decode_rejection(answer)
         try:
             return decode(answer.body)
         except (msgspec.MsgspecError, ValueError, IndexError) as error:
--- a/thornport/platform/workers_test.py
+++ b/thornport/platform/workers_test.py
@@ -28,7 +28,7 @@
         request = messages.HoldRequest("i-1", "10.0.0.9:80", 7, 486000, 57, 700)
         polled = platform_test.run(client.hold(request))
         self.assertEqual(
-            polled.running, [messages.RunningRow(platform_test.TASK, 2, "cp", 41)]
+            polled.running, [messages.RunningRow(platform_test.TASK, 2, "cp", 41, 7)]
         )
         done = messages.EndRow(58, platform_test.TASK, 1, messages.EndKind.DONE, "")
         self.assertEqual(polled.ended, [done])
@@ -63,6 +63,44 @@
         }
         self.assertEqual(msgspec.json.decode(calls.asked[0][2]), wanted)
 
+    def test_poll_whose_rows_have_no_load(self):
+        row = ["5c0e7a21d94b36f8.0.1.17", 2, "cp", 41]
+        body = {"clock_ms": 482113, "running": [row], "ended": []}
+        calls = platform_test.FakeCalls(result.Success(platform_test.answer(200, body)))
+        client = workers.WorkerClient(calls, 0.2)
+        request = messages.HoldRequest("i-1", "10.0.0.9:80", 7, 486000, 57, 700)
+        polled = platform_test.run(client.hold(request))
+        self.assertEqual(
+            polled.running, [messages.RunningRow(platform_test.TASK, 2, "cp", 41)]
+        )
+
+    def test_pace(self):
+        command = messages.PaceOrder("i-1", "10.0.0.9:80", platform_test.TASK, 2, 30, 7)
+        fenced = messages.Rejected(messages.Rejection.FENCED)
+        unknown = messages.Rejected(messages.Rejection.UNKNOWN_RUN)
+        invalid = messages.Rejected(messages.Rejection.INVALID)
+        for status, body, outcome in (
+            (200, {"clock_ms": 5}, messages.Done(5)),
+            (409, {"clock_ms": 5, "reason": "fence"}, fenced),
+            (404, {}, unknown),
+            (400, {}, invalid),
+        ):
+            calls = platform_test.FakeCalls(
+                result.Success(platform_test.answer(status, body))
+            )
+            client = workers.WorkerClient(calls, 0.2)
+            self.assertEqual(platform_test.run(client.pace(command)), outcome)
+        method, path, sent, headers = calls.asked[0]
+        self.assertEqual((method, path), ("POST", "/-/pace"))
+        self.assertEqual(headers, {"Thornport-Expect-Instance": "i-1"})
+        wanted = {
+            "task": "5c0e7a21d94b36f8.0.1.17",
+            "run": 2,
+            "percent": 30,
+            "fencing_token": 7,
+        }
+        self.assertEqual(msgspec.json.decode(sent), wanted)
+
     def test_failed_call_states_whether_it_was_sent(self):
         command = messages.StopOrder("i-1", "10.0.0.9:80", platform_test.TASK, 2, 7)
         for error, kind in (
