Pace filling runs on workers that also serve

What callers would see otherwise: a serving task over its target for as long as a filling task works beside it (HARM after 4 s). Until now no worker had both kinds, so the pace of the users' contract was not used; where a lasting task finds no other worker, it has to.

contention/sharing decides the pace of a worker by the tails that it reports: 0 as it begins to share, 10 percent more every 2 s while each tail is at most half of its target, 0 at once by a tail of 0.8 of its target or none yet, and after each such fall a pause twice as long (5 to 80 s). pacing brings the runs to it: each has the pace that its worker acknowledged, and each poll answer compares it with the wanted one. Under a successor all are unknown and sent once, at most 20 at a time.

Why it holds under lost and late answers: an unanswered pace leaves the run's pace unknown, and for 13 s, in which it may still be carried out, the wanted one is sent at each poll answer.

A run that may be paced is not taken for stalled, and teaches no run times or speeds.

--- a/bench/gangs.py
+++ b/bench/gangs.py
@@ -298,6 +298,9 @@
                 worker.end(order.key, messages.EndKind.STOPPED)
             self.core.take_stop_outcome(order, done, self.now)
             return
+        if isinstance(order, messages.PaceOrder):
+            self.core.take_pace_outcome(order, done, self.now)
+            return
         job = self.job_by_id[order.key.job_id]
         job.started_at = min(job.started_at, self.now)
         # Estimates are rough: tasks take 0.9 to 1.15 times as long.
--- a/tests/smallcell.py
+++ b/tests/smallcell.py
@@ -176,6 +176,11 @@
             self.core.take_persisted(batch, self.now, self.now)
 
     def _carry_out(self, command):
+        if isinstance(command, messages.PaceOrder):
+            # Tasks here do not disturb one another.
+            done = messages.Done(int(self.now * 1000))
+            self.core.take_pace_outcome(command, done, self.now)
+            return
         if not isinstance(command, messages.StartOrder | messages.StopOrder):
             return
         is_start = isinstance(command, messages.StartOrder)
--- a/tests/worldcalls.py
+++ b/tests/worldcalls.py
@@ -133,14 +133,18 @@
                 outcome = self._do(worker, order)
                 if self._loses_answer(order.worker_id):
                     outcome = messages.Unanswered("lost")
-                elif not is_start:
+                elif isinstance(order, messages.StopOrder):
                     self.open_looks.pop(order.worker_id, None)
-            take = (
-                self.owner.take_start_outcome
-                if is_start
-                else self.owner.take_stop_outcome
-            )
-            take(order, outcome, self.now)
+            self._take_outcome(order, outcome)
+
+    def _take_outcome(self, order, outcome):
+        """Tell the owner the outcome of an order."""
+        take_by_type = {
+            messages.StartOrder: self.owner.take_start_outcome,
+            messages.StopOrder: self.owner.take_stop_outcome,
+            messages.PaceOrder: self.owner.take_pace_outcome,
+        }
+        take_by_type[type(order)](order, outcome, self.now)
 
     def _do(self, worker, order):
         if isinstance(order, messages.StopOrder):
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -89,6 +89,7 @@
         self._recording = []
         # Runs with persisted records whose tickets have lapsed meanwhile, by step.
         self._unticketed = {}
+        self._open_paces = 0  # pace commands on their way
         # Runs that are over, of which a start may still arrive, by TaskKey.
         self._late_runs_by_key = {}
         # When the records of jobs are due to say that runs of theirs have begun.
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -16,6 +16,7 @@
     model,
     notes,
     outcomes,
+    pacing,
     passes,
     polls,
     stalls,
@@ -34,6 +35,7 @@
     polls.Polls,
     leaving.Leaving,
     outcomes.Outcomes,
+    pacing.Pacing,
     explaining.Explaining,
     batches.Batches,
 ):
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -56,7 +56,7 @@
                 self._take_late_done(end.key, now)
             return
         if end.kind is messages.EndKind.DONE and not step.spec.lasting:
-            if run.commanded_at is not None and not run.is_resumed:
+            if run.commanded_at is not None and not (run.is_resumed or run.was_paced):
                 self._note_run_time(worker, step, now - run.commanded_at)
             self._take_done(step, run.key)
         elif end.kind is messages.EndKind.FAILED and not step.spec.lasting:
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -210,6 +210,7 @@
         run.stop_confirmed_at = None
         run.known_since = run.percent_at = now
         run.percent = row.percent
+        run.load, run.pace_percent = row.load, None
         run.worker_started_at_ms = worker.started_at_ms
         self._charge_run(worker, run)
         self._mark_dirty(self.jobs_by_id[row.key.job_id])
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from thornport.cell.decisions import messages
-from thornport.cell.decisions.contention import prospects, speeds
+from thornport.cell.decisions.contention import prospects, sharing, speeds
 from thornport.jobs import record, spec
 from thornport.kernel import clock
 
@@ -79,6 +79,11 @@
       late_until: A float, until when a copy of its start command may still arrive at a
         later incarnation of the worker; see `latestarts`.
       earlier_until: A float, the same for the copies before the newest one.
+      load: An int, as last reported; see messages.RunningRow.
+      pace_percent: An int, the pace that its worker has acknowledged; None if unknown.
+      pace_order: The messages.PaceOrder that is on its way; None if there is none.
+      pace_doubted_until: A float, until when an unanswered pace command may arrive.
+      was_paced: Whether this owner has sent it a lower pace than the full one.
     """
 
     key: messages.TaskKey
@@ -107,11 +112,24 @@
     late_until: float = 0.0
     earlier_until: float = 0.0
     usual_s: float = 0.0
+    load: int | None = None
+    pace_percent: int | None = None
+    pace_order: messages.PaceOrder | None = None
+    pace_doubted_until: float = 0.0
+    was_paced: bool = False
 
     def __post_init__(self):
         """Expect the job's own estimate unless more is known."""
         self.usual_s = self.usual_s or self.step.estimate_ms / clock.MS_PER_S
 
+    def has_pace(self, percent, now):
+        """Whether it is known to work at a pace, an int of percent."""
+        return self.pace_percent == percent and now >= self.pace_doubted_until
+
+    def may_be_paced(self):
+        """Whether it may work, and thus progress, at less than its full pace."""
+        return self.step.fills and self.pace_percent != sharing.FULL_PERCENT
+
     def note_sent(self, late_until):
         """Note that a start command of it is sent.
 
@@ -237,6 +255,7 @@
         so that the worker was up until then.
       filling_count, serving_count: Live runs that use leftover capacity, and
         live runs that serve users of their own.
+      pace: The sharing.Pace of its filling runs; None while it doesn't also serve.
       trial: The last Run started here of a task that may have crashed a worker, or
         None. Nothing else starts until it has run for a while.
       speed: The speeds.MachineSpeed of its machine.
@@ -272,6 +291,7 @@
     is_broken_off: bool = False
     filling_count: int = 0
     serving_count: int = 0
+    pace: sharing.Pace | None = None
     trial: Run | None = None
     speed: speeds.MachineSpeed = msgspec.field(default_factory=speeds.MachineSpeed)
     started_at_ms: int | None = None
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -50,6 +50,8 @@
         if isinstance(outcome, messages.Done):
             self._note_run_begun(run)
             run.note_newest_settled()
+            if run.step.fills:
+                self._send_paces(worker, now)
             if not command.ticket:
                 self._record_begun(run, now)
             if run.state is model.RunState.ORDERED:
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -17,7 +17,7 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import preempting, prospects, speeds
+from thornport.cell.decisions.contention import preempting, prospects, sharing, speeds
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -308,7 +308,7 @@
             indexes = latestarts.list_placeable(step, indexes, self.workers_by_id)
             if not indexes:
                 return 0
-        return self._start_step(job, step, workers, reserved, indexes[:startable])
+        return self._start_step(job, step, workers, reserved, indexes[:startable], now)
 
     def _list_fast_enough(self, job, step, workers, now):
         """List the workers on which an urgent step would not make its job late.
@@ -347,10 +347,12 @@
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
-    def _start_step(self, job, step, workers, reserved, indexes):
+    def _start_step(self, job, step, workers, reserved, indexes, now):
         """Start tasks of a step.
 
         Args:
+          job, step, reserved, now: As for `_try_step`.
+          workers: A list of model.Worker that may run the step now.
           indexes: A sorted list of the indexes of tasks that may start now.
         Returns:
           An int, how many were started.
@@ -375,11 +377,14 @@
                 address=worker.entry.address,
                 worker_started_at_ms=worker.started_at_ms,
                 usual_s=step.usual_s,
+                pace_percent=sharing.FULL_PERCENT,
             )
             self._take_on_late_start(step, run)
             step.live_by_index[assignment.index] = run
             reserved.note_placed(step, worker)
             self._charge_run(worker, run)
+            if worker.filling_count and worker.serving_count:
+                self._pause_filling(worker, now)
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
                 run.is_joint_trial = len(assigned) > 1
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -135,6 +135,8 @@
         for end in sorted(answer.ended, key=lambda end: end.number):
             self._take_end(worker, end, now)
         self._take_running(worker, answer, sent_at, now)
+        if worker.filling_count:
+            self._adapt_pace(worker, now)
         if not worker.is_heard:
             worker.is_heard = True
             self._candidates_by_kind.clear()
@@ -217,6 +219,7 @@
             # A gang's member waits for the others before it makes progress.
             and (run.percent > 0 or not run.step.gang)
             and not run.step.lasting
+            and not run.may_be_paced()
         ]
         if any(now - run.percent_at <= STALLED_S for run in running):
             if any(run.percent > 0 for run in running):
@@ -239,6 +242,7 @@
             # Its start command arrived after the restart. The record is updated so that
             # a new owner knows it too.
             run.worker_started_at_ms = worker.started_at_ms
+            run.pace_percent = None
             if run.key.job_id in self.jobs_by_id:
                 self._mark_dirty(self.jobs_by_id[run.key.job_id])
         if run.late_until and not run.has_begun:
@@ -249,6 +253,7 @@
             if run.known_since is None:
                 run.known_since = now
         self._note_run_begun(run)
+        run.load = row.load
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
         step = self._find_step(run.key)
--- a/thornport/cell/owner/commands.py
+++ b/thornport/cell/owner/commands.py
@@ -54,6 +54,21 @@
         session.pump()
 
 
+@execute.register
+def pace_run(command: messages.PaceOrder, session):
+    """Send a pace command to a worker."""
+    tasks.spawn(_pace_run(command, session), "pace-run")
+
+
+async def _pace_run(command, session):
+    session.metrics.count("worker.paces")
+    outcome = await session.workers.pace(command)
+    log_command("run-pace", command, outcome, percent=command.percent)
+    if session.is_active:
+        session.core.take_pace_outcome(command, outcome, clock.read_monotonic())
+        session.pump()
+
+
 @execute.register
 def call_advice(command: ticketing.CallAdvice, session):
     """Ask a process of the cell to call for advice."""
@@ -74,8 +89,8 @@
     session.polling.poll_again(command.worker_id)
 
 
-def log_command(event, command, outcome):
-    """Log a command and its outcome."""
+def log_command(event, command, outcome, **fields):
+    """Log a command and its outcome, with further fields of the command."""
     key = command.key
     reason = getattr(outcome, "reason", "")
     logs.log(
@@ -87,4 +102,5 @@
         token=command.token,
         outcome=type(outcome).__name__,
         reason=getattr(reason, "value", reason),
+        **fields,
     )
