Let overdue steps that serve or fill share workers as a last resort

What callers saw: a lasting task that serves and whose worker is lost for good stays down for as long as each other worker with room fills, in a service of which under a tenth is used (LOST after 9 s). Lasting tasks and batch jobs that fill wait likewise for ever where each worker serves. Cause: eligibility.disturbs barred each worker with a run of the other kind, whatever a step had waited for, and nothing stops, moves or paces those runs. Change: an overdue step, which already may use suspect workers, may share too; its lists, its calls for advice and its placement name such workers, after all others. The grace of a step that serves or fills counts the call for advice on those workers, for its own list may be empty. Other steps are placed as before.

--- a/thornport/cell/decisions/eligibility.py
+++ b/thornport/cell/decisions/eligibility.py
@@ -24,8 +24,8 @@
     ENDS_WITHHELD: the worker lists many ends that are not acknowledged, as a start may
       arrive late there.
     SUSPECT: tasks failed or stalled on the worker.
-    DISTURBED: steps that fill leftover capacity and serving steps may not share the
-      worker.
+    DISTURBED: steps that fill leftover capacity and serving steps share the worker only
+      as a last resort.
     FULL: the worker has no room.
     TRIAL: a task that may crash the worker is on trial there.
     RESERVED: the worker's room is reserved for another step.
@@ -85,20 +85,23 @@
     return step.spec.label, step.spec.fills, step.spec.tail_target_ms > 0
 
 
-def is_allowed(step, worker, now, with_suspects=False):
+def is_allowed(step, worker, now, is_last_resort=False):
     """Tell whether a worker may get tasks of a step, regardless of room and tickets.
 
     Args:
       step: A model.StepState.
       worker: A model.Worker.
       now: A float.
-      with_suspects: A bool, whether suspect workers are allowed.
+      is_last_resort: A bool, whether suspect workers are allowed, and those with runs
+        that disturb the step or that it disturbs.
     Returns:
       A bool.
     """
-    if not has_label(step, worker) or disturbs(step, worker):
+    if not has_label(step, worker):
         return False
-    return find_refusal(worker, now, with_suspects) is None
+    if not is_last_resort and disturbs(step, worker):
+        return False
+    return find_refusal(worker, now, with_suspects=is_last_resort) is None
 
 
 def has_label(step, worker):
@@ -114,10 +117,10 @@
 
 
 def disturbs(step, worker):
-    """Tell whether a step must not share a worker with what runs there.
+    """Tell whether a step shares a worker with what runs there as a last resort only.
 
     Steps that fill leftover capacity disturb serving steps on the same worker by
-    unknown amounts.
+    unknown amounts; see `sharing`.
 
     Args:
       step: A model.StepState.
@@ -130,6 +133,11 @@
     return step.spec.tail_target_ms > 0 and worker.filling_count > 0
 
 
+def may_disturb(step):
+    """Tell whether `disturbs` holds for a step on any worker."""
+    return step.spec.fills or step.spec.tail_target_ms > 0
+
+
 def has_ticket(step, worker, now):
     """Tell whether a step has a valid ticket for a worker."""
     ticket = step.tickets_by_worker.get(worker.worker_id)
--- a/thornport/cell/decisions/listing.py
+++ b/thornport/cell/decisions/listing.py
@@ -27,24 +27,24 @@
             self._candidates_by_kind.clear()
             self._listed_at = now
 
-    def _find_candidates(self, step, queue, now, with_suspects=False):
+    def _find_candidates(self, step, queue, now, is_last_resort=False):
         """Find the workers that a step of this kind may use, listing them if needed.
 
         Args:
-          with_suspects: A bool, whether suspect workers are included.
+          is_last_resort: A bool, as for `eligibility.is_allowed`.
         Returns:
           A placing.Candidates; check each with `_is_still_eligible` before a start.
         """
-        kind = (queue.service, eligibility.read_kind(step), with_suspects)
+        kind = (queue.service, eligibility.read_kind(step), is_last_resort)
         candidates = self._candidates_by_kind.get(kind)
         if candidates is None:
             allowed = [
                 worker
                 for worker in self.workers_by_id.values()
                 if worker.entry.service == queue.service
-                and eligibility.is_allowed(step, worker, now, with_suspects)
+                and eligibility.is_allowed(step, worker, now, is_last_resort)
             ]
-            candidates = placing.Candidates(allowed, with_suspects)
+            candidates = placing.Candidates(allowed, is_last_resort)
             self._candidates_by_kind[kind] = candidates
         return candidates
 
@@ -65,5 +65,5 @@
         """Whether a candidate is still known and still takes tasks."""
         if self.workers_by_id.get(worker.worker_id) is not worker:
             return False
-        refusal = eligibility.find_refusal(worker, now, candidates.has_suspects)
+        refusal = eligibility.find_refusal(worker, now, candidates.is_last_resort)
         return refusal is None
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -144,7 +144,7 @@
         is_overdue = not started and self._is_overdue(job, step, queue, candidates, now)
         if is_overdue:
             reserved.exempt(step)
-            candidates = self._find_candidates(step, queue, now, with_suspects=True)
+            candidates = self._find_candidates(step, queue, now, is_last_resort=True)
             if not step.spec.gang and not step.spec.lasting:
                 # Only one task may use reserved room; the others respect it.
                 startable = 1
@@ -166,12 +166,17 @@
         return self._listed_at < now or candidates.may_fit(step.spec.demand)
 
     def _is_overdue(self, job, step, queue, candidates, now):
-        """Whether a step may use suspect workers and room reserved for other steps.
+        """Whether a step may use workers of last resort and room reserved for others.
 
         Suspect workers may be the only ones left, and this step's tasks may succeed
         where others failed. Users allow this to lasting steps however full the service
         is.
         """
+        if step.idle_since is None:
+            return False
+        if eligibility.may_disturb(step):
+            # Advice will be asked on workers with runs of the other kind too.
+            candidates = self._find_candidates(step, queue, now, is_last_resort=True)
         advice_s = stalls.compute_advice_s(queue.advice, candidates.workers)
         if not stalls.is_past_grace(step, advice_s, now):
             return False
@@ -308,7 +313,9 @@
             indexes = latestarts.list_placeable(step, indexes, self.workers_by_id)
             if not indexes:
                 return 0
-        return self._start_step(job, step, workers, reserved, indexes[:startable], now)
+        indexes = indexes[:startable]
+        may_share = candidates.is_last_resort
+        return self._start_step(job, step, workers, reserved, indexes, now, may_share)
 
     def _list_fast_enough(self, job, step, workers, now):
         """List the workers on which an urgent step would not make its job late.
@@ -347,18 +354,21 @@
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
-    def _start_step(self, job, step, workers, reserved, indexes, now):
+    def _start_step(self, job, step, workers, reserved, indexes, now, may_share):
         """Start tasks of a step.
 
         Args:
           job, step, reserved, now: As for `_try_step`.
           workers: A list of model.Worker that may run the step now.
           indexes: A sorted list of the indexes of tasks that may start now.
+          may_share: A bool, as for `placing.assign_step`.
         Returns:
           An int, how many were started.
         """
         wants_fast = self._queue_of(job).priority == 0
-        assigned = placing.assign_step(step, workers, reserved, wants_fast, indexes)
+        assigned = placing.assign_step(
+            step, workers, reserved, wants_fast, indexes, may_share
+        )
         if not assigned:
             return 0
         step.last_run += 1
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -39,7 +39,8 @@
     """The workers that steps of one kind may use, and the maximum of their free room.
 
     Attributes:
-      has_suspects: Whether suspect workers are among them.
+      is_last_resort: Whether workers are among them that are suspect or have runs of
+        the other kind, filling or serving.
       workers: A list of model.Worker.
       by_id: The same workers by worker id.
     """
@@ -50,18 +51,18 @@
         "_millicores",
         "_used_share",
         "by_id",
-        "has_suspects",
+        "is_last_resort",
         "workers",
     )
 
-    def __init__(self, workers, has_suspects=False):
+    def __init__(self, workers, is_last_resort=False):
         """Compute the maximum free room of the workers.
 
         Args:
           workers: A list of model.Worker.
-          has_suspects: Whether suspect workers are among them.
+          is_last_resort: A bool, as the attribute.
         """
-        self.has_suspects = has_suspects
+        self.is_last_resort = is_last_resort
         self.workers = workers
         self.by_id = {worker.worker_id: worker for worker in workers}
         frees = [worker.compute_free() for worker in workers]
@@ -142,7 +143,9 @@
     return total, used
 
 
-def assign_step(step, workers, reserved, wants_fast=False, indexes=None):
+def assign_step(
+    step, workers, reserved, wants_fast=False, indexes=None, may_share=False
+):
     """Choose workers for the waiting tasks of a step.
 
     Args:
@@ -152,30 +155,36 @@
       wants_fast: Whether the step is urgent and prefers the fastest workers; other
         steps prefer the slowest, to leave the fast ones free.
       indexes: A sorted list of the waiting tasks that may start; None for all.
+      may_share: Whether the step may share workers with runs of the other kind, filling
+        or serving.
     Returns:
       A list of Assignment; for a gang, either all its tasks or none.
     """
     if not step.spec.gang:
-        return assign_tasks(step, workers, reserved, wants_fast, indexes)
+        return assign_tasks(step, workers, reserved, wants_fast, indexes, may_share)
     if step.live_by_index:
         return []
     if step.spec.same_rack:
         for rack in sorted({worker.entry.rack for worker in workers}):
             within = [worker for worker in workers if worker.entry.rack == rack]
-            assigned = assign_tasks(step, within, reserved, wants_fast)
+            assigned = assign_tasks(
+                step, within, reserved, wants_fast, may_share=may_share
+            )
             if len(assigned) == step.spec.count:
                 return assigned
-    assigned = assign_tasks(step, workers, reserved, wants_fast)
+    assigned = assign_tasks(step, workers, reserved, wants_fast, may_share=may_share)
     return assigned if len(assigned) == step.spec.count else []
 
 
-def assign_tasks(step, workers, reserved, wants_fast=False, indexes=None):
+def assign_tasks(
+    step, workers, reserved, wants_fast=False, indexes=None, may_share=False
+):
     """Assign each waiting task to the best worker that has room.
 
     Args:
       step: A model.StepState.
       workers: A list of model.Worker.
-      reserved, wants_fast, indexes: As for `assign_step`.
+      reserved, wants_fast, indexes, may_share: As for `assign_step`.
     Returns:
       A list of Assignment.
     """
@@ -186,7 +195,9 @@
     for worker in workers:
         free = reserved.compute_usable_room(step, worker)
         # Tasks placed earlier in this pass may have used the room since the listing.
-        if not demand.fits(free) or eligibility.disturbs(step, worker):
+        if not demand.fits(free):
+            continue
+        if not may_share and eligibility.disturbs(step, worker):
             continue
         if live_count_by_id.get(worker.worker_id, 0) < limit:
             preference = compute_preference(step, worker, wants_fast)
@@ -260,17 +271,19 @@
       worker: A model.Worker.
       wants_fast: As for `assign_step`.
     Returns:
-      A triple that is lower for a better worker: the cores in use that a crash would
-      put at risk, if the step may crash the worker; whether the worker is away from
-      the step's data; the grade of its speed.
+      A tuple that is lower for a better worker: whether the step and the worker's runs
+      disturb each other; the cores in use that a crash would put at risk, if the step
+      may crash the worker; whether the worker is away from the step's data; the grade
+      of its speed.
     """
     is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
     grade = speeds.grade(worker.speed)
     at_risk = worker.used.millicores if step.crash_points_by_index else 0
-    return at_risk, is_away, grade if wants_fast else -grade
+    disturbs = eligibility.disturbs(step, worker)
+    return disturbs, at_risk, is_away, grade if wants_fast else -grade
 
 
-def has_room(step, workers, reserved, tasks=0):
+def has_room(step, workers, reserved, tasks=0, may_share=False):
     """Tell whether tasks of a step could start: all of a gang, else at least one.
 
     Args:
@@ -278,6 +291,7 @@
       workers: A list of model.Worker.
       reserved: As for `assign_step`.
       tasks: An int, how many must fit; 0 for as many as must start together.
+      may_share: As for `assign_step`.
     Returns:
       A bool.
     """
@@ -286,7 +300,7 @@
     live_count_by_id = count_live_by_worker(step) if step.spec.max_per_worker else {}
     places = 0
     for worker in workers:
-        if eligibility.disturbs(step, worker):
+        if not may_share and eligibility.disturbs(step, worker):
             continue
         most = limit - live_count_by_id.get(worker.worker_id, 0)
         free = reserved.compute_usable_room(step, worker)
--- a/thornport/cell/decisions/ticketing.py
+++ b/thornport/cell/decisions/ticketing.py
@@ -82,18 +82,25 @@
         count = advising.MAX_ASKED_WORKERS if is_long else count_asked(step)
         with_room = list_with_room(step, ticketless, reserved)
         tasks = len(step.waiting)
-        if not placing.has_room(step, [*ticketed, *with_room], reserved, tasks):
+        may_share = candidates.is_last_resort
+        if not placing.has_room(
+            step, [*ticketed, *with_room], reserved, tasks, may_share
+        ):
             # The workers known to be good are full; some of the others may be good.
             unknown = itertools.islice(
                 iterate_unasked(step, candidates), MAX_SCANNED_WORKERS
             )
+            if may_share:
+                unknown = sorted(
+                    unknown, key=lambda worker: eligibility.disturbs(step, worker)
+                )
             found = take_with_room(step, unknown, reserved, count)
             if not found:
                 # Few workers may be large enough; the next pass continues from here.
                 step.scan_offset += MAX_SCANNED_WORKERS
             with_room += found
         if not with_room or not placing.has_room(
-            step, [*ticketed, *with_room], reserved
+            step, [*ticketed, *with_room], reserved, may_share=may_share
         ):
             return
         with_room_ids = {worker.worker_id for worker in with_room}
