Test the pace of filling beside serving with real processes

One worker that serves: a filling job starts there, its pace is 0 percent, 100 once the serving job is cancelled, and it succeeds (2 runs, none more).

--- a/tests/scheduler_test.py
+++ b/tests/scheduler_test.py
@@ -13,9 +13,12 @@
     """A cell of three schedulers, with what must always hold checked at the end."""
 
     has_proxies = False
+    workers = 3
 
     def setUp(self):
-        self.cell = schedulers.Schedulers(3, has_proxies=self.has_proxies)
+        self.cell = schedulers.Schedulers(
+            3, workers=self.workers, has_proxies=self.has_proxies
+        )
         self.addCleanup(self.cell.close)
         self.owner = self.cell.find_owner()
         self.other = next(name for name in self.cell.names if name != self.owner)
@@ -214,6 +217,28 @@
             self.assertEqual(self.count_starts(job_id), 3)
 
 
+class OnlyWorker(SchedulerCase):
+    """One worker, which serves."""
+
+    workers = 1
+
+    # Guards against filling work that waits for ever, works beside serving at its full
+    # pace, or stays slow after it.
+    def test_filling_beside_serving_is_paced_until_serving_ends(self):
+        serving = schedulers.make_job(count=1, long_running=True, target_ms=200)
+        serving_id, _ = self.cell.submit(self.other, serving)
+        self.cell.wait_state(self.other, serving_id, "running")
+        filling = schedulers.make_job(count=1, run_ms=3_000, fills=True)
+        filling_id, _ = self.cell.submit(self.other, filling)
+        log = self.cell.by_name[self.owner]
+        log.wait_for(rf"event=run-pace job={filling_id} .*outcome=Done .*percent=0\b")
+        answer = self.cell.send("DELETE", self.other, f"/editions/{serving_id}")
+        self.assertEqual(answer.status, 200)
+        log.wait_for(rf"event=run-pace job={filling_id} .*outcome=Done .*percent=100\b")
+        self.cell.wait_state(self.other, filling_id, "succeeded")
+        self.assertEqual(self.count_starts(filling_id), 2)
+
+
 class PlannedStop(SchedulerCase):
     """A process is told to stop while its callers keep using open connections.
 
--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -30,7 +30,7 @@
         self.open.append((call, defer.Deferred()))
         return self.open[-1][1]
 
-    start = stop = hold
+    start = stop = pace = hold
 
     def has_polled(self, address):
         """Every address counts as polled before."""
@@ -166,6 +166,18 @@
         self.assertEqual(self.outcomes, [UNANSWERED])
         self.assertEqual(len(self.direct.open), 1)
 
+    # Guards against a pace that a dispatcher, held up, sends after a newer one.
+    def test_pace_is_sent_once_and_directly(self):
+        command = messages.PaceOrder("w-h1-0", "h1:w0", KEY, 1, 30, 3)
+        self.begin(self.workers.pace, command)
+        self.pass_time(1.0)
+        ((sent, waiting),) = self.direct.open
+        self.assertEqual(sent, command)
+        self.assertEqual(self.list_numbers(), [])
+        waiting.callback(UNANSWERED)
+        self.assertEqual(self.outcomes, [UNANSWERED])
+        self.assertEqual(len(self.direct.open), 1)
+
     def test_owner_is_never_its_own_dispatcher(self):
         callers = [advising.Caller("own", self.bus.address, 0.0, hall="h1")]
         self.workers.assign(callers, self.entries, 0.0)
