Leave the grace of steps that would share no worker as it was

The grace of a step that serves or fills counted the call for advice on all workers of last resort, so suspect workers too where nothing fills. It counts the step's own list, as before, and those workers that it would share. tests.sharing_test: 13 passed.

--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -174,10 +174,13 @@
         """
         if step.idle_since is None:
             return False
-        if eligibility.may_disturb(step):
+        workers = candidates.workers
+        if queue.advice is not None and eligibility.may_disturb(step):
             # Advice will be asked on workers with runs of the other kind too.
-            candidates = self._find_candidates(step, queue, now, is_last_resort=True)
-        advice_s = stalls.compute_advice_s(queue.advice, candidates.workers)
+            listed = self._find_candidates(step, queue, now, is_last_resort=True)
+            shared = [w for w in listed.workers if eligibility.disturbs(step, w)]
+            workers = [*workers, *shared]
+        advice_s = stalls.compute_advice_s(queue.advice, workers)
         if not stalls.is_past_grace(step, advice_s, now):
             return False
         if step.spec.lasting:
