--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -17,7 +17,7 @@
     usage,
     yielding,
 )
-from thornport.cell.decisions.contention import preempting, prospects, speeds
+from thornport.cell.decisions.contention import preempting, prospects, sharing, speeds
 from thornport.jobs import record
 from thornport.kernel import clock
 
@@ -146,7 +146,7 @@
         is_overdue = not started and self._is_overdue(job, step, queue, candidates, now)
         if is_overdue:
             reserved.exempt(step)
-            candidates = self._find_candidates(step, queue, now, with_suspects=True)
+            candidates = self._find_candidates(step, queue, now, is_last_resort=True)
             if not step.spec.gang and not step.spec.lasting:
                 # Only one task may use reserved room; the others respect it.
                 startable = 1
@@ -168,13 +168,21 @@
         return self._listed_at < now or candidates.may_fit(step.spec.demand)
 
     def _is_overdue(self, job, step, queue, candidates, now):
-        """Whether a step may use suspect workers and room reserved for other steps.
+        """Whether a step may use workers of last resort and room reserved for others.
 
         Suspect workers may be the only ones left, and this step's tasks may succeed
         where others failed. Users allow this to lasting steps however full the service
         is.
         """
-        advice_s = stalls.compute_advice_s(queue.advice, candidates.workers)
+        if step.idle_since is None:
+            return False
+        workers = candidates.workers
+        if queue.advice is not None and eligibility.may_disturb(step):
+            # Advice will be asked on workers with runs of the other kind too.
+            listed = self._find_candidates(step, queue, now, is_last_resort=True)
+            shared = [w for w in listed.workers if eligibility.disturbs(step, w)]
+            workers = [*workers, *shared]
+        advice_s = stalls.compute_advice_s(queue.advice, workers)
         if not stalls.is_past_grace(step, advice_s, now):
             return False
         if step.spec.lasting:
@@ -310,7 +318,9 @@
             indexes = latestarts.list_placeable(step, indexes, self.workers_by_id)
             if not indexes:
                 return 0
-        return self._start_step(job, step, workers, reserved, indexes[:startable])
+        indexes = indexes[:startable]
+        may_share = candidates.is_last_resort
+        return self._start_step(job, step, workers, reserved, indexes, now, may_share)
 
     def _list_fast_enough(self, job, step, workers, now):
         """List the workers on which an urgent step would not make its job late.
@@ -349,16 +359,21 @@
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
-    def _start_step(self, job, step, workers, reserved, indexes):
+    def _start_step(self, job, step, workers, reserved, indexes, now, may_share):
         """Start tasks of a step.
 
         Args:
+          job, step, reserved, now: As for `_try_step`.
+          workers: A list of model.Worker that may run the step now.
           indexes: A sorted list of the indexes of tasks that may start now.
+          may_share: A bool, as for `placing.assign_step`.
         Returns:
           An int, how many were started.
         """
         wants_fast = self._queue_of(job).priority == 0
-        assigned = placing.assign_step(step, workers, reserved, wants_fast, indexes)
+        assigned = placing.assign_step(
+            step, workers, reserved, wants_fast, indexes, may_share
+        )
         if not assigned:
             return 0
         step.last_run += 1
@@ -377,11 +392,14 @@
                 address=worker.entry.address,
                 worker_started_at_ms=worker.started_at_ms,
                 usual_s=step.usual_s,
+                pace_percent=sharing.FULL_PERCENT,
             )
             self._take_on_late_start(step, run)
             step.live_by_index[assignment.index] = run
             reserved.note_placed(step, worker)
             self._charge_run(worker, run)
+            if worker.filling_count and worker.serving_count:
+                self._pause_filling(worker, now)
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
                 run.is_joint_trial = len(assigned) > 1
