--- a/tests/worldcalls.py
+++ b/tests/worldcalls.py
@@ -32,12 +32,12 @@
 
     Attributes:
       due: A float, when.
-      order: A messages.StartOrder or StopOrder.
+      order: A messages.StartOrder, StopOrder or PaceOrder.
       life: The leased_worker.LeasedWorker that it was sent to.
     """
 
     due: float
-    order: messages.StartOrder | messages.StopOrder
+    order: messages.StartOrder | messages.StopOrder | messages.PaceOrder
     life: leased_worker.LeasedWorker
 
 
@@ -133,18 +133,24 @@
                 outcome = self._do(worker, order)
                 if self._loses_answer(order.worker_id):
                     outcome = messages.Unanswered("lost")
-                elif not is_start:
+                elif isinstance(order, messages.StopOrder):
                     self.open_looks.pop(order.worker_id, None)
-            take = (
-                self.owner.take_start_outcome
-                if is_start
-                else self.owner.take_stop_outcome
-            )
-            take(order, outcome, self.now)
+            self._take_outcome(order, outcome)
+
+    def _take_outcome(self, order, outcome):
+        """Tell the owner the outcome of an order."""
+        take_by_type = {
+            messages.StartOrder: self.owner.take_start_outcome,
+            messages.StopOrder: self.owner.take_stop_outcome,
+            messages.PaceOrder: self.owner.take_pace_outcome,
+        }
+        take_by_type[type(order)](order, outcome, self.now)
 
     def _do(self, worker, order):
         if isinstance(order, messages.StopOrder):
             return worker.stop(order, self.now)
+        if isinstance(order, messages.PaceOrder):
+            return worker.pace(order, self.now)
         step = self._read_spec(order.key)
         fails = worker.worker_id in self.failing or self.faults.draw(
             self.faults.failing
@@ -152,7 +158,14 @@
         gang_size = step.count if step.gang else 0
         count = len(worker.started)
         outcome = worker.start(
-            order, step.demand, step.estimate_ms, fails, self.now, gang_size
+            order,
+            step.demand,
+            step.estimate_ms,
+            fails,
+            self.now,
+            gang_size,
+            step.fills,
+            step.tail_target_ms,
         )
         if len(worker.started) > count:
             self.started_at_by_key[order.key] = self.now
--- a/thornport/kernel/daemons.py
+++ b/thornport/kernel/daemons.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 
-from thornport.kernel import logs, problem, procconf
+from twisted.internet import defer
+
+from thornport.kernel import clock, logs, problem, procconf, tasks
 
 EXIT_BAD_SETTINGS = 2
 
@@ -49,11 +51,11 @@
 
 
 def run(make_daemon, path):
-    """Run a daemon until SIGTERM.
+    """Run a daemon until SIGTERM or SIGINT.
 
     Args:
       make_daemon: A callable of a reactor and settings that returns an object with
-        `start()`, and `stop()` returning a Deferred.
+        `start()`, and `stop(ordered_at)` returning a Deferred.
       path: A str, the settings file of the process.
     """
     settings = load_or_exit(path, procconf.parse_settings)
@@ -79,15 +81,53 @@
     os._exit(0)
 
 
-def stop_on_term(reactor, daemon):
-    """Handle SIGTERM: finish the work in flight, then stop the reactor.
+class PlannedStop:
+    """The order to stop a process: the first signal counts, further ones are logged."""
+
+    def __init__(self, reactor, daemon, read_suspended_s):
+        """Create an order that was not given yet.
+
+        Args:
+          reactor: Twisted's reactor.
+          daemon: An object with `stop(ordered_at)`, returning a Deferred.
+          read_suspended_s: A callable giving for how many seconds this process may not
+            have run until now.
+        """
+        self._reactor = reactor
+        self._daemon = daemon
+        self._read_suspended_s = read_suspended_s
+        self._is_given = False
+
+    def take_signal(self, number, _):
+        """Take a signal, as a handler of `signal.signal`.
+
+        The handler also runs within a long step, after which the loop takes the order.
+        A process that does not run takes the signal late: it may have arrived at any
+        time since then.
+        """
+        ordered_at = clock.read_monotonic() - self._read_suspended_s()
+        self._reactor.callFromThread(self._take, number, ordered_at)
+
+    def _take(self, number, at):
+        if self._is_given:
+            # The grace period began with the first signal and does not begin again.
+            logs.log("stop-repeated", signal=signal.Signals(number).name)
+            return
+        self._is_given = True
+        stopping = defer.maybeDeferred(self._daemon.stop, at)
+        stopping.addErrback(tasks.log_failure, "stop")
+        stopping.addBoth(lambda _: self._reactor.stop())
+
+
+def stop_on_term(reactor, daemon, read_suspended_s=lambda: 0.0):
+    """Handle SIGTERM and SIGINT: finish the work in flight, then stop the reactor.
 
     Args:
       reactor: Twisted's reactor.
-      daemon: An object with `stop()`.
+      daemon: An object with `stop(ordered_at)`.
+      read_suspended_s: A callable giving for how many seconds this process may not have
+        run until now; without one the order counts from when its signal is handled.
     """
-
-    def stop():
-        daemon.stop().addBoth(lambda _: reactor.stop())
-
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
+    planned = PlannedStop(reactor, daemon, read_suspended_s)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, planned.take_signal)
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -6,6 +6,9 @@
 
 from thornport.kernel import lean
 
+if __name__ == "__main__":
+    # The settings are not read yet, and `main` takes the signal before it reads them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 lean.leave_out_tls()
 
 import msgspec  # noqa: E402
@@ -76,6 +79,7 @@
     ip, port = address.rsplit(":", 1)
     site = draining.DrainingSite(app.resource(), open_requests)
     bound = reactor.listenTCP(int(port), site, interface=ip, backlog=1024)
+    open_requests.ports.append(bound)
     return f"{ip}:{bound.getHost().port}"
 
 
@@ -91,6 +95,7 @@
 def main():
     """Run the scheduler process."""
     path = os.environ.get(SETTINGS_VARIABLE) or sys.argv[1]
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
     process_settings = daemons.load_or_exit(path, settings.parse_settings)
     logs.start_logging(
         logs.NonBlockingStream(sys.stdout.fileno()),
@@ -121,8 +126,8 @@
         bound["metrics"] = listen(metrics_address, internal, open_requests)
     reactor.callWhenRunning(scheduler.start)
     reactor.callWhenRunning(lambda: logs.log("listening", **bound))
-    reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, path))
+    suspended = scheduler.lag.read_suspended_s
+    reactor.callWhenRunning(daemons.stop_on_term, reactor, scheduler, suspended)
     reactor.run()
     daemons.end_process()
 
