Read, answer and send what has arrived also when the end is late

What callers saw: on a VM that gets little processor time, requests that waited as a scheduler ended lost their connection without an answer. A port accepts only as many connections in a pass as it found in the last one, so that others were reset when it closed. Change: the end accepts for three passes and then takes up to four to read, answer and send; when it is late these passes wait for nothing. A process whose timers are late ends earlier, by four times its mean lag at the order, at most 0.5 s (late_ms of the line stopping).

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -32,6 +32,10 @@
 # long before it would be killed; a successor on a small VM then still has the time to
 # read the records.
 HANDOVER_MARGIN_S = RELEASE_MARGIN_S + 2.4
+# A process whose timers are late ends earlier: the last steps of a stop wait for about
+# this many timers, one after another.
+LATE_TIMERS = 4
+MAX_LATE_S = 0.5
 
 
 class SchedulerDaemon:
@@ -131,10 +135,12 @@
           A Deferred that fires when the process may end.
         """
         grace_s = self.settings.bounds.grace_s
+        late_s = min(MAX_LATE_S, LATE_TIMERS * self.lag.read_s())
         held_up_ms = int((clock.read_monotonic() - ordered_at) * clock.MS_PER_S)
-        logs.log("stopping", grace_s=grace_s, held_up_ms=held_up_ms)
+        late_ms = int(late_s * clock.MS_PER_S)
+        logs.log("stopping", grace_s=grace_s, held_up_ms=held_up_ms, late_ms=late_ms)
         self.is_stopping = True
-        end_at = ordered_at + grace_s
+        end_at = ordered_at + grace_s - late_s
         self.handover_deadline = end_at - HANDOVER_MARGIN_S
         # Greeting at once keeps offers and calls for advice away from this process.
         tasks.attempt(self.greeting.greet, "stop-greet")
--- a/thornport/kernel/draining.py
+++ b/thornport/kernel/draining.py
@@ -17,6 +17,9 @@
 
 # Between checks whether all answers are sent; the loop runs at least once in between.
 SEND_CHECK_S = 0.005
+LEAST_CHECKS = 4
+# A port accepts only as many connections in a pass as it found in the last one.
+ACCEPT_CHECKS = 3
 
 
 class OpenRequests:
@@ -92,16 +95,20 @@
           until: A float, when to give up what is not sent.
         """
         # Connections that were made while the process did not run are accepted first.
-        await tasks.sleep(reactor, SEND_CHECK_S)
+        for _ in range(ACCEPT_CHECKS):
+            await tasks.sleep(reactor, 0)
         for port in self.ports:
             port.stopListening()
-        while True:
+        checks = 0
+        is_quiet = False
+        is_late = clock.read_monotonic() >= until
+        # Also if it is late, what has been accepted is read, answered and sent.
+        while not is_quiet and (checks < LEAST_CHECKS or not is_late):
+            checks += 1
             taken = self.taken
-            # Also if it is late: what has just been answered is sent meanwhile.
-            await tasks.sleep(reactor, SEND_CHECK_S)
+            await tasks.sleep(reactor, 0 if is_late else SEND_CHECK_S)
+            is_late = clock.read_monotonic() >= until
             is_quiet = not self.count and not self.unsent and taken == self.taken
-            if is_quiet or clock.read_monotonic() >= until:
-                return
 
     def _answer_late(self, waiting):
         make_late = self._make_late_by_waiting.pop(waiting, None)
