Test stops of the owner, of two processes and of an entry told twice

Ids of tests come from an iterator that several threads may ask at once: the generator raised 'generator already executing' in callers, which then sent nothing more.

--- a/tests/leaving_test.py
+++ b/tests/leaving_test.py
@@ -85,6 +85,27 @@
         answered = [status for c in callers for _, status in c.answered]
         self.assertEqual(set(answered), {200})
 
+    # Guards against a second SIGTERM that ends an entry before its answers are sent.
+    def test_second_sigterm_changes_nothing(self):
+        stopping = self.cell.by_name["entry-1"]
+        address = self.cell.http_by_name["entry-1"]
+        callers = [
+            opencaller.OpenCaller(address, self.make_request, self.headers)
+            for _ in range(12)
+        ]
+        stopping.signal(signal.SIGTERM)
+        stopping.wait_for("event=stopping")
+        stopping.signal(signal.SIGTERM)
+        stopping.wait_for("event=stop-repeated")
+        self.cell.by_name["entry-2"].wait_for("members=3(.|\n)*members=2")
+        stopping.signal(signal.SIGTERM)
+        self.assertEqual(stopping.popen.wait(harness.PATIENCE_S), 0)
+        for caller in callers:
+            caller.stop()
+        self.assertEqual([c.cut for c in callers], [[]] * len(callers))
+        answered = [status for c in callers for _, status in c.answered]
+        self.assertEqual(set(answered), {200})
+
     def test_request_while_it_hands_over(self):
         stopping = self.cell.by_name["entry-1"]
         address = self.cell.http_by_name["entry-1"]
--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -131,7 +131,8 @@
         self.key = None  # of a workspace, for calls that name no other
         self.grace_s = grace_s
         self.status_s = status_s
-        self.ids = (f"{number:016x}" for number in itertools.count(1))
+        # Unlike a generator it can be asked by several threads at once.
+        self.ids = map("{:016x}".format, itertools.count(1))
         self.names = [f"scheduler-{number}" for number in range(count)]
         if proxied is None:
             proxied = count if has_proxies else 0
--- a/tests/stopping_test.py
+++ b/tests/stopping_test.py
@@ -88,7 +88,7 @@
         self.assertLess(self.ended_s, GRACE_S)
         self.assertEqual(self.read_left(), ["0 left_unsent=0"], self.trace_cut())
         self.assertEqual(
-            [c.cut for c in self.callers], [[]] * CALLERS, self.trace_cut()
+            [c.cut for c in self.callers], [[]] * len(self.callers), self.trace_cut()
         )
         answered = {name for c in self.callers for name, _ in c.answered}
         read = re.findall('asked="submit ([0-9a-f]+)"', self.process.read_log())
@@ -225,6 +225,46 @@
         starting.wait_for("event=listening")
 
 
+class Owner(StopCase):
+    """The owner of the cell stops, beside a slow store."""
+
+    def setUp(self):
+        super().setUp()
+        self.name = self.cell.find_owner()
+        self.process = self.cell.by_name[self.name]
+
+    # Guards against requests of the owner that are cut as it hands the cell over.
+    def test_owner_answers_all(self):
+        self.start_callers()
+        self.order_stop()
+        self.check_answered()
+
+
+class TwoStop(StopCase):
+    """The owner stops beside the process whose callers are watched."""
+
+    # Guards against requests that wait for an owner which stops as well.
+    def test_requests_that_are_passed_on_are_answered(self):
+        owner = self.cell.by_name[self.cell.find_owner()]
+        self.start_callers()
+        reader = opencaller.OpenCaller(
+            self.cell.http_by_name[self.name], self.make_read
+        )
+        self.callers.append(reader)
+        reader.wait_for(1)
+        owner.signal(signal.SIGTERM)
+        time.sleep(GRACE_S / 10)
+        owner.signal(signal.SIGHUP)
+        self.order_stop()
+        self.process.signal(signal.SIGHUP)
+        self.check_answered()
+
+    def make_read(self):
+        """Make the parts of a request for a state, which the owner is asked for."""
+        job_id = f"{1:016x}"
+        return f"read {job_id}", schedulers.HOST, f"/editions/{job_id}", None
+
+
 class FailingStop(StopCase):
     """A part of the process fails as it is told to stop."""
 
