Read the lag of timers again before the last step of a stop

What callers saw: a scheduler on a VM that runs it for a fifth of the time ended after its grace, where it would be killed with what was open. Cause: it ended earlier by its lag as measured when the order came. That is the mean of a second, so it says little of a VM that has just become busy. The line stopped says by how much (late_ms).

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -135,19 +135,23 @@
           A Deferred that fires when the process may end.
         """
         grace_s = self.settings.bounds.grace_s
-        late_s = min(MAX_LATE_S, LATE_TIMERS * self.lag.read_s())
+        late_s = self._read_late_s()
         held_up_ms = int((clock.read_monotonic() - ordered_at) * clock.MS_PER_S)
         late_ms = int(late_s * clock.MS_PER_S)
         logs.log("stopping", grace_s=grace_s, held_up_ms=held_up_ms, late_ms=late_ms)
         self.is_stopping = True
-        end_at = ordered_at + grace_s - late_s
-        self.handover_deadline = end_at - HANDOVER_MARGIN_S
+        end_at = ordered_at + grace_s
+        self.handover_deadline = end_at - late_s - HANDOVER_MARGIN_S
         # Greeting at once keeps offers and calls for advice away from this process.
         tasks.attempt(self.greeting.greet, "stop-greet")
-        release_at = end_at - RELEASE_MARGIN_S
+        release_at = end_at - late_s - RELEASE_MARGIN_S
         tasks.attempt(lambda: self.holding.leave(release_at), "stop-leave")
         tasks.attempt(self.offering.offer, "stop-offer")
-        return tasks.spawn(self.serving.stop(end_at), "serve-out")
+        return tasks.spawn(self.serving.stop(end_at, self._read_late_s), "serve-out")
+
+    def _read_late_s(self):
+        """Return how much earlier this process ends as its timers are late, a float."""
+        return min(MAX_LATE_S, LATE_TIMERS * self.lag.read_s())
 
     def _take_message(self, sender, address, message):
         receiving.take(message, self, address)
--- a/thornport/cell/serving.py
+++ b/thornport/cell/serving.py
@@ -51,7 +51,7 @@
         self.open_requests = draining.OpenRequests()
         self._accept_until = math.inf
 
-    async def stop(self, end_at):
+    async def stop(self, end_at, read_late_s=lambda: 0.0):
         """Serve until shortly before the process is killed, without cutting requests.
 
         The process stays even if no request is open: callers still use their
@@ -59,15 +59,27 @@
 
         Args:
           end_at: A float, when the process is killed.
+          read_late_s: A callable giving by how many seconds to end earlier, as timers
+            fire late.
         """
         self.open_requests.close_connections()
-        self._accept_until = end_at - LAST_ACCEPT_S
-        await self._sleep_until(end_at - LAST_ANSWERS_S)
+        late_s = read_late_s()
+        self._accept_until = end_at - late_s - LAST_ACCEPT_S
+        await self._sleep_until(end_at - late_s - LAST_ANSWERS_S)
         given_up = self.open_requests.end_waits()
-        await self._sleep_until(end_at - END_S)
-        await self.open_requests.send_answers(self._reactor, end_at - LAST_SEND_S)
+        # Timers may fire later now than when the order came.
+        late_s = max(late_s, read_late_s())
+        await self._sleep_until(end_at - late_s - END_S)
+        until = end_at - late_s - LAST_SEND_S
+        await self.open_requests.send_answers(self._reactor, until)
         left, unsent = self.open_requests.count, len(self.open_requests.unsent)
-        logs.log("stopped", given_up=given_up, left_open=left, left_unsent=unsent)
+        logs.log(
+            "stopped",
+            late_ms=int(late_s * clock.MS_PER_S),
+            given_up=given_up,
+            left_open=left,
+            left_unsent=unsent,
+        )
 
     def _sleep_until(self, at):
         return tasks.sleep(self._reactor, max(0.0, at - clock.read_monotonic()))
