--- a/tests/sharing_test.py
+++ b/tests/sharing_test.py
@@ -29,6 +29,13 @@
 LASTING_FILLING = cellworld.make_step(1, 8, LASTING_MS, fills=True, lasting=True)
 BATCH_FILLING = cellworld.make_step(1, 8, FILLING_MS, fills=True)
 
+ONE_SERVING = cellworld.make_step(
+    1, 4, LASTING_MS, lasting=True, tail_target_ms=TARGET_MS
+)
+SHORT = cellworld.make_step(1, 1, 300)
+# A command and its answer, twice.
+START_TO_PAUSE_S = 0.2
+
 
 class Sharing:
     """The part of a world that checks what shares workers, and at which pace.
@@ -303,6 +310,34 @@
         world.run(FILLING_MS / 1000)
         self.assertEqual(world.read_states()["filling"], "succeeded")
 
+    # Guards against filling that is paused again by each start of a task that neither
+    # serves nor fills, so that it never works on a busy worker.
+    def test_filling_works_beside_short_tasks_of_neither_kind(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.disturb_by(5)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        for number in range(40):
+            world.submit_step(f"short-{number}", SHORT)
+            world.run(1.5)
+        self.assertEqual(world.read_states()["short-0"], "succeeded")
+        self.assertGreater(max(world.read_paces("filling")), 0)
+
+    # Guards against filling that works at its full pace beside serving until the next
+    # poll answer, as the pace was not sent when its start was acknowledged.
+    def test_filling_is_paused_once_its_start_is_acknowledged(self):
+        def measure(seed):
+            world = SharingWorld(seed, worker_count=1)
+            world.submit_step("serving", ONE_SERVING)
+            self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+            world.submit_step("filling", LASTING_FILLING)
+            self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+            return world.measure_until(lambda: world.read_paces("filling") == [0])
+
+        self.assertEqual(self.find_late(measure, START_TO_PAUSE_S), {})
+
     # Guards against a serving task that is harmed under a successor, which does not
     # know the paces.
     def test_no_serving_task_is_harmed_under_a_successor(self):
