Pause shared filling only as serving or filling tasks start

Callers saw: filling work on a worker that also serves stood still for as long as other tasks started there, each within 2 s of the last.

Cause: each start on a shared worker paused its filling again, also that of a task that neither serves nor fills and so changes no tail.

Evidence (core's world, 1 worker, a short task each 1.5 s for 60 s): the pace of a filling task that disturbs serving by 5% was 0 throughout; now it is 100% after 24 s, as without the short tasks.

Why it works: only steps that fill or have a target may change what filling does to serving.

--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -398,7 +398,8 @@
             step.live_by_index[assignment.index] = run
             reserved.note_placed(step, worker)
             self._charge_run(worker, run)
-            if worker.filling_count and worker.serving_count:
+            is_shared = worker.filling_count and worker.serving_count
+            if is_shared and eligibility.may_disturb(step):
                 self._pause_filling(worker, now)
             if assignment.index in step.crash_points_by_index:
                 worker.trial = run
