Pause filling beside serving once its start is acknowledged

Callers saw: filling that starts beside serving worked at its full pace until the next poll answer.

Cause: the pace was to be sent when the start is acknowledged, but before the run counts as running, and only running runs get paces. So that call never sent one.

The call now sends, so a worker also forgets its pace once nothing fills there: a new filling run alone was paused by the pace of an earlier one until the next poll answer (seen in a trial without that line; a test guards against it, which passes on the code before, as nothing was sent there).

--- a/tests/sharing_test.py
+++ b/tests/sharing_test.py
@@ -338,6 +338,27 @@
 
         self.assertEqual(self.find_late(measure, START_TO_PAUSE_S), {})
 
+    # Guards against the pace of an earlier filling run that pauses a new one where
+    # nothing serves any more.
+    def test_filling_is_not_paused_by_what_was_shared_before(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        world.run(1)
+        world.cancel("filling")
+        world.run(5)
+        world.cancel("serving")
+        world.run(5)
+        world.submit_step("alone", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("alone", 1), PATIENCE_S)
+        paces = set()
+        for _ in range(60):
+            world.step()
+            paces.update(world.read_paces("alone"))
+        self.assertEqual(paces, {100})
+
     # Guards against a serving task that is harmed under a successor, which does not
     # know the paces.
     def test_no_serving_task_is_harmed_under_a_successor(self):
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -50,8 +50,6 @@
         if isinstance(outcome, messages.Done):
             self._note_run_begun(run)
             run.note_newest_settled()
-            if run.step.fills:
-                self._send_paces(worker, now)
             if not command.ticket:
                 self._record_begun(run, now)
             if run.state is model.RunState.ORDERED:
@@ -59,6 +57,8 @@
                 step = self._find_step(run.key)
                 if step is not None:
                     step.waiting_since_by_index.pop(run.key.index, None)
+            if run.step.fills:
+                self._send_paces(worker, now)
         elif isinstance(outcome, messages.Unanswered):
             worker.note_silence(now)
             worker.avoid(now + ending.AVOID_S)
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -137,6 +137,8 @@
         self._take_running(worker, answer, sent_at, now)
         if worker.filling_count:
             self._adapt_pace(worker, now)
+        else:
+            worker.pace = None
         if not worker.is_heard:
             worker.is_heard = True
             self._candidates_by_kind.clear()
