--- a/tests/sharing_test.py
+++ b/tests/sharing_test.py
@@ -35,6 +35,8 @@
 SHORT = cellworld.make_step(1, 1, 300)
 # A command and its answer, twice.
 START_TO_PAUSE_S = 0.2
+SMALL_FILLING = cellworld.make_step(1, 1, LASTING_MS, fills=True, lasting=True)
+MAX_HARMED_S = 9.0  # in 180 s
 
 
 class Sharing:
@@ -66,6 +68,10 @@
         for since in self._harmed_since.values():
             self.longest_harm_s = max(self.longest_harm_s, self.now - since)
 
+    def is_any_harmed(self):
+        """Whether a serving task is over its target."""
+        return bool(self._harmed_since)
+
     def lose(self, worker_id):
         """Lose a worker for good; nothing answers at its address any more."""
         self._end_life(worker_id)
@@ -359,6 +365,25 @@
             paces.update(world.read_paces("alone"))
         self.assertEqual(paces, {100})
 
+    # Guards against filling that brings serving over its target again soon after each
+    # start on the worker, as that start ended the pause.
+    def test_starts_do_not_shorten_pauses(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.disturb_by(2000)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        harmed_s = 0.0
+        for number in range(30):
+            world.submit_step(f"other-{number}", SMALL_FILLING)
+            until = world.now + 6
+            while world.now < until:
+                world.step()
+                harmed_s += cellworld.STEP_S * world.is_any_harmed()
+            world.cancel(f"other-{number}")
+        self.assertLess(harmed_s, MAX_HARMED_S)
+
     # Guards against a serving task that is harmed under a successor, which does not
     # know the paces.
     def test_no_serving_task_is_harmed_under_a_successor(self):
