Keep the pause of filling while further tasks start beside serving

Callers saw: serving tasks over their target again and again where filling tasks come and go beside them.

Cause: each start of a filling or serving task on a shared worker replaced its pace by a new one, which may rise after 2 s; the pause after a near tail, 5 to 80 s, was lost, and so was its length.

Why it works: the new pace keeps the end of the pause, if later, and the count of falls.

--- a/thornport/cell/decisions/contention/sharing.py
+++ b/thornport/cell/decisions/contention/sharing.py
@@ -63,15 +63,19 @@
     falls: int = 0
 
 
-def pause(now):
+def pause(now, pace=None):
     """Make the Pace of a worker that begins to share, or shares with another run.
 
     Args:
       now: A float.
+      pace: Its Pace so far, whose pause goes on; None if it did not share.
     Returns:
       A Pace.
     """
-    return Pace(PAUSED_PERCENT, now + RISE_INTERVAL_S)
+    rises_at = now + RISE_INTERVAL_S
+    if pace is None:
+        return Pace(PAUSED_PERCENT, rises_at)
+    return Pace(PAUSED_PERCENT, max(pace.rises_at, rises_at), pace.falls)
 
 
 def adapt(pace, tails, is_settled, now):
--- a/thornport/cell/decisions/pacing.py
+++ b/thornport/cell/decisions/pacing.py
@@ -41,7 +41,7 @@
           worker: A model.Worker.
           now: A float.
         """
-        worker.pace = sharing.pause(now)
+        worker.pace = sharing.pause(now, worker.pace)
         self._send_paces(worker, now)
 
     def _send_paces(self, worker, now):
