--- a/tests/sharing_test.py
+++ b/tests/sharing_test.py
@@ -29,6 +29,15 @@
 LASTING_FILLING = cellworld.make_step(1, 8, LASTING_MS, fills=True, lasting=True)
 BATCH_FILLING = cellworld.make_step(1, 8, FILLING_MS, fills=True)
 
+ONE_SERVING = cellworld.make_step(
+    1, 4, LASTING_MS, lasting=True, tail_target_ms=TARGET_MS
+)
+SHORT = cellworld.make_step(1, 1, 300)
+# A command and its answer, twice.
+START_TO_PAUSE_S = 0.2
+SMALL_FILLING = cellworld.make_step(1, 1, LASTING_MS, fills=True, lasting=True)
+MAX_HARMED_S = 9.0  # in 180 s
+
 
 class Sharing:
     """The part of a world that checks what shares workers, and at which pace.
@@ -59,6 +68,10 @@
         for since in self._harmed_since.values():
             self.longest_harm_s = max(self.longest_harm_s, self.now - since)
 
+    def is_any_harmed(self):
+        """Whether a serving task is over its target."""
+        return bool(self._harmed_since)
+
     def lose(self, worker_id):
         """Lose a worker for good; nothing answers at its address any more."""
         self._end_life(worker_id)
@@ -303,6 +316,74 @@
         world.run(FILLING_MS / 1000)
         self.assertEqual(world.read_states()["filling"], "succeeded")
 
+    # Guards against filling that is paused again by each start of a task that neither
+    # serves nor fills, so that it never works on a busy worker.
+    def test_filling_works_beside_short_tasks_of_neither_kind(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.disturb_by(5)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        for number in range(40):
+            world.submit_step(f"short-{number}", SHORT)
+            world.run(1.5)
+        self.assertEqual(world.read_states()["short-0"], "succeeded")
+        self.assertGreater(max(world.read_paces("filling")), 0)
+
+    # Guards against filling that works at its full pace beside serving until the next
+    # poll answer, as the pace was not sent when its start was acknowledged.
+    def test_filling_is_paused_once_its_start_is_acknowledged(self):
+        def measure(seed):
+            world = SharingWorld(seed, worker_count=1)
+            world.submit_step("serving", ONE_SERVING)
+            self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+            world.submit_step("filling", LASTING_FILLING)
+            self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+            return world.measure_until(lambda: world.read_paces("filling") == [0])
+
+        self.assertEqual(self.find_late(measure, START_TO_PAUSE_S), {})
+
+    # Guards against the pace of an earlier filling run that pauses a new one where
+    # nothing serves any more.
+    def test_filling_is_not_paused_by_what_was_shared_before(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        world.run(1)
+        world.cancel("filling")
+        world.run(5)
+        world.cancel("serving")
+        world.run(5)
+        world.submit_step("alone", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("alone", 1), PATIENCE_S)
+        paces = set()
+        for _ in range(60):
+            world.step()
+            paces.update(world.read_paces("alone"))
+        self.assertEqual(paces, {100})
+
+    # Guards against filling that brings serving over its target again soon after each
+    # start on the worker, as that start ended the pause.
+    def test_starts_do_not_shorten_pauses(self):
+        world = SharingWorld(worker_count=1)
+        world.submit_step("serving", ONE_SERVING)
+        self.assertLess(world.measure_until_at_work("serving", 1), PATIENCE_S)
+        world.disturb_by(2000)
+        world.submit_step("filling", LASTING_FILLING)
+        self.assertLess(world.measure_until_at_work("filling", 1), PATIENCE_S)
+        harmed_s = 0.0
+        for number in range(30):
+            world.submit_step(f"other-{number}", SMALL_FILLING)
+            until = world.now + 6
+            while world.now < until:
+                world.step()
+                harmed_s += cellworld.STEP_S * world.is_any_harmed()
+            world.cancel(f"other-{number}")
+        self.assertLess(harmed_s, MAX_HARMED_S)
+
     # Guards against a serving task that is harmed under a successor, which does not
     # know the paces.
     def test_no_serving_task_is_harmed_under_a_successor(self):
