Soak: further signals to each process that stops

A second SIGTERM during a stop cut requests, and no soak gave one. Each planned stop now gets SIGHUP, SIGTERM and SIGHUP again at a quarter, half and three fifths of its grace, beside callers on open connections. The checks are as they were.

--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -25,6 +25,9 @@
 OPEN_CALLERS = 4  # that use their connection to a process that is told to stop
 # From the order to stop until each answer closes its connection, well within the grace.
 CLOSE_S = 1.0
+# Further signals to a process that stops, as planned work overlaps: shares of its grace
+# after the order.
+REPEATED = ((0.25, signal.SIGHUP), (0.5, signal.SIGTERM), (0.6, signal.SIGHUP))
 OPEN_SUBMITS = 8  # each of so many of their requests hands in a job, the others ask
 LATE_ENTRY_MS_A_SECOND = 400  # up to 2 s, as it was seen of the users' workers
 LIMIT_SHARES = (0.5, 0.25, 0.375)  # of all cores, one version after the other
@@ -208,6 +211,11 @@
         process = self._cell.by_name[name]
         told_at = time.monotonic()
         process.signal(signal.SIGTERM)
+        for share, number in REPEATED:
+            time.sleep(
+                max(0.0, told_at + share * self._cell.grace_s - time.monotonic())
+            )
+            process.signal(number)
         with contextlib.suppress(subprocess.TimeoutExpired):
             process.popen.wait(harness.PATIENCE_S)
         for caller in open_callers:
