Keep the logs of each test that fails

Cause: a failure that occurs once could not be traced, as its logs were removed with the test's folder.

Change: a plugin of the test runner gives each test a temporary folder below run/test-logs, removes it if the test passes, and prints where it is otherwise; the summary of all shards repeats that line.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -14,6 +14,8 @@
 import msgspec
 import urllib3
 
+from thornport.kernel import testlogs
+
 POLL_S = 0.02
 PATIENCE_S = 30.0
 POOL = urllib3.PoolManager(maxsize=64, retries=False)
@@ -146,9 +148,10 @@
             process.kill()
 
     def close(self):
-        """End every process and remove the folder."""
+        """End every process, and remove the folder unless a test run does it."""
         self.end_processes()
-        shutil.rmtree(self.folder)
+        if not testlogs.TestLogs.is_collecting:
+            shutil.rmtree(self.folder)
 
     def start(self, name, *arguments):
         """Start a process and wait for the address it listens on."""
--- a/tests/shards.py
+++ b/tests/shards.py
@@ -19,6 +19,7 @@
 LONGEST = ("tests.soak_test", LIBRARY, "tests.dispatch_test")
 # Shards that run at once. Some tests start a few dozen processes.
 WORKERS = 3
+FAILED_PREFIXES = ("failed: ", "logs of ")
 CLOSING = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
 
 
@@ -28,7 +29,7 @@
     Attributes:
       is_good: Whether it closed its run, and no test failed that is not known to fail.
       passed, failed: Ints.
-      failed_lines: Strs that name the failed tests.
+      failed_lines: Strs that name the failed tests and where their logs are.
     """
 
     name: str
@@ -71,7 +72,7 @@
     if not closings:
         return Result(name, False, output)
     passed, failed = (int(count) for count in closings[-1])
-    lines = [line for line in output.splitlines() if line.startswith("failed: ")]
+    lines = [line for line in output.splitlines() if line.startswith(FAILED_PREFIXES)]
     return Result(name, exit_code == 0, output, passed, failed, tuple(lines))
 
 
--- a/tests/shards_test.py
+++ b/tests/shards_test.py
@@ -6,7 +6,9 @@
 
 from tests import shards
 
-CLOSED = "..\nfailed: tests.a_test.A.test_x\n2 passed, 1 failed\n"
+FAILED = "failed: tests.a_test.A.test_x"
+LOGS = "logs of tests.a_test.A.test_x: /run/x"
+CLOSED = f"..\n{LOGS}\n{FAILED}\n2 passed, 1 failed\n"
 
 
 class Shards(unittest.TestCase):
@@ -34,7 +36,7 @@
         result = shards.read_result("tests.a_test", 0, CLOSED)
         self.assertTrue(result.is_good)
         self.assertEqual((result.passed, result.failed), (2, 1))
-        self.assertEqual(result.failed_lines, ("failed: tests.a_test.A.test_x",))
+        self.assertEqual(result.failed_lines, (LOGS, FAILED))
 
     def test_shard_that_ends_early_fails_the_run(self):
         # An interpreter that crashes prints no closing line, whatever its exit code.
