--- a/tests/standingplays.py
+++ b/tests/standingplays.py
@@ -221,10 +221,11 @@
         entry, _ = self.entries_by_id.get(worker_id, (None, None))
         self._lapsing.append((self.now + worldlives.ENTRY_S, entry))
 
-    def crash_for_a_while(self, worker_id):
+    def crash_for_a_while(self, worker_id, is_silent=False, back_s=None):
         """As the world's; it disturbs until another life is there."""
-        self.disturbed_at = max(self.disturbed_at, self.now + self.back_s)
-        super().crash_for_a_while(worker_id)
+        away_s = self.back_s if back_s is None else back_s
+        self.disturbed_at = max(self.disturbed_at, self.now + away_s)
+        super().crash_for_a_while(worker_id, is_silent, back_s)
 
     # Lasting tasks.
 
--- a/tests/worldlives.py
+++ b/tests/worldlives.py
@@ -124,17 +124,25 @@
         self.entries_by_id.pop(worker_id, None)
         self.owner.drop_worker(worker_id, self.now)
 
-    def crash_for_a_while(self, worker_id):
+    def crash_for_a_while(self, worker_id, is_silent=False, back_s=None):
         """A worker ends with all that ran there; another life takes its address.
 
         Its entry stays until it lapses, or until the other life has written its own
         under the same id.
+
+        Args:
+          worker_id: A str.
+          is_silent: A bool, whether nothing answers at its address meanwhile; else its
+            port refuses.
+          back_s: A float, after what time the other life is there; None for `back_s`.
         """
         self._end_life(worker_id)
-        self.refusing.add(worker_id)
+        if not is_silent:
+            self.refusing.add(worker_id)
         entry, _ = self.entries_by_id.get(worker_id, (None, None))
         self._lapsing.append((self.now + ENTRY_S, entry))
-        self._returning.append((self.now + self.back_s, worker_id))
+        back_at = self.now + (self.back_s if back_s is None else back_s)
+        self._returning.append((back_at, worker_id))
 
     def _return_lives(self):
         due = [entry for entry in self._returning if entry[0] <= self.now]
