--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from tests import cellworld, worldcalls
-from thornport.cell.decisions import crashes, messages, model, notes
+from thornport.cell.decisions import crashes, messages, model, notes, trials
 from thornport.jobs import spec
 
 LONG_MS = 600_000  # longer than any test
@@ -606,14 +606,14 @@
                 spec.Step(1, demand),
                 model.RunState.RUNNING,
                 known_since=10.0
-                - (crashes.TRIAL_DURATION_S if has_passed_trial else 0.1),
+                - (trials.TRIAL_DURATION_S if has_passed_trial else 0.1),
                 trial_points=1 if has_passed_trial else undecided_points,
             )
             worker.add_run(run)
         key = messages.StepKey("new", 0, 0)
         step = model.StepState(key, spec.Step(1, demand))
         step.crash_points_by_index = {0: points}
-        return crashes.may_be_tried(step, worker, 10.0)
+        return trials.may_be_tried(step, worker, 10.0)
 
     def test_first_is_tried_alone(self):
         self.assertTrue(self.may_be_tried(1, proven=0, undecided=0))
@@ -624,7 +624,7 @@
         self.assertFalse(self.may_be_tried(1, proven=3, undecided=3))
 
     def test_at_most_max_trials_are_undecided(self):
-        most = crashes.MAX_TRIALS
+        most = trials.MAX_TRIALS
         self.assertFalse(self.may_be_tried(1, proven=2 * most, undecided=most))
 
     # A crash during a joint trial is equal evidence against each task.
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -12,6 +12,7 @@
     model,
     notes,
     stalls,
+    trials,
 )
 from thornport.jobs import record
 from thornport.kernel import clock
@@ -415,7 +416,7 @@
         points_by_index = step.crash_points_by_index
         points = points_by_index.get(run.key.index, 0) + blame.points
         points_by_index[run.key.index] = points
-        trial_due_at = crashes.find_trial_due(worker, run, now)
+        trial_due_at = trials.find_trial_due(worker, run, now)
         if trial_due_at is not None:
             step.trial_due_by_index[run.key.index] = trial_due_at
         # Another crash at the same worker would be evidence against the worker too.
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from thornport.cell.decisions import (
-    crashes,
     eligibility,
     messages,
     passes,
@@ -17,6 +16,7 @@
     reserving,
     stalls,
     ticketing,
+    trials,
     usage,
 )
 from thornport.jobs import record, spec
@@ -249,7 +249,7 @@
             and self._rank((job, step)) >= self._resume_at[0]
         ):
             yield stalls.JobBlocker.PASSED_OVER
-        if not crashes.list_startable(step, self.workers_by_id, now):
+        if not trials.list_startable(step, self.workers_by_id, now):
             yield stalls.JobBlocker.TRIAL
         if step.is_advising:
             yield stalls.JobBlocker.ADVICE_OPEN
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -3,7 +3,6 @@
 import bisect
 
 from thornport.cell.decisions import (
-    crashes,
     eligibility,
     lapsing,
     latestarts,
@@ -14,6 +13,7 @@
     placing,
     reserving,
     stalls,
+    trials,
     usage,
     yielding,
 )
@@ -310,10 +310,10 @@
         if not workers:
             return 0
         if step.crash_points_by_index:
-            workers = [w for w in workers if crashes.may_be_tried(step, w, now)]
+            workers = [w for w in workers if trials.may_be_tried(step, w, now)]
         elif not is_overdue:
             workers = self._list_without_trial(workers, now)
-        indexes = crashes.list_startable(step, self.workers_by_id, now, is_overdue)
+        indexes = trials.list_startable(step, self.workers_by_id, now, is_overdue)
         if step.late_by_index:
             indexes = latestarts.list_placeable(step, indexes, self.workers_by_id)
             if not indexes:
@@ -355,7 +355,7 @@
         self._trial_ids = {
             worker_id
             for worker_id in self._trial_ids
-            if crashes.is_on_trial(self.workers_by_id.get(worker_id), now)
+            if trials.is_on_trial(self.workers_by_id.get(worker_id), now)
         }
         return [w for w in workers if w.worker_id not in self._trial_ids]
 
--- a/thornport/cell/decisions/stalls.py
+++ b/thornport/cell/decisions/stalls.py
@@ -15,10 +15,10 @@
 
 from thornport.cell.decisions import (
     advising,
-    crashes,
     eligibility,
     messages,
     model,
+    trials,
 )
 
 # A stalled step is reported after REPORT_AFTER_S and checked again at each interval, at
@@ -222,7 +222,7 @@
         return eligibility.WorkerBlocker.DISTURBED
     if not step.spec.demand.fits(worker.compute_free()):
         return eligibility.WorkerBlocker.FULL
-    if crashes.is_on_trial(worker, now):
+    if trials.is_on_trial(worker, now):
         return eligibility.WorkerBlocker.TRIAL
     if reserved is not None and not step.spec.demand.fits(
         reserved.compute_usable_room(step, worker)
