Count crashes only once they are proven, by the losses of that moment

Callers saw jobs shown as failed of which no task had failed its attempts.

Cause: a worker that fell silent counted as one that crashed under the tasks there, each time; a successor gave a point for any loss of a run of which it knew nothing, and took a run that it first heard of for one that just began. On the other side three losses within a second counted as an outage, whatever caused them, so tasks that crash several workers at once were never given up.

Change: the evidence of a step's tasks is a type of its own. The loss of a silent worker is unproven: it counts once another incarnation has answered at its address or under its id, and is dropped if the worker answers again or nobody has after a minute. A task that would be given up if all its unproven losses were crashes waits. Records state when a run was decided, how soon after its start its worker fell silent, and the unproven losses, so that a successor judges by what its predecessor knew; without that it counts nothing and only tries the task first. Outages are no rule of their own any more: the chance of a loss is judged by the rate of losses elsewhere, over 30 s or within a second of the loss, whichever is higher. Log line loss-settled, field unproven of run-lost.

Tests replaced: one point for a loss of unknown duration is none now, as a successor may not count what it does not know; instead it reads the duration from the record, which two tests check, with and without it there.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -6,8 +6,16 @@
 import collections
 import math
 
-from thornport.cell.decisions import advising, asking, messages, shares, usage
+from thornport.cell.decisions import (
+    advising,
+    asking,
+    evidence,
+    messages,
+    shares,
+    usage,
+)
 from thornport.cell.decisions.contention import durations, prospects, speeds
+from thornport.kernel import clock
 
 # Recently lost workers that are remembered, to detect that many are lost at once: more
 # than a rack holds, and more than an eighth of a large cell.
@@ -75,6 +83,7 @@
         self._unconfigured_by_id = {}
         self._next_order = 0
         self._last_fence = 0  # of the newest incarnation; see `incarnations`
+        self._unproven = evidence.UnprovenLosses()
         self._recent_losses = collections.deque(maxlen=MAX_RECENT_LOSSES)
         # Workers to which a task that may crash them was sent; see `crashes`.
         self._trial_ids = set()
@@ -109,6 +118,8 @@
         # Whether waits under earlier owners are restored: the first tick does it, as it
         # brings the wall-clock time.
         self._has_ticked = False
+        # Milliseconds since 1970 at time 0 of this process's clock; None before a tick.
+        self._wall_origin_ms = None
         self.needs_pass = False
         # The reserving.Reservations of the last full scheduling pass; None before it.
         self._last_reserved = None
@@ -120,6 +131,12 @@
         accepted = job.record.queue
         return self._queues_by_name.get(accepted.name, accepted)
 
+    def _read_wall_ms(self, now):
+        """Read a time in milliseconds since 1970, an int; 0 if it is not known yet."""
+        if self._wall_origin_ms is None:
+            return 0
+        return self._wall_origin_ms + int(now * clock.MS_PER_S)
+
     def _charge_run(self, worker, run):
         """Count a run against its worker's capacity and its workspace's limit."""
         worker.add_run(run)
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -59,12 +59,15 @@
           now: A float.
           wall_ms: An int, milliseconds since 1970.
         """
+        self._wall_origin_ms = wall_ms - int(now * clock.MS_PER_S)
         if not self._has_ticked:
             self._has_ticked = True
             self._restore_waits(now, wall_ms)
+            self._restore_starts(now, wall_ms)
         for worker in list(self.workers_by_id.values()):
             self._tick_worker(worker, now)
         self._release_late_runs(now)
+        self._settle_expired(now)
         self._record_due_begun(now)
         self._give_up_advice(now)
         self._give_up_starts(now)
@@ -100,6 +103,21 @@
             if not job.was_placed:
                 stalls.restore_idle(job, waited_s, now)
 
+    def _restore_starts(self, now, wall_ms):
+        """Find when the runs of earlier owners were started, by their records.
+
+        Args:
+          now: A float.
+          wall_ms: As for `tick`.
+        """
+        for job in self._unended_by_id.values():
+            for step in job.steps_by_key.values():
+                for run in step.live_by_index.values():
+                    ago_ms = wall_ms - run.decided_at_ms
+                    # The clock of another VM may be ahead, or may have jumped.
+                    if run.decided_at is None and run.decided_at_ms and ago_ms >= 0:
+                        run.decided_at = now - ago_ms / clock.MS_PER_S
+
     def _tick_worker(self, worker, now):
         if worker.unlisted_at is not None and now >= worker.unlisted_at:
             worker.is_listed = False
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -6,13 +6,13 @@
 import math
 
 from thornport.cell.decisions import (
+    attribution,
     crashes,
-    latestarts,
+    losses,
     messages,
     model,
     notes,
     stalls,
-    trials,
 )
 from thornport.jobs import record
 from thornport.kernel import clock
@@ -25,7 +25,7 @@
 AVOID_S = 0.5  # no starts for a worker after an unanswered or failed call
 
 
-class Ending(latestarts.LateStarts):
+class Ending(attribution.Attribution):
     """Ends and stops runs, and ends the jobs that are over by that."""
 
     # Ends of runs.
@@ -334,13 +334,14 @@
         self.workers_by_id.pop(worker.worker_id, None)
         self._note_incarnation_over(worker, how)
         self._forget_advice(worker.worker_id)
-        loss = crashes.make_loss(worker, now)
+        loss = losses.make_loss(worker, now)
         was_active = worker.is_heard or worker.runs_by_key
         self._lose_runs(worker, now, how)
         if was_active and crashes.is_crash(worker, how):
             # Otherwise the entry was of an incarnation that ended long ago, or the
             # worker left: several of these at once are no outage of a rack.
             self._recent_losses.append(loss)
+        self._settle_ended(worker, how, now)
 
     def _forget_advice(self, worker_id):
         """Forget the advice on a worker: its next incarnation may differ in kind."""
@@ -367,85 +368,26 @@
             return
         blames = self._judge_runs(worker, now, how)
         for blame in blames:
-            self._note_lost(worker, blame, now, how)
+            self._note_lost(worker, blame, how)
         for run in runs:
             if run.state is model.RunState.RUNNING:
                 self._note_work(worker, run, now)
             self._release_run(run, now)
         for blame in blames:
-            self._give_up_crashing(blame.run, now)
-
-    def _judge_runs(self, worker, now, how):
-        """Attribute the loss of a worker to its runs, as a list of crashes.Blame."""
-        if not crashes.is_crash(worker, how):
-            return [crashes.Blame(run, 0) for run in crashes.list_begun(worker)]
-        if self._is_outage(worker, now):
-            blames = crashes.judge_outage(worker, now)
-        else:
-            rates = crashes.LossRates(
-                self._recent_losses, len(self.workers_by_id), self._began_at, now
-            )
-            blames = crashes.judge_crash(worker, how, rates, now)
-        for blame in blames:
-            self._take_blame(worker, blame, now)
-        return blames
-
-    def _is_outage(self, worker, now):
-        """Whether a worker was probably lost with others, and not by a task."""
-        silent = [
-            crashes.make_loss(other, now)
-            for other in self.workers_by_id.values()
-            if other.silent_since is not None
-        ]
-        rack_size = sum(
-            other.entry.rack == worker.entry.rack
-            for other in self.workers_by_id.values()
-        )
-        loss = crashes.make_loss(worker, now)
-        losses = [*self._recent_losses, *silent]
-        return crashes.is_outage(loss, losses, rack_size, len(self.workers_by_id))
+            self._give_up_crashing(blame.run.key, now)
 
-    def _take_blame(self, worker, blame, now):
-        """Add crash points to a task, unless its run is no longer the live one."""
-        run = blame.run
-        step = self._find_step(run.key)
-        if not blame.points or step is None:
-            return
-        if step.live_by_index.get(run.key.index) is not run:
-            return
-        points_by_index = step.crash_points_by_index
-        points = points_by_index.get(run.key.index, 0) + blame.points
-        points_by_index[run.key.index] = points
-        trial_due_at = trials.find_trial_due(worker, run, now)
-        if trial_due_at is not None:
-            step.trial_due_by_index[run.key.index] = trial_due_at
-        # Another crash at the same worker would be evidence against the worker too.
-        step.avoided_by_index.setdefault(run.key.index, set()).add(run.worker_id)
-
-    def _note_lost(self, worker, blame, now, how):
-        run = blame.run
-        step = self._find_step(run.key)
-        ran_s = crashes.compute_max_run_s(worker, run, now)
-        note = notes.RunLost(
-            run.key,
-            run.run,
-            worker.worker_id,
-            how,
-            None if ran_s is None else int(ran_s * clock.MS_PER_S),
-            len(worker.runs_by_key) - 1,
-            blame.points,
-            step.crash_points_by_index.get(run.key.index, 0) if step else 0,
-        )
-        self.notes.append(note)
+    def _give_up_crashing(self, key, now):
+        """Fail the job of a task against which enough is proven.
 
-    def _give_up_crashing(self, run, now):
-        """Fail the job of a task that has reached the crash points to be given up."""
-        job = self.jobs_by_id.get(run.key.job_id)
-        step = self._find_step(run.key)
+        Args:
+          key: A messages.TaskKey.
+          now: A float.
+        """
+        job = self.jobs_by_id.get(key.job_id)
+        step = self._find_step(key)
         if job is None or step is None or job.is_over():
             return
-        points = step.crash_points_by_index.get(run.key.index, 0)
-        if points >= crashes.GIVE_UP_POINTS:
+        if step.crash_evidence.has_to_end(key.index):
             self._fail_job(job, record.FailureCause.CRASHES, now)
 
     def _fail_job(self, job, cause, now):
--- a/thornport/cell/decisions/explaining.py
+++ b/thornport/cell/decisions/explaining.py
@@ -323,7 +323,7 @@
             step.spec.count if step.is_done else len(step.done),
             len(step.live_by_index),
             sum(step.failures_by_index.values()),
-            max(step.crash_points_by_index.values(), default=0),
+            max(step.crash_evidence.suspicion_by_index.values(), default=0),
             self._find_waiting(job, step, now),
         )
 
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -15,9 +15,9 @@
 import msgspec
 
 from thornport.cell.decisions import (
-    crashes,
     ending,
     leases,
+    losses,
     messages,
     model,
     notes,
@@ -111,7 +111,7 @@
           started_at_ms: An int, when the one that answered started.
           now: A float.
         """
-        self._recent_losses.append(crashes.make_loss(worker, now))
+        self._recent_losses.append(losses.make_loss(worker, now))
         later = self._make_worker(worker.entry, worker.is_listed)
         later.started_at_ms = started_at_ms
         later.revision = worker.revision
@@ -155,6 +155,15 @@
         """
         if started_at_ms is not None:
             worker.started_at_ms = started_at_ms
+        if worker.earlier is None:
+            # Since when calls failed bounds how long the earlier incarnation's runs
+            # went on.
+            worker.earlier = model.Worker(
+                worker.entry,
+                now,
+                revision=worker.revision,
+                silent_since=worker.silent_since,
+            )
         self._apply_own_entry(worker, now)
 
     def _apply_own_entry(self, worker, now):
@@ -177,8 +186,6 @@
           now: A float.
         """
         earlier, worker.earlier = worker.earlier, None
-        if earlier is None:
-            earlier = model.Worker(worker.entry, now, revision=worker.revision)
         earlier.runs_by_key = {
             run.key: run for run in runs if is_of_other_incarnation(run, worker)
         }
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -321,5 +321,5 @@
     worker = workers_by_id.get(late.worker_id)
     if worker is None or worker.silent_since is not None or late.is_abandoned:
         return False
-    points = step.crash_points_by_index.get(late.key.index, 0)
+    points = step.crash_evidence.suspicion_by_index.get(late.key.index, 0)
     return points <= crashes.SHARED_SUSPECT_POINTS
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -308,7 +308,9 @@
             for time in sorted({saved_step.time for saved_step in saved.steps}):
                 self._begin_time(job, time)
         for saved_step in saved.steps:
-            for run in progress.restore_step(job, saved_step):
+            runs = progress.restore_step(job, saved_step)
+            self._restore_unproven(job, saved_step, now)
+            for run in runs:
                 self._restore_late_start(job, run)
                 if run.state is model.RunState.OVER:
                     continue
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -37,8 +37,9 @@
       ran_ms: An int, the time from its start to the first call that its worker did not
         answer; None when an earlier owner started it.
       beside: An int, the number of other runs at the worker.
-      points, points_in_all: Ints, the crash points of its task for this loss, and in
-        total; see `crashes`.
+      points: An int, the crash points of its task for this loss; see `crashes`.
+      points_in_all: An int, those proven against it in total.
+      unproven: An int, its losses that may turn out to be crashes; see `evidence`.
     """
 
     key: messages.TaskKey
@@ -49,6 +50,36 @@
     beside: int
     points: int
     points_in_all: int
+    unproven: int
+
+
+class Settled(enum.Enum):
+    """What the loss of a silent worker has turned out to be.
+
+    CRASH: another incarnation answers in its place.
+    NO_CRASH: it answers again, or it left as announced.
+    EXPIRED: nobody has answered in its place for long.
+    """
+
+    CRASH = "crash"
+    NO_CRASH = "no-crash"
+    EXPIRED = "expired"
+
+
+class LossSettled(msgspec.Struct, frozen=True):
+    """The loss of a silent worker is settled for a task that it was held against.
+
+    Attributes:
+      settled: A Settled.
+      points: An int, the crash points of the task for it.
+      points_in_all: An int, those proven against it in total.
+    """
+
+    key: messages.TaskKey
+    worker_id: str
+    settled: Settled
+    points: int
+    points_in_all: int
 
 
 class LimitWait(msgspec.Struct, frozen=True):
--- a/thornport/cell/decisions/passes.py
+++ b/thornport/cell/decisions/passes.py
@@ -309,7 +309,7 @@
             workers = self._list_fast_enough(job, step, workers, now)
         if not workers:
             return 0
-        if step.crash_points_by_index:
+        if step.crash_evidence.suspicion_by_index:
             workers = [w for w in workers if trials.may_be_tried(step, w, now)]
         elif not is_overdue:
             workers = self._list_without_trial(workers, now)
@@ -392,6 +392,8 @@
                 address=worker.entry.address,
                 worker_started_at_ms=worker.started_at_ms,
                 usual_s=step.usual_s,
+                decided_at=now,
+                decided_at_ms=self._read_wall_ms(now),
                 pace_percent=sharing.FULL_PERCENT,
             )
             self._take_on_late_start(step, run)
@@ -401,10 +403,10 @@
             is_shared = worker.filling_count and worker.serving_count
             if is_shared and eligibility.may_disturb(step):
                 self._pause_filling(worker, now)
-            if assignment.index in step.crash_points_by_index:
+            suspicion = step.crash_evidence.suspicion_by_index.get(assignment.index)
+            if suspicion:
                 worker.trial = run
-                run.is_joint_trial = len(assigned) > 1
-                run.trial_points = step.crash_points_by_index[assignment.index]
+                run.trial_points = suspicion
                 self._trial_ids.add(worker.worker_id)
             self._recording.append(run)
         if not step.waiting:
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -278,7 +278,7 @@
     """
     is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
     grade = speeds.grade(worker.speed)
-    at_risk = worker.used.millicores if step.crash_points_by_index else 0
+    at_risk = worker.used.millicores if step.crash_evidence.suspicion_by_index else 0
     disturbs = eligibility.disturbs(step, worker)
     return disturbs, at_risk, is_away, grade if wants_fast else -grade
 
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -25,6 +25,8 @@
 # A worker that answers again within this time of a failed poll was not cut off: only
 # the answer was lost.
 LOST_ANSWER_S = 1.6
+# A silence of this length is recorded for a successor; a lost answer is not.
+RECORDED_SILENCE_S = 0.5
 # A worker resets a connection that it no longer knows within this time.
 CONNECTION_RESET_S = 0.1
 # The entry of a silent worker is removed after three missed heartbeats, 4.5 s. An entry
@@ -115,6 +117,8 @@
             worker.avoid(now + ending.AVOID_S)
             worker.unanswered_at = now
             worker.note_silence(now, has_broken_off(answer, sent_at, now))
+            if now - worker.silent_since >= RECORDED_SILENCE_S:
+                self._record_silence(worker)
             if isinstance(answer, messages.NotReached) and answer.is_refused:
                 self._stop_waiting_gangs(worker, now)
             if has_left(worker, answer, now):
@@ -127,8 +131,11 @@
             self._confirm_incarnation(worker, answer.started_at_ms, now)
         if worker.doubted_at is not None and sent_at >= worker.doubted_at:
             worker.doubted_at = None
+        self._settle_answered(worker, now)
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
+        if worker.silent_since is not None:
+            self._erase_silence(worker)
         worker.silent_since = None
         worker.is_broken_off = False
         self._detect_lost_answer(worker, now)
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -84,6 +84,8 @@
             run.has_begun,
             run.has_more_copies,
             run.state is model.RunState.OVER,
+            run.decided_at_ms,
+            run.silent_after_ms,
         )
         for index, run in (*step.live_by_index.items(), *step.late_by_index.items())
     )
@@ -96,8 +98,13 @@
         tuple(step.failures_by_index.items()),
         live,
         tuple(step.checkpoints_by_index.items()),
-        tuple(step.crash_points_by_index.items()),
+        tuple(step.crash_evidence.points_by_index.items()),
         tuple(step.failed_run_by_index.items()),
+        tuple(
+            record.UnprovenLoss(index, loss.worker_id, loss.address, loss.started_at_ms)
+            for index, found in step.crash_evidence.unproven_by_index.items()
+            for loss in found
+        ),
     )
 
 
@@ -134,7 +141,8 @@
     step.failures_by_index = dict(recorded.failures)
     step.failed_run_by_index = dict(recorded.failed_runs)
     step.checkpoints_by_index = dict(recorded.checkpoints)
-    step.crash_points_by_index = dict(recorded.crash_points)
+    for index, points in recorded.crash_points:
+        step.crash_evidence.add_points(index, points)
     runs = []
     for live in recorded.live:
         key = messages.TaskKey(job.job_id, recorded.time, recorded.step, live.index)
@@ -150,6 +158,8 @@
             has_more_copies=live.has_more_copies,
             # Records omit how a run ended, so its end is taken to count.
             has_result=live.is_over,
+            decided_at_ms=live.decided_at_ms,
+            silent_after_ms=live.silent_after_ms,
         )
         runs.append(run)
         by_index = step.late_by_index if live.is_over else step.live_by_index
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -10,6 +10,7 @@
 # The metric that counts each kind of note.
 COUNTER_BY_NOTE = {
     notes.RunLost: "runs.lost",
+    notes.LossSettled: "losses.settled",
     notes.IncarnationOver: "workers.over",
     notes.EndsOmitted: "workers.ends_omitted",
     notes.LimitWait: "steps.at_limit",
@@ -48,6 +49,21 @@
         beside=note.beside,
         points=note.points,
         points_in_all=note.points_in_all,
+        unproven=note.unproven,
+    )
+
+
+@log_note.register
+def log_loss_settled(note: notes.LossSettled):
+    """Log what the loss of a silent worker has turned out to be."""
+    logs.log(
+        "loss-settled",
+        job=note.key.job_id,
+        task=note.key.name_in_job(),
+        worker=note.worker_id,
+        outcome=note.settled.value,
+        points=note.points,
+        points_in_all=note.points_in_all,
     )
 
 
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -131,6 +131,10 @@
         that one may still arrive after the run is known to have begun.
       is_over: Whether the run is over, and only a copy of its start command may still
         arrive.
+      decided_at_ms: An int, when its start was decided, milliseconds since 1970, so
+        that a successor too knows how long it ran. 0 in records of earlier versions.
+      silent_after_ms: An int, how long after that its worker fell silent; None while
+        the worker answers, or if that was long after the start.
     """
 
     index: int
@@ -141,6 +145,24 @@
     has_begun: bool = False
     has_more_copies: bool = False
     is_over: bool = False
+    decided_at_ms: int = 0
+    silent_after_ms: int | None = None
+
+
+class UnprovenLoss(msgspec.Struct, frozen=True, array_like=True):
+    """A task lost its silent worker, of which it is not known whether it crashed.
+
+    Attributes:
+      index: An int, the index of the task.
+      worker_id, address: Strs.
+      worker_started_at_ms: An int, the start of the worker's incarnation; None if it
+        is not known.
+    """
+
+    index: int
+    worker_id: str
+    address: str
+    worker_started_at_ms: int | None = None
 
 
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -159,6 +181,8 @@
         crashes its workers.
       failed_runs: Pairs of task index and the last run that `failures` counts, keyed
         likewise. Empty in records of earlier versions.
+      unproven_losses: The UnprovenLoss of each task. Empty in records of earlier
+        versions.
     """
 
     time: int
@@ -171,6 +195,7 @@
     checkpoints: tuple[tuple[int, str], ...] = ()
     crash_points: tuple[tuple[int, int], ...] = ()
     failed_runs: tuple[tuple[int, int], ...] = ()
+    unproven_losses: tuple[UnprovenLoss, ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
