--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -8,6 +8,7 @@
 
 import functools
 import itertools
+import math
 import random
 import unittest
 
@@ -126,6 +127,47 @@
         self.assertEqual(self.play(restart, 6.0), "running")
 
 
+class FlappingHosts(unittest.TestCase):
+    """A few hosts go down and up by turns; others are sound."""
+
+    HOSTS = 4
+    PERIOD_S = 3.0
+    AWAY_S = 1.5
+    LOAD_S = 40.0
+    JOBS_PER_S = 2.0
+
+    def play(self, seed):
+        """Play wide steps beside the flapping hosts; return the states of the jobs."""
+        rng = random.Random(seed)
+        world = make_world()
+        world.breaks_off = seed % 2 == 0
+        world.back_s = self.AWAY_S
+        due_by_host = {
+            f"w{number}": world.now + rng.uniform(0, self.PERIOD_S)
+            for number in range(self.HOSTS)
+        }
+        load_until = world.now + self.LOAD_S
+        while world.now < load_until:
+            if rng.random() < self.JOBS_PER_S * cellworld.STEP_S:
+                step = cellworld.make_step(18, 4.5, 4800)
+                job_id = f"j{len(world.jobs_by_id)}"
+                world.submit(cellworld.make_job(job_id, step))
+            world.step()
+            for worker_id in list(world.workers_by_id):
+                host = worker_id.partition("-")[0]
+                if world.now >= due_by_host.get(host, math.inf):
+                    world.crash_for_a_while(worker_id)
+                    due_by_host[host] = world.now + self.PERIOD_S
+        world.run(40)
+        return set(world.read_states().values())
+
+    # Guards against trying a task again and again on the host that it was lost on: its
+    # next incarnation is empty, and was therefore preferred.
+    def test_tasks_move_to_sound_hosts(self):
+        failed = [seed for seed in range(4) if self.play(seed) != {"succeeded"}]
+        self.assertEqual(failed, [])
+
+
 class CrashingTasks(unittest.TestCase):
     """Tasks that crash each worker that starts them, in ways that are hard to see."""
 
