Erase a recorded silence when the worker lists the run again

A silence was erased only by the owner that had seen it, as its worker answered. If a successor came first, the record went on saying that the run's worker fell silent just after its start, and the next successor took a restart much later for a crash within the suspect window: five such restarts, each 10 s after the start and under a new successor, failed a harmless job. The answer of another incarnation erased it as well, before the runs were judged.

Measured: test_silence_that_ended_under_a_successor, failed before.

--- a/thornport/cell/decisions/attribution.py
+++ b/thornport/cell/decisions/attribution.py
@@ -134,12 +134,18 @@
                 run.silent_after_ms = int(silent_after_s * clock.MS_PER_S)
                 self._mark_job_dirty(run)
 
-    def _erase_silence(self, worker):
-        """Have the records say no longer that a worker fell silent, as it answers."""
-        for run in worker.runs_by_key.values():
-            if run.silent_after_ms is not None:
-                run.silent_after_ms = None
-                self._mark_job_dirty(run)
+    def _erase_silence(self, run):
+        """Erase from the record that the worker of a run fell silent, as it lists it.
+
+        The silence may have been recorded by an earlier owner. An answer that does not
+        list the run may be another incarnation's.
+
+        Args:
+          run: A model.Run.
+        """
+        if run.silent_after_ms is not None:
+            run.silent_after_ms = None
+            self._mark_job_dirty(run)
 
     def _mark_job_dirty(self, run):
         """Have the record of a run's job written again, if it is still known."""
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -134,8 +134,6 @@
         self._settle_answered(worker, now)
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
-        if worker.silent_since is not None:
-            self._erase_silence(worker)
         worker.silent_since = None
         worker.is_broken_off = False
         self._detect_lost_answer(worker, now)
@@ -265,6 +263,7 @@
         run.load = row.load
         if row.percent != run.percent:
             run.percent, run.percent_at = row.percent, now
+        self._erase_silence(run)
         step = self._find_step(run.key)
         if step is not None:
             step.waiting_since_by_index.pop(run.key.index, None)
--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -126,6 +126,21 @@
 
         self.assertEqual(self.play(restart, 6.0), "running")
 
+    # Guards against a recorded silence that outlasts the silence: a later successor
+    # would take it for the end of the run.
+    def test_silence_that_ended_under_a_successor(self):
+        def cut_then_restart(world, worker):
+            world.cut.add(worker.worker_id)
+            world.run(2.5)
+            world.take_over()
+            world.reach_again(worker.worker_id)
+            world.run(8)
+            world.restart(worker.worker_id)
+            world.take_over()
+            world.run(0.5)
+
+        self.assertEqual(self.play(cut_then_restart, 0.1), "running")
+
 
 class FlappingHosts(unittest.TestCase):
     """A few hosts go down and up by turns; others are sound."""
