Attribute an unproven loss to the incarnation that its run was commanded at

Measured: test_workers_that_are_back_under_their_ids_after_a_late_takeover, failed in all four cases before.

--- a/thornport/cell/decisions/attribution.py
+++ b/thornport/cell/decisions/attribution.py
@@ -82,8 +82,13 @@
         elif not blame.points:
             return
         elif how is notes.WorkerEnd.LAPSED:
+            # The entry may be that of a later incarnation; a worker that is known from
+            # records alone has none.
+            started_at_ms = worker.started_at_ms
+            if run.worker_started_at_ms is not None:
+                started_at_ms = run.worker_started_at_ms
             loss = self._unproven.add(
-                worker.worker_id, worker.started_at_ms, worker.entry.address, now
+                worker.worker_id, started_at_ms, worker.entry.address, now
             )
             loss.tasks.append(run.key)
             step.crash_evidence.add_unproven(index, loss)
--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -12,7 +12,7 @@
 import random
 import unittest
 
-from tests import cellworld, worldcalls
+from tests import cellworld, worldcalls, worldlives
 
 LONG_MS = 60_000
 CUT_S = 9.0  # longer than the longest lease
@@ -249,6 +249,23 @@
         cases = itertools.product((1,), (0.1, 0.8), (True,), (8.0, 25.0), (True,))
         self.assertEqual(self.find_excessive(*cases), {})
 
+    # Guards against a successor that knows a silent worker by the records alone, as its
+    # entry has lapsed, and takes the next incarnation under its id for the same one.
+    def test_workers_that_are_back_under_their_ids_after_a_late_takeover(self):
+        for back_s, is_lasting in itertools.product((7.0, 25.0), (False, True)):
+            with self.subTest(back_s=back_s, is_lasting=is_lasting):
+                world = make_world()
+                world.keeps_id = True
+                step = cellworld.make_step(1, 30, LONG_MS, lasting=is_lasting)
+                world.submit(cellworld.make_job("a", step))
+                crashes = 0
+                while worker := run_until_at_work(world, 0.1):
+                    crashes += 1
+                    self.assertLessEqual(crashes, worldcalls.MOST_CRASHES)
+                    world.crash_for_a_while(worker.worker_id, True, back_s)
+                    world.run(worldlives.ENTRY_S + 0.5)
+                    world.take_over()
+
     # Guards against an outage as an excuse that has no end.
     def test_several_tasks_that_crash_their_workers_at_once(self):
         cases = itertools.product((3, 4), (0.2, 0.8), (False, True))
