--- a/thornport/cell/decisions/losses.py
+++ b/thornport/cell/decisions/losses.py
@@ -175,7 +175,7 @@
 class Moment:
     """The other workers that are lost at the moment of one loss."""
 
-    __slots__ = ("_others", "_rack", "_rack_by_worker")
+    __slots__ = ("_in_cell", "_in_rack")
 
     def __init__(self, loss, losses, rack_by_worker):
         """Find the losses at the same moment.
@@ -185,44 +185,48 @@
           losses: A collection of Loss, of this and of other workers.
           rack_by_worker: The racks of all workers, strs by worker id.
         """
-        self._rack = loss.rack
-        self._rack_by_worker = dict(rack_by_worker)
-        self._rack_by_worker.pop(loss.worker_id, None)
-        self._others = {
+        others_by_id = {
             other.worker_id: other
             for other in losses
             if other.worker_id != loss.worker_id and abs(other.at - loss.at) <= MOMENT_S
         }
+        # Pairs of the losses and the ids of the workers there; None without any.
+        self._in_cell = self._in_rack = None
+        if not others_by_id:
+            return
+        others = list(others_by_id.values())
+        worker_ids = rack_by_worker.keys() - {loss.worker_id}
+        self._in_cell = (others, worker_ids)
+        if not loss.rack:
+            return
+        in_rack = [other for other in others if other.rack == loss.rack]
+        rack_ids = {
+            worker_id
+            for worker_id in worker_ids
+            if rack_by_worker[worker_id] == loss.rack
+        }
+        if len(in_rack) + 1 >= max(MIN_OUTAGE_WORKERS, (len(rack_ids) + 1) / 2):
+            self._in_rack = (in_rack, rack_ids)
 
     def estimate_elsewhere(self, step_key, present_ids):
         """Estimate the rate of losses at this moment, elsewhere than at a step.
 
         Args:
           step_key: A messages.StepKey.
-          present_ids: Ids of the workers at which tasks of the step are.
+          present_ids: A frozenset of the ids of the workers at which tasks of the step
+            are.
         Returns:
           A float, losses of a worker per second, in the cell or in the rack, whichever
           is higher; 0 if no other worker is lost.
         """
-        if not self._others:
-            return 0.0
-        cell_rate = self._estimate(
-            step_key, present_ids, self._others.values(), self._rack_by_worker
+        return max(
+            self._estimate(step_key, present_ids, *scope) if scope else 0.0
+            for scope in (self._in_cell, self._in_rack)
         )
-        rack_ids = [
-            worker_id
-            for worker_id, rack in self._rack_by_worker.items()
-            if self._rack and rack == self._rack
-        ]
-        in_rack = [loss for loss in self._others.values() if loss.rack == self._rack]
-        least = max(MIN_OUTAGE_WORKERS, (len(rack_ids) + 1) / 2)
-        if not self._rack or len(in_rack) + 1 < least:
-            return cell_rate
-        return max(cell_rate, self._estimate(step_key, present_ids, in_rack, rack_ids))
 
     def _estimate(self, step_key, present_ids, losses, worker_ids):
         elsewhere = sum(step_key not in loss.present_steps for loss in losses)
-        exposed = sum(worker_id not in present_ids for worker_id in worker_ids)
+        exposed = len(worker_ids) - len(present_ids & worker_ids)
         # One is added to both, so that a step with tasks nearly everywhere is not
         # blamed because there is no worker to compare with.
         return (elsewhere + 1) / (max(elsewhere, exposed) + 1) / (2 * MOMENT_S)
