--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -186,7 +186,15 @@
 class CrashingTasks(unittest.TestCase):
     """Tasks that crash each worker that starts them, in ways that are hard to see."""
 
-    def count_crashes(self, count, after_s, is_silent, back_s=3.0, takes_over=False):
+    def count_crashes(
+        self,
+        count,
+        after_s,
+        is_silent,
+        back_s=3.0,
+        takes_over=False,
+        worker_count=WORKERS,
+    ):
         """Submit crashing jobs beside others; count crashes until all are given up.
 
         Args:
@@ -195,10 +203,11 @@
           is_silent: A bool, whether nothing answers at the worker's address meanwhile.
           back_s: A float, after what time another incarnation is there.
           takes_over: A bool, whether the owner is replaced after each crash.
+          worker_count: An int.
         Returns:
           An int, the most crashes by one task; more than allowed if it went on.
         """
-        world = make_world()
+        world = make_world(worker_count)
         world.breaks_off = not is_silent
         crashes_by_job = {f"bad{number}": 0 for number in range(count)}
         for job_id in crashes_by_job:
@@ -266,11 +275,20 @@
                     world.run(worldlives.ENTRY_S + 0.5)
                     world.take_over()
 
+    # Guards against crashes that are forgotten before their workers are back.
+    def test_workers_that_are_back_after_more_than_a_minute(self):
+        self.assertEqual(self.find_excessive((1, 0.1, True, 75.0)), {})
+
     # Guards against an outage as an excuse that has no end.
     def test_several_tasks_that_crash_their_workers_at_once(self):
         cases = itertools.product((3, 4), (0.2, 0.8), (False, True))
         self.assertEqual(self.find_excessive(*cases), {})
 
+    # Guards against the same in small cells, where the others are most of the cell.
+    def test_several_at_once_in_a_small_cell(self):
+        cases = ((2, 0.8, False), (3, 0.8, False), (3, 0.8, True, 8.0))
+        self.assertEqual(self.find_excessive(*cases, worker_count=6), {})
+
     # Guards against the same where the workers are back after their leases.
     def test_several_at_once_at_workers_that_stay_silent(self):
         self.assertEqual(self.find_excessive((3, 0.8, True, 8.0)), {})
