Docs: describe unproven losses and how chance is judged now

Pages, log lines and comments named the rule on outages, which is gone, and not the modules and the log line that are new.

--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -17,8 +17,8 @@
 from thornport.cell.decisions.contention import durations, prospects, speeds
 from thornport.kernel import clock
 
-# Recently lost workers that are remembered, to detect that many are lost at once: more
-# than a rack holds, and more than an eighth of a large cell.
+# Recently lost workers that are remembered, to estimate how often workers are lost:
+# more than a large cell loses at one moment.
 MAX_RECENT_LOSSES = 1024
 
 
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -225,8 +225,8 @@
       other_listed: A ListedWorker of another incarnation under this id, or None.
       doubted_at: A float, when the store listed another incarnation than the one that
         answers; None once a later poll is answered.
-      earlier: The Worker of the incarnation that ended unnoticed, until it is known
-        which of its runs are over; None otherwise.
+      earlier: The Worker of an incarnation that may have ended unnoticed, until it is
+        known which of its runs are over; None otherwise.
       revision: An int, the store's revision of the entry; 0 if there was none and
         the worker is known only from the records of its runs.
       leaves_at: A float, the earliest time at which it leaves; None if not stated.
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -35,9 +35,10 @@
     Attributes:
       how: A WorkerEnd.
       ran_ms: An int, the time from its start to the first call that its worker did not
-        answer; None when an earlier owner started it.
+        answer; None when neither this owner nor its record tells its start.
       beside: An int, the number of other runs at the worker.
-      points: An int, the crash points of its task for this loss; see `crashes`.
+      points: An int, the crash points of its task for this loss, which are unproven if
+        it lapsed; see `crashes`.
       points_in_all: An int, those proven against it in total.
       unproven: An int, its losses that may turn out to be crashes; see `evidence`.
     """
