--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -141,6 +141,20 @@
 
         self.assertEqual(self.play(cut_then_restart, 0.1), "running")
 
+    # Guards against a lasting task that is down for longer than users allow, 9 s after
+    # its last run, since the worker of that run is gone for good.
+    def test_lasting_task_of_two_crashes_waits_for_no_lost_worker(self):
+        world = make_world()
+        step = cellworld.make_step(1, 8, LONG_MS, lasting=True)
+        world.submit(cellworld.make_job("a", step))
+        for is_silent, back_s in ((False, 3.0), (False, 3.0), (True, 1000.0)):
+            worker = run_until_at_work(world, 0.2)
+            world.crash_for_a_while(worker.worker_id, is_silent, back_s)
+        lost_at = world.now
+        while find_place(world) is None and world.read_states()["a"] != "failed":
+            world.step()
+        self.assertLess(world.now - lost_at, 9.0)
+
 
 class FlappingHosts(unittest.TestCase):
     """A few hosts go down and up by turns; others are sound."""
