Try suspect tasks away from the hosts on which workers were lost

Cause: a suspect task starts where a crash would cost least, on the emptiest worker. That is the next incarnation on the host that it was just lost on, which has a new id, so the worker to be avoided was not recognised. The same task was lost there every few seconds, five times.

Change: a task avoids the hosts (machines, or addresses where none are named) on which its workers were lost, over restarts under other ids, and suspects prefer hosts that have lost the fewest incarnations of late.

--- a/thornport/cell/decisions/attribution.py
+++ b/thornport/cell/decisions/attribution.py
@@ -42,7 +42,7 @@
         """Make the crashes.Chances that a worker was lost by other causes."""
         others = self.workers_by_id.values()
         silent = [
-            losses.make_loss(other, now)
+            other.loss or losses.make_loss(other, now)
             for other in others
             if other.silent_since is not None
         ]
@@ -97,8 +97,39 @@
         trial_due_at = trials.find_trial_due(worker, run, now)
         if trial_due_at is not None:
             step.trial_due_by_index[index] = trial_due_at
-        # Another crash at the same worker would be evidence against the worker too.
-        step.avoided_by_index.setdefault(index, set()).add(run.worker_id)
+        # Another crash on the same host would be evidence against the host too.
+        hosts_by_index = step.crash_evidence.lost_hosts_by_index
+        hosts_by_index.setdefault(index, set()).add(worker.host)
+
+    def _note_host_lost(self, worker, lost_at):
+        """Count the loss of an incarnation for the later ones on its host.
+
+        Args:
+          worker: A model.Worker that is lost.
+          lost_at: A float.
+        """
+        self._losses_by_host = {
+            host: found
+            for host, found in self._losses_by_host.items()
+            if lost_at - found.at <= losses.RATE_WINDOW_S
+        }
+        before = self._losses_by_host.get(worker.host)
+        count = 1 if before is None else before.count + 1
+        self._losses_by_host[worker.host] = losses.HostLosses(lost_at, count)
+        for other in self.workers_by_id.values():
+            if other.host == worker.host:
+                self._restore_host_losses(other)
+
+    def _restore_host_losses(self, worker):
+        """Tell a worker how many incarnations were lost on its host of late."""
+        found = self._losses_by_host.get(worker.host)
+        if found is not None:
+            worker.host_lost_at, worker.host_losses = found.at, found.count
+
+    def _forget_host_losses(self, worker, now):
+        """Have a worker forget the losses on its host once there were none for long."""
+        if now - worker.host_lost_at > losses.RATE_WINDOW_S:
+            worker.host_losses = 0
 
     def _note_lost(self, worker, blame, how):
         run = blame.run
--- a/thornport/cell/decisions/cellstate.py
+++ b/thornport/cell/decisions/cellstate.py
@@ -83,6 +83,8 @@
         self._unconfigured_by_id = {}
         self._next_order = 0
         self._last_fence = 0  # of the newest incarnation; see `incarnations`
+        # losses.HostLosses by the host of the workers.
+        self._losses_by_host = {}
         self._unproven = evidence.UnprovenLosses()
         self._recent_losses = collections.deque(maxlen=MAX_RECENT_LOSSES)
         # Workers to which a task that may crash them was sent; see `crashes`.
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -119,6 +119,7 @@
                         run.decided_at = now - ago_ms / clock.MS_PER_S
 
     def _tick_worker(self, worker, now):
+        self._forget_host_losses(worker, now)
         if worker.unlisted_at is not None and now >= worker.unlisted_at:
             worker.is_listed = False
             worker.unlisted_at = None
--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -24,6 +24,8 @@
 # The suspect window where the start time or the time of the crash is not known exactly:
 # a poll of an idle worker waits for 2 s, and then times out.
 WIDE_SUSPECT_WINDOW_S = 2.5
+# The same for a run that only an earlier owner heard of: a takeover takes seconds.
+UNHEARD_SUSPECT_WINDOW_S = 4.0
 SOLE_SUSPECT_POINTS = 2
 SHARED_SUSPECT_POINTS = 1
 # A crash is strong evidence if a loss by chance in the suspect window is this unlikely.
@@ -178,10 +180,10 @@
         chance = chances.compute_strict(step_key, losses.SUSPECT_WINDOW_S)
         is_rare = chance <= RARE_CHANCE
         return SOLE_SUSPECT_POINTS if is_alone and is_rare else SHARED_SUSPECT_POINTS
+    is_unheard = run.known_since is None
+    wide_s = UNHEARD_SUSPECT_WINDOW_S if is_unheard else WIDE_SUSPECT_WINDOW_S
     # It may have started within the suspect window.
-    may_be_suspect = (
-        ran.min_s <= losses.SUSPECT_WINDOW_S and ran.max_s <= WIDE_SUSPECT_WINDOW_S
-    )
+    may_be_suspect = ran.min_s <= losses.SUSPECT_WINDOW_S and ran.max_s <= wide_s
     if run.step.lasting and not may_be_suspect:
         # Any lasting task sees workers crash in the course of time.
         return 0
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -341,6 +341,7 @@
             # Otherwise the entry was of an incarnation that ended long ago, or the
             # worker left: several of these at once are no outage of a rack.
             self._recent_losses.append(loss)
+            self._note_host_lost(worker, loss.at)
         self._settle_ended(worker, how, now)
 
     def _forget_advice(self, worker_id):
@@ -366,6 +367,7 @@
         runs = list(worker.runs_by_key.values())
         if not runs:
             return
+        worker.loss = losses.make_loss(worker, now)
         blames = self._judge_runs(worker, now, how)
         for blame in blames:
             self._note_lost(worker, blame, how)
--- a/thornport/cell/decisions/evidence.py
+++ b/thornport/cell/decisions/evidence.py
@@ -12,8 +12,11 @@
 
 # A task is given up once so many points are proven: users allow five crashes.
 GIVE_UP_POINTS = 5
+# So many proven points are two crashes at least, for which users allow a job to be
+# given up; what is unproven counts beside them.
+MIN_PROVEN_POINTS = 3
 # A silent worker that nobody has answered for by then is gone for good.
-UNPROVEN_S = 60.0
+UNPROVEN_S = 300.0
 
 
 class UnprovenLoss(msgspec.Struct, eq=False):
@@ -135,6 +138,8 @@
       unproven_by_index: Lists of UnprovenLoss, of a point each if they are crashes.
       doubted: Indexes of tasks that may have crashed a worker by all that this owner
         knows, which is too little to count.
+      lost_hosts_by_index: Sets of the hosts of workers that were lost under a task;
+        see model.Worker.
       suspicion_by_index: Points that decide on trials: the proven ones and the
         unproven ones, at least one of a doubted task. No entry for other tasks.
     """
@@ -144,6 +149,7 @@
         default_factory=dict
     )
     doubted: set[int] = msgspec.field(default_factory=set)
+    lost_hosts_by_index: dict[int, set[str]] = msgspec.field(default_factory=dict)
     suspicion_by_index: dict[int, int] = msgspec.field(default_factory=dict)
 
     def add_points(self, index, points):
@@ -181,7 +187,8 @@
 
     def has_to_end(self, index):
         """Whether a task is to be given up, as enough is proven against it."""
-        return self.points_by_index.get(index, 0) >= GIVE_UP_POINTS
+        proven = self.points_by_index.get(index, 0)
+        return proven >= MIN_PROVEN_POINTS and not self.may_start(index)
 
     def may_start(self, index):
         """Whether a task need not wait for what is unproven against it."""
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -54,6 +54,7 @@
             fence=self._last_fence,
         )
         worker.speed = self.speeds.find(worker.machine)
+        self._restore_host_losses(worker)
         return worker
 
     def make_token(self, worker):
@@ -111,7 +112,9 @@
           started_at_ms: An int, when the one that answered started.
           now: A float.
         """
-        self._recent_losses.append(losses.make_loss(worker, now))
+        loss = losses.make_loss(worker, now)
+        self._recent_losses.append(loss)
+        self._note_host_lost(worker, loss.at)
         later = self._make_worker(worker.entry, worker.is_listed)
         later.started_at_ms = started_at_ms
         later.revision = worker.revision
--- a/thornport/cell/decisions/losses.py
+++ b/thornport/cell/decisions/losses.py
@@ -15,7 +15,7 @@
 SUSPECT_WINDOW_S = 0.4
 RATE_WINDOW_S = 30.0  # window over which the rate of losses is estimated
 # The estimated rate assumes one loss within this much worker time before any was seen.
-PRIOR_WORKER_TIME_S = 10.0
+PRIOR_WORKER_TIME_S = 8.0
 # Workers that are lost within this time of one another may have one cause.
 MOMENT_S = 1.0
 # A rack has lost its power if at least this many of its workers, and half of them, are
@@ -41,6 +41,18 @@
     present_steps: frozenset[messages.StepKey]
 
 
+class HostLosses(msgspec.Struct, frozen=True):
+    """The incarnations of workers that were lost on one host.
+
+    Attributes:
+      at: A float, when the last one was lost.
+      count: An int, how many were, each within RATE_WINDOW_S of the one before.
+    """
+
+    at: float
+    count: int
+
+
 class RunTime(msgspec.Struct, frozen=True):
     """Bounds on how long a run went on before its worker was gone.
 
@@ -227,6 +239,7 @@
     def _estimate(self, step_key, present_ids, losses, worker_ids):
         elsewhere = sum(step_key not in loss.present_steps for loss in losses)
         exposed = len(worker_ids) - len(present_ids & worker_ids)
-        # One is added to both, so that a step with tasks nearly everywhere is not
-        # blamed because there is no worker to compare with.
-        return (elsewhere + 1) / (max(elsewhere, exposed) + 1) / (2 * MOMENT_S)
+        # At least one of each is assumed, so that a step with tasks nearly everywhere
+        # is not blamed because there is no worker to compare with.
+        share = max(1, elsewhere) / max(1, elsewhere, exposed)
+        return share / (2 * MOMENT_S)
--- a/thornport/cell/decisions/model.py
+++ b/thornport/cell/decisions/model.py
@@ -265,7 +265,11 @@
       pace: The sharing.Pace of its filling runs; None while it doesn't also serve.
       trial: The last Run started here of a task that may have crashed a worker, or
         None. Nothing else starts until it has run for a while.
+      loss: Its losses.Loss while it is silent and its leases are over, as its runs are
+        released then; None otherwise.
       speed: The speeds.MachineSpeed of its machine.
+      host_lost_at: A float, when an earlier incarnation was last lost on its host.
+      host_losses: An int, how many were lost there of late; see `attribution`.
     """
 
     entry: messages.WorkerEntry
@@ -306,6 +310,9 @@
     other_listed: ListedWorker | None = None
     doubted_at: float | None = None
     earlier: "Worker | None" = None
+    loss: msgspec.Struct | None = None
+    host_lost_at: float = -math.inf
+    host_losses: int = 0
     _free: spec.Demand | None = None
 
     def update_entry(self, listed, now):
@@ -356,6 +363,11 @@
         """A str that names its machine; its own id if its entry names none."""
         return self.entry.machine or self.entry.worker_id
 
+    @property
+    def host(self):
+        """A str that stays with its machine over restarts under other ids."""
+        return self.entry.machine or self.entry.address
+
     def compute_free(self):
         """The free capacity, a Demand; cached, since passes ask for it often."""
         if self._free is None:
--- a/thornport/cell/decisions/placing.py
+++ b/thornport/cell/decisions/placing.py
@@ -205,7 +205,7 @@
     heapq.heapify(places)
     assigned = []
     for index in sorted(step.waiting) if indexes is None else indexes:
-        avoided = step.avoided_by_index.get(step.index_for(index), ())
+        avoided = list_avoided(step, index, workers)
         late = step.late_by_index.get(index)
         best = pop_best(places, avoided, late.worker_id if late is not None else None)
         if best is None and late is not None:
@@ -223,6 +223,23 @@
     return assigned
 
 
+def list_avoided(step, index, workers):
+    """List the workers on which a task has failed or that are on hosts it was lost on.
+
+    Args:
+      step: A model.StepState.
+      index: An int, of the task.
+      workers: A list of model.Worker.
+    Returns:
+      A set of ids.
+    """
+    avoided = step.avoided_by_index.get(step.index_for(index), set())
+    lost_hosts = step.crash_evidence.lost_hosts_by_index.get(index)
+    if not lost_hosts:
+        return avoided
+    return avoided | {w.worker_id for w in workers if w.host in lost_hosts}
+
+
 def pop_best(places, avoided, only_id=None):
     """Pop the best place for one task.
 
@@ -272,15 +289,18 @@
       wants_fast: As for `assign_step`.
     Returns:
       A tuple that is lower for a better worker: whether the step and the worker's runs
-      disturb each other; the cores in use that a crash would put at risk, if the step
-      may crash the worker; whether the worker is away from the step's data; the grade
-      of its speed.
+      disturb each other; if the step may crash the worker, how many were lost on its
+      host of late, and the cores in use that a crash would put at risk; whether the
+      worker is away from the step's data; the grade of its speed.
     """
     is_away = bool(step.spec.near_rack) and step.spec.near_rack != worker.entry.rack
     grade = speeds.grade(worker.speed)
-    at_risk = worker.used.millicores if step.crash_evidence.suspicion_by_index else 0
+    is_suspect = bool(step.crash_evidence.suspicion_by_index)
+    # A host that loses its workers again and again would lose the suspect's too.
+    host_losses = worker.host_losses if is_suspect else 0
+    at_risk = worker.used.millicores if is_suspect else 0
     disturbs = eligibility.disturbs(step, worker)
-    return disturbs, at_risk, is_away, grade if wants_fast else -grade
+    return disturbs, host_losses, at_risk, is_away, grade if wants_fast else -grade
 
 
 def has_room(step, workers, reserved, tasks=0, may_share=False):
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -134,7 +134,7 @@
         self._settle_answered(worker, now)
         worker.clock_ms = answer.clock_ms
         worker.heard_at = now
-        worker.silent_since = None
+        worker.silent_since = worker.loss = None
         worker.is_broken_off = False
         self._detect_lost_answer(worker, now)
         for end in sorted(answer.ended, key=lambda end: end.number):
