Count the leases of a killed owner from when its address was taken anew

A successor that was told nothing counts the longest lease, 6.3 s, at each worker that it has not heard. It counted from its own takeover, or from the answer of the process at the earlier owner's address if that came later; the owner may have been dead for 2 s by then. A task whose worker died before its owner started 6.4 s after the takeover: users allow 7 s from the kill.

The answer (Ceased) says now for how long its sender has sent no command: since its last ownership ended or, of a process that has not been the owner, since it bound the address. The successor counts from the last of these times once all earlier owners have answered. This proves as much as before: a poll or start states the end of the lease by the worker's clock, so one that arrives late extends it no further; the process before has left the address. Late starts (13 s) count from the answer as before. An answer of an earlier version counts from its arrival.

Simulated owners report the same time (run_without_owner), and the hypothesis test of runs in two places has gaps between owners; it fails where the lease is counted 0.5, 1.5 or 2.5 s too short.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -38,15 +38,17 @@
 
     # Configuration and workers.
 
-    def note_earlier_owners_gone(self, now):
+    def note_earlier_owners_gone(self, ceased_at, now):
         """Note that no earlier owner sends commands any more.
 
-        The leases that it renewed last expire within the longest lease.
+        A command states the end of the lease by the worker's clock, so also one that
+        arrives late extends it by no more than the longest lease from its sending.
 
         Args:
+          ceased_at: A float, from when on none of them has sent a command.
           now: A float.
         """
-        over_at = now + leases.EARLIER_LEASE_S
+        over_at = ceased_at + leases.EARLIER_LEASE_S
         self._earlier_over_at = min(self._earlier_over_at, over_at)
         for worker in self.workers_by_id.values():
             worker.unheard_until = min(worker.unheard_until, over_at)
--- a/thornport/cell/decisions/takeover_test.py
+++ b/thornport/cell/decisions/takeover_test.py
@@ -24,6 +24,9 @@
 # The longest wait of an owner for an earlier one that never answers, as simulated, plus
 # two steps of the simulation.
 MAX_SILENT_OWNER_WAIT_S = 17.1
+# From the end of an owner to the end of the longest lease that it may have granted,
+# plus two steps of the simulation.
+MAX_KILLED_OWNER_WAIT_S = 6.5
 MAX_IDLE_S = 3.0  # how long users allow that nothing of a job runs
 
 
@@ -82,6 +85,18 @@
             self.world.take_over()
         self.check_starts_within(MAX_ONE_OWNER_WAIT_S)
 
+    # Guards against a successor that counts the longest lease from its own takeover.
+    def test_gap_without_an_owner_counts_as_part_of_the_lease(self):
+        for after_s in (0.2, 1, 2, 4):
+            with self.subTest(after_s=after_s):
+                self.lose_worker()
+                self.world.run(after_s)
+                killed_at = self.world.now
+                self.world.run_without_owner(2.0)
+                self.world.take_over(is_known_gone=True, tells_lapses=False)
+                limit_s = killed_at - self.lost_at + MAX_KILLED_OWNER_WAIT_S
+                self.check_starts_within(limit_s)
+
     def test_owner_that_never_answers_is_waited_for_once(self):
         self.lose_worker()
         self.world.run(0.5)
@@ -181,6 +196,8 @@
                 world.unlist(worker_id)
             world.run(rng.uniform(0.0, 8.0))
             tells_lapses = rng.choice([True, None])
+            if rng.random() < 0.5:
+                world.run_without_owner(rng.uniform(0.0, 8.0))
             world.take_over(rng.random() < 0.7, tells_lapses)
             world.run(rng.uniform(0.0, 8.0))
             if rng.random() < 0.5:
--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -17,7 +17,8 @@
     Attributes:
       owner: The ownership.Owner in the owner key, None if nobody owns the cell.
       session: The owner.OwnerSession of this process, None while it is not the owner.
-      known_lapses: The lapses.Lapses of its last ownership that has ended.
+      known_lapses: The lapses.Lapses of its last ownership that has ended, or of a
+        process without one; None before `start`.
     """
 
     def __init__(self, reactor, daemon, metrics):
@@ -38,10 +39,11 @@
         self._offered_by = ""
         self.owner = None
         self.session = None
-        self.known_lapses = lapses.NONE
+        self.known_lapses = None
 
     def start(self):
         """Start following the owner key; this process must be able to take messages."""
+        self.known_lapses = lapses.make_initial(clock.read_monotonic())
         store = self._daemon.ports.store
         self._claimer = ownership.Claimer(
             self._reactor,
@@ -198,7 +200,7 @@
         session, self.session = self.session, None
         if session is not None:
             session.stop()
-            self.known_lapses = lapses.note(session.core)
+            self.known_lapses = lapses.note(session.core, clock.read_monotonic())
             logs.log("not-deciding", token=session.core.token)
         # The key may be free already, with its event in the past.
         self._reactor.callLater(ownership.RETRY_S, self._claim_if_free)
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -68,6 +68,8 @@
         self.metrics = metrics
         self._on_lost = on_lost
         self._known_lapses = known_lapses
+        # When the last of the earlier owners ceased that have answered; None before.
+        self._earlier_ceased_at = None
         self._claimer = claimer
         self._ledger = ledger.Ledger(
             reactor, ports.store, claimer.token, bus.address, metrics, self._regain
@@ -222,11 +224,22 @@
                 by=address,
                 workers=len(reported.over_at_by_id),
             )
+        if address in self._ledger.earlier:
+            ceased_at = self._earlier_ceased_at
+            if ceased_at is None or ceased_at < reported.ceased_at:
+                self._earlier_ceased_at = reported.ceased_at
         left = tuple(other for other in self._ledger.earlier if other != address)
         self._ledger.earlier = left
         if not left:
-            logs.log("earlier-owners-ceased", token=self.core.token)
-            self.core.note_earlier_owners_gone(clock.read_monotonic())
+            now = clock.read_monotonic()
+            ceased_at = self._earlier_ceased_at
+            ceased_at = now if ceased_at is None else ceased_at
+            logs.log(
+                "earlier-owners-ceased",
+                token=self.core.token,
+                ceased_ms=int((now - ceased_at) * clock.MS_PER_S),
+            )
+            self.core.note_earlier_owners_gone(ceased_at, now)
 
     def confirm(self):
         """Check whether the key is gone, and regain it if it is free."""
--- a/thornport/cell/peers/lapses.py
+++ b/thornport/cell/peers/lapses.py
@@ -18,24 +18,39 @@
     Attributes:
       token: An int, the last token of that owner.
       over_at_by_id: Floats, on the clock of this process, by worker ID.
+      ceased_at: A float, on the same clock, from when on the process of that owner has
+        sent no command.
     """
 
     token: int
     over_at_by_id: dict[str, float]
+    ceased_at: float
 
 
-NONE = Lapses(0, {})
+def make_initial(now):
+    """Make the report of a process that has not been the owner since it started.
 
+    A process that was killed has left its address to this one, so it sends no more
+    commands.
 
-def note(core):
-    """Record what an owner knows of its leases as it stops sending commands.
+    Args:
+      now: A float, once this process has bound its address.
+    Returns:
+      A Lapses.
+    """
+    return Lapses(0, {}, now)
+
+
+def note(core, now):
+    """Record what an owner knows of its leases once it has stopped sending commands.
 
     Args:
       core: The owner's core.CellCore.
+      now: A float.
     Returns:
       A Lapses.
     """
-    return Lapses(core.token, core.list_lapses())
+    return Lapses(core.token, core.list_lapses(), now)
 
 
 def make_answer(lapses, token, now):
@@ -54,13 +69,15 @@
         worker_id: math.ceil(max(0.0, over_at - now) * clock.MS_PER_S)
         for worker_id, over_at in lapses.over_at_by_id.items()
     }
-    return peering.Ceased(token, lapses.token, left_ms_by_worker)
+    ceased_ms = int(max(0.0, now - lapses.ceased_at) * clock.MS_PER_S)
+    return peering.Ceased(token, lapses.token, left_ms_by_worker, ceased_ms)
 
 
 def read_answer(message, now):
     """Convert a former owner's answer to this process's clock.
 
-    The time in transit is not deducted, so it can only make the waits too long.
+    The time in transit is not deducted, so it can only make the waits too long. An
+    answer of an earlier version does not state when the owner ceased, so that is now.
 
     Args:
       message: A peering.Ceased.
@@ -72,7 +89,8 @@
         worker_id: now + left_ms / clock.MS_PER_S
         for worker_id, left_ms in message.left_ms_by_worker.items()
     }
-    return Lapses(message.decided_token, over_at_by_id)
+    ceased_at = now - max(0, message.ceased_ms) / clock.MS_PER_S
+    return Lapses(message.decided_token, over_at_by_id, ceased_at)
 
 
 def is_from_last_owner(lapses, address, last):
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -146,11 +146,14 @@
       decided_token: The token of the sender's last ownership; 0 if it knows of none.
       left_ms_by_worker: For each worker that was silent when that ownership ended, by
         worker ID, the time until all that may run there is over.
+      ceased_ms: The time since that ownership ended, or since the process started if it
+        knows of none.
     """
 
     token: int
     decided_token: int = 0
     left_ms_by_worker: dict[str, int] = {}
+    ceased_ms: int = 0
 
 
 class RelayRead(codec.Message, frozen=True):
