--- a/tests/ownerlossplays.py
+++ b/tests/ownerlossplays.py
@@ -31,7 +31,11 @@
 
 
 class OwnerLossWorld(standingplays.PlayWorld):
-    """A cell whose owners end without telling what they leased."""
+    """A cell whose owners end without telling what they leased.
+
+    Attributes:
+      is_disturbed: A bool, whether something goes on that disturbs.
+    """
 
     def __init__(self, faults, advice, has_start_times, worker_count=WORKERS):
         """Begin.
@@ -42,6 +46,7 @@
           has_start_times: A bool, whether workers state when they started.
           worker_count: An int.
         """
+        self.is_disturbed = False
         self._told_at = math.inf
         self._gone_at = 0.0
         self.standing = standingplays.make_queue(standingplays.STANDING, 1, advice)
@@ -105,6 +110,8 @@
 
     def step(self):
         """As the world's; earlier owners answer that they have ceased."""
+        if self.is_disturbed:
+            self.disturbed_at = self.now + cellworld.STEP_S
         super().step()
         if self.now >= self._told_at:
             self._told_at = math.inf
@@ -268,6 +275,42 @@
             if worker_id in self._world.workers_by_id:
                 self._world.lose(worker_id, is_refusing=False)
 
+    def combine(self):
+        """One of the others, while the store or calls to workers fail too."""
+        around = self._rng.choice(
+            (self._lose_store_around, self._slow_store_around, self._lose_around)
+        )
+        around()
+
+    def _lose_store_around(self):
+        # No successor can claim the cell meanwhile.
+        self._world.is_store_away = True
+        self._run_one(("lose", "freeze", "kill_series", "lose_start_target"))
+        self._world.is_store_away = False
+
+    def _slow_store_around(self):
+        self._world.record_s = self._rng.choice(((0.1, 0.8), (0.8, 2.5)))
+        self._run_one(
+            ("kill_quick", "kill_before", "kill_twice", "regain", "freeze", "lose")
+        )
+        self._world.record_s = (0.0, 0.02)
+
+    def _lose_around(self):
+        chance = self._rng.choice(("lost", "late"))
+        setattr(self._world.faults, chance, 0.4)
+        self._run_one(
+            ("kill_quick", "kill_before", "kill_twice", "regain", "freeze", "lose")
+        )
+        setattr(self._world.faults, chance, 0.0)
+
+    def _run_one(self, names):
+        name = self._rng.choice(names)
+        self._world.trouble += f"+{name}"
+        self._world.is_disturbed = True
+        getattr(self, name)()
+        self._world.run(self._rng.uniform(0.5, 5))
+        self._world.is_disturbed = False
+
 
 NAMES = tuple(
     name
