Doubt no task that was started long before its worker was lost

Cause: a successor that had not heard of a run tried its task before others of its step, also where the record shows that it had run for long. The lasting tasks of a lost worker then started 0.55 s apart, some of them too late.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -132,11 +132,27 @@
         points = count_points(run, ran, suspect_steps, is_timed, chances)
         if points and is_explained(run, ran, worker, ran_by_run):
             points = 0
-        is_doubted = run.known_since is None and (is_timed or not run.step.lasting)
-        blames.append(Blame(run, ran, points, is_doubted and not points))
+        is_doubted = not points and is_doubtful(run, ran, is_timed)
+        blames.append(Blame(run, ran, points, is_doubted))
     return blames
 
 
+def is_doubtful(run, ran, is_timed):
+    """Whether a run may have just begun for all that this owner knows of it.
+
+    Args:
+      run: A model.Run.
+      ran: Its losses.RunTime.
+      is_timed: A bool, whether the time at which the worker was gone is known.
+    Returns:
+      A bool; false if this owner has heard of the run, or its record shows that it was
+      started long before.
+    """
+    is_young = ran.max_s is None or ran.max_s <= UNHEARD_SUSPECT_WINDOW_S
+    # A lasting task that is not known to have crashed anything has mostly run for long.
+    return run.known_since is None and is_young and (is_timed or not run.step.lasting)
+
+
 def is_explained(run, ran, worker, ran_by_run):
     """Whether a task on trial explains the loss of a worker better than another run.
 
