Count the leases of a killed owner from its restart, not from its answer

A successor waited for the runs at silent workers for 6.3 s from the moment at which the last earlier owner answered that it had ceased. A killed owner answers once its process is back, connected (the bus retries up to a second apart) and asked again (every 0.3 s). Its answer now states since when it has sent nothing: the end of its last ownership, or its start if it owned nothing since. The wait counts from there, and from the successor's first decision at the soonest, so that each worker can still report its ends.

--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -17,8 +17,7 @@
     Attributes:
       owner: The ownership.Owner in the owner key, None if nobody owns the cell.
       session: The owner.OwnerSession of this process, None while it is not the owner.
-      known_lapses: The lapses.Lapses of its last ownership that has ended, or of a
-        process without one; None before `start`.
+      known_lapses: The lapses.Lapses of its last ownership that has ended.
     """
 
     def __init__(self, reactor, daemon, metrics):
@@ -39,11 +38,10 @@
         self._offered_by = ""
         self.owner = None
         self.session = None
-        self.known_lapses = None
+        self.known_lapses = lapses.Lapses(0, {}, clock.read_monotonic())
 
     def start(self):
         """Start following the owner key; this process must be able to take messages."""
-        self.known_lapses = lapses.make_initial(clock.read_monotonic())
         store = self._daemon.ports.store
         self._claimer = ownership.Claimer(
             self._reactor,
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -1,5 +1,6 @@
 """A session of ownership of a cell, from the claim of the owner key to its loss."""
 
+import math
 import time
 
 from thornport.cell.decisions import core, leases
@@ -68,8 +69,8 @@
         self.metrics = metrics
         self._on_lost = on_lost
         self._known_lapses = known_lapses
-        # When the last of the earlier owners ceased that have answered; None before.
-        self._earlier_ceased_at = None
+        # From when on no earlier owner that has reported so far sent commands.
+        self._earlier_ceased_at = -math.inf
         self._claimer = claimer
         self._ledger = ledger.Ledger(
             reactor, ports.store, claimer.token, bus.address, metrics, self._regain
@@ -186,6 +187,9 @@
     def decide(self):
         """Start deciding, persisting records and asking earlier owners to cease."""
         self.is_deciding = True
+        # Workers are first polled now. Each has the longest lease to answer before its
+        # runs count as lost, since it may have ends to report.
+        self._earlier_ceased_at = clock.read_monotonic()
         self._tickers = [
             tasks.call_periodically(self._reactor, TICK_S, self._tick, "tick"),
             tasks.call_periodically(
@@ -216,6 +220,7 @@
           address: A str, where it takes messages.
           reported: The lapses.Lapses that it reported.
         """
+        self._earlier_ceased_at = max(self._earlier_ceased_at, reported.ceased_at)
         if lapses.is_from_last_owner(reported, address, self._ledger.last):
             self.core.take_lapses(reported.over_at_by_id)
             logs.log(
@@ -224,22 +229,16 @@
                 by=address,
                 workers=len(reported.over_at_by_id),
             )
-        if address in self._ledger.earlier:
-            ceased_at = self._earlier_ceased_at
-            if ceased_at is None or ceased_at < reported.ceased_at:
-                self._earlier_ceased_at = reported.ceased_at
         left = tuple(other for other in self._ledger.earlier if other != address)
         self._ledger.earlier = left
         if not left:
             now = clock.read_monotonic()
-            ceased_at = self._earlier_ceased_at
-            ceased_at = now if ceased_at is None else ceased_at
             logs.log(
                 "earlier-owners-ceased",
                 token=self.core.token,
-                ceased_ms=int((now - ceased_at) * clock.MS_PER_S),
+                ago_ms=int((now - self._earlier_ceased_at) * clock.MS_PER_S),
             )
-            self.core.note_earlier_owners_gone(ceased_at, now)
+            self.core.note_earlier_owners_gone(self._earlier_ceased_at, now)
 
     def confirm(self):
         """Check whether the key is gone, and regain it if it is free."""
--- a/thornport/cell/peers/lapses.py
+++ b/thornport/cell/peers/lapses.py
@@ -16,10 +16,10 @@
     """When all leased runs at silent workers are over, as known to one owner.
 
     Attributes:
-      token: An int, the last token of that owner.
+      token: An int, the last token of that owner; 0 if it never owned the cell.
       over_at_by_id: Floats, on the clock of this process, by worker ID.
-      ceased_at: A float, on the same clock, from when on the process of that owner has
-        sent no command.
+      ceased_at: A float, when it ceased to send commands. For a process that never
+        owned the cell, when it was started.
     """
 
     token: int
@@ -27,22 +27,8 @@
     ceased_at: float
 
 
-def make_initial(now):
-    """Make the report of a process that has not been the owner since it started.
-
-    A process that was killed has left its address to this one, so it sends no more
-    commands.
-
-    Args:
-      now: A float, once this process has bound its address.
-    Returns:
-      A Lapses.
-    """
-    return Lapses(0, {}, now)
-
-
 def note(core, now):
-    """Record what an owner knows of its leases once it has stopped sending commands.
+    """Record what an owner knows of its leases as it stops sending commands.
 
     Args:
       core: The owner's core.CellCore.
@@ -69,6 +55,7 @@
         worker_id: math.ceil(max(0.0, over_at - now) * clock.MS_PER_S)
         for worker_id, over_at in lapses.over_at_by_id.items()
     }
+    # Rounded down, so that it can only make the successor's waits too long.
     ceased_ms = int(max(0.0, now - lapses.ceased_at) * clock.MS_PER_S)
     return peering.Ceased(token, lapses.token, left_ms_by_worker, ceased_ms)
 
@@ -76,8 +63,7 @@
 def read_answer(message, now):
     """Convert a former owner's answer to this process's clock.
 
-    The time in transit is not deducted, so it can only make the waits too long. An
-    answer of an earlier version does not state when the owner ceased, so that is now.
+    The time in transit is not deducted, so it can only make the waits too long.
 
     Args:
       message: A peering.Ceased.
@@ -89,7 +75,7 @@
         worker_id: now + left_ms / clock.MS_PER_S
         for worker_id, left_ms in message.left_ms_by_worker.items()
     }
-    ceased_at = now - max(0, message.ceased_ms) / clock.MS_PER_S
+    ceased_at = now - message.ceased_ms / clock.MS_PER_S
     return Lapses(message.decided_token, over_at_by_id, ceased_at)
 
 
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -146,8 +146,8 @@
       decided_token: The token of the sender's last ownership; 0 if it knows of none.
       left_ms_by_worker: For each worker that was silent when that ownership ended, by
         worker ID, the time until all that may run there is over.
-      ceased_ms: The time since that ownership ended, or since the process started if it
-        knows of none.
+      ceased_ms: The time since that ownership ended, or since the sender was started if
+        it owned the cell never: a process before it at its address had ended by then.
     """
 
     token: int
