Bound the commands of a killed owner by the witnesses of its heartbeats

Tasks of a lost worker waited for 16.3 s from the takeover where the owner was killed and not started again, and for 6.3 s from its restart where it was: 10 s in which a predecessor that is merely cut off may renew leases, and one lease.

An owner now renews leases and starts runs only for 1 s after a heartbeat that most of its witnesses echoed, or for 0.5 s after the store confirmed its ownership. Its head names the witnesses. A process that follows a successor echoes the earlier owner no more, and tells the successor when it heard that one last, and what it stated of the leases of silent workers. So a successor that half of the witnesses follow knows both bounds.

While the store is away an owner renews leases for 10 s as before as long as most witnesses echo it. If most of them are lost at the same time, leases are renewed no more, where they were for 10 s.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -20,6 +20,7 @@
     peerlist,
     receiving,
     relaying,
+    witnessing,
 )
 from thornport.jobs import intake
 from thornport.kernel import clock, logs, looplag, tasks
@@ -59,6 +60,7 @@
       liveness: The liveness.Liveness of the cell's owner.
       lag: The looplag.LagMeter of this process.
       peers: The peerlist.PeerList of the other processes.
+      witness: The witnessing.Witness of the cell's owners.
     """
 
     def __init__(self, reactor, settings, ports, bus, metrics):
@@ -97,6 +99,7 @@
         cores = process.cpu_share * process.cores
         started_at = clock.read_monotonic()
         self.peers = peerlist.PeerList()
+        self.witness = witnessing.Witness(started_at)
         self.asker = asking.Asker(reactor, self.bus)
         self.greeting = greeting.Greeting(reactor, self, cores, started_at)
         self.candidacy = candidacy.Candidacy(process.name, cores, started_at)
--- a/thornport/cell/owner/commands.py
+++ b/thornport/cell/owner/commands.py
@@ -6,6 +6,9 @@
 from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
+# Of a start, which would grant a lease; see `renewal`.
+UNCONFIRMED = messages.NotReached("the ownership of the cell is not confirmed")
+
 
 @functools.singledispatch
 def execute(command, session):
@@ -28,7 +31,10 @@
 
 async def _start_run(command, session):
     sent_at = clock.read_monotonic()
-    outcome = await session.workers.start(command)
+    if session.may_renew(command.worker_id, sent_at):
+        outcome = await session.workers.start(command)
+    else:
+        outcome = UNCONFIRMED
     now = clock.read_monotonic()
     session.metrics.observe("worker.start_ms", (now - sent_at) * 1000)
     log_command("run-start", command, outcome)
--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -116,6 +116,7 @@
             logs.log("owner-changed", owner=self.owner.name if self.owner else "")
         address = self.owner.address if self.owner else ""
         self._daemon.liveness.take_owner(address, revision)
+        self._daemon.witness.take_owner(address, revision)
         if self.owner is None:
             self._ownership_state.key_is_free()
         elif (
@@ -173,6 +174,7 @@
             self._claimer,
             self._ownership_state.key_is_lost,
             self.known_lapses,
+            self._daemon.peers.addresses,
         )
         renewing = self._claimer.renew(lambda: session.is_active, session.confirm)
         tasks.spawn(renewing, "keep-lease")
--- a/thornport/cell/owner/lanes.py
+++ b/thornport/cell/owner/lanes.py
@@ -21,13 +21,19 @@
       token: An int, the revision of the owner key.
       sequence: An int that increases with each transaction of this owner in the lane.
       address: A str, where the owner takes messages.
-      earlier: Addresses of earlier owners that have not confirmed that they ceased.
+      earlier: Addresses of earlier owners that may not have ceased.
+      witnesses: Addresses of the owner's witnesses; see `renewal.Terms`.
+      withdrawn_ms_by_worker: As in `renewal.Terms`.
+      earlier_witnesses: The witnesses of the earlier owners by their addresses.
     """
 
     token: int
     sequence: int
     address: str
     earlier: tuple[str, ...] = ()
+    witnesses: tuple[str, ...] = ()
+    withdrawn_ms_by_worker: dict[str, int] = {}
+    earlier_witnesses: dict[str, tuple[str, ...]] = {}
 
 
 class Lane(msgspec.Struct, eq=False):
--- a/thornport/cell/owner/ledger.py
+++ b/thornport/cell/owner/ledger.py
@@ -17,7 +17,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.cell.owner import committing, lanes, ownership
+from thornport.cell.owner import committing, lanes, ownership, renewal
 from thornport.kernel import clock, logs, tasks
 from thornport.store import transactions, watching
 
@@ -39,9 +39,11 @@
     Attributes:
       earlier: A tuple of str, as in Head, without the owners that ceased since.
       last: The lanes.Head of the last owner that wrote; None if there was none.
+      witnesses_by_earlier: Tuples of str, the witnesses of earlier owners, by their
+        addresses.
     """
 
-    def __init__(self, reactor, store, token, address, metrics, regain):
+    def __init__(self, reactor, store, token, address, metrics, regain, stated=None):
         """Initialize; nothing is read or written yet.
 
         Args:
@@ -54,8 +56,12 @@
             the transactions.Conditions that hold while no other process has
             decided, and returns the new token, an int, or None if another
             process owns the cell.
+          stated: The renewal.Renewal whose terms the first head states; None for an
+            owner without witnesses.
         """
         self._regain = regain
+        self._renewal = stated if stated is not None else renewal.Renewal(())
+        self.witnesses_by_earlier = {}
         self._address = address
         self.earlier = ()
         self.last = None
@@ -100,6 +106,10 @@
         if self.last is not None:
             addresses = (*self.last.earlier, self.last.address)
             self.earlier = tuple(dict.fromkeys(addresses))
+            self.witnesses_by_earlier = {
+                **self.last.earlier_witnesses,
+                self.last.address: self.last.witnesses,
+            }
         return True
 
     async def register(self):
@@ -194,15 +204,15 @@
     async def _commit_busy(self, lane, batch):
         while not self._is_stopped:
             lane.sequence += 1
-            earlier = () if lane.number else self.earlier
-            head = msgspec.json.encode(
-                lanes.Head(self._token, lane.sequence, self._address, earlier)
-            )
+            terms = None if lane.number else self._renewal.make_terms()
+            head = msgspec.json.encode(self._make_head(lane, terms))
             transaction = lanes.make_transaction(lane, batch, head, self._token)
             outcome = await self._committer.commit(transaction)
             if outcome is None:
                 return None
             if note_applied(lane, outcome, head):
+                if terms is not None:
+                    self._renewal.note_persisted(terms)
                 return outcome.sent_at
             by_key = outcome.refused.by_key
             if self._is_regained(lane, by_key):
@@ -215,6 +225,23 @@
                 return None
         return None
 
+    def _make_head(self, lane, terms):
+        """Make the head of a lane; only that of the first lane states terms."""
+        if terms is None:
+            return lanes.Head(self._token, lane.sequence, self._address)
+        return lanes.Head(
+            self._token,
+            lane.sequence,
+            self._address,
+            self.earlier,
+            terms.witnesses,
+            terms.withdrawn_ms_by_worker,
+            {
+                address: self.witnesses_by_earlier.get(address, ())
+                for address in self.earlier
+            },
+        )
+
     def _is_regained(self, lane, by_key):
         """Check whether the key was regained since a transaction was sent.
 
--- a/thornport/cell/owner/ledger_test.py
+++ b/thornport/cell/owner/ledger_test.py
@@ -8,7 +8,7 @@
 
 from standins import transaction_store
 from thornport.cell.decisions import batches
-from thornport.cell.owner import lanes, ledger, ownership
+from thornport.cell.owner import lanes, ledger, ownership, renewal
 from thornport.jobs import record
 from thornport.kernel import clock, metrics, tasks
 from thornport.store import port, transactions
@@ -100,10 +100,16 @@
         self.regain_answer = None
         self.ledger = self.make_ledger(self.store.token, "10.0.0.1:1")
 
-    def make_ledger(self, token, address):
-        """Make the ledger of an owner."""
+    def make_ledger(self, token, address, stated=None):
+        """Make the ledger of an owner, with the terms of a renewal.Renewal if given."""
         return ledger.Ledger(
-            self.clock, self.store, token, address, metrics.Metrics(), self.regain
+            self.clock,
+            self.store,
+            token,
+            address,
+            metrics.Metrics(),
+            self.regain,
+            stated,
         )
 
     async def regain(self, conditions):
@@ -334,6 +340,26 @@
         tasks.spawn(successor.read_heads(), "read-head")
         self.assertEqual(successor.earlier, ("10.0.0.1:1",))
 
+    def make_successor(self, address, *witnesses):
+        """Make the ledger of a successor with some witnesses, which has registered."""
+        key = ownership.OWNER_KEY
+        token = self.store.contents.commit([], [(key, "successor", 0)], [])
+        successor = self.make_ledger(token, address, renewal.Renewal(witnesses))
+        tasks.spawn(successor.read_heads(), "read-head")
+        tasks.spawn(successor.register(), "register")
+        return successor
+
+    # Guards against a second successor that can't tell when the first owner ceased.
+    def test_successor_learns_the_witnesses_of_all_earlier_owners(self):
+        self.make_successor("10.0.0.2:1", "a", "b")
+        self.make_successor("10.0.0.3:1", "c")
+        last = self.make_successor("10.0.0.4:1")
+        self.assertEqual(last.earlier, ("10.0.0.2:1", "10.0.0.3:1"))
+        self.assertEqual(
+            last.witnesses_by_earlier,
+            {"10.0.0.2:1": ("a", "b"), "10.0.0.3:1": ("c",)},
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -3,6 +3,8 @@
 import math
 import time
 
+import msgspec
+
 from thornport.cell.decisions import core, leases
 from thornport.cell.dispatch import dispatching
 from thornport.cell.owner import (
@@ -11,6 +13,8 @@
     ledger,
     noting,
     polling,
+    predecessors,
+    renewal,
     speedkeeping,
 )
 from thornport.cell.peers import lapses, peering
@@ -49,7 +53,16 @@
     """
 
     def __init__(
-        self, reactor, ports, bus, metrics, settings, claimer, on_lost, known_lapses
+        self,
+        reactor,
+        ports,
+        bus,
+        metrics,
+        settings,
+        claimer,
+        on_lost,
+        known_lapses,
+        peer_addresses=frozenset(),
     ):
         """Initialize the session; nothing is read yet.
 
@@ -62,6 +75,7 @@
           claimer: The ownership.Claimer that holds the key.
           on_lost: A callable, called once when the ownership is lost.
           known_lapses: The lapses.Lapses of this process's previous ownership.
+          peer_addresses: A frozenset of str, the other processes, as known so far.
         """
         self._reactor = reactor
         self.ports = ports
@@ -72,10 +86,20 @@
         # From when on no earlier owner that has reported so far sent commands.
         self._earlier_ceased_at = -math.inf
         self._claimer = claimer
+        self.renewal = renewal.Renewal(peer_addresses - {bus.address})
         self._ledger = ledger.Ledger(
-            reactor, ports.store, claimer.token, bus.address, metrics, self._regain
+            reactor,
+            ports.store,
+            claimer.token,
+            bus.address,
+            metrics,
+            self._regain,
+            self.renewal,
         )
         now = self.began_at = clock.read_monotonic()
+        self._first_token = claimer.token
+        self._predecessors = predecessors.Predecessors(claimer.token, now)
+        self._knows_lapses = False
         self.core = core.CellCore(
             claimer.token,
             now,
@@ -212,6 +236,40 @@
             for address in self._ledger.earlier:
                 self.bus.send(address, "", peering.AskCeased(self.core.token))
             await tasks.sleep(self._reactor, ASK_CEASED_S)
+            self._check_earlier()
+
+    def _check_earlier(self):
+        """Check what the followers of this owner attest about earlier owners."""
+        if not self._knows_lapses:
+            over_at_by_id = self._predecessors.find_lapses(self._ledger.last)
+            if over_at_by_id is not None:
+                self._knows_lapses = True
+                self.core.take_lapses(over_at_by_id)
+                logs.log(
+                    "earlier-leases-attested",
+                    token=self.core.token,
+                    workers=len(over_at_by_id),
+                )
+        now = clock.read_monotonic()
+        for address in self._ledger.earlier:
+            witnesses = self._ledger.witnesses_by_earlier.get(address, ())
+            ceased_at = self._predecessors.find_ceased_at(witnesses)
+            if ceased_at is not None and now >= ceased_at:
+                self._note_ceased(address, ceased_at)
+
+    def take_attestation(self, address, attested):
+        """Take what another process attests about this owner and earlier ones.
+
+        Args:
+          address: A str, where it takes messages.
+          attested: A peering.Attestation.
+        """
+        now = clock.read_monotonic()
+        if self._first_token <= attested.echo_token <= self.core.token:
+            self.renewal.take_echo(address, attested.echo_sent_ms, now)
+        self._predecessors.take_attestation(address, attested, now)
+        if self.is_deciding and self._ledger.earlier:
+            self._check_earlier()
 
     def take_ceased(self, address, reported):
         """Note that an earlier owner sends no further commands.
@@ -220,8 +278,8 @@
           address: A str, where it takes messages.
           reported: The lapses.Lapses that it reported.
         """
-        self._earlier_ceased_at = max(self._earlier_ceased_at, reported.ceased_at)
         if lapses.is_from_last_owner(reported, address, self._ledger.last):
+            self._knows_lapses = True
             self.core.take_lapses(reported.over_at_by_id)
             logs.log(
                 "earlier-leases-told",
@@ -229,6 +287,11 @@
                 by=address,
                 workers=len(reported.over_at_by_id),
             )
+        self._note_ceased(address, reported.ceased_at)
+
+    def _note_ceased(self, address, ceased_at):
+        """Note that an earlier owner sends no commands since a time, a float."""
+        self._earlier_ceased_at = max(self._earlier_ceased_at, ceased_at)
         left = tuple(other for other in self._ledger.earlier if other != address)
         self._ledger.earlier = left
         if not left:
@@ -240,6 +303,66 @@
             )
             self.core.note_earlier_owners_gone(self._earlier_ceased_at, now)
 
+    # Leases of workers.
+
+    def make_heartbeat(self, lag_s):
+        """Make a heartbeat to the witnesses.
+
+        Args:
+          lag_s: A float, how late the timers of this process fire.
+        Returns:
+          A peering.Alive.
+        """
+        now = clock.read_monotonic()
+        left_ms_by_worker = self.renewal.state_silent(self.core.list_lapses(), now)
+        return peering.Alive(
+            lag_s,
+            self.core.token,
+            renewal.to_ms(now),
+            self.renewal.wants_echo(now),
+            left_ms_by_worker,
+        )
+
+    def may_renew(self, worker_id, now):
+        """Whether this owner may renew the lease of a worker.
+
+        If not, the store is asked to confirm its ownership.
+
+        Args:
+          worker_id: A str.
+          now: A float.
+        """
+        may_renew = self.renewal.may_renew(worker_id, self.core.confirmed_at, now)
+        if not may_renew:
+            self._ledger.wake(must_confirm=True)
+        return may_renew
+
+    def limit_lease(self, request, now):
+        """Limit the lease that a poll grants to what this owner may grant.
+
+        Args:
+          request: A messages.HoldRequest.
+          now: A float.
+        Returns:
+          A messages.HoldRequest.
+        """
+        if not request.deadline_ms:
+            return request
+        self.may_renew(request.worker_id, now)
+        deadline_ms = self.renewal.limit_deadline_ms(
+            request, self.core.confirmed_at, now
+        )
+        return msgspec.structs.replace(request, deadline_ms=deadline_ms)
+
+    def _update_witnesses(self, now):
+        """Keep the witnesses in the record those processes that are alive."""
+        addresses = {caller.address for caller in self.core.callers.list_staying(now)}
+        self.renewal.witnesses = renewal.choose_witnesses(
+            addresses - {self.bus.address}
+        )
+        if not self.renewal.is_persisted():
+            self._ledger.wake(must_confirm=True)
+
     def confirm(self):
         """Check whether the key is gone, and regain it if it is free."""
         if self.is_deciding:
@@ -276,6 +399,7 @@
     def _tick(self):
         now = clock.read_monotonic()
         self.core.tick(now, int(time.time() * 1000))
+        self._update_witnesses(now)
         entries = [worker.entry for worker in self.core.workers_by_id.values()]
         self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.polling.poll_new_workers()
--- a/thornport/cell/owner/owner_test.py
+++ b/thornport/cell/owner/owner_test.py
@@ -5,9 +5,10 @@
 
 from twisted.internet import defer, task
 
-from thornport.cell.decisions import leases
-from thornport.cell.owner import lanes, owner
-from thornport.cell.peers import lapses
+from thornport.cell.decisions import leases, messages
+from thornport.cell.owner import lanes, owner, renewal
+from thornport.cell.peers import lapses, peering
+from thornport.jobs import spec
 from thornport.kernel import clock
 
 TOKEN = 9
@@ -91,6 +92,53 @@
         over_at = 100.0 + leases.EARLIER_LEASE_S
         self.assertAlmostEqual(self.read_earlier_over_at(), over_at)
 
+    def attest(self, address, ago_ms, **left_ms_by_worker):
+        """Have a process attest that it follows this owner, and whom it heard last."""
+        attested = peering.Attestation(
+            TOKEN, 0, 0, ago_ms, TOKEN - 1, 500, left_ms_by_worker
+        )
+        self.session.take_attestation(address, attested)
+
+    def decide_after_kill(self, *witnesses):
+        """Decide after an owner with some witnesses, which never answers."""
+        ledger = self.session._ledger
+        ledger.witnesses_by_earlier = {KILLED_ADDRESS: witnesses}
+        self.decide(KILLED_ADDRESS)
+        ledger.last = lanes.Head(TOKEN - 1, 1, KILLED_ADDRESS, (), witnesses)
+
+    # Guards against tasks of a lost worker that wait for 16.3 s where the owner was
+    # killed and is not started again.
+    def test_leases_of_an_owner_that_never_answers_are_bounded_by_its_witnesses(self):
+        self.decide_after_kill("a", "b", "c")
+        self.attest("a", ago_ms=400)
+        self.attest("b", ago_ms=300)
+        ceased_at = 99.7 + renewal.ECHOED_S
+        self.clock.advance(owner.ASK_CEASED_S)
+        not_yet = 100.0 + owner.EARLIER_OWNER_S
+        self.assertAlmostEqual(self.read_earlier_over_at(), not_yet)
+        self.clock.advance(1.0)
+        over_at = ceased_at + leases.EARLIER_LEASE_S
+        self.assertAlmostEqual(self.read_earlier_over_at(), over_at)
+        self.assertEqual(self.session._ledger.earlier, ())
+
+    def test_less_than_half_of_the_witnesses_prove_nothing(self):
+        self.decide_after_kill("a", "b", "c")
+        self.attest("a", ago_ms=400)
+        self.clock.advance(2.0)
+        not_yet = 100.0 + owner.EARLIER_OWNER_S
+        self.assertAlmostEqual(self.read_earlier_over_at(), not_yet)
+
+    # Guards against a lost worker that a successor waits for anew.
+    def test_lease_that_the_last_owner_stated_is_not_waited_for_anew(self):
+        entry = messages.WorkerEntry(
+            "w0", "", "s", "h1", messages.WorkerState.READY, spec.Demand(1000, 100, 0)
+        )
+        worker = self.session.core._make_worker(entry)
+        self.session.core.workers_by_id["w0"] = worker
+        self.decide_after_kill("a", "b")
+        self.attest("a", ago_ms=400, w0=2500)
+        self.assertAlmostEqual(worker.unheard_until, 102.5)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/polling.py
+++ b/thornport/cell/owner/polling.py
@@ -76,6 +76,7 @@
                     return
                 await tasks.sleep(self._reactor, POLL_RETRY_S)
                 continue
+            request = self._session.limit_lease(request, sent_at)
             poll = defer.ensureDeferred(self._workers.hold(request))
             self._poll_by_worker[worker_id] = poll
             answer = await poll
--- a/thornport/cell/owner/polling_test.py
+++ b/thornport/cell/owner/polling_test.py
@@ -51,6 +51,7 @@
             metrics=metrics.Metrics(),
             is_active=True,
             pump=lambda: None,
+            limit_lease=lambda request, _: request,
         )
         worker_polling = polling.Polling(task.Clock(), session)
         worker_polling.poll_new_workers()
--- a/thornport/cell/peers/greeting.py
+++ b/thornport/cell/peers/greeting.py
@@ -63,6 +63,7 @@
             clock.read_monotonic() - self._started_at,
             process.hall,
             self._known_lists,
+            self._daemon.witness.attest(address, clock.read_monotonic()),
         )
         self._daemon.bus.send(address, "", hello)
 
--- a/thornport/cell/peers/liveness.py
+++ b/thornport/cell/peers/liveness.py
@@ -79,8 +79,12 @@
         addresses = self._daemon.peers.addresses.union(
             greeted.with_store, greeted.others, greeted.stopping
         )
-        alive = peering.Alive(self._daemon.lag.read_s())
-        self._bus.send_to_all(addresses - {self._bus.address}, alive)
+        lag_s = self._daemon.lag.read_s()
+        witnesses = session.renewal.list_witnesses() if session.is_deciding else set()
+        if witnesses:
+            self._bus.send_to_all(witnesses, session.make_heartbeat(lag_s))
+        others = addresses - {self._bus.address} - witnesses
+        self._bus.send_to_all(others, peering.Alive(lag_s))
 
     def _check(self):
         now = clock.read_monotonic()
--- a/thornport/cell/peers/liveness_test.py
+++ b/thornport/cell/peers/liveness_test.py
@@ -66,6 +66,7 @@
         self.bus = mock.Mock(address=OWNER)
         self.daemon = mock.Mock(bus=self.bus, peers=peerlist.PeerList())
         self.daemon.lag.read_s.return_value = 0.0
+        self.daemon.session.renewal.list_witnesses.return_value = set()
         self.callers = self.daemon.session.core.callers = core.CellCore(
             1, 0.0, 0.0, 120.0
         ).callers
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -2,12 +2,37 @@
 
 import math
 
+import msgspec
+
 from thornport.cell.peers import workercalls
 from thornport.jobs import workspace
 from thornport.kernel import codec
 from thornport.store import transactions
 
 
+class Attestation(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a process can attest to the owner that it follows; see `witnessing`.
+
+    Attributes:
+      follows: The revision of the owner's key, as known to the sender.
+      echo_token: The token in the last heartbeat heard of this owner; 0 if none.
+      echo_sent_ms: The `sent_ms` of that heartbeat.
+      earlier_ago_ms: The time since the sender heard a heartbeat of an earlier owner,
+        or since its start if it heard none.
+      earlier_token: The token in that heartbeat; 0 if none.
+      earlier_sent_ms: The `sent_ms` of that heartbeat.
+      left_ms_by_worker: As in that heartbeat, counted from now.
+    """
+
+    follows: int
+    echo_token: int = 0
+    echo_sent_ms: int = 0
+    earlier_ago_ms: int = 0
+    earlier_token: int = 0
+    earlier_sent_ms: int = 0
+    left_ms_by_worker: dict[str, int] = {}
+
+
 class Hello(codec.Message, frozen=True):
     """To the owner, periodically: the sender can call for advice.
 
@@ -19,6 +44,7 @@
       hall: The sender's data hall.
       knows_version: The version of the lists that the sender has from this owner; 0
         requests the lists.
+      attested: What the sender attests to the owner.
     """
 
     name: str
@@ -28,6 +54,7 @@
     up_s: float = math.inf
     hall: str = ""
     knows_version: int = 0
+    attested: Attestation | None = None
 
 
 class Peers(codec.Message, frozen=True):
@@ -53,9 +80,18 @@
 
     Attributes:
       lag_s: How late the owner's timers fire; a busy owner is heard less often.
+      token: The owner's token in heartbeats to its witnesses, else 0.
+      sent_ms: When it was sent, on the owner's clock.
+      must_echo: Whether the receiver is to greet the owner at once.
+      left_ms_by_worker: For silent workers, by worker ID, the time until all that may
+        run there is over, whatever becomes of the owner.
     """
 
     lag_s: float = 0.0
+    token: int = 0
+    sent_ms: int = 0
+    must_echo: bool = False
+    left_ms_by_worker: dict[str, int] = {}
 
 
 class AskOwnerHeard(codec.Message, frozen=True):
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -55,6 +55,8 @@
     )
     if is_news:
         logs.log("peer-stopping", peer=message.name)
+    if message.attested is not None:
+        daemon.session.take_attestation(address, message.attested)
     lists = callers.list_peers(now)
     answer = peering.Alive()
     if message.knows_version != lists.version:
@@ -125,6 +127,9 @@
     """Record a heartbeat of the owner."""
     daemon.relayed.hear_peer()
     daemon.liveness.hear(address, message.lag_s)
+    daemon.witness.hear(address, message, clock.read_monotonic())
+    if message.must_echo:
+        daemon.greeting.greet()
 
 
 @take.register
