--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -326,16 +326,16 @@
     def may_renew(self, worker_id, now):
         """Whether this owner may renew the lease of a worker.
 
-        If not, the store is asked to confirm its ownership.
+        If it may renew none, the store is asked to confirm its ownership.
 
         Args:
           worker_id: A str.
           now: A float.
         """
-        may_renew = self.renewal.may_renew(worker_id, self.core.confirmed_at, now)
-        if not may_renew:
+        confirmed_at = self.core.confirmed_at
+        if not self.renewal.may_renew_any(confirmed_at, now):
             self._ledger.wake(must_confirm=True)
-        return may_renew
+        return self.renewal.may_renew(worker_id, confirmed_at, now)
 
     def limit_lease(self, request, now):
         """Limit the lease that a poll grants to what this owner may grant.
@@ -348,10 +348,11 @@
         """
         if not request.deadline_ms:
             return request
-        self.may_renew(request.worker_id, now)
         deadline_ms = self.renewal.limit_deadline_ms(
             request, self.core.confirmed_at, now
         )
+        if deadline_ms < request.deadline_ms:
+            self.may_renew(request.worker_id, now)
         return msgspec.structs.replace(request, deadline_ms=deadline_ms)
 
     def _update_witnesses(self, now):
