--- a/thornport/cell/owner/lanes.py
+++ b/thornport/cell/owner/lanes.py
@@ -23,7 +23,7 @@
       address: A str, where the owner takes messages.
       earlier: Addresses of earlier owners that may not have ceased.
       witnesses: Addresses of the owner's witnesses; see `renewal.Terms`.
-      withdrawn_ms_by_worker: As in `renewal.Terms`.
+      withdrawn_ms_by_worker, stated_since_ms: As in `renewal.Terms`.
       earlier_witnesses: The witnesses of the earlier owners by their addresses.
     """
 
@@ -33,6 +33,7 @@
     earlier: tuple[str, ...] = ()
     witnesses: tuple[str, ...] = ()
     withdrawn_ms_by_worker: dict[str, int] = {}
+    stated_since_ms: int = 0
     earlier_witnesses: dict[str, tuple[str, ...]] = {}
 
 
--- a/thornport/cell/owner/ledger.py
+++ b/thornport/cell/owner/ledger.py
@@ -204,7 +204,8 @@
     async def _commit_busy(self, lane, batch):
         while not self._is_stopped:
             lane.sequence += 1
-            terms = None if lane.number else self._renewal.make_terms()
+            now = clock.read_monotonic()
+            terms = None if lane.number else self._renewal.make_terms(now)
             head = msgspec.json.encode(self._make_head(lane, terms))
             transaction = lanes.make_transaction(lane, batch, head, self._token)
             outcome = await self._committer.commit(transaction)
@@ -236,6 +237,7 @@
             self.earlier,
             terms.witnesses,
             terms.withdrawn_ms_by_worker,
+            terms.stated_since_ms,
             {
                 address: self.witnesses_by_earlier.get(address, ())
                 for address in self.earlier
--- a/thornport/cell/owner/predecessors.py
+++ b/thornport/cell/owner/predecessors.py
@@ -106,6 +106,8 @@
         if not heard:
             return None
         newest = max(heard, key=lambda follower: follower.sent_ms)
+        if newest.sent_ms < last.stated_since_ms:
+            return None
         return {
             worker_id: over_at
             for worker_id, over_at in newest.over_at_by_id.items()
--- a/thornport/cell/owner/renewal.py
+++ b/thornport/cell/owner/renewal.py
@@ -35,10 +35,13 @@
         and it then renews leases as long as its ownership may last.
       withdrawn_ms_by_worker: Ints on the owner's clock by worker ID: statements about
         these workers in earlier heartbeats don't hold any more.
+      stated_since_ms: An int on the owner's clock, when these witnesses were chosen. No
+        statement in an earlier heartbeat holds: other witnesses know its withdrawal.
     """
 
     witnesses: tuple[str, ...] = ()
     withdrawn_ms_by_worker: dict[str, int] = {}
+    stated_since_ms: int = 0
 
 
 class SentDeadline(msgspec.Struct, frozen=True):
@@ -53,6 +56,7 @@
 
     __slots__ = (
         "_echoed_ms_by_witness",
+        "_made",
         "_persisted",
         "_possible_terms",
         "_sent_by_worker",
@@ -70,19 +74,30 @@
         self.witnesses = choose_witnesses(witnesses)
         # The terms that the record may state: those persisted, and those sent since.
         self._possible_terms = []
-        self._persisted = Terms()
+        self._made = self._persisted = Terms()
         self._echoed_ms_by_witness = {}
         self._sent_by_worker = {}
-        # Workers whose leases are stated to be over at a time, and of these, when the
-        # statement was withdrawn.
-        self._stated = set()
+        self._stated = frozenset()  # workers in the last heartbeat
+        # When statements were withdrawn, until most witnesses know it. A statement that
+        # is made again does not revive those before.
         self._withdrawn_ms_by_worker = {}
 
     # The record.
 
-    def make_terms(self):
-        """Make the terms for the next transaction, which may be applied from now on."""
-        terms = Terms(self.witnesses, dict(self._withdrawn_ms_by_worker))
+    def make_terms(self, now):
+        """Make the terms for the next transaction, which may be applied from now on.
+
+        Args:
+          now: A float.
+        Returns:
+          A Terms.
+        """
+        if self._made.witnesses != self.witnesses:
+            since_ms = to_ms(now)
+        else:
+            since_ms = self._made.stated_since_ms
+        withdrawn_ms_by_worker = dict(self._withdrawn_ms_by_worker)
+        terms = self._made = Terms(self.witnesses, withdrawn_ms_by_worker, since_ms)
         self._possible_terms.append(terms)
         return terms
 
@@ -118,10 +133,8 @@
         """
         listed = sorted(over_at_by_id)[:MAX_STATED]
         for worker_id in self._stated.difference(listed):
-            self._withdrawn_ms_by_worker.setdefault(worker_id, to_ms(now))
-        for worker_id in listed:
-            self._withdrawn_ms_by_worker.pop(worker_id, None)
-        self._stated.update(listed)
+            self._withdrawn_ms_by_worker[worker_id] = to_ms(now)
+        self._stated = frozenset(listed)
         return {
             worker_id: math.ceil(
                 max(0.0, over_at_by_id[worker_id] - now) * clock.MS_PER_S
@@ -177,7 +190,6 @@
         for worker_id, withdrawn_ms in list(self._withdrawn_ms_by_worker.items()):
             if echoed_ms >= withdrawn_ms:
                 del self._withdrawn_ms_by_worker[worker_id]
-                self._stated.discard(worker_id)
 
     # Renewals.
 
@@ -205,13 +217,13 @@
 
     def _is_withheld(self, worker_id):
         """Whether a successor may rely on a statement about a worker's lease."""
-        if worker_id not in self._stated or self._find_echoed_ms() == math.inf:
+        if self._find_echoed_ms() == math.inf:
             return False
-        withdrawn_ms = self._withdrawn_ms_by_worker.get(worker_id)
-        if withdrawn_ms is None:
+        if worker_id in self._stated:
             return True
+        withdrawn_ms = self._withdrawn_ms_by_worker.get(worker_id)
         persisted_ms = self._persisted.withdrawn_ms_by_worker.get(worker_id)
-        return persisted_ms != withdrawn_ms
+        return withdrawn_ms is not None and persisted_ms != withdrawn_ms
 
     def limit_deadline_ms(self, request, confirmed_at, now):
         """Limit the deadline of a lease in a poll to what this owner may grant.
--- a/thornport/cell/owner/renewal_test.py
+++ b/thornport/cell/owner/renewal_test.py
@@ -18,7 +18,7 @@
 
     def setUp(self):
         self.renewal = renewal.Renewal(PEERS)
-        self.renewal.note_persisted(self.renewal.make_terms())
+        self.renewal.note_persisted(self.renewal.make_terms(LONG_AGO))
 
     def echo(self, count, sent_at=NOW, now=NOW):
         """Have so many witnesses echo a heartbeat."""
@@ -52,13 +52,13 @@
 
     def test_owner_without_witnesses_renews_leases(self):
         alone = renewal.Renewal(())
-        alone.note_persisted(alone.make_terms())
+        alone.note_persisted(alone.make_terms(NOW))
         self.assertTrue(alone.may_renew(WORKER, LONG_AGO, NOW))
 
     # Guards against a record that names other witnesses than those that echo.
     def test_most_of_both_are_needed_while_the_record_may_name_either(self):
         self.renewal.witnesses = ("x", "y", "z")
-        terms = self.renewal.make_terms()
+        terms = self.renewal.make_terms(NOW)
         self.echo(5)
         self.assertFalse(self.may_renew(NOW))
         for address in ("x", "y"):
@@ -106,12 +106,31 @@
         self.state(NOW, WORKER)
         self.state(NOW + 0.1)
         self.assertFalse(self.renewal.is_persisted())
-        terms = self.renewal.make_terms()
+        terms = self.renewal.make_terms(NOW)
         self.assertFalse(self.may_renew(NOW + 0.1, NOW + 0.1))
         self.renewal.note_persisted(terms)
         self.assertTrue(self.renewal.is_persisted())
         self.assertTrue(self.may_renew(NOW + 0.1, NOW + 0.1))
 
+    def test_withdrawal_that_most_witnesses_know_needs_no_record(self):
+        self.state(NOW, WORKER)
+        self.state(NOW + 0.1)
+        self.renewal.note_persisted(self.renewal.make_terms(NOW))
+        self.echo(5, NOW + 0.1, NOW + 0.1)
+        self.assertTrue(self.may_renew(NOW + 0.2))
+
+    # Guards against a successor that relies on a statement made before a withdrawal,
+    # as the record forgot the withdrawal when the lease was stated again.
+    def test_record_has_a_withdrawal_until_most_witnesses_know_it(self):
+        self.state(NOW, WORKER)
+        self.state(NOW + 0.1)
+        self.state(NOW + 0.2, WORKER)
+        withdrawn_ms = renewal.to_ms(NOW + 0.1)
+        terms = self.renewal.make_terms(NOW)
+        self.assertEqual(terms.withdrawn_ms_by_worker, {WORKER: withdrawn_ms})
+        self.echo(3, NOW + 0.2, NOW + 0.2)
+        self.assertEqual(self.renewal.make_terms(NOW).withdrawn_ms_by_worker, {})
+
     def test_lease_that_is_stated_again_is_withheld_again(self):
         self.state(NOW, WORKER)
         self.state(NOW + 0.1)
@@ -128,8 +147,8 @@
 class Play:
     """An owner and its successor; greetings and heartbeats are late or lost at random.
 
-    The owner may be cut off from the store. At each step it renews the leases of some
-    workers, as far as it may.
+    The owner is cut off from the store, and it may be from the peers. At each step it
+    renews the leases of some workers, as far as it may.
     """
 
     STEP_S = 0.05
@@ -148,21 +167,24 @@
         for witness in self.witness_by_address.values():
             witness.take_owner("owner", 5)
         self.renewal = renewal.Renewal(peers)
-        self.persisted = self.renewal.make_terms()
+        self.persisted = self.renewal.make_terms(self.now)
         self.renewal.note_persisted(self.persisted)
         self.confirmed_at = self.now
+        self.open_transaction = None
         self.transit = []
         self.silent = set()
         self.lost = self.rng.choice((0.0, 0.2, 0.6))
         self.cut_off_at = self.now + self.rng.uniform(1, 4)
         self.claims_at = self.cut_off_at + self.rng.uniform(-0.5, 2)
+        # While the peers do not hear the owner, it goes on by the store alone.
+        self.unheard_at = self.now + self.rng.choice((0.5, 2, 100))
         self.over_at_by_worker = dict.fromkeys(self.WORKERS, self.now)
         self.renewed_at = self.now
         self.predecessors = None
 
-    def send(self, deliver):
+    def send(self, deliver, is_owner_heard=True):
         """Deliver a message later, or never."""
-        if self.rng.random() >= self.lost:
+        if is_owner_heard and self.rng.random() >= self.lost:
             self.transit.append((self.now + self.rng.expovariate(5), deliver))
 
     def step(self):
@@ -186,7 +208,8 @@
         echo = witness.attest("owner", now)
         if echo is not None and echo.echo_token:
             self.send(
-                lambda: self.renewal.take_echo(address, echo.echo_sent_ms, self.now)
+                lambda: self.renewal.take_echo(address, echo.echo_sent_ms, self.now),
+                self.now < self.unheard_at,
             )
         attested = witness.attest(self.successor_address, now)
         if attested is not None:
@@ -196,10 +219,14 @@
 
     def _act_as_owner(self):
         has_store = self.now < self.cut_off_at and self.predecessors is None
-        if has_store and self.rng.random() < 0.1:
-            self.confirmed_at = self.now
-            self.persisted = self.renewal.make_terms()
-            self.renewal.note_persisted(self.persisted)
+        if self.open_transaction is not None:
+            self._go_on_with_transaction(has_store)
+        elif has_store and self.rng.random() < 0.3:
+            if self.rng.random() < 0.2:
+                peers = list(self.witness_by_address)
+                count = self.rng.randint(0, len(peers))
+                self.renewal.witnesses = tuple(self.rng.sample(peers, count))
+            self.open_transaction = (self.now, self.renewal.make_terms(self.now))
         if self.rng.random() < 0.1:
             self.silent ^= {self.rng.choice(self.WORKERS)}
         if self.rng.random() < 0.5:
@@ -209,12 +236,26 @@
                 0.0, 5, renewal.to_ms(self.now), left_ms_by_worker=left_ms
             )
             for witness in self.witness_by_address.values():
-                self.send(lambda w=witness, a=alive: w.hear("owner", a, self.now))
+                self.send(
+                    lambda w=witness, a=alive: w.hear("owner", a, self.now),
+                    self.now < self.unheard_at,
+                )
         for worker_id in set(self.WORKERS) - self.silent:
             if self.renewal.may_renew(worker_id, self.confirmed_at, self.now):
                 self.over_at_by_worker[worker_id] = self.now + self.LEASE_S
                 self.renewed_at = self.now
 
+    def _go_on_with_transaction(self, has_store):
+        """Apply the open transaction, or answer the owner that it was applied."""
+        sent_at, terms = self.open_transaction
+        if self.persisted is terms:
+            if self.rng.random() < 0.5:
+                self.open_transaction = None
+                self.confirmed_at = sent_at
+                self.renewal.note_persisted(terms)
+        elif has_store and self.rng.random() < 0.5:
+            self.persisted = terms
+
     def find_ceased_at(self):
         """Find when the successor takes the owner to have ceased; None if never."""
         if self.predecessors is None:
@@ -232,6 +273,7 @@
             (),
             self.persisted.witnesses,
             self.persisted.withdrawn_ms_by_worker,
+            self.persisted.stated_since_ms,
         )
         return self.predecessors.find_lapses(head)
 
