Take the end of an earlier owner's commands from its own answer alone

An answer of a process that is no earlier owner, or a repeated one, moved the time from which the leases count.

--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -291,6 +291,8 @@
 
     def _note_ceased(self, address, ceased_at):
         """Note that an earlier owner sends no commands since a time, a float."""
+        if address not in self._ledger.earlier:
+            return
         self._earlier_ceased_at = max(self._earlier_ceased_at, ceased_at)
         left = tuple(other for other in self._ledger.earlier if other != address)
         self._ledger.earlier = left
--- a/thornport/cell/peers/lapses.py
+++ b/thornport/cell/peers/lapses.py
@@ -75,7 +75,7 @@
         worker_id: now + left_ms / clock.MS_PER_S
         for worker_id, left_ms in message.left_ms_by_worker.items()
     }
-    ceased_at = now - message.ceased_ms / clock.MS_PER_S
+    ceased_at = now - max(0, message.ceased_ms) / clock.MS_PER_S
     return Lapses(message.decided_token, over_at_by_id, ceased_at)
 
 
