Count each silent loss just after a start as unproven, whatever else was lost

Change: such a loss is held against the task in any case. It counts only if the worker turns out to have crashed, so no silence gives a job up. A run that only an earlier owner heard of is judged so too.

--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -200,6 +200,10 @@
     wide_s = UNHEARD_SUSPECT_WINDOW_S if is_unheard else WIDE_SUSPECT_WINDOW_S
     # It may have started within the suspect window.
     may_be_suspect = ran.min_s <= losses.SUSPECT_WINDOW_S and ran.max_s <= wide_s
+    if may_be_suspect and (is_unheard or not is_timed):
+        # Of a silent worker this counts only if it turns out to have crashed, and a new
+        # owner can't tell an outage from tasks that crash their workers together.
+        return SHARED_SUSPECT_POINTS
     if run.step.lasting and not may_be_suspect:
         # Any lasting task sees workers crash in the course of time.
         return 0
