--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -304,6 +304,11 @@
         cases = itertools.product((8,), (0.05, 0.3), (True,), (8.0, 20.0))
         self.assertEqual(self.find_excessive(*cases), {})
 
+    # Guards against late crashes that excuse one another, each time and without end.
+    def test_several_at_once_long_after_their_starts(self):
+        cases = ((3, 2.5, False, 1.0), (6, 1.5, False, 1.0))
+        self.assertEqual(self.find_excessive(*cases), {})
+
     # Guards against the same in small cells, where the others are most of the cell.
     def test_several_at_once_in_a_small_cell(self):
         cases = ((2, 0.8, False), (3, 0.8, False), (3, 0.8, True, 8.0))
