--- a/thornport/cell/decisions/crashes.py
+++ b/thornport/cell/decisions/crashes.py
@@ -188,19 +188,10 @@
     """
     if ran.max_s is None:
         return 0
-    step_key = run.step_key
     if is_timed and ran.max_s <= losses.SUSPECT_WINDOW_S:
-        # An unacknowledged start may never have begun.
-        is_answered = run.state is not model.RunState.ORDERED
-        is_alone = is_answered and suspect_steps == {step_key}
-        chance = chances.compute_strict(step_key, losses.SUSPECT_WINDOW_S)
-        is_rare = chance <= RARE_CHANCE
-        return SOLE_SUSPECT_POINTS if is_alone and is_rare else SHARED_SUSPECT_POINTS
-    is_unheard = run.known_since is None
-    wide_s = UNHEARD_SUSPECT_WINDOW_S if is_unheard else WIDE_SUSPECT_WINDOW_S
-    # It may have started within the suspect window.
-    may_be_suspect = ran.min_s <= losses.SUSPECT_WINDOW_S and ran.max_s <= wide_s
-    if may_be_suspect and (is_unheard or not is_timed):
+        return count_suspect_points(run, suspect_steps, chances)
+    may_be_suspect = may_have_just_begun(run, ran)
+    if may_be_suspect and (run.known_since is None or not is_timed):
         # Of a silent worker this counts only if it turns out to have crashed, and a new
         # owner can't tell an outage from tasks that crash their workers together.
         return SHARED_SUSPECT_POINTS
@@ -208,5 +199,22 @@
         # Any lasting task sees workers crash in the course of time.
         return 0
     within_s = losses.SUSPECT_WINDOW_S if may_be_suspect else ran.max_s
-    chance = chances.compute(step_key, within_s)
+    chance = chances.compute(run.step_key, within_s)
     return SHARED_SUSPECT_POINTS if chance <= LOW_CHANCE else 0
+
+
+def count_suspect_points(run, suspect_steps, chances):
+    """Count the points of a run that is known to have just begun; as `count_points`."""
+    # An unacknowledged start may never have begun.
+    is_answered = run.state is not model.RunState.ORDERED
+    is_alone = is_answered and suspect_steps == {run.step_key}
+    chance = chances.compute_strict(run.step_key, losses.SUSPECT_WINDOW_S)
+    is_rare = chance <= RARE_CHANCE
+    return SOLE_SUSPECT_POINTS if is_alone and is_rare else SHARED_SUSPECT_POINTS
+
+
+def may_have_just_begun(run, ran):
+    """Whether a run may have started within the suspect window, by its RunTime."""
+    is_unheard = run.known_since is None
+    wide_s = UNHEARD_SUSPECT_WINDOW_S if is_unheard else WIDE_SUSPECT_WINDOW_S
+    return ran.min_s <= losses.SUSPECT_WINDOW_S and ran.max_s <= wide_s
