Echo an owner whose VM was booted anew at its address

Witnesses compared heartbeats by the time they were sent alone. The clock of a VM starts anew with it, so an owner that took its cell back from its own address, with no other owner between, had its heartbeats passed over as overtaken until its new clock was past the old one. Heartbeats are compared by token first now.

--- a/thornport/cell/peers/witnessing.py
+++ b/thornport/cell/peers/witnessing.py
@@ -74,8 +74,11 @@
         if address != self._address or not alive.token:
             return
         current = self._current
-        if current is not None and alive.sent_ms < current.sent_ms:
-            # It was overtaken on its way; what it states may be withdrawn already.
+        sent = (alive.token, alive.sent_ms)
+        if current is not None and sent < (current.token, current.sent_ms):
+            # It was overtaken on its way; what it states may be withdrawn already. The
+            # clock of a VM that was booted anew at this address starts again, its
+            # token is higher.
             self._current = msgspec.structs.replace(current, heard_at=now)
             return
         over_at_by_id = {
--- a/thornport/cell/peers/witnessing_test.py
+++ b/thornport/cell/peers/witnessing_test.py
@@ -41,6 +41,16 @@
         self.hear(20.1, 900, address=SUCCESSOR, token=7)
         self.assertEqual(self.witness.attest(OWNER, 20.2).echo_sent_ms, 700)
 
+    # Guards against an owner without echoes after its VM, and its clock, began anew.
+    def test_owner_that_is_back_at_its_address_with_a_new_clock_is_echoed(self):
+        self.hear(20.0, 90_000, w0=4000)
+        self.witness.take_owner(OWNER, 9)
+        self.hear(30.0, 200, token=9)
+        attested = self.witness.attest(OWNER, 30.1)
+        self.assertEqual((attested.echo_token, attested.echo_sent_ms), (9, 200))
+        self.hear(30.2, 90_100, token=5, w0=4000)
+        self.assertEqual(self.witness.attest(OWNER, 30.3).echo_token, 9)
+
     # Guards against an owner that goes on since a process echoes it to the end.
     def test_earlier_owner_is_echoed_no_more(self):
         self.hear(20.0, 700)
