Confirm an ownership in time where leases depend on it

An owner that most witnesses do not echo renews leases for 0.5 s after a transaction. It asked for one when a poll was refused a lease; polls are 0.7 s apart, so a worker whose polls alone asked was refused every time, and its lease lapsed after 6 s with a store that answers. The owner now asks every 0.25 to 0.35 s while a worker has runs.

--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -366,6 +366,14 @@
         if not self.renewal.is_persisted():
             self._ledger.wake(must_confirm=True)
 
+    def _keep_confirmed(self, now):
+        """Have the store confirm the ownership while leases depend on it."""
+        has_runs = any(
+            worker.runs_by_key for worker in self.core.workers_by_id.values()
+        )
+        if has_runs and self.renewal.wants_confirmation(self.core.confirmed_at, now):
+            self._ledger.wake(must_confirm=True)
+
     def confirm(self):
         """Check whether the key is gone, and regain it if it is free."""
         if self.is_deciding:
@@ -403,6 +411,7 @@
         now = clock.read_monotonic()
         self.core.tick(now, int(time.time() * 1000))
         self._update_witnesses(now)
+        self._keep_confirmed(now)
         entries = [worker.entry for worker in self.core.workers_by_id.values()]
         self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.polling.poll_new_workers()
--- a/thornport/cell/owner/owner_test.py
+++ b/thornport/cell/owner/owner_test.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from returns import result
 from twisted.internet import defer, task
 
 from thornport.cell.decisions import leases, messages
@@ -139,6 +140,48 @@
         self.attest("a", ago_ms=400, w0=2500)
         self.assertAlmostEqual(worker.unheard_until, 102.5)
 
+    # Guards against leases of healthy workers that lapse where no witness echoes, as
+    # polls wait for longer than a confirmation counts.
+    def test_lone_worker_is_renewed_while_only_the_store_confirms_the_ownership(self):
+        self.session.ports.store.commit.side_effect = self.commit_slowly
+        self.session.renewal.witnesses = ("a", "b", "c")
+        self.session.renewal.note_persisted(self.session.renewal.make_terms(100.0))
+        self.add_running_worker("w0")
+        self.decide_after_kill("a", "b", "c")
+        self.session.core.callers.list_staying = lambda _: [
+            mock.Mock(address=address) for address in ("a", "b", "c")
+        ]
+        granted = 0
+        for _ in range(20):
+            for _ in range(14):
+                self.clock.advance(0.05)
+            now = self.clock.seconds()
+            request = messages.HoldRequest("w0", "", TOKEN, int(now * 1000), 0, 700)
+            granted += self.session.limit_lease(request, now).deadline_ms > 0
+        self.assertGreaterEqual(granted, 18)
+        # Transactions have a price.
+        self.assertLess(self.session.ports.store.commit.call_count / 14.0, 5.0)
+
+    def commit_slowly(self, _):
+        """Apply a transaction; its answer takes 20 ms."""
+        answer = defer.Deferred()
+        self.clock.callLater(0.02, answer.callback, result.Success(1))
+        return answer
+
+    def add_running_worker(self, worker_id):
+        """Add a worker that has a run."""
+        entry = messages.WorkerEntry(
+            worker_id,
+            "",
+            "s",
+            "h1",
+            messages.WorkerState.READY,
+            spec.Demand(1000, 100, 0),
+        )
+        worker = self.session.core._make_worker(entry)
+        worker.runs_by_key = {"key": mock.Mock()}
+        self.session.core.workers_by_id[worker_id] = worker
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/renewal.py
+++ b/thornport/cell/owner/renewal.py
@@ -22,6 +22,7 @@
 ECHOED_S = 1.0
 CONFIRMED_S = 0.5  # from a transaction that confirmed the ownership
 ECHO_WANTED_S = 0.5  # an older echo is asked for
+CONFIRMATION_WANTED_S = 0.25  # without echoes, an older confirmation is asked for
 # Each heartbeat goes to all witnesses. In larger cells they are a sample.
 MAX_WITNESSES = 31
 MAX_STATED = 64  # silent workers in a heartbeat
@@ -200,10 +201,23 @@
           confirmed_at: A float, when the last transaction that was applied was sent.
           now: A float.
         """
-        if now - confirmed_at <= CONFIRMED_S:
-            return True
+        return now - confirmed_at <= CONFIRMED_S or self._is_echoed(now)
+
+    def _is_echoed(self, now):
         return to_ms(now) - self._find_echoed_ms() <= ECHOED_S * clock.MS_PER_S
 
+    def wants_confirmation(self, confirmed_at, now):
+        """Whether leases may be renewed only by a confirmation that soon is too old.
+
+        Polls may be further apart than a confirmation counts, so one that is asked for
+        by a poll would be too old for the next.
+
+        Args:
+          confirmed_at, now: As for `may_renew_any`.
+        """
+        is_old = now - confirmed_at > CONFIRMATION_WANTED_S
+        return is_old and not self._is_echoed(now)
+
     def may_renew(self, worker_id, confirmed_at, now):
         """Whether this owner may renew the lease of a worker.
 
