Choose no witnesses among processes of an earlier version

Such a process greets its owner without an attestation and never echoes a heartbeat. While half of the processes were of an earlier version, in a rolling upgrade, an owner could renew leases by the store alone, so they lapsed while the store was away, where an earlier owner renews them for 10 s.

--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -100,6 +100,8 @@
         self._first_token = claimer.token
         self._predecessors = predecessors.Predecessors(claimer.token, now)
         self._knows_lapses = False
+        # Processes of an earlier version, which echo no heartbeats.
+        self._mute_addresses = set()
         self.core = core.CellCore(
             claimer.token,
             now,
@@ -262,8 +264,12 @@
 
         Args:
           address: A str, where it takes messages.
-          attested: A peering.Attestation.
+          attested: A peering.Attestation; None if it attests nothing.
         """
+        if attested is None:
+            self._mute_addresses.add(address)
+            return
+        self._mute_addresses.discard(address)
         now = clock.read_monotonic()
         if self._first_token <= attested.echo_token <= self.core.token:
             self.renewal.take_echo(address, attested.echo_sent_ms, now)
@@ -361,7 +367,7 @@
         """Keep the witnesses in the record those processes that are alive."""
         addresses = {caller.address for caller in self.core.callers.list_staying(now)}
         self.renewal.witnesses = renewal.choose_witnesses(
-            addresses - {self.bus.address}
+            addresses - {self.bus.address} - self._mute_addresses
         )
         if not self.renewal.is_persisted():
             self._ledger.wake(must_confirm=True)
--- a/thornport/cell/owner/owner_test.py
+++ b/thornport/cell/owner/owner_test.py
@@ -162,6 +162,22 @@
         # Transactions have a price.
         self.assertLess(self.session.ports.store.commit.call_count / 14.0, 5.0)
 
+    # Guards against leases that lapse while the store is away during an upgrade, as
+    # processes of an earlier version never echo.
+    def test_processes_that_attest_nothing_are_no_witnesses(self):
+        self.decide(KILLED_ADDRESS)
+        self.session.renewal.witnesses = ("a", "b", "c")
+        self.session.core.callers.list_staying = lambda _: [
+            mock.Mock(address=address) for address in ("a", "b", "c")
+        ]
+        self.session.take_attestation("a", None)
+        self.session.take_attestation("b", None)
+        self.clock.advance(owner.TICK_S)
+        self.assertEqual(self.session.renewal.witnesses, ("c",))
+        self.attest("a", ago_ms=400)
+        self.clock.advance(owner.TICK_S)
+        self.assertEqual(self.session.renewal.witnesses, ("a", "c"))
+
     def commit_slowly(self, _):
         """Apply a transaction; its answer takes 20 ms."""
         answer = defer.Deferred()
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -55,8 +55,7 @@
     )
     if is_news:
         logs.log("peer-stopping", peer=message.name)
-    if message.attested is not None:
-        daemon.session.take_attestation(address, message.attested)
+    daemon.session.take_attestation(address, message.attested)
     lists = callers.list_peers(now)
     answer = peering.Alive()
     if message.knows_version != lists.version:
