Follow no earlier owner again after an older read of its key

The key is read without `stale` today, so this is a second guard: a witness that echoed an earlier owner again would undo what it has attested to the successor.

--- a/thornport/cell/peers/witnessing.py
+++ b/thornport/cell/peers/witnessing.py
@@ -55,7 +55,8 @@
             this process still follows the last owner.
           revision: An int, of the owner key.
         """
-        if not address:
+        # A read may be older than what a watch has reported.
+        if not address or revision < self._revision:
             return
         if address != self._address:
             if self._current is not None:
--- a/thornport/cell/peers/witnessing_test.py
+++ b/thornport/cell/peers/witnessing_test.py
@@ -41,6 +41,15 @@
         self.hear(20.1, 900, address=SUCCESSOR, token=7)
         self.assertEqual(self.witness.attest(OWNER, 20.2).echo_sent_ms, 700)
 
+    # Guards against an owner that a process echoes again after a stale read of the key.
+    def test_earlier_owner_is_not_followed_again_by_a_stale_read(self):
+        self.hear(20.0, 700)
+        self.witness.take_owner(SUCCESSOR, 7)
+        self.witness.take_owner(OWNER, 5)
+        self.hear(20.1, 800)
+        self.assertIsNone(self.witness.attest(OWNER, 20.2))
+        self.assertEqual(self.witness.attest(SUCCESSOR, 20.2).earlier_sent_ms, 700)
+
     # Guards against an owner without echoes after its VM, and its clock, began anew.
     def test_owner_that_is_back_at_its_address_with_a_new_clock_is_echoed(self):
         self.hear(20.0, 90_000, w0=4000)
