--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -99,7 +99,7 @@
         cores = process.cpu_share * process.cores
         started_at = clock.read_monotonic()
         self.peers = peerlist.PeerList()
-        self.witness = witnessing.Witness(started_at)
+        self.witness = None  # until `start`
         self.asker = asking.Asker(reactor, self.bus)
         self.greeting = greeting.Greeting(reactor, self, cores, started_at)
         self.candidacy = candidacy.Candidacy(process.name, cores, started_at)
@@ -114,6 +114,8 @@
         """Open the socket for messages and start all parts."""
         listen = self.settings.listen
         self.bus.bind(listen.ip, listen.peer_port)
+        # The process before it at this address echoed heartbeats until it was gone.
+        self.witness = witnessing.Witness(clock.read_monotonic())
         self.bus.start(self.settings.process.name, self._take_message)
         self.configuring.start()
         self.holding.start()
--- a/thornport/cell/owner/holding.py
+++ b/thornport/cell/owner/holding.py
@@ -42,6 +42,8 @@
 
     def start(self):
         """Start following the owner key; this process must be able to take messages."""
+        # The process before it at its address is gone only since the socket was bound.
+        self.known_lapses = lapses.Lapses(0, {}, clock.read_monotonic())
         store = self._daemon.ports.store
         self._claimer = ownership.Claimer(
             self._reactor,
--- a/thornport/cell/owner/holding_test.py
+++ b/thornport/cell/owner/holding_test.py
@@ -71,6 +71,18 @@
         self.reading.callback(True)
 
 
+class Restarted(HoldingCase):
+    """A process that was the owner of no cell yet."""
+
+    # Guards against leases that count from before the process before has left the
+    # address, as the socket is bound between construction and start.
+    def test_process_before_has_ceased_when_the_address_was_taken(self):
+        late = holding.Holding(self.clock, self.daemon, mock.Mock())
+        self.clock.advance(3.0)
+        late.start()
+        self.assertEqual(late.known_lapses.ceased_at, self.clock.seconds())
+
+
 class Claims(HoldingCase):
     """Claims of a key that is free or offered."""
 
--- a/thornport/cell/peers/witnessing.py
+++ b/thornport/cell/peers/witnessing.py
@@ -39,7 +39,7 @@
         """Begin without an owner.
 
         Args:
-          started_at: A float, when this process was started; a process before it at
+          started_at: A float, when this process took its address; the one before it at
             its address has echoed nothing since.
         """
         self._address = ""
