--- a/thornport/cell/owner/owner_test.py
+++ b/thornport/cell/owner/owner_test.py
@@ -8,7 +8,7 @@
 
 from thornport.cell.decisions import leases, messages
 from thornport.cell.owner import lanes, owner, renewal
-from thornport.cell.peers import lapses, peering
+from thornport.cell.peers import lapses, peering, witnessing
 from thornport.jobs import spec
 from thornport.kernel import clock
 
@@ -140,6 +140,22 @@
         self.attest("a", ago_ms=400, w0=2500)
         self.assertAlmostEqual(worker.unheard_until, 102.5)
 
+    # Guards against a lost worker that a successor waits for anew, as its lease was
+    # over between the last heartbeat of the killed owner and the greeting.
+    def test_lease_that_is_over_at_the_takeover_is_not_waited_for_anew(self):
+        self.add_running_worker("w0")
+        self.decide_after_kill("a", "b")
+        witness = witnessing.Witness(0.0)
+        witness.take_owner(KILLED_ADDRESS, TOKEN - 1)
+        alive = peering.Alive(0.0, TOKEN - 1, 500, left_ms_by_worker={"w0": 300})
+        witness.hear(KILLED_ADDRESS, alive, 99.5)
+        witness.take_owner(OWN_ADDRESS, TOKEN)
+        attested = witness.attest(OWN_ADDRESS, 100.0)
+        self.session.take_attestation("a", attested)
+        self.clock.advance(2.0)
+        worker = self.session.core.workers_by_id["w0"]
+        self.assertLessEqual(worker.unheard_until, 100.0)
+
     # Guards against leases of healthy workers that lapse where no witness echoes, as
     # polls wait for longer than a confirmation counts.
     def test_lone_worker_is_renewed_while_only_the_store_confirms_the_ownership(self):
