--- a/thornport/cell/decisions/silence_test.py
+++ b/thornport/cell/decisions/silence_test.py
@@ -298,8 +298,8 @@
         cases = itertools.product((3, 4), (0.2, 0.8), (False, True))
         self.assertEqual(self.find_excessive(*cases), {})
 
-    # Guards against many tasks that crash their workers in step, where the losses of the
-    # others make each loss of a silent worker seem chance.
+    # Guards against many tasks that crash their workers in step, where the losses of
+    # the others make each loss of a silent worker seem chance.
     def test_many_at_once_just_after_their_starts(self):
         cases = itertools.product((8,), (0.05, 0.3), (True,), (8.0, 20.0))
         self.assertEqual(self.find_excessive(*cases), {})
--- a/thornport/cell/peers/witnessing_test.py
+++ b/thornport/cell/peers/witnessing_test.py
@@ -108,7 +108,7 @@
         self.hear(20.0, 700, w0=4000, w1=300)
         self.witness.take_owner(SUCCESSOR, 7)
         attested = self.witness.attest(SUCCESSOR, 20.5)
-        self.assertEqual(attested.left_ms_by_worker, {"w0": 3500})
+        self.assertEqual(attested.left_ms_by_worker, {"w0": 3500, "w1": 0})
 
 
 if __name__ == "__main__":
