Start runs under the lease granted before while an ownership is unconfirmed

Cause: an owner that was busy refused 138 starts in one recovery, as neither its witnesses nor the store had confirmed it just then, and set each of these sound workers aside for half a second. While echoes were missing it asked all witnesses to greet at once with each heartbeat, ten times a second, and every fourth greeting asked for its lists.

Change: such a start is sent with the latest deadline that was granted to its worker, as polls are; a successor relies on no earlier end. Only a worker without a lease gets none, and it is not set aside. Echoes are asked for every 0.3 s at the most, and ask for no lists.

--- a/thornport/cell/decisions/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -171,6 +171,24 @@
         owner.take_start_outcome(again, fenced, self.world.now)
         self.assertTrue(owner.is_fenced)
 
+    # Guards against a sound worker that is left empty as its owner withheld a start.
+    def test_start_that_was_withheld_does_not_set_its_worker_aside(self):
+        self.world.run(0.1)
+        owner = self.world.owner
+        owner.take_job(
+            cellworld.make_job("o", cellworld.make_step(1, 4, 200)), self.world.now
+        )
+        owner.place(self.world.now)
+        owner.take_persisted(owner.make_batch(), self.world.now, self.world.now)
+        (command,) = owner.take_commands()
+        withheld = messages.Withheld("not confirmed")
+        owner.take_start_outcome(command, withheld, self.world.now)
+        worker = owner.workers_by_id[command.worker_id]
+        self.assertLessEqual(worker.avoid_until, self.world.now)
+        owner.place(self.world.now)
+        owner.take_persisted(owner.make_batch(), self.world.now, self.world.now)
+        self.assertEqual(len(owner.take_commands()), 1)
+
     def test_tasks_that_cannot_end_before_their_worker_leaves_are_moved(self):
         self.world.submit(cellworld.make_job("s", cellworld.make_step(1, 60, 20_000)))
         self.world.submit(cellworld.make_job("t", cellworld.make_step(1, 60, 3000)))
--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -250,6 +250,10 @@
     is_refused: bool = False
 
 
+class Withheld(NotReached, frozen=True, array_like=True, tag=True):
+    """The command was not sent, for no fault of its worker: nothing was done."""
+
+
 class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """No answer: the call may have been carried out, or may still be.
 
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -67,7 +67,8 @@
             else:
                 self._note_start_unanswered(run, now)
         elif isinstance(outcome, messages.NotReached):
-            worker.avoid(now + ending.AVOID_S)
+            if not isinstance(outcome, messages.Withheld):
+                worker.avoid(now + ending.AVOID_S)
             self._take_unsent_start(run, now)
         else:
             self._take_rejected_start(worker, run, command, outcome, now)
--- a/thornport/cell/owner/commands.py
+++ b/thornport/cell/owner/commands.py
@@ -6,8 +6,8 @@
 from thornport.cell.peers import peering
 from thornport.kernel import clock, logs, tasks
 
-# Of a start, which would grant a lease; see `renewal`.
-UNCONFIRMED = messages.NotReached("the ownership of the cell is not confirmed")
+# Of a start at a worker to which no lease was granted before; see `renewal`.
+UNCONFIRMED = messages.Withheld("the ownership of the cell is not confirmed")
 
 
 @functools.singledispatch
@@ -31,7 +31,8 @@
 
 async def _start_run(command, session):
     sent_at = clock.read_monotonic()
-    if session.may_renew(command.worker_id, sent_at):
+    command = session.limit_lease(command, sent_at)
+    if command.deadline_ms:
         outcome = await session.workers.start(command)
     else:
         outcome = UNCONFIRMED
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -346,13 +346,14 @@
         return self.renewal.may_renew(worker_id, confirmed_at, now)
 
     def limit_lease(self, request, now):
-        """Limit the lease that a poll grants to what this owner may grant.
+        """Limit the lease that a call grants to what this owner may grant.
 
         Args:
-          request: A messages.HoldRequest.
+          request: A messages.HoldRequest or StartOrder.
           now: A float.
         Returns:
-          A messages.HoldRequest.
+          The same with a deadline that was sent before, or 0, if the lease may not be
+          renewed.
         """
         if not request.deadline_ms:
             return request
--- a/thornport/cell/owner/renewal.py
+++ b/thornport/cell/owner/renewal.py
@@ -22,6 +22,7 @@
 ECHOED_S = 1.0
 CONFIRMED_S = 0.5  # from a transaction that confirmed the ownership
 ECHO_WANTED_S = 0.5  # an older echo is asked for
+ECHO_ASKED_GAP_S = 0.3  # between two heartbeats that ask for an echo
 CONFIRMATION_WANTED_S = 0.25  # without echoes, an older confirmation is asked for
 # Each heartbeat goes to all witnesses. In larger cells they are a sample.
 MAX_WITNESSES = 31
@@ -56,6 +57,7 @@
     """Decides whether an owner may renew the lease of a worker."""
 
     __slots__ = (
+        "_echo_asked_at",
         "_echoed_ms_by_witness",
         "_made",
         "_persisted",
@@ -77,6 +79,7 @@
         self._possible_terms = []
         self._made = self._persisted = Terms()
         self._echoed_ms_by_witness = {}
+        self._echo_asked_at = -math.inf
         self._sent_by_worker = {}
         self._stated = frozenset()  # workers in the last heartbeat
         # When statements were withdrawn, until most witnesses know it. A statement that
@@ -157,10 +160,18 @@
         self._settle_withdrawn()
 
     def wants_echo(self, now):
-        """Whether the witnesses are to echo the next heartbeat at once."""
+        """Whether the witnesses are to echo the next heartbeat at once.
+
+        They are asked a few times a second: an owner that is too busy to take their
+        greetings would be held up by more of them.
+        """
         echoed_ms = self._find_echoed_ms()
         is_old = to_ms(now) - echoed_ms > ECHO_WANTED_S * clock.MS_PER_S
-        return is_old or bool(self._withdrawn_ms_by_worker)
+        is_wanted = is_old or bool(self._withdrawn_ms_by_worker)
+        if not is_wanted or now - self._echo_asked_at < ECHO_ASKED_GAP_S:
+            return False
+        self._echo_asked_at = now
+        return True
 
     def _find_echoed_ms(self):
         """Find the last heartbeat that most witnesses have echoed.
@@ -240,10 +251,10 @@
         return withdrawn_ms is not None and persisted_ms != withdrawn_ms
 
     def limit_deadline_ms(self, request, confirmed_at, now):
-        """Limit the deadline of a lease in a poll to what this owner may grant.
+        """Limit the deadline of a lease in a call to what this owner may grant.
 
         Args:
-          request: A messages.HoldRequest.
+          request: A messages.HoldRequest or StartOrder.
           confirmed_at, now: As for `may_renew_any`.
         Returns:
           An int; no later than a deadline sent before unless the lease may be renewed,
--- a/thornport/cell/owner/renewal_test.py
+++ b/thornport/cell/owner/renewal_test.py
@@ -102,6 +102,12 @@
         self.assertTrue(self.may_renew(NOW + 0.3))
         self.assertFalse(self.renewal.wants_echo(NOW + 0.3))
 
+    # Guards against witnesses that greet a busy owner at each of its heartbeats.
+    def test_echoes_are_asked_for_a_few_times_a_second(self):
+        asked = [self.renewal.wants_echo(NOW + 0.1 * step) for step in range(30)]
+        self.assertLessEqual(sum(asked), 3.0 / renewal.ECHO_ASKED_GAP_S + 1)
+        self.assertGreaterEqual(sum(asked), 3.0 / renewal.ECHO_WANTED_S)
+
     def test_lease_is_renewed_once_the_record_has_the_withdrawal(self):
         self.state(NOW, WORKER)
         self.state(NOW + 0.1)
--- a/thornport/cell/peers/greeting.py
+++ b/thornport/cell/peers/greeting.py
@@ -54,6 +54,15 @@
         is_due = self._greetings % ASK_LISTS_EVERY == 0
         if is_due or not self._daemon.relayed.peer_addresses:
             self._known_lists = 0
+        self._send_hello(address)
+
+    def echo(self):
+        """Greet the owner for its heartbeat alone, without asking for its lists."""
+        address = self._daemon.owner_address
+        if address is not None:
+            self._send_hello(address)
+
+    def _send_hello(self, address):
         process = self._daemon.settings.process
         hello = peering.Hello(
             process.name,
--- a/thornport/cell/peers/greeting_test.py
+++ b/thornport/cell/peers/greeting_test.py
@@ -65,6 +65,14 @@
         versions = [self.greet() for _ in range(greeting.ASK_LISTS_EVERY)]
         self.assertEqual(versions, [LISTS] * (greeting.ASK_LISTS_EVERY - 1) + [0])
 
+    # Guards against echoes that have a busy owner send its lists more often.
+    def test_echo_requests_no_lists(self):
+        self.greeting.take_lists(OWNER.address, LISTS)
+        for _ in range(greeting.ASK_LISTS_EVERY):
+            self.greeting.echo()
+        versions = [hello.knows_version for _, hello in self.read_sent()]
+        self.assertEqual(versions, [LISTS] * greeting.ASK_LISTS_EVERY)
+
     def test_lists_are_requested_without_a_relaying_peer(self):
         self.greeting.take_lists(OWNER.address, LISTS)
         self.daemon.relayed.peer_addresses = ()
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -128,7 +128,7 @@
     daemon.liveness.hear(address, message.lag_s)
     daemon.witness.hear(address, message, clock.read_monotonic())
     if message.must_echo:
-        daemon.greeting.greet()
+        daemon.greeting.echo()
 
 
 @take.register
