Log which deadline a call carries, to which incarnation, and why a lease is over

What callers saw: a task ran at a worker that was back under its id, beside its next run elsewhere. The lines of an owner could not tell why: no line had the deadline of a poll or start, which incarnation a call was meant for, or why the lease of the silent worker counted as over at that moment.

Change: run-start and poll-failed have deadline_ms, poll-failed its token. incarnation-heard says which token, start and clock an incarnation has and until when its lease may last; lease-over says by which deadline and clock the lease of a silent worker with runs is over; worker-over has the latest deadline that was sent to the incarnation that ended. No decision changes.

Checks: two tests that list all notes leave out incarnation-heard as they do other notes that are not their subject; the rest of their lists is compared as before.

--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -125,6 +125,8 @@
             worker.unlisted_at = None
         self._stop_unfinishable_runs(worker, now)
         if now > worker.compute_lapse_at():
+            if worker.runs_by_key:
+                self._note_lease_over(worker, now)
             if not worker.is_listed:
                 self.end_worker(worker, now, notes.WorkerEnd.LAPSED)
                 return
@@ -135,6 +137,20 @@
             if is_stopping and run.stop_confirmed_at is None and now >= run.stop_due_at:
                 self._send_stop(run, now)
 
+    def _note_lease_over(self, worker, now):
+        self.notes.append(
+            notes.LeaseOver(
+                worker.worker_id,
+                self.make_token(worker),
+                worker.started_at_ms,
+                worker.is_heard,
+                worker.clock_ms,
+                worker.granted_ms,
+                int((now - worker.heard_at) * clock.MS_PER_S),
+                len(worker.runs_by_key),
+            )
+        )
+
     def _begin_due_times(self, job, now, wall_ms):
         spec = job.record.job
         for time in range(job.times_done, spec.repeats):
--- a/thornport/cell/decisions/crashes_test.py
+++ b/thornport/cell/decisions/crashes_test.py
@@ -644,8 +644,13 @@
 
 
 def list_losses(world):
-    """List the notes of an owner, but for those on how long its jobs wait and run."""
-    others = (notes.ProspectChanged, notes.StepDone, notes.SpeedChanged)
+    """List the notes of an owner, but for those on its jobs, and on who answers."""
+    others = (
+        notes.ProspectChanged,
+        notes.StepDone,
+        notes.SpeedChanged,
+        notes.IncarnationHeard,
+    )
     return [n for n in world.owner.take_notes() if not isinstance(n, others)]
 
 
--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -359,6 +359,7 @@
                 worker.started_at_ms,
                 next_started_at_ms,
                 len(worker.runs_by_key),
+                worker.granted_ms,
             )
         )
 
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -208,6 +208,51 @@
     is_withheld: bool
 
 
+class IncarnationHeard(msgspec.Struct, frozen=True):
+    """An incarnation of a worker has answered its first poll with its own token.
+
+    Attributes:
+      token: An int, the fencing token of all calls that name this incarnation.
+      started_at_ms: An int, when it started; None if unknown.
+      clock_ms: An int, its clock as reported.
+      granted_ms: An int on its clock, the latest end that its lease can have by then.
+      ends: An int, the ends that it lists.
+      running: An int, the runs that it lists.
+    """
+
+    worker_id: str
+    token: int
+    started_at_ms: int | None
+    clock_ms: int
+    granted_ms: int
+    ends: int
+    running: int
+
+
+class LeaseOver(msgspec.Struct, frozen=True):
+    """The lease of a silent worker with runs is over, so the runs are over too.
+
+    Attributes:
+      token: An int, as for IncarnationHeard.
+      started_at_ms: An int, when its incarnation started; None if unknown.
+      is_heard: Whether it has answered this owner; otherwise the lease is one of an
+        earlier owner, and the clock and the deadline are not known.
+      clock_ms: An int, its clock as last reported.
+      granted_ms: An int on its clock, the latest end that the lease can have.
+      heard_ago_ms: An int, since that report.
+      runs: An int, how many runs end with it.
+    """
+
+    worker_id: str
+    token: int
+    started_at_ms: int | None
+    is_heard: bool
+    clock_ms: int
+    granted_ms: int
+    heard_ago_ms: int
+    runs: int
+
+
 class IncarnationOver(msgspec.Struct, frozen=True):
     """The incarnation of a worker is over.
 
@@ -217,6 +262,7 @@
       next_started_at_ms: An int, when the incarnation that answers instead started;
         None if there is none.
       runs: An int, how many runs it was known to have.
+      granted_ms: An int on its clock, the latest deadline sent to it.
     """
 
     worker_id: str
@@ -225,3 +271,4 @@
     started_at_ms: int | None
     next_started_at_ms: int | None
     runs: int
+    granted_ms: int
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -150,8 +150,22 @@
             worker.granted_ms = max(
                 worker.granted_ms, worker.clock_ms + leases.MAX_LEASE_MS
             )
+            self._note_incarnation_heard(worker, answer)
         self.needs_pass = True
 
+    def _note_incarnation_heard(self, worker, answer):
+        self.notes.append(
+            notes.IncarnationHeard(
+                worker.worker_id,
+                self.make_token(worker),
+                worker.started_at_ms,
+                worker.clock_ms,
+                worker.granted_ms,
+                len(answer.ended),
+                len(answer.running),
+            )
+        )
+
     def _stop_waiting_gangs(self, worker, now):
         """Stop gang members that wait for one at a worker that refuses connections.
 
--- a/thornport/cell/decisions/slowstore_test.py
+++ b/thornport/cell/decisions/slowstore_test.py
@@ -162,11 +162,12 @@
         self.world.lost_advice = 1.0
         self.world.run(batches.TICKET_WAIT_S + 2 * cellworld.STEP_S)
         self.assertEqual((self.count_reserved_runs(), self.world.starts), (0, set()))
-        # The job is late by then, which is noted too.
+        # The job is late by then, and the workers have answered, which is noted too.
+        others = (notes.ProspectChanged, notes.IncarnationHeard)
         given_up = [
             type(note)
             for note in self.world.owner.take_notes()
-            if not isinstance(note, notes.ProspectChanged)
+            if not isinstance(note, others)
         ]
         self.assertEqual(given_up, [notes.StartGivenUp])
         self.world.lost_advice = 0.0
--- a/thornport/cell/owner/commands.py
+++ b/thornport/cell/owner/commands.py
@@ -38,7 +38,7 @@
         outcome = UNCONFIRMED
     now = clock.read_monotonic()
     session.metrics.observe("worker.start_ms", (now - sent_at) * 1000)
-    log_command("run-start", command, outcome)
+    log_command("run-start", command, outcome, deadline_ms=command.deadline_ms)
     if session.is_active:
         session.core.take_start_outcome(command, outcome, now)
         session.pump()
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -11,7 +11,9 @@
 COUNTER_BY_NOTE = {
     notes.RunLost: "runs.lost",
     notes.LossSettled: "losses.settled",
+    notes.IncarnationHeard: "workers.heard",
     notes.IncarnationOver: "workers.over",
+    notes.LeaseOver: "workers.leases_over",
     notes.EndsOmitted: "workers.ends_omitted",
     notes.LimitWait: "steps.at_limit",
     notes.StepDone: "steps.done",
@@ -78,6 +80,38 @@
         started_at_ms=format_start(note.started_at_ms),
         next_started_at_ms=format_start(note.next_started_at_ms),
         runs=note.runs,
+        granted_ms=note.granted_ms,
+    )
+
+
+@log_note.register
+def log_incarnation_heard(note: notes.IncarnationHeard):
+    """Log which incarnation of a worker answers, and how long its lease may last."""
+    logs.log(
+        "incarnation-heard",
+        worker=note.worker_id,
+        token=note.token,
+        started_at_ms=format_start(note.started_at_ms),
+        clock_ms=note.clock_ms,
+        granted_ms=note.granted_ms,
+        ends=note.ends,
+        running=note.running,
+    )
+
+
+@log_note.register
+def log_lease_over(note: notes.LeaseOver):
+    """Log why the lease of a silent worker counts as over."""
+    logs.log(
+        "lease-over",
+        worker=note.worker_id,
+        token=note.token,
+        started_at_ms=format_start(note.started_at_ms),
+        granted_by="this-owner" if note.is_heard else "earlier-owner",
+        clock_ms=note.clock_ms if note.is_heard else "",
+        granted_ms=note.granted_ms if note.is_heard else "",
+        heard_ago_ms=note.heard_ago_ms if note.is_heard else "",
+        runs=note.runs,
     )
 
 
--- a/thornport/cell/owner/polling.py
+++ b/thornport/cell/owner/polling.py
@@ -106,6 +106,8 @@
                 "poll-failed",
                 worker=request.worker_id,
                 address=request.address,
+                token=request.token,
+                deadline_ms=request.deadline_ms,
                 outcome=type(answer).__name__,
                 reason=getattr(answer.reason, "value", answer.reason),
             )
