Test which connections and calls a deadline may be sent on

The tests: a connection that was opened after a poll was sent is not trusted by its answer; one that has only told who its server is isn't either; a call that a dispatcher may still make is noted.

--- a/thornport/cell/dispatch/dispatching_test.py
+++ b/thornport/cell/dispatch/dispatching_test.py
@@ -65,7 +65,10 @@
         self.addCleanup(logging.stop)
         self.bus = FakeBus()
         self.direct = FakeWorkers()
-        self.workers = dispatching.DispatchedWorkers(self.clock, self.bus, self.direct)
+        self.given_up = []
+        self.workers = dispatching.DispatchedWorkers(
+            self.clock, self.bus, self.direct, self.given_up.append
+        )
         self.entries = assignment_test.make_entries(
             ("h1",), assignment.MIN_DISPATCHED_WORKERS
         )
@@ -214,6 +217,14 @@
             waiting.callback(DONE)
         self.assertEqual(self.outcomes, [DONE] * 3)
 
+    # Guards against a lease by a call that a dispatcher makes after the owner did.
+    def test_owner_notes_the_calls_that_a_dispatcher_may_still_make(self):
+        self.begin_poll()
+        self.assertEqual(self.given_up, [])
+        self.pass_time(0.35)
+        ((call, _),) = self.direct.open
+        self.assertEqual(self.given_up, [call])
+
     def test_late_outcomes_are_dropped(self):
         self.begin_start()
         self.pass_time(0.35)
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from thornport.cell.decisions import core, leases
+from thornport.cell.decisions import core, leases, messages
 from thornport.cell.dispatch import dispatching
 from thornport.cell.owner import (
     commands,
@@ -320,7 +320,9 @@
 
     def _note_given_up(self, call):
         """Note that a dispatcher may still make a call that is made directly now."""
-        self.core.note_given_up(call.worker_id, clock.read_monotonic())
+        grants = isinstance(call, (messages.HoldRequest, messages.StartOrder))
+        if grants and call.deadline_ms:
+            self.core.note_given_up(call.worker_id, clock.read_monotonic())
 
     def make_heartbeat(self, lag_s):
         """Make a heartbeat to the witnesses.
--- a/thornport/kernel/httpcalls_test.py
+++ b/thornport/kernel/httpcalls_test.py
@@ -215,5 +215,39 @@
         self.assertEqual([c.is_open for c in connections], [True, False])
 
 
+class KnownServers(Calls):
+    """Which connections lead to a server that the caller knows."""
+
+    ADDRESS = "10.0.0.1:80"
+
+    def answer(self, connection):
+        """Deliver a complete answer."""
+        connection.dataReceived(HEAD + b"abcdef")
+
+    # Guards against a call for one server that its successor at the address takes.
+    def test_connections_opened_after_the_request_are_not_trusted(self):
+        earlier, asked = self.begin(), self.begin()
+        opened_before = self.calls.count_opened(self.ADDRESS)
+        later = self.begin()
+        for connection in (later, earlier, asked):
+            self.answer(connection)
+        self.calls.trust(self.ADDRESS, opened_before)
+        trusted = [one.is_trusted for one in (earlier, asked, later)]
+        self.assertEqual(trusted, [True, True, False])
+
+    def test_identified_connection_is_not_trusted(self):
+        self.answer(self.begin())
+        self.assertFalse(self.calls.is_identified(self.ADDRESS))
+        self.calls.identify(self.ADDRESS)
+        self.assertTrue(self.calls.is_identified(self.ADDRESS))
+        self.assertFalse(self.calls.is_trusted(self.ADDRESS))
+
+    def test_unused_address_has_no_known_server(self):
+        self.calls.trust(self.ADDRESS, 1)
+        self.calls.identify(self.ADDRESS)
+        self.assertEqual(self.calls.count_opened(self.ADDRESS), 0)
+        self.assertFalse(self.calls.is_identified(self.ADDRESS))
+
+
 if __name__ == "__main__":
     unittest.main()
