Count a lease as long only by deadlines that may have arrived

Cause: any unanswered call of the last 13 s made a lease count for max_hold_ms. Polls of the cut before the restart were 12.3 s old, and calls take at most 12 s from their arrival. And a lease can't outlast the deadline that was sent: the logs show that the clock of a new incarnation begins at any value, so half of the deadlines of a former clock are over there.

Change: open calls keep their deadlines, and the latest one that may have arrived bounds the lease. Whether an incarnation is young is judged by the time at which it states to have started, as its clock does not tell. A successor takes a run's lease for long only as long as the run was placed that recently.

Measured: leases, open calls and takeovers, 26 tests pass; the plays of leases_test now begin the clocks of later lives at any value.

--- a/tests/worldlives.py
+++ b/tests/worldlives.py
@@ -14,6 +14,7 @@
 ENTRY_S = 4.5
 # A worker that a task has crashed is back after so long, as another life.
 BACK_S = 3.0
+LONGEST_CLOCK_S = 60.0  # at which the clock of a later life begins at most
 
 
 class Lives:
@@ -31,6 +32,8 @@
         not have a new id after each.
       refusing: Ids of workers whose port refuses.
       max_hold_ms: An int, the longest lease that workers grant.
+      clock_rng: The random.Random by which the clock of a later life begins; None for
+        it to begin at 0.
       breaks_off: A bool, whether the end of a life is seen at once where a look waits,
         as the connection breaks off; else the look is lost.
     """
@@ -52,6 +55,7 @@
         self.states_starts = states_starts
         self.refusing = set()
         self.breaks_off = False
+        self.clock_rng = None
         self.racks_by_worker = {}
         self.revision = 0
         self._lapsing = []
@@ -63,6 +67,8 @@
 
     def _begin_life(self, worker_id, began_at):
         """Start a life of a worker; nobody lists it yet."""
+        if self.clock_rng is not None:
+            began_at -= self.clock_rng.uniform(0.0, LONGEST_CLOCK_S)
         started_at_ms = int(self.now * 1000) if self.states_starts else None
         self.workers_by_id[worker_id] = leased_worker.LeasedWorker(
             worker_id,
--- a/thornport/cell/decisions/batches.py
+++ b/thornport/cell/decisions/batches.py
@@ -272,7 +272,8 @@
         run.state = model.RunState.ORDERED
         run.commanded_at = run.known_since = run.percent_at = now
         self._note_start_sent(run, ticket, now)
-        worker.open_calls.note_sent((run.key, run.run), now)
+        deadline_ms = self.lease_terms.extend(worker, now, leases.START_LEASE_MS)
+        worker.open_calls.note_sent((run.key, run.run), deadline_ms, now)
         self.commands.append(
             messages.StartOrder(
                 run.worker_id,
@@ -280,7 +281,7 @@
                 run.key,
                 run.run,
                 job.record.job.text,
-                self.lease_terms.extend(worker, now, leases.START_LEASE_MS),
+                deadline_ms,
                 self.make_token(worker),
                 checkpoint,
                 ticket,
--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -117,6 +117,7 @@
                     # The clock of another VM may be ahead, or may have jumped.
                     if run.decided_at is None and run.decided_at_ms and ago_ms >= 0:
                         run.decided_at = now - ago_ms / clock.MS_PER_S
+        self._end_long_leases(now)
 
     def _tick_worker(self, worker, now):
         self._forget_host_losses(worker, now)
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -12,6 +12,8 @@
 the answer to the poll.
 """
 
+import math
+
 import msgspec
 
 from thornport.cell.decisions import (
@@ -23,6 +25,7 @@
     notes,
     opencalls,
 )
+from thornport.kernel import clock
 
 # The low bits of a fencing token count the incarnations that an owner has met; the high
 # bits are the owner's token. At 64 incarnations a day, the rate expected of all workers
@@ -125,7 +128,7 @@
         later.open_calls = worker.open_calls
         # Starts in transit may still begin there, until a poll is answered.
         later.unheard_until = now + leases.EARLIER_LEASE_S
-        if later.open_calls.may_have_arrived_late(now):
+        if later.open_calls.find_late_deadline_ms(now):
             later.unheard_until += self.lease_terms.extra_s
         self._note_incarnation_over(worker, notes.WorkerEnd.RESTARTED, started_at_ms)
         self.workers_by_id[worker.worker_id] = later
@@ -173,26 +176,35 @@
             )
         self._apply_own_entry(worker, now)
 
-    def _may_hold_long_lease(self, worker, clock_ms, now):
-        """Whether an incarnation may have taken a deadline of another one's clock.
+    def _find_late_deadline_ms(self, worker, now):
+        """Find the latest deadline of another clock that an incarnation may have taken.
 
         Args:
           worker: A model.Worker that has just answered for the first time. It takes no
             call for an earlier incarnation any more.
-          clock_ms: An int, its clock.
           now: A float.
+        Returns:
+          A number; 0 for none, infinite if the deadline is not known.
         """
-        if worker.open_calls.may_have_arrived_late(now):
-            return True
-        runs = worker.runs_by_key.values()
-        own = [r for r in runs if r.worker_started_at_ms == worker.started_at_ms]
-        if worker.has_long_lease or any(run.has_long_lease for run in own):
-            return True
+        if worker.started_at_ms is None:
+            # A worker that states no start has a new id after each restart.
+            return 0
+        if worker.has_long_lease or self._may_hold_lease_of_earlier(worker, now):
+            return math.inf
+        return worker.open_calls.find_late_deadline_ms(now)
+
+    def _may_hold_lease_of_earlier(self, worker, now):
+        """Whether a late call of an earlier owner may have extended a lease."""
         sent_until = self._earlier_over_at - leases.EARLIER_LEASE_S
         if now >= sent_until + opencalls.MAX_LATE_CALL_S:
             return False
-        # An earlier owner that placed a run there had met this incarnation.
-        return not own and self.lease_terms.may_hold_for_earlier(clock_ms)
+        runs = worker.runs_by_key.values()
+        if any(run.worker_started_at_ms == worker.started_at_ms for run in runs):
+            # The earlier owner had met this incarnation; see `Run.has_long_lease`.
+            return False
+        wall_ms = self._read_wall_ms(now)
+        age_s = (wall_ms - worker.started_at_ms) / clock.MS_PER_S
+        return not wall_ms or self.lease_terms.is_young(age_s)
 
     def _apply_own_entry(self, worker, now):
         """Describe an incarnation by its own entry, if the store has listed it."""
--- a/thornport/cell/decisions/latestarts.py
+++ b/thornport/cell/decisions/latestarts.py
@@ -27,12 +27,12 @@
     messages,
     model,
     notes,
-    opencalls,
 )
 from thornport.kernel import clock
 
-# A worker carries out a start command within this time of its sending.
-LATE_START_S = opencalls.MAX_LATE_CALL_S
+# A worker carries out a start command within this time of its sending: the users'
+# workers take at most 12 s from its arrival.
+LATE_START_S = 13.0
 # Delay until the record of a run states that it has begun. The records of short tasks
 # are written again within this time anyway.
 RECORD_BEGUN_S = 0.5
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -57,6 +57,23 @@
             worker.unheard_until = min(worker.unheard_until, worker_over_at)
         self._limit_late_starts(now)
 
+    def _end_long_leases(self, now):
+        """Note which long leases are over that earlier owners recorded.
+
+        Args:
+          now: A float.
+        """
+        for worker in self.workers_by_id.values():
+            runs = [run for run in worker.runs_by_key.values() if run.has_long_lease]
+            is_over = all(
+                run.decided_at is not None
+                and self.lease_terms.is_long_over(now - run.decided_at)
+                for run in runs
+            )
+            if worker.has_long_lease and is_over:
+                worker.has_long_lease = False
+                worker.unheard_until -= self.lease_terms.extra_s
+
     def list_lapses(self):
         """List when the leases of the silent workers expire, for a successor.
 
--- a/thornport/cell/decisions/leases.py
+++ b/thornport/cell/decisions/leases.py
@@ -27,6 +27,7 @@
 UNCONFIRMED_LIMIT_S = 10.0
 # By how much an owner's estimate of a slow clock may be ahead of it.
 CLOCK_ERROR_MS = 50
+WALL_CLOCK_ERROR_S = 3.0  # between the clocks of two VMs; one may jump by seconds
 POLLS_PER_LEASE = 3  # at least, so that a poll may be lost
 
 
@@ -66,15 +67,18 @@
         """How long a poll may wait at a worker and renew its lease in time, an int."""
         return self.lease_ms // POLLS_PER_LEASE
 
-    def choose_first_ms(self, may_be_long):
-        """Choose the lease that a new incarnation may hold from its first answer on.
+    def bound_first_ms(self, clock_ms, late_deadline_ms):
+        """Bound the lease that an incarnation holds when it first answers.
 
         Args:
-          may_be_long: A bool, whether a call for another incarnation may have arrived.
+          clock_ms: An int, its clock.
+          late_deadline_ms: A number, the latest deadline of another clock that it may
+            have taken; 0 for none.
         Returns:
-          An int.
+          An int, on its clock. No less than a lease that it may have been granted.
         """
-        return max(self.lease_ms, self.max_hold_ms) if may_be_long else self.lease_ms
+        late_ms = min(late_deadline_ms, clock_ms + self.max_hold_ms)
+        return max(clock_ms + self.lease_ms, late_ms)
 
     def extend(self, worker, now, lease_ms=MAX_LEASE_MS):
         """Extend the lease of a worker unless it is silent.
@@ -102,19 +106,29 @@
         left_ms = worker.granted_ms - worker.read_clock_ms(now)
         return left_ms > MAX_LEASE_MS
 
-    def may_hold_for_earlier(self, clock_ms):
+    def is_long_over(self, placed_s):
+        """Whether a lease that was long when a run was placed lasts no longer now.
+
+        Args:
+          placed_s: A float, how long ago the run was placed, by the clocks of two VMs.
+        Returns:
+          A bool.
+        """
+        return placed_s > self.extra_s + WALL_CLOCK_ERROR_S
+
+    def is_young(self, age_s):
         """Whether an incarnation may hold a long lease by a call of an earlier owner.
 
         An owner sends deadlines to an incarnation for GRANT_SILENCE_S after it ended,
-        and a call arrives MAX_LATE_CALL_S later at the most.
+        and they arrive MAX_LATE_CALL_S later at the most.
 
         Args:
-          clock_ms: An int, the clock of the incarnation, which began with it.
+          age_s: A float, its age by the clocks of two VMs.
         Returns:
           A bool.
         """
-        since_s = GRANT_SILENCE_S + opencalls.MAX_LATE_CALL_S + self.extra_s
-        return clock_ms / 1000 < since_s
+        latest_s = GRANT_SILENCE_S + opencalls.MAX_LATE_CALL_S + self.extra_s
+        return age_s < latest_s + WALL_CLOCK_ERROR_S
 
 
 def may_send(deadline_ms, clock_ms):
--- a/thornport/cell/decisions/leases_test.py
+++ b/thornport/cell/decisions/leases_test.py
@@ -5,6 +5,7 @@
 lease that it grants. The world asserts at each start that no task runs twice at once.
 """
 
+import math
 import random
 import unittest
 
@@ -124,7 +125,7 @@
         """Start a lasting task; returns the id of its worker."""
         step = cellworld.make_step(1, 40, LASTING_MS, lasting=True)
         world.submit(cellworld.make_job("lasting", step))
-        world.run(5.0)
+        world.run(8.0)
         (worker_id,) = [
             worker.worker_id
             for worker in world.workers_by_id.values()
@@ -194,10 +195,21 @@
         terms = leases.Terms(MAX_HOLD_MS)
         terms.take_setting(3000)
         self.assertEqual((terms.lease_ms, terms.max_hold_ms), (3000, MAX_HOLD_MS))
-        self.assertEqual(terms.choose_first_ms(may_be_long=True), MAX_HOLD_MS)
+        self.assertEqual(terms.bound_first_ms(100, math.inf), 100 + MAX_HOLD_MS)
         terms.take_setting(12_000)
         self.assertEqual((terms.lease_ms, terms.max_hold_ms), (6000, 12_000))
 
+    # Guards against a wait for a lease that no deadline sent can have brought.
+    def test_late_deadline_bounds_the_first_lease(self):
+        terms = leases.Terms(MAX_HOLD_MS)
+        for late_ms, bound_ms in (
+            (0, 6100),
+            (50, 6100),
+            (8000, 8000),
+            (99_000, 10_100),
+        ):
+            self.assertEqual(terms.bound_first_ms(100, late_ms), bound_ms)
+
     def test_owner_grants_no_longer_leases_than_before(self):
         for max_hold_ms, lease_ms in ((3000, 3000), (6000, 6000), (10_000, 6000)):
             self.assertEqual(leases.Terms(max_hold_ms).lease_ms, lease_ms)
@@ -223,6 +235,7 @@
             max_hold_ms=rng.choice((3000, 6000, MAX_HOLD_MS, MAX_HOLD_MS)),
         )
         world.keeps_id = True
+        world.clock_rng = random.Random(seed)
         for number in range(20):
             step = cellworld.make_step(
                 rng.randint(1, 3), rng.randint(8, 30), rng.randint(1000, 12_000)
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -70,7 +70,7 @@
             return messages.HoldRequest(worker_id, address, token, 0, 0, 0)
         deadline_ms = self.lease_terms.extend(worker, now)
         if deadline_ms:
-            worker.open_calls.note_sent(now, now)
+            worker.open_calls.note_sent(now, deadline_ms, now)
         is_acked = worker.acked_number >= worker.seen_number
         wait_ms = self._choose_wait_ms(worker, now)
         return messages.HoldRequest(
@@ -100,16 +100,16 @@
         jobs = (self.jobs_by_id.get(key.job_id) for key in worker.runs_by_key)
         return any(job and self._queue_of(job).priority == 0 for job in jobs)
 
-    def note_given_up(self, worker_id, now):
+    def note_given_up(self, call, now):
         """Note that a call was made again, while another process may still make it.
 
         Args:
-          worker_id: A str.
+          call: A messages.HoldRequest or StartOrder.
           now: A float.
         """
-        worker = self.workers_by_id.get(worker_id)
-        if worker is not None:
-            worker.open_calls.note_given_up(now)
+        worker = self.workers_by_id.get(call.worker_id)
+        if worker is not None and call.deadline_ms:
+            worker.open_calls.note_given_up(call.deadline_ms, now)
 
     def take_poll(self, request, sent_at, answer, now):
         """Process the answer to a poll.
@@ -155,9 +155,9 @@
         worker.is_broken_off = False
         self._detect_lost_answer(worker, now)
         if not worker.is_heard:
-            may_be_long = self._may_hold_long_lease(worker, answer.clock_ms, now)
-            first_ms = self.lease_terms.choose_first_ms(may_be_long)
-            worker.granted_ms = answer.clock_ms + first_ms
+            worker.granted_ms = self.lease_terms.bound_first_ms(
+                answer.clock_ms, self._find_late_deadline_ms(worker, now)
+            )
         for end in sorted(answer.ended, key=lambda end: end.number):
             self._take_end(worker, end, now)
         self._take_running(worker, answer, sent_at, now)
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -320,9 +320,8 @@
 
     def _note_given_up(self, call):
         """Note that a dispatcher may still make a call that is made directly now."""
-        grants = isinstance(call, (messages.HoldRequest, messages.StartOrder))
-        if grants and call.deadline_ms:
-            self.core.note_given_up(call.worker_id, clock.read_monotonic())
+        if isinstance(call, (messages.HoldRequest, messages.StartOrder)):
+            self.core.note_given_up(call, clock.read_monotonic())
 
     def make_heartbeat(self, lag_s):
         """Make a heartbeat to the witnesses.
