--- a/thornport/cell/decisions/ending.py
+++ b/thornport/cell/decisions/ending.py
@@ -350,7 +350,9 @@
             for step in job.steps_by_key.values():
                 step.forget_worker(worker_id)
 
-    def _note_incarnation_over(self, worker, how, next_started_at_ms=None):
+    def _note_incarnation_over(
+        self, worker, how, next_started_at_ms=None, poll_deadline_ms=None
+    ):
         self.notes.append(
             notes.IncarnationOver(
                 worker.worker_id,
@@ -360,6 +362,7 @@
                 next_started_at_ms,
                 len(worker.runs_by_key),
                 worker.granted_ms,
+                poll_deadline_ms,
             )
         )
 
--- a/thornport/cell/decisions/incarnations.py
+++ b/thornport/cell/decisions/incarnations.py
@@ -108,12 +108,13 @@
             return False
         return started_at_ms != worker.started_at_ms
 
-    def _begin_incarnation(self, worker, started_at_ms, now):
+    def _begin_incarnation(self, worker, started_at_ms, poll_deadline_ms, now):
         """Replace an incarnation by one that answers at its id and address.
 
         Args:
           worker: A model.Worker, the incarnation that is over.
           started_at_ms: An int, when the one that answered started.
+          poll_deadline_ms: An int, the deadline in the poll that it answered.
           now: A float.
         """
         loss = losses.make_loss(worker, now)
@@ -130,7 +131,9 @@
         later.unheard_until = now + leases.EARLIER_LEASE_S
         if later.open_calls.find_late_deadline_ms(now):
             later.unheard_until += self.lease_terms.extra_s
-        self._note_incarnation_over(worker, notes.WorkerEnd.RESTARTED, started_at_ms)
+        self._note_incarnation_over(
+            worker, notes.WorkerEnd.RESTARTED, started_at_ms, poll_deadline_ms
+        )
         self.workers_by_id[worker.worker_id] = later
         self._transfer_runs(worker, later, now)
         self._apply_own_entry(later, now)
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -262,7 +262,9 @@
       next_started_at_ms: An int, when the incarnation that answers instead started;
         None if there is none.
       runs: An int, how many runs it was known to have.
-      granted_ms: An int on its clock, the latest deadline sent to it.
+      granted_ms: An int on its clock, the latest end that its lease could have.
+      poll_deadline_ms: An int, the deadline in the poll that the next incarnation
+        answered; None if there was no such poll.
     """
 
     worker_id: str
@@ -272,3 +274,4 @@
     next_started_at_ms: int | None
     runs: int
     granted_ms: int
+    poll_deadline_ms: int | None = None
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -142,7 +142,9 @@
                 self.end_worker(worker, now, notes.WorkerEnd.LEFT)
             return
         if self._is_restart(worker, answer.started_at_ms):
-            self._begin_incarnation(worker, answer.started_at_ms, now)
+            self._begin_incarnation(
+                worker, answer.started_at_ms, request.deadline_ms, now
+            )
             return
         if not worker.is_heard:
             self._confirm_incarnation(worker, answer.started_at_ms, now)
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -81,6 +81,7 @@
         next_started_at_ms=format_start(note.next_started_at_ms),
         runs=note.runs,
         granted_ms=note.granted_ms,
+        poll_deadline_ms="" if note.poll_deadline_ms is None else note.poll_deadline_ms,
     )
 
 
