Have the stand-in's ended incarnations answer nothing, and take late deadlines

The stand-in hid what happens around a restart under the same id:

- A poll that waited at a worker when it crashed was answered when its wait was over, by the incarnation that had ended.
It stays without an answer now.
- A start that was carried out late was dropped where its worker had restarted under its id.
The next incarnation refuses it still, as its ticket is of the former one, but takes its deadline, as workers of the platform do.
- A poll granted its deadline twice, on arrival and when it was answered.
A deadline far ahead is cut to the longest lease, so the second grant made the lease longer by the wait.
A poll grants its deadline on arrival only.

The new test fails on the code before: the poll is answered after the crash.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -247,6 +247,10 @@
         self.store.commit([], [(key, value, 0)], [])
         self.wake(self.store)
 
+    def is_live(self, worker):
+        """Whether an incarnation of a worker has not ended."""
+        return self.workers_by_id.get(worker.worker_id) is worker
+
     def replace_life(self, worker, keeps_id=False, late_ms=0):
         """End a life without a word and start another at its address.
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -47,12 +47,12 @@
 
     def _crash(self, worker):
         """End the life of a worker and what runs there; another has its address."""
-        if worker is self.worker:
+        if self._platform.is_live(worker):
             self._platform.replace_life(worker)
 
-    async def _keep_silent_if_crashed(self):
-        """Say nothing for ever once this life has crashed."""
-        if self.worker.worker_id not in self._platform.workers_by_id:
+    async def _keep_silent_if_unreachable(self):
+        """Leave a call unanswered once the worker has crashed."""
+        if not self._platform.is_live(self.worker):
             await defer.Deferred()
 
     def _answer(self, request, outcome):
@@ -66,9 +66,9 @@
     @app.route("/-/run-start", methods=["POST"])
     async def start(self, request):
         """Start a run, and note what must not happen."""
+        await self._keep_silent_if_unreachable()
         if self._is_other(request):
             return serve.reply(request, 421, {})
-        await self._keep_silent_if_crashed()
         wire = msgspec.json.decode(
             request.content.read(), type=workermessages.WireStart
         )
@@ -86,10 +86,19 @@
         return self._answer(request, self._start(wire, key, step))
 
     def _start_late(self, life, wire, key, step):
-        """Carry out a start that was left unanswered; its ticket is of one life."""
+        """Carry out a start that was left unanswered.
+
+        Its ticket is of one life: another one under the same id refuses it, but takes
+        its deadline.
+        """
         self._platform.late_starts -= 1
+        if not self._platform.is_live(self.worker):
+            return
         if self.worker is life:
             self._start(wire, key, step)
+        else:
+            order = make_start_order(life.worker_id, wire, key)
+            self.worker.refuse(order, time.monotonic())
 
     def _start(self, wire, key, step):
         """Carry out a start.
@@ -109,15 +118,7 @@
             for other in self._platform.workers_by_id.values()
             if other is not self.worker and key in other.active_by_key
         ]
-        order = messages.StartOrder(
-            self.worker.worker_id,
-            "",
-            key,
-            wire.run,
-            wire.spec,
-            wire.deadline_ms,
-            wire.fencing_token,
-        )
+        order = make_start_order(self.worker.worker_id, wire, key)
         run_ms = int(step.estimate_ms * self._platform.options.runtime_share)
         if step.lasting:
             run_ms = LASTING_MS
@@ -152,9 +153,9 @@
     @app.route("/-/run-stop", methods=["POST"])
     async def stop(self, request):
         """Stop a run."""
+        await self._keep_silent_if_unreachable()
         if self._is_other(request):
             return serve.reply(request, 421, {})
-        await self._keep_silent_if_crashed()
         wire = msgspec.json.decode(request.content.read(), type=workermessages.WireStop)
         key = names.parse_task(wire.task)
         order = messages.StopOrder(
@@ -167,9 +168,9 @@
     @app.route("/-/pace", methods=["POST"])
     async def pace(self, request):
         """Set the pace of a run."""
+        await self._keep_silent_if_unreachable()
         if self._is_other(request):
             return serve.reply(request, 421, {})
-        await self._keep_silent_if_crashed()
         wire = msgspec.json.decode(request.content.read(), type=workermessages.WirePace)
         order = messages.PaceOrder(
             self.worker.worker_id,
@@ -184,9 +185,9 @@
     @app.route("/-/hold", methods=["POST"])
     async def hold(self, request):
         """Renew leases; tell what runs, and what ended once any has."""
+        await self._keep_silent_if_unreachable()
         if self._is_other(request):
             return serve.reply(request, 421, {})
-        await self._keep_silent_if_crashed()
         worker = self.worker
         wire = msgspec.json.decode(request.content.read(), type=workermessages.WireHold)
         look = messages.HoldRequest(
@@ -202,11 +203,14 @@
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
         await self._platform.wait_for(
-            worker, lambda: worker is not self.worker or worker.ended, wire.wait_ms
+            worker,
+            lambda: not self._platform.is_live(worker) or worker.ended,
+            wire.wait_ms,
         )
-        if worker is not self.worker:
-            # The connection went with the life.
+        if not self._platform.is_live(worker):
             await defer.Deferred()
+        # A deadline is cut to the longest lease once, from the arrival of the poll.
+        look = msgspec.structs.replace(look, deadline_ms=0)
         outcome = self.worker.hold(look, time.monotonic())
         if isinstance(outcome, messages.Rejected):
             return self._answer(request, outcome)
@@ -235,3 +239,18 @@
             "born": outcome.started_at_ms,
         }
         return serve.reply(request, 200, body)
+
+
+def make_start_order(worker_id, wire, key):
+    """Make the start command of a call.
+
+    Args:
+      worker_id: A str, the worker that the call is meant for.
+      wire: A workermessages.WireStart.
+      key: Its messages.TaskKey.
+    Returns:
+      A messages.StartOrder.
+    """
+    return messages.StartOrder(
+        worker_id, "", key, wire.run, wire.spec, wire.deadline_ms, wire.fencing_token
+    )
--- a/tests/standin_test.py
+++ b/tests/standin_test.py
@@ -5,11 +5,15 @@
 import time
 import unittest
 
+import msgspec
 import urllib3
 
 from tests import harness
+from thornport.platform import entries, workermessages, workers
 
 SILENT_S = 0.5
+DEADLINE_MS = 60_000
+WORKER = "i-0000"  # the id of the platform's first worker
 SLOW_MS = 400
 PAUSE_S = 0.15  # between writes: some come while an answer is held
 
@@ -77,5 +81,38 @@
                 harness.call("POST", url, body, timeout_s=SILENT_S)
 
 
+class Incarnations(unittest.TestCase):
+    """Workers that end."""
+
+    def setUp(self):
+        self.cell = harness.Cell()
+        self.addCleanup(self.cell.close)
+        self.cell.start("platform", "standins.platform", "workers=1")
+        query = f"/-/kv-key?key={entries.ENTRY_PREFIX}{WORKER}"
+        item = harness.call_json("GET", self.cell.url("platform", query))
+        address = msgspec.json.decode(base64.b64decode(item["value"]))["address"]
+        self.url = f"http://{address}/-/hold"
+
+    def poll(self, token=1, wait_ms=0, timeout_s=10.0):
+        """Poll the worker; returns the urllib3 answer."""
+        wire = workermessages.WireHold(token, 0, DEADLINE_MS, wait_ms)
+        headers = {workers.EXPECT_HEADER: WORKER}
+        body = msgspec.json.encode(wire)
+        return harness.call("POST", self.url, body, headers, timeout_s)
+
+    def post(self, path):
+        """Tell the platform what happens to the worker."""
+        harness.call("POST", self.cell.url("platform", path))
+
+    # Guards against a poll that an incarnation answers after its end.
+    def test_poll_that_waits_is_not_answered_once_its_worker_has_crashed(self):
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            polled = pool.submit(self.poll, wait_ms=300, timeout_s=1.0)
+            time.sleep(0.1)
+            self.post("/crash")
+            with self.assertRaises(urllib3.exceptions.TimeoutError):
+                polled.result()
+
+
 if __name__ == "__main__":
     unittest.main()
