Let the stand-in's workers restart after a silence, be cut off and grant longer leases

Needed to show with real processes what a worker does that is back under its id and cut off soon after:

- max_hold_ms: the longest lease that workers grant, 6000 as before by default.
- uptime_ms: what the clocks of the first workers show at the start of the platform.
They began at 0 with the processes of a test, so that a deadline of a former incarnation was only seconds ahead of the next one's clock.
- /restart takes dark_ms, a silence before the next incarnation is there, and the worker to restart.
- /cut cuts one worker off from all callers while its tasks go on.
- /seen tells the progress of each running task.

Without these options the stand-in does as before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,10 +12,15 @@
 text is `crash` crashes the worker that starts it; another life takes its address.
 `GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
 to be carried out, its `most_by_text` the most millicores that the jobs of one text had
-running at once. `POST /restart?keeps_id=1&late_ms=N&pick=M` ends a worker that runs
-something, if one does, the busiest or the one M places behind it, and starts another
-life at its address, under its id or another; after N ms, if that is not 0, an entry of
-the ended life is written once more. Tasks of a lasting step run until they are stopped.
+running at once, its `percent_by_task` the progress of what runs.
+`POST /restart?keeps_id=1&late_ms=N&pick=M` ends a worker that runs something, if one
+does, the busiest or the one M places behind it, and starts another life at its address,
+under its id or another; after N ms, if that is not 0, an entry of the ended life is
+written once more. `worker=ID` names the worker to restart instead, and `dark_ms=N`
+keeps its address silent for N ms before the next incarnation is there.
+`POST /cut?worker=ID&for_ms=N` cuts a worker off from all callers while its tasks go on:
+connections are accepted, but nothing is carried out or answered. Tasks of a lasting
+step run until they are stopped.
 """
 
 import base64
@@ -50,12 +55,17 @@
     Attributes:
       advice_silent_every: An int, of so many calls for advice one is left without an
         answer; 0 for none.
+      max_hold_ms: An int, the longest lease that workers grant.
+      uptime_ms: An int, what the clocks of the first workers show when the platform
+        starts; the clock of a later incarnation begins at 0.
     """
 
     workers: int = 3
     cores: int = 64
     runtime_share: float = 1.0
     advice_silent_every: int = 0
+    max_hold_ms: int = leased_worker.MAX_HOLD_MS
+    uptime_ms: int = 0
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -197,18 +207,25 @@
         )
         self.most_by_text[text] = max(used, self.most_by_text.get(text, 0))
 
-    def add_worker(self):
-        """Start a worker and list it in the store."""
-        worker = self.make_life()
+    def add_worker(self, uptime_ms=0):
+        """Start a worker and list it in the store.
+
+        Args:
+          uptime_ms: An int, what its clock shows now.
+        """
+        worker = self.make_life(uptime_ms=uptime_ms)
         app = platform_worker.WorkerApp(self, worker)
         site = serve.BreakableSite(app.app)
         address = serve.listen_site(site)
         self.places_by_address[address] = Place(app, site)
         self.list_life(worker, address)
 
-    def make_life(self, worker_id=None):
+    def make_life(self, worker_id=None, uptime_ms=0):
         """Start a life of a worker, under a new id if none is given.
 
+        Args:
+          worker_id: A str, or None.
+          uptime_ms: An int, what its clock shows now.
         Returns:
           A leased_worker.LeasedWorker.
         """
@@ -219,7 +236,12 @@
         rate = SLOW_CLOCK if number % 2 else 1.0
         started_at_ms = int(time.time() * 1000)
         worker = leased_worker.LeasedWorker(
-            worker_id, total, rate, started_at_ms, time.monotonic()
+            worker_id,
+            total,
+            rate,
+            started_at_ms,
+            time.monotonic() - uptime_ms / 1000 / rate,
+            self.options.max_hold_ms,
         )
         self.workers_by_id[worker_id] = worker
         return worker
@@ -251,7 +273,7 @@
         """Whether an incarnation of a worker has not ended."""
         return self.workers_by_id.get(worker.worker_id) is worker
 
-    def replace_life(self, worker, keeps_id=False, late_ms=0):
+    def replace_life(self, worker, keeps_id=False, late_ms=0, dark_ms=0):
         """End a life without a word and start another at its address.
 
         Args:
@@ -259,24 +281,43 @@
           keeps_id: Whether the other has its id.
           late_ms: An int, after what time an entry of the ended life is written once
             more; 0 for never. What lives writes its own again a little later.
+          dark_ms: An int, how long nothing answers at the address before the next
+            incarnation is there.
         """
         worker_id = worker.worker_id
         key = entries.ENTRY_PREFIX + worker_id
-        address, entry = self.addresses_by_id[worker_id], self.entries_by_key[key]
+        entry = self.entries_by_key[key]
         del self.workers_by_id[worker_id]
         self.crashed.append(worker)
         self.wake(worker)
+        if dark_ms:
+            reactor.callLater(dark_ms / 1000, self.begin_next_life, worker, keeps_id)
+        else:
+            self.begin_next_life(worker, keeps_id)
+        if late_ms:
+            late_s = late_ms / 1000
+            reactor.callLater(late_s, self.write_entry, key, entry)
+            reactor.callLater(late_s + LATE_ENTRY_S, self.end_entry, key)
+
+    def begin_next_life(self, worker, keeps_id):
+        """Start the next incarnation at the address of one that has ended.
+
+        Connections to the ended incarnation are broken off only now, as by a machine
+        that lost power and is back.
+
+        Args:
+          worker: A leased_worker.LeasedWorker that has ended.
+          keeps_id: Whether the next incarnation has its id.
+        """
+        worker_id = worker.worker_id
+        address = self.addresses_by_id[worker_id]
         later = self.make_life(worker_id if keeps_id else None)
         place = self.places_by_address[address]
         place.app.worker = later
         place.site.break_off()
         if not keeps_id:
-            self.store.commit([], [], [key])
+            self.store.commit([], [], [entries.ENTRY_PREFIX + worker_id])
         self.list_life(later, address)
-        if late_ms:
-            late_s = late_ms / 1000
-            reactor.callLater(late_s, self.write_entry, key, entry)
-            reactor.callLater(late_s + LATE_ENTRY_S, self.end_entry, key)
 
     def write_entry(self, key, value):
         """Write an entry, which may be of a life that is over."""
@@ -292,18 +333,34 @@
         self.store.commit([], [], [key])
         self.wake(self.store)
 
-    def restart(self, keeps_id, late_ms, pick=0):
+    def restart(self, keeps_id, late_ms, pick=0, dark_ms=0, worker_id=""):
         """Replace the life of a worker that runs something, if one does.
 
         Args:
-          keeps_id, late_ms: As for `replace_life`.
+          keeps_id, late_ms, dark_ms: As for `replace_life`.
           pick: An int, how many busier ones are passed over, round and round.
+          worker_id: A str, the worker to restart; empty to choose by `pick`.
         """
+        if worker_id:
+            worker = self.workers_by_id[worker_id]
+            self.replace_life(worker, keeps_id, late_ms, dark_ms)
+            return
         lives = sorted(
             self.workers_by_id.values(), key=lambda life: -len(life.active_by_key)
         )
         busy = [life for life in lives if life.active_by_key] or lives[:1]
-        self.replace_life(busy[pick % len(busy)], keeps_id, late_ms)
+        self.replace_life(busy[pick % len(busy)], keeps_id, late_ms, dark_ms)
+
+    def cut_off(self, worker_id, for_ms):
+        """Cut a worker off from all callers for a while; its tasks go on.
+
+        Args:
+          worker_id: A str.
+          for_ms: An int.
+        """
+        app = self.places_by_address[self.addresses_by_id[worker_id]].app
+        app.is_cut_off = True
+        reactor.callLater(for_ms / 1000, app.reconnect)
 
     def change_room(self, cores):
         """Change what each worker has; its entry tells."""
@@ -343,7 +400,7 @@
     """Run as a process."""
     platform = Platform(serve.read_options(Options))
     for _ in range(platform.options.workers):
-        platform.add_worker()
+        platform.add_worker(platform.options.uptime_ms)
     advice = serve.listen(make_advice_app(platform.options.advice_silent_every))
     print(f"event=advice http={advice}", flush=True)
     task.LoopingCall(platform.tick).start(TICK_S)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -165,7 +165,16 @@
         keeps_id = read_argument(request, "keeps_id", "0") == "1"
         late_ms = int(read_argument(request, "late_ms", "0"))
         pick = int(read_argument(request, "pick", "0"))
-        self._platform.restart(keeps_id, late_ms, pick)
+        dark_ms = int(read_argument(request, "dark_ms", "0"))
+        worker_id = read_argument(request, "worker")
+        self._platform.restart(keeps_id, late_ms, pick, dark_ms, worker_id)
+        return b"{}"
+
+    @app.route("/cut", methods=["POST"])
+    def cut_off(self, request):
+        """Cut a worker off from all callers for a while."""
+        worker_id = read_argument(request, "worker")
+        self._platform.cut_off(worker_id, int(read_argument(request, "for_ms")))
         return b"{}"
 
     @app.route("/room", methods=["POST"])
@@ -177,6 +186,7 @@
     @app.route("/seen", methods=["GET"])
     def seen(self, request):
         """Tell what the workers saw."""
+        now = time.monotonic()
         all_workers = [*self._platform.workers_by_id.values(), *self._platform.crashed]
         body = {
             "starts": [
@@ -195,6 +205,11 @@
                 for worker in self._platform.workers_by_id.values()
                 for key in worker.active_by_key
             ],
+            "percent_by_task": {
+                names.format_task(key): active.read_percent(worker.read_clock_ms(now))
+                for worker in self._platform.workers_by_id.values()
+                for key, active in worker.active_by_key.items()
+            },
             "failed": [
                 [names.format_task(key), run]
                 for worker in all_workers
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -25,7 +25,9 @@
     """The interface of a worker, one life after the other.
 
     Attributes:
-      worker: The leased_worker.LeasedWorker of the life that is there now.
+      worker: The leased_worker.LeasedWorker of the life that is there now, or that was
+        there last.
+      is_cut_off: A bool, whether no call reaches the worker, and no answer its caller.
     """
 
     app = klein.Klein()
@@ -39,6 +41,11 @@
         """
         self._platform = platform
         self.worker = worker
+        self.is_cut_off = False
+
+    def reconnect(self):
+        """Let calls reach the worker again."""
+        self.is_cut_off = False
 
     def _is_other(self, request):
         """Whether the caller means another life."""
@@ -51,8 +58,8 @@
             self._platform.replace_life(worker)
 
     async def _keep_silent_if_unreachable(self):
-        """Leave a call unanswered once the worker has crashed."""
-        if not self._platform.is_live(self.worker):
+        """Leave a call unanswered while the worker is cut off or has crashed."""
+        if self.is_cut_off or not self._platform.is_live(self.worker):
             await defer.Deferred()
 
     def _answer(self, request, outcome):
@@ -207,7 +214,7 @@
             lambda: not self._platform.is_live(worker) or worker.ended,
             wire.wait_ms,
         )
-        if not self._platform.is_live(worker):
+        if self.is_cut_off or not self._platform.is_live(worker):
             await defer.Deferred()
         # A deadline is cut to the longest lease once, from the arrival of the poll.
         look = msgspec.structs.replace(look, deadline_ms=0)
