--- a/tests/schedulers.py
+++ b/tests/schedulers.py
@@ -113,6 +113,7 @@
         starts_at_once=1,
         status_s=STATUS_S,
         advice_silent_every=0,
+        platform_options=None,
     ):
         """Start a platform and schedulers; nothing is left running if that fails.
 
@@ -126,6 +127,7 @@
           status_s: A float, how long ended jobs are told of.
           advice_silent_every: An int, of so many calls for advice one has no answer; 0
             for none.
+          platform_options: A dict, other options of the stand-in platform by name.
         """
         super().__init__()
         self.key = None  # of a workspace, for calls that name no other
@@ -138,7 +140,8 @@
             proxied = count if has_proxies else 0
         self.proxied = self.names[:proxied]
         try:
-            self._start_all(workers, starts_at_once, advice_silent_every)
+            options = {"workers": workers, "advice_silent_every": advice_silent_every}
+            self._start_all(options | (platform_options or {}), starts_at_once)
         except Exception:
             self.end_processes()
             raise
@@ -147,13 +150,9 @@
             self.close()
             raise
 
-    def _start_all(self, workers, starts_at_once, advice_silent_every):
-        platform = self.start(
-            "platform",
-            "standins.platform",
-            f"workers={workers}",
-            f"advice_silent_every={advice_silent_every}",
-        )
+    def _start_all(self, platform_options, starts_at_once):
+        arguments = [f"{name}={value}" for name, value in platform_options.items()]
+        platform = self.start("platform", "standins.platform", *arguments)
         self.advice = platform.wait_for(r"event=advice http=(\S+)")[1]
         self.put_config(CONFIG)
         pool = concurrent.futures.ThreadPoolExecutor(starts_at_once)
