Refuse numbers in a worker's entry that clocks and records can't hold

What callers saw: processes that followed the list of workers ended their following, or owners ended their reading at a takeover and began again; jobs came late or not at all.

Cause: the decoder took integers of up to 4,300 digits. The remaining_ms of a draining worker was divided into float seconds outside the decoder, in WorkerEntry.read_leaves_at: an OverflowError in the middle of the list, so the entries behind it were hidden too. Where its service was configured later, the same error ended the configuration. A start time or capacity beyond 64 bits can't be written into records or messages between processes.

Change: each integer has a bound in the decoder, far above real workers and far below 64 bits, also for sums over many workers. Such an entry is logged with its field and skipped. The start time in answers to polls has the same type and so the same bound.

--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -115,17 +115,6 @@
         self.log = patch.start()
         self.addCleanup(patch.stop)
 
-    def make_item(self, number, revision, **changes):
-        """Make the item of a worker's entry."""
-        entry = entries_test.ENTRY | {"address": f"10.0.0.{number}:80"} | changes
-        key = f"{entries.ENTRY_PREFIX}i-{number}"
-        return transactions.Item(key, msgspec.json.encode(entry), revision)
-
-    def count_lines(self):
-        """Return how many log lines report an undecodable entry."""
-        events = [call.args[0] for call in self.log.call_args_list]
-        return events.count("worker-entry-undecodable")
-
     def list_usable(self):
         """Return the IDs of the listed workers, which get starts once they answer."""
         workers_by_id = self.core.workers_by_id
@@ -134,30 +123,170 @@
     def test_undecodable_entries_are_omitted_and_logged_once(self):
         garbage = transactions.Item("servers/x", b"\xff\xfe", 4)
         items = [
-            self.make_item(1, 2),
+            make_item(1, 2),
             garbage,
-            self.make_item(2, 5, state="resting"),
-            self.make_item(3, 6, service="elsewhere"),
-            self.make_item(4, 7),
+            make_item(2, 5, state="resting"),
+            make_item(3, 6, service="elsewhere"),
+            make_item(4, 7),
         ]
         for _ in range(3):
             self.followed._take_workers(items)
         self.assertEqual(self.list_usable(), ["i-1", "i-4"])
-        self.assertEqual(self.count_lines(), 2)
+        self.assertEqual(len(list_undecodable(self.log)), 2)
 
     def test_worker_is_dropped_while_its_entry_is_undecodable(self):
-        self.followed._take_workers([self.make_item(1, 2), self.make_item(2, 3)])
-        bad = self.make_item(1, 4, slots="many")
+        self.followed._take_workers([make_item(1, 2), make_item(2, 3)])
+        bad = make_item(1, 4, slots="many")
         change = transactions.Change(bad.key, bad.value, bad.revision)
         self.followed._take_worker_change(change)
         self.assertEqual(self.list_usable(), ["i-2"])
-        self.followed._take_workers([bad, self.make_item(2, 3)])
+        self.followed._take_workers([bad, make_item(2, 3)])
         self.assertEqual(self.list_usable(), ["i-2"])
-        good = self.make_item(1, 5)
+        good = make_item(1, 5)
         change = transactions.Change(good.key, good.value, good.revision)
         self.followed._take_worker_change(change)
         self.assertEqual(self.list_usable(), ["i-1", "i-2"])
-        self.assertEqual(self.count_lines(), 1)
+        self.assertEqual(len(list_undecodable(self.log)), 1)
+
+
+class ScriptedStore:
+    """A store whose reads and watches of worker entries answer as a test says.
+
+    Attributes:
+      items: A list of transactions.Item, the entries that the next read answers.
+    """
+
+    def __init__(self, items):
+        self.items = items
+        self._watch = None
+
+    def was_unavailable_within(self, seconds):
+        """The store is never away."""
+        return False
+
+    def read_page(self, prefix, after_key="", on_bytes=None):
+        """Answer with the entries; there are no other records."""
+        items = self.items if prefix == entries.ENTRY_PREFIX else []
+        return defer.succeed(result.Success(transactions.Page(items, False, 10)))
+
+    def watch(self, prefix, after_revision, wait_ms, on_bytes=None):
+        """Wait for the test to answer."""
+        watch = defer.Deferred()
+        if prefix == entries.ENTRY_PREFIX:
+            self._watch = watch
+        return watch
+
+    def change(self, *items):
+        """Answer the open watch with changes of the entries."""
+        changes = [transactions.Change(i.key, i.value, i.revision) for i in items]
+        answer = transactions.Changes(changes, items[-1].revision)
+        self._watch.callback(result.Success(answer))
+
+    def forget_history(self):
+        """Answer the open watch so that all entries are read again."""
+        self._watch.callback(result.Failure(transactions.HistoryGone("gone")))
+
+
+class OddEntries(unittest.TestCase):
+    """One odd entry never ends the following, nor hides the entries beside it."""
+
+    def setUp(self):
+        self.session = CoreSession()
+        self.core = self.session.core
+        self.reactor = task.Clock()
+        patch = mock.patch.object(following.logs, "log")
+        self.log = patch.start()
+        self.addCleanup(patch.stop)
+
+    def list_usable(self):
+        """Return the IDs of the listed workers."""
+        workers_by_id = self.core.workers_by_id
+        return sorted(w.worker_id for w in workers_by_id.values() if w.is_listed)
+
+    def read(self, *items):
+        """Read entries from a store and follow them."""
+        self.store = self.session.ports.store = ScriptedStore(list(items))
+        followed = following.Following(self.reactor, self.session)
+        reading = defer.ensureDeferred(followed.read())
+        self.reactor.pump([0.0] * 3)
+        self.check_success(reading)
+        followed.follow()
+        self.addCleanup(followed.stop)
+
+    def check_success(self, deferred):
+        """Fail unless a Deferred has fired without a failure."""
+        results = []
+        deferred.addBoth(results.append)
+        self.assertEqual(results, [None])
+
+    def check_followed(self, odd):
+        """Have one odd entry among good ones, in each way that entries come."""
+        self.read(make_item(1, 2), odd, make_item(3, 4))
+        self.assertEqual(self.list_usable(), ["i-1", "i-3"])
+        self.store.change(make_item(4, 11), renew(odd, 12), make_item(5, 13))
+        self.assertEqual(self.list_usable(), ["i-1", "i-3", "i-4", "i-5"])
+        self.reactor.advance(following.WATCH_GAP_S)
+        self.store.items = [make_item(1, 2), renew(odd, 14), make_item(6, 15)]
+        self.store.forget_history()
+        self.assertEqual(self.list_usable(), ["i-1", "i-6"])
+        self.store.change(make_item(7, 16))
+        self.assertEqual(self.list_usable(), ["i-1", "i-6", "i-7"])
+        self.assertEqual(list_undecodable(self.log), ["i-2"] * 3)
+
+    # Guards against an OverflowError where the time at which a worker leaves is
+    # computed, which ended the owner's reading and following of all entries.
+    def test_remaining_time_of_400_digits(self):
+        odd = make_item(2, 3, state="draining")
+        value = odd.value[:-1] + b',"remaining_ms":' + b"9" * 400 + b"}"
+        self.check_followed(transactions.Item(odd.key, value, odd.revision))
+
+    # Guards against an entry of a service that is not configured yet, which ended the
+    # configuration that named its service later.
+    def test_remaining_time_of_400_digits_in_a_later_service(self):
+        odd = make_item(2, 3, state="draining", service="later")
+        value = odd.value[:-1] + b',"remaining_ms":' + b"9" * 400 + b"}"
+        self.read(
+            transactions.Item(odd.key, value, 3), make_item(1, 4, service="later")
+        )
+        later = queue.Queue("later", service="later")
+        self.core.take_config(queue.Config(2, (later,)), 0.0)
+        self.assertEqual(self.list_usable(), ["i-1"])
+
+    # Guards against a RecursionError that ends the following.
+    def test_deeply_nested_value(self):
+        odd = make_item(2, 3)
+        value = odd.value[:-1] + b',"more":' + b"[" * 100_000
+        self.check_followed(transactions.Item(odd.key, value, odd.revision))
+
+    # Guards against calls to an address that does not exist.
+    def test_port_out_of_range(self):
+        self.check_followed(make_item(2, 3, address="10.0.0.2:65536"))
+
+
+def make_item(number, revision, **changes):
+    """Make the item of a worker's entry."""
+    entry = entries_test.ENTRY | {"address": f"10.0.0.{number}:80"} | changes
+    key = f"{entries.ENTRY_PREFIX}i-{number}"
+    return transactions.Item(key, msgspec.json.encode(entry), revision)
+
+
+def renew(item, revision):
+    """Return an item as it is written again at a later revision."""
+    return transactions.Item(item.key, item.value, revision)
+
+
+def list_undecodable(log):
+    """List the workers of the log lines that report an undecodable entry.
+
+    Args:
+      log: The mock.Mock that takes the place of logs.log.
+    Returns:
+      A list of str.
+    """
+    calls = log.call_args_list
+    return [
+        c.kwargs["worker"] for c in calls if c.args[0] == "worker-entry-undecodable"
+    ]
 
 
 if __name__ == "__main__":
--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -13,10 +13,19 @@
 WORKER_ID = re.compile(r"[\w.:-]+", re.ASCII)
 MAX_PORT = 65_535
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
+# Bounds of a worker's numbers, far above those of real workers. Records and messages
+# between processes hold 64 bits, which sums over many workers must not exceed either.
+MAX_COUNT = 10**9  # slots, thousandths of a core, megabytes or accelerators
+MAX_DURATION_MS = 10**12  # more than 30 years
+MAX_START_MS = 253_402_300_799_999  # since 1970, the end of the year 9999
+MAX_SEQUENCE = 2**53  # heartbeats, the largest number that is exact in all JSON
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+Sequence = Annotated[int, msgspec.Meta(ge=-MAX_SEQUENCE, le=MAX_SEQUENCE)]
 # `born`: when an incarnation of a worker started, in milliseconds since 1970. Workers
 # that follow earlier pages of the platform omit it; none writes null or a fraction.
-Born = Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType
+Born = Annotated[int, msgspec.Meta(ge=0, le=MAX_START_MS)] | msgspec.UnsetType
 
 
 class WireCapacity(msgspec.Struct, frozen=True):
@@ -40,11 +49,11 @@
     version: str  # of the worker's software
     slots: Count
     state: str
-    cold_remaining_ms: Count
-    seq: int
+    cold_remaining_ms: DurationMs
+    seq: Sequence
     capacity: WireCapacity
     labels: list[str]  # the worker's kind, then its rack
-    remaining_ms: Count = 0
+    remaining_ms: DurationMs = 0
     born: Born = msgspec.UNSET
     machine: str = ""
 
--- a/thornport/platform/entries_test.py
+++ b/thornport/platform/entries_test.py
@@ -31,6 +31,12 @@
     return entries.decode_entry(worker_id, msgspec.json.encode(changed))
 
 
+def decode_text(member):
+    """Decode an entry with a member that the JSON encoder can't write, a str."""
+    text = msgspec.json.encode(ENTRY).decode()
+    return entries.decode_entry("i-1", (text[:-1] + "," + member + "}").encode())
+
+
 class Entry(unittest.TestCase):
     """A valid worker entry."""
 
@@ -117,6 +123,41 @@
                 entries.decode_entry("i-1", value)
 
 
+class OddNumbers(unittest.TestCase):
+    """A number beyond the bounds of its field raises EntryError."""
+
+    # Guards against numbers that records and peer messages can't hold.
+    def test_each_is_rejected_with_its_field(self):
+        for digits in (20, 400, 5_000):
+            for name in ("slots", "cold_remaining_ms", "remaining_ms", "born", "seq"):
+                with (
+                    self.subTest(name=name, digits=digits),
+                    self.assertRaisesRegex(entries.EntryError, rf"\$\.{name}"),
+                ):
+                    decode_text(f'"{name}":' + "9" * digits)
+
+    # Guards against capacities that records, peer messages and sums can't hold.
+    def test_each_capacity_is_rejected_with_its_field(self):
+        for number in ("1" + "0" * 10, "9" * 20, "9" * 400, "-1"):
+            for name in ("cpu", "mem_mb", "gpu"):
+                fields = {"cpu": "1", "mem_mb": "1", "gpu": "1"} | {name: number}
+                body = ",".join(f'"{key}":{text}' for key, text in fields.items())
+                with (
+                    self.subTest(name=name, number=number[:12]),
+                    self.assertRaisesRegex(entries.EntryError, rf"capacity\.{name}"),
+                ):
+                    decode_text(f'"capacity":{{{body}}}')
+
+    def test_numbers_of_large_workers_are_accepted(self):
+        large = {"cpu": 1_000_000, "mem_mb": 16_000_000, "gpu": 64}
+        year_ms = 366 * 86_400_000
+        entry = decode(
+            capacity=large, slots=10_000, seq=2**40, remaining_ms=year_ms, born=2**42
+        )
+        self.assertEqual(entry.total, spec.Demand(*large.values()))
+        self.assertEqual((entry.leaves_in_ms, entry.started_at_ms), (year_ms, 2**42))
+
+
 class UndecodableValues(unittest.TestCase):
     """An undecodable value does not affect the other values of the same answer."""
 
