Accept only an IPv4 number and a port as the address of a worker

What callers saw: polls and starts were sent to addresses that name no worker, each until its timeout, and address texts with blanks or line breaks reached the lines of the log.

Cause: the port was checked by int(), which takes blanks, signs, underscores and digits of other scripts; the rest by ipaddress, which takes IPv6 with any text as a zone id, after brackets were stripped. The platform has IPv4 only.

Change: an address is an IPv4 number in its usual spelling, a colon and a port of ASCII digits without a leading zero, since addresses are compared as texts. The error names the field and quotes the beginning of the text.

--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -11,7 +11,10 @@
 
 ENTRY_PREFIX = "servers/"
 WORKER_ID = re.compile(r"[\w.:-]+", re.ASCII)
+# One spelling for each port, since addresses are compared as texts.
+PORT = re.compile(r"[1-9][0-9]{0,4}")
 MAX_PORT = 65_535
+MAX_QUOTED_CHARS = 60  # of a value in the message of an error
 
 # Bounds of a worker's numbers, far above those of real workers. Records and messages
 # between processes hold 64 bits, which sums over many workers must not exceed either.
@@ -68,14 +71,28 @@
     Args:
       worker_id, address: A str each.
     Raises:
-      ValueError: The id is not valid, or the address is not `IP:PORT`.
+      ValueError: The id is not valid, or the address is not `IPV4:PORT`.
     """
     if not WORKER_ID.fullmatch(worker_id):
-        raise ValueError(f"no worker id: {worker_id!r}")
-    ip, _, port = address.rpartition(":")
-    ipaddress.ip_address(ip.strip("[]"))
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"no port: {port!r}")
+        raise ValueError(f"worker id: not valid, got {quote(worker_id)}")
+    ip, _, port = address.partition(":")
+    if not is_ipv4(ip) or not PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValueError(f"address: expected IPV4:PORT, got {quote(address)}")
+
+
+def is_ipv4(text):
+    """Tell whether a text is an IPv4 address in its usual spelling."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def quote(text):
+    """Quote the beginning of a text for the message of an error; a str."""
+    quoted = ascii(text[:MAX_QUOTED_CHARS])
+    return quoted if len(text) <= MAX_QUOTED_CHARS else f"{quoted}..."
 
 
 def decode_entry(worker_id, value):
--- a/thornport/platform/entries_test.py
+++ b/thornport/platform/entries_test.py
@@ -158,6 +158,43 @@
         self.assertEqual((entry.leaves_in_ms, entry.started_at_ms), (year_ms, 2**42))
 
 
+class OddAddresses(unittest.TestCase):
+    """An address other than an IPv4 number and a port raises EntryError."""
+
+    # Guards against calls to addresses that only int() and ipaddress understand.
+    def test_each_is_rejected(self):
+        for address in (
+            "10.0.0.1: 80",
+            "10.0.0.1:80 ",
+            "10.0.0.1:80\n",
+            "10.0.0.1:8_0",
+            "10.0.0.1:+80",
+            "10.0.0.1:-80",
+            "10.0.0.1:080",
+            "10.0.0.1:65536",
+            "10.0.0.1:\u0668\u0660",
+            "10.0.0.\u0661:80",
+            "[10.0.0.1]:80",
+            "10.0.0.01:80",
+            " 10.0.0.1:80",
+            "::1:80",
+            "[::1]:80",
+            "fe80::1%a zone:80",
+            "10.0.0.1:" + "9" * 5_000,
+        ):
+            with (
+                self.subTest(address=address[:20]),
+                self.assertRaisesRegex(entries.EntryError, "address"),
+            ):
+                decode(address=address)
+
+    def test_first_and_last_port_are_accepted(self):
+        for port in ("1", "65535"):
+            self.assertEqual(
+                decode(address=f"10.0.0.1:{port}").address, f"10.0.0.1:{port}"
+            )
+
+
 class UndecodableValues(unittest.TestCase):
     """An undecodable value does not affect the other values of the same answer."""
 
