Bound the texts and labels of a worker's entry, and refuse control characters

What operators saw: lines of worker-listed as long as an entry of another writer, which displace the lines of other decisions. Callers saw nothing but what such entries cost in time; that was not measured.

Cause: service, zone, version, machine, labels and ids had no bound of length or number and could hold line breaks and terminal controls. A line of worker-listed repeats all labels; ids and texts are repeated in calls, records and messages.

Change: a text has at most 256 characters, an entry at most 64 labels (workers have two), and a text with a character that is not printable is refused with its field named. Blanks, letters of any script and empty texts are accepted.

--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -22,6 +22,9 @@
 MAX_DURATION_MS = 10**12  # more than 30 years
 MAX_START_MS = 253_402_300_799_999  # since 1970, the end of the year 9999
 MAX_SEQUENCE = 2**53  # heartbeats, the largest number that is exact in all JSON
+# Bounds of a worker's texts, which lines of the log and messages repeat.
+MAX_TEXT_CHARS = 256
+MAX_LABELS = 64  # workers have two, their kind and rack
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
@@ -29,6 +32,8 @@
 # `born`: when an incarnation of a worker started, in milliseconds since 1970. Workers
 # that follow earlier pages of the platform omit it; none writes null or a fraction.
 Born = Annotated[int, msgspec.Meta(ge=0, le=MAX_START_MS)] | msgspec.UnsetType
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+Labels = Annotated[list[Text], msgspec.Meta(max_length=MAX_LABELS)]
 
 
 class WireCapacity(msgspec.Struct, frozen=True):
@@ -46,19 +51,19 @@
     under this prefix omit some, which shows that a value is not a worker's entry.
     """
 
-    service: str
-    address: str
-    zone: str
-    version: str  # of the worker's software
+    service: Text
+    address: Text
+    zone: Text
+    version: Text  # of the worker's software
     slots: Count
-    state: str
+    state: Text
     cold_remaining_ms: DurationMs
     seq: Sequence
     capacity: WireCapacity
-    labels: list[str]  # the worker's kind, then its rack
+    labels: Labels  # the worker's kind, then its rack
     remaining_ms: DurationMs = 0
     born: Born = msgspec.UNSET
-    machine: str = ""
+    machine: Text = ""
 
 
 class EntryError(Exception):
@@ -73,13 +78,29 @@
     Raises:
       ValueError: The id is not valid, or the address is not `IPV4:PORT`.
     """
-    if not WORKER_ID.fullmatch(worker_id):
+    if not WORKER_ID.fullmatch(worker_id) or len(worker_id) > MAX_TEXT_CHARS:
         raise ValueError(f"worker id: not valid, got {quote(worker_id)}")
     ip, _, port = address.partition(":")
     if not is_ipv4(ip) or not PORT.fullmatch(port) or int(port) > MAX_PORT:
         raise ValueError(f"address: expected IPV4:PORT, got {quote(address)}")
 
 
+def check_printable(wire):
+    """Check that no text has a line break or another control character.
+
+    Args:
+      wire: A WireEntry.
+    Raises:
+      ValueError: A text has one.
+    """
+    fields = ("service", "zone", "version", "machine")
+    texts = [(field, getattr(wire, field)) for field in fields]
+    texts += [("labels", label) for label in wire.labels]
+    for field, text in texts:
+        if not text.isprintable():
+            raise ValueError(f"{field}: not printable, got {quote(text)}")
+
+
 def is_ipv4(text):
     """Tell whether a text is an IPv4 address in its usual spelling."""
     try:
@@ -109,6 +130,7 @@
     try:
         wire = msgspec.json.decode(value, type=WireEntry)
         check_names(worker_id, wire.address)
+        check_printable(wire)
         state = messages.WorkerState(wire.state)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise EntryError(str(error)) from error
--- a/thornport/platform/entries_test.py
+++ b/thornport/platform/entries_test.py
@@ -195,6 +195,44 @@
             )
 
 
+class OddTexts(unittest.TestCase):
+    """A text beyond the bounds of its field raises EntryError."""
+
+    # Guards against texts that make log lines and peer messages arbitrarily long.
+    def test_long_texts_are_rejected_with_their_field(self):
+        for name in ("service", "zone", "version", "machine", "state"):
+            with (
+                self.subTest(name=name),
+                self.assertRaisesRegex(entries.EntryError, name),
+            ):
+                decode(**{name: "a" * 100_000})
+        for labels in (["a"] * 100_000, ["a", "r" * 100_000]):
+            with self.assertRaisesRegex(entries.EntryError, "labels"):
+                decode(labels=labels)
+
+    # Guards against line breaks and control characters in log lines and calls.
+    def test_texts_that_are_not_printable_are_rejected_with_their_field(self):
+        for text in ("a\nb", "a\r", "\x00", "a\x1b[2J", "a\x85b", "a\u2028b"):
+            odd = dict.fromkeys(("service", "zone", "version", "machine"), text)
+            for name, value in (odd | {"labels": ["a", text]}).items():
+                with (
+                    self.subTest(name=name, text=text),
+                    self.assertRaisesRegex(entries.EntryError, name),
+                ):
+                    decode(**{name: value})
+
+    def test_usual_texts_are_accepted(self):
+        labels = ["a", "r1", "", "with blank", "h\u00e9"]
+        entry = decode(zone="Zone 1", machine="m-1", labels=labels)
+        self.assertEqual((entry.hall, entry.machine), ("Zone 1", "m-1"))
+        self.assertEqual(entry.labels, frozenset(labels))
+
+    # Guards against ids that make the header of each call arbitrarily long.
+    def test_long_id_is_rejected(self):
+        with self.assertRaises(entries.EntryError):
+            decode("i" * 100_000)
+
+
 class UndecodableValues(unittest.TestCase):
     """An undecodable value does not affect the other values of the same answer."""
 
