Bound the message of an error about a worker's entry

What operators saw: a line of worker-entry-undecodable as long as the odd value, once for each of its revisions.

Cause: the error of an unknown state repeated the text in full, as did that of an address.

Change: a state is refused with its field and the first 40 characters quoted, as addresses and ids are, and each message is cut to 200 characters.

--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -14,7 +14,8 @@
 # One spelling for each port, since addresses are compared as texts.
 PORT = re.compile(r"[1-9][0-9]{0,4}")
 MAX_PORT = 65_535
-MAX_QUOTED_CHARS = 60  # of a value in the message of an error
+MAX_QUOTED_CHARS = 40  # of a value in the message of an error
+MAX_REASON_CHARS = 200  # of the message of an error
 
 # Bounds of a worker's numbers, far above those of real workers. Records and messages
 # between processes hold 64 bits, which sums over many workers must not exceed either.
@@ -67,7 +68,10 @@
 
 
 class EntryError(Exception):
-    """A value in the store is not a valid worker entry."""
+    """A value in the store is not a valid worker entry.
+
+    Its message names the field and has at most MAX_REASON_CHARS.
+    """
 
 
 def check_names(worker_id, address):
@@ -101,6 +105,22 @@
             raise ValueError(f"{field}: not printable, got {quote(text)}")
 
 
+def decode_state(text):
+    """Decode the state of a worker.
+
+    Args:
+      text: A str.
+    Returns:
+      A messages.WorkerState.
+    Raises:
+      ValueError: There is no such state.
+    """
+    try:
+        return messages.WorkerState(text)
+    except ValueError:
+        raise ValueError(f"state: unknown, got {quote(text)}") from None
+
+
 def is_ipv4(text):
     """Tell whether a text is an IPv4 address in its usual spelling."""
     try:
@@ -131,9 +151,9 @@
         wire = msgspec.json.decode(value, type=WireEntry)
         check_names(worker_id, wire.address)
         check_printable(wire)
-        state = messages.WorkerState(wire.state)
+        state = decode_state(wire.state)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise EntryError(str(error)) from error
+        raise EntryError(str(error)[:MAX_REASON_CHARS]) from error
     capacity = wire.capacity
     return messages.WorkerEntry(
         worker_id,
--- a/thornport/platform/entries_test.py
+++ b/thornport/platform/entries_test.py
@@ -233,6 +233,30 @@
             decode("i" * 100_000)
 
 
+class Reasons(unittest.TestCase):
+    """The message of each error is short enough for a log line."""
+
+    # Guards against log lines that repeat a value of another writer in full.
+    def test_messages_are_bounded(self):
+        long = "x\n" * 50_000
+        for changes in (
+            {"state": long},
+            {"state": "x\n" * 128},
+            {"address": long},
+            {"address": "10.0.0.1:" + "9" * 4_000},
+            {"address": "9" * 100_000 + ":80"},
+            {"zone": long},
+            {"labels": [long]},
+            {"capacity": long},
+        ):
+            with self.assertRaises(entries.EntryError) as caught:
+                decode(**changes)
+            self.assertLessEqual(len(str(caught.exception)), 200)
+        with self.assertRaises(entries.EntryError) as caught:
+            decode(long)
+        self.assertLessEqual(len(str(caught.exception)), 200)
+
+
 class UndecodableValues(unittest.TestCase):
     """An undecodable value does not affect the other values of the same answer."""
 
