Skip an entry that raises an unexpected error, and log it

What callers saw: one entry that raised anything but the decoder's declared errors ended the owner's reading or following of workers, so jobs met no new worker and sound ones behind that entry in the list were not taken.

Cause: _take_worker caught the declared errors of the decoder alone, and the core took the entry outside of that.

Evidence: the four tests of UnexpectedErrors failed before: the first read ended with the ZeroDivisionError of the decoder or of the core, and a worker whose newer entry raised it stayed listed.

Change: one entry is decoded and taken in one place, which skips an entry that raises any error. Its worker gets no starts, as with an entry that can't be decoded; worker-entry-undecodable is logged once a revision with the type, place and text of the error, cut to 200 characters. Errors elsewhere end a task as before. An entry of a service that is not configured yet is taken again from take_config, which this does not cover: there the decoder's bounds must hold.

--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -4,6 +4,9 @@
 since this owner writes it afterwards.
 """
 
+import os
+import traceback
+
 import msgspec
 from returns import result
 from twisted.internet import defer
@@ -18,6 +21,7 @@
 # the watch only has to find what they could not report.
 WATCH_GAP_S = 0.3
 READ_RETRY_S = 0.1  # after a read that the store did not answer
+MAX_REASON_CHARS = 200  # why an entry can't be taken, in its line of the log
 
 
 class PrefixSnapshot(msgspec.Struct, frozen=True):
@@ -48,8 +52,8 @@
         self._ports = session.ports
         self._followers = []
         self._persisted_cancels = []
-        # Revisions of entries that can't be decoded, since another writer than a worker
-        # made them, by the worker ID in their key.
+        # Revisions of entries that can't be decoded or taken, since another writer than
+        # a worker made them, by the worker ID in their key.
         self._undecodable_entries = {}
         self._workers_revision = None
         self._inbox_revision = None
@@ -132,36 +136,46 @@
         """Take a worker entry from an item that was read or a change with a value.
 
         Returns:
-          A bool, whether it could be decoded as the entry of a worker.
+          A bool, whether it could be decoded as the entry of a worker and taken.
         """
         worker_id = item.key.removeprefix(self._ports.worker_prefix)
         try:
             entry = self._ports.decode_worker(worker_id, item.value)
+            self._take_entry(entry, item.revision)
         except self._ports.decode_errors as error:
             self._drop_undecodable(worker_id, item.revision, str(error))
             return False
+        except Exception as error:
+            # One entry must neither end the following nor hide the entries after it.
+            reason = describe_unexpected(error)
+            self._drop_undecodable(worker_id, item.revision, reason)
+            return False
         self._undecodable_entries.pop(worker_id, None)
-        known = self._core.workers_by_id.get(worker_id)
+        return True
+
+    def _take_entry(self, entry, revision):
+        """Log a worker's entry that is new or has changed, and pass it to the core."""
+        known = self._core.workers_by_id.get(entry.worker_id)
         if known is None or has_changed(known.entry, entry):
             logs.log(
                 "worker-listed",
-                worker=worker_id,
+                worker=entry.worker_id,
                 address=entry.address,
                 started_at_ms=noting.format_start(entry.started_at_ms),
                 state=entry.state.value,
                 millicores=entry.total.millicores,
                 memory_mb=entry.total.memory_mb,
                 accelerators=entry.total.accelerators,
-                revision=item.revision,
+                revision=revision,
                 labels=",".join(sorted(entry.labels)),
             )
-        self._core.take_worker(entry, item.revision, clock.read_monotonic())
-        return True
+        self._core.take_worker(entry, revision, clock.read_monotonic())
 
     def _drop_undecodable(self, worker_id, revision, reason):
-        """Drop the worker of an entry that can't be decoded; log each revision once."""
+        """Drop the worker of an entry that can't be taken; log each revision once."""
         if self._undecodable_entries.get(worker_id) != revision:
             self._undecodable_entries[worker_id] = revision
+            reason = reason[:MAX_REASON_CHARS]
             logs.log("worker-entry-undecodable", worker=worker_id, reason=reason)
         self._core.drop_worker(worker_id, clock.read_monotonic())
 
@@ -235,6 +249,19 @@
             self._core.restore_progress(job_id, progress, now)
 
 
+def describe_unexpected(error):
+    """Describe an error that no decoder declares, with the place that raised it.
+
+    Args:
+      error: An Exception.
+    Returns:
+      A str.
+    """
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    place = f"{os.path.basename(frame.filename)}:{frame.lineno}"
+    return f"{type(error).__name__} at {place}: {error}"
+
+
 def has_changed(known, entry):
     """Return whether any logged field of a worker entry has changed.
 
--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -187,8 +187,8 @@
         self._watch.callback(result.Failure(transactions.HistoryGone("gone")))
 
 
-class OddEntries(unittest.TestCase):
-    """One odd entry never ends the following, nor hides the entries beside it."""
+class OddEntriesCase(unittest.TestCase):
+    """Has one odd entry among good ones, in each way that entries come."""
 
     def setUp(self):
         self.session = CoreSession()
@@ -233,6 +233,10 @@
         self.assertEqual(self.list_usable(), ["i-1", "i-6", "i-7"])
         self.assertEqual(list_undecodable(self.log), ["i-2"] * 3)
 
+
+class OddEntries(OddEntriesCase):
+    """One odd entry never ends the following, nor hides the entries beside it."""
+
     # Guards against an OverflowError where the time at which a worker leaves is
     # computed, which ended the owner's reading and following of all entries.
     def test_remaining_time_of_400_digits(self):
@@ -263,6 +267,64 @@
         self.check_followed(make_item(2, 3, address="10.0.0.2:65536"))
 
 
+class UnexpectedErrors(OddEntriesCase):
+    """An entry that raises what no decoder declares is logged and skipped."""
+
+    def check_skipped(self):
+        """Have one entry among good ones that raises an error wherever it is taken."""
+        self.check_followed(make_item(2, 3))
+        reasons = [c.kwargs["reason"] for c in list_undecodable_calls(self.log)]
+        for reason in reasons:
+            self.assertRegex(
+                reason, r"^ZeroDivisionError at following_test\.py:\d+: y+$"
+            )
+            self.assertLessEqual(len(reason), following.MAX_REASON_CHARS)
+
+    # Guards against a fault of the decoder that ends the following of all entries.
+    def test_while_it_is_decoded(self):
+        decode = self.session.ports.decode_worker
+
+        def decode_or_fail(worker_id, value):
+            fail_for_odd(worker_id)
+            return decode(worker_id, value)
+
+        self.session.ports.decode_worker = decode_or_fail
+        self.check_skipped()
+
+    # Guards against a fault of the decisions that ends the following of all entries.
+    def test_while_it_is_taken(self):
+        take = self.core.take_worker
+
+        def take_or_fail(entry, revision, now):
+            fail_for_odd(entry.worker_id)
+            take(entry, revision, now)
+
+        self.core.take_worker = take_or_fail
+        self.check_skipped()
+
+    # Guards against a line for each read of an entry that is the same each time.
+    def test_line_is_logged_once_a_revision(self):
+        self.session.ports.decode_worker = lambda worker_id, value: 1 // 0
+        self.read(make_item(2, 3))
+        for _ in range(3):
+            self.store.forget_history()
+        self.assertEqual(list_undecodable(self.log), ["i-2"])
+
+    # Guards against starts at a worker whose newest entry was not taken.
+    def test_worker_of_a_good_entry_before_is_dropped(self):
+        self.read(make_item(2, 3))
+        self.assertEqual(self.list_usable(), ["i-2"])
+        self.session.ports.decode_worker = lambda worker_id, value: 1 // 0
+        self.store.change(make_item(2, 11))
+        self.assertEqual(self.list_usable(), [])
+
+
+def fail_for_odd(worker_id):
+    """Raise an error with a long message for the worker i-2."""
+    if worker_id == "i-2":
+        raise ZeroDivisionError("y" * 100_000)
+
+
 def make_item(number, revision, **changes):
     """Make the item of a worker's entry."""
     entry = entries_test.ENTRY | {"address": f"10.0.0.{number}:80"} | changes
@@ -283,10 +345,13 @@
     Returns:
       A list of str.
     """
+    return [c.kwargs["worker"] for c in list_undecodable_calls(log)]
+
+
+def list_undecodable_calls(log):
+    """List the calls that log an undecodable entry; arguments as above."""
     calls = log.call_args_list
-    return [
-        c.kwargs["worker"] for c in calls if c.args[0] == "worker-entry-undecodable"
-    ]
+    return [c for c in calls if c.args[0] == "worker-entry-undecodable"]
 
 
 if __name__ == "__main__":
