Refuse a deeply nested configuration as one that can't be decoded

What callers saw: nothing yet. A process that reads such a version logs task-failed instead of config-undecodable and follows the configuration no further, so later versions come into force through a peer alone, or not at all.

Cause: msgspec raises RecursionError, which is none of the errors that Configuring catches, where an unknown field or the list of tenants is nested too deeply.

Evidence: two cases of DeepConfigurations raised RecursionError before.

Change: decode_config raises it as msgspec.DecodeError, which it declares.

--- a/thornport/platform/config.py
+++ b/thornport/platform/config.py
@@ -87,7 +87,10 @@
     Raises:
       msgspec.MsgspecError: The bytes are not a valid configuration.
     """
-    wire = msgspec.json.decode(value, type=WireConfig)
+    try:
+        wire = msgspec.json.decode(value, type=WireConfig)
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from error
     return queue.Config(
         wire.version,
         tuple(decode_route(route) for route in wire.routes),
