Refuse numbers in the configuration that records of jobs can't hold

What callers saw: nothing yet. With such a version in force a job of the queue is not accepted, as its record can't be encoded, or its owner fails where it computes the job's objective.

Cause: the integers of routes and limits and the floats of stretch and advice had no bounds. A priority of 10**20 raises OverflowError in encode_record, a stretch of 1e308 in compute_objective_ms.

Evidence: 24 cases of OddNumbers were accepted before.

Change: each number has a bound in the decoder, far above real deployments. The version is refused with the place named, and the one before stays in force, as for any other field that is not valid. Negative numbers are accepted as before.

--- a/thornport/platform/config.py
+++ b/thornport/platform/config.py
@@ -5,16 +5,29 @@
 import msgspec
 
 from thornport.jobs import queue, spec, workspace
+from thornport.platform import entries
 
 CONFIG_KEY = "op/config"
+# Bounds of numbers, far above those of real deployments. Records of jobs hold 64 bits,
+# and times are computed from several of them.
+MAX_WHOLE = 2**53  # versions and bytes, the largest number that is exact in all JSON
+MAX_RANK = 10**9  # priorities and counts of attempts
+MAX_STRETCH = 10**6
+MAX_DURATION_MS = entries.MAX_DURATION_MS
+
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+Rank = Annotated[int, msgspec.Meta(ge=-MAX_RANK, le=MAX_RANK)]
+Stretch = Annotated[float, msgspec.Meta(ge=-MAX_STRETCH, le=MAX_STRETCH)]
+DurationMs = Annotated[int, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+CallMs = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
 
 
 class WireAdviceTerms(msgspec.Struct, frozen=True):
     """The `advice` field of a route."""
 
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
-    valid_ms: int = 0
+    decide_ms: CallMs = 0.0
+    each_ms: CallMs = 0.0
+    valid_ms: DurationMs = 0
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -24,10 +37,10 @@
     host: str
     path_prefix: str
     service: str = ""
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
+    priority: Rank = 0
+    max_attempts: Rank = 1
+    stretch: Stretch = 1.0
+    target_latency_ms: DurationMs = 0
     advice: WireAdviceTerms | None = None
     public: bool = False
 
@@ -42,7 +55,7 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """The `limits` field of the configuration."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Whole = 262_144
 
 
 class WireLimit(msgspec.Struct, frozen=True):
@@ -70,7 +83,7 @@
         force.
     """
 
-    version: int
+    version: Whole
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = WireLimits()
--- a/thornport/platform/config_test.py
+++ b/thornport/platform/config_test.py
@@ -28,6 +28,11 @@
 }
 
 
+def write(number):
+    """Return an int, which the encoder might not take, as raw JSON."""
+    return msgspec.Raw(str(number).encode())
+
+
 class DeepConfigurations(unittest.TestCase):
     """A deeply nested value raises a declared error, wherever it stands."""
 
@@ -45,5 +50,44 @@
                 config.decode_config(value)
 
 
+class OddNumbers(unittest.TestCase):
+    """A number that records of jobs can't hold raises an error that names its place."""
+
+    def check_rejected(self, place, wire):
+        """Check that a configuration is rejected at a place, a str."""
+        with (
+            self.subTest(place=place),
+            self.assertRaisesRegex(msgspec.DecodeError, place),
+        ):
+            config.decode_config(msgspec.json.encode(wire))
+
+    # Guards against an OverflowError when the record of an accepted job is encoded.
+    def test_integers_beyond_64_bits_are_rejected(self):
+        for number in (10**20, -(10**20), 10**400):
+            for name in ("priority", "max_attempts", "target_latency_ms"):
+                routes = [ROUTE | {name: write(number)}]
+                self.check_rejected(name, CONFIG | {"routes": routes})
+            advice = ROUTE["advice"] | {"valid_ms": write(number)}
+            routes = [ROUTE | {"advice": advice}]
+            self.check_rejected("valid_ms", CONFIG | {"routes": routes})
+            self.check_rejected("version", CONFIG | {"version": write(number)})
+            limits = {"max_body_bytes": write(number)}
+            self.check_rejected("max_body_bytes", CONFIG | {"limits": limits})
+
+    # Guards against an OverflowError when the objective of a job is computed.
+    def test_floats_that_make_times_infinite_are_rejected(self):
+        for number in (1e300, -1e300):
+            routes = [ROUTE | {"stretch": number}]
+            self.check_rejected("stretch", CONFIG | {"routes": routes})
+            for name in ("decide_ms", "each_ms"):
+                routes = [ROUTE | {"advice": ROUTE["advice"] | {name: number}}]
+                self.check_rejected(name, CONFIG | {"routes": routes})
+
+    def test_usual_numbers_are_accepted(self):
+        decoded = config.decode_config(msgspec.json.encode(CONFIG))
+        self.assertEqual(decoded.queues[0].stretch, 2.0)
+        self.assertEqual(decoded.workspaces.bad, ())
+
+
 if __name__ == "__main__":
     unittest.main()
