Bound the line of a listed worker to a sixteenth of the log's buffer

What operators saw: an entry with all the labels and text that the decoder takes fills a quarter of what is buffered for a slow reader of the log, each time the entry changes; lines of other decisions are dropped then.

Change: an entry has at most 16 labels, where workers have two, and a text at most 200 characters, as many as a key of the store has bytes.

--- a/thornport/platform/entries.py
+++ b/thornport/platform/entries.py
@@ -24,8 +24,8 @@
 MAX_START_MS = 253_402_300_799_999  # since 1970, the end of the year 9999
 MAX_SEQUENCE = 2**53  # heartbeats, the largest number that is exact in all JSON
 # Bounds of a worker's texts, which lines of the log and messages repeat.
-MAX_TEXT_CHARS = 256
-MAX_LABELS = 64  # workers have two, their kind and rack
+MAX_TEXT_CHARS = 200  # as the keys of the store
+MAX_LABELS = 16  # workers have two, their kind and rack
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
--- a/thornport/platform/oddvalues_test.py
+++ b/thornport/platform/oddvalues_test.py
@@ -18,9 +18,8 @@
 from thornport.platform import config, config_test, entries, entries_test
 from thornport.store import transactions
 
-# A line of a listed worker: as many labels as entries may have, of 256 characters of
-# four bytes each, and the other fields.
-MAX_LINE_BYTES = entries.MAX_LABELS * 4 * entries.MAX_TEXT_CHARS + 1_000
+# A sixteenth of what is buffered for a slow reader of the log.
+MAX_LINE_BYTES = logs.MAX_PENDING_BYTES // 16
 MAX_INT64 = 2**63 - 1
 # All the errors that what follows the values expects.
 CONFIG_ERRORS = (msgspec.MsgspecError, ValueError)
@@ -236,6 +235,13 @@
         check_step(entry)
         self.check_line(entry, 2)
 
+    # Guards against lines of listed workers that fill the buffer of the log.
+    def test_largest_line_is_small(self):
+        label = "\U00020000" * entries.MAX_TEXT_CHARS
+        labels = [f"{number:02}{label[2:]}" for number in range(entries.MAX_LABELS)]
+        value = msgspec.json.encode(ENTRY | {"labels": labels})
+        self.check_line(entries.decode_entry("i-1", value), 2)
+
 
 def make_config(*queues):
     """Make a configuration with some queues."""
