Take an odd answer to a call for advice as a failure

What callers saw: jobs of queues with advice wait longer: the owner gets no answer to its call and gives it up only when that is late.

Cause: the client caught msgspec's errors alone. A deeply nested answer raised RecursionError; a valid_ms beyond 64 bits passed and raised OverflowError where the answer is encoded for the owner.

Evidence: three of the five cases of test_odd_answer_to_a_call_for_advice_is_a_failure failed before, one with the RecursionError, two accepted. That the owner waits follows from the code and was not played.

Change: both are failures of the call, as other answers that can't be decoded are. valid_ms is bounded at 10**12 ms.

--- a/thornport/platform/advice.py
+++ b/thornport/platform/advice.py
@@ -1,5 +1,7 @@
 """HTTP client of the platform's advice service."""
 
+from typing import Annotated
+
 import msgspec
 from returns import result
 
@@ -7,6 +9,9 @@
 from thornport.kernel import httpcalls
 from thornport.platform import names
 
+MAX_VALID_MS = 10**12  # more than 30 years, and far below 64 bits
+ValidMs = Annotated[int, msgspec.Meta(ge=-MAX_VALID_MS, le=MAX_VALID_MS)]
+
 
 class WireRequest(msgspec.Struct, frozen=True):
     """The body of an advice request."""
@@ -19,7 +24,7 @@
     """The answer; each row of `good` is a worker id and its ticket."""
 
     good: list[tuple[str, str]]
-    valid_ms: int
+    valid_ms: ValidMs
 
 
 class AdviceClient:
@@ -59,7 +64,7 @@
             return result.Failure(f"status {answer.status}")
         try:
             advice = msgspec.json.decode(answer.body, type=WireAdvice)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return result.Failure(f"bad answer: {error}")
         good = tuple(messages.Ticket(*row) for row in advice.good)
         return result.Success(messages.AdviceAnswer(good, advice.valid_ms))
--- a/thornport/platform/platform_test.py
+++ b/thornport/platform/platform_test.py
@@ -324,6 +324,22 @@
         wanted = {"step": "5c0e7a21d94b36f8.0.1", "workers": ["i-1", "i-2"]}
         self.assertEqual(msgspec.json.decode(calls.asked[0][2]), wanted)
 
+    # Guards against calls for advice that raise and so are never answered to the owner.
+    def test_odd_answer_to_a_call_for_advice_is_a_failure(self):
+        for body in (
+            b'{"good":[],"valid_ms":1,"more":' + b"[" * 100_000,
+            b'{"good":[],"valid_ms":1' + b"0" * 400 + b"}",
+            b'{"good":[],"valid_ms":18446744073709551616}',
+            b'{"good":[["i-1"]],"valid_ms":1}',
+            b"\xff",
+        ):
+            calls = FakeCalls(result.Success(httpcalls.Answer(200, body)))
+            client = advice.AdviceClient(calls, "10.0.0.1:9")
+            request = messages.AdviceRequest(STEP, ("i-1",))
+            with self.subTest(body=body[:40]):
+                advised = run(client.advise(request, 1.0))
+                self.assertIn("bad answer", advised.failure())
+
     def test_config(self):
         wire = {
             "version": 7,
