--- a/thornport/platform/names_test.py
+++ b/thornport/platform/names_test.py
@@ -32,6 +32,36 @@
             with self.subTest(name=name), self.assertRaises(ValueError):
                 names.parse_task(name)
 
+    # Guards against reports that are taken for another task's, or whose numbers can't
+    # be written into records.
+    def test_numbers_in_another_spelling_are_rejected(self):
+        numbers = (
+            "",
+            " 1",
+            "1 ",
+            "+1",
+            "-1",
+            "1_0",
+            "01",
+            "\u0661",
+            "9" * 10,
+            "9" * 400,
+        )
+        for number in numbers:
+            for name in (f"{number}.1.2", f"0.{number}.2", f"0.1.{number}"):
+                with self.subTest(name=name[:20]), self.assertRaises(ValueError):
+                    names.parse_task(f"{JOB_ID}.{name}")
+
+    # Guards against log lines that repeat a long name in full.
+    def test_message_is_bounded(self):
+        with self.assertRaises(ValueError) as caught:
+            names.parse_task("\U00020000" * 100_000)
+        self.assertLessEqual(len(str(caught.exception)), 200)
+
+    def test_large_numbers_are_accepted(self):
+        key = messages.TaskKey(JOB_ID, 999_999_999, 63, 4_095)
+        self.assertEqual(names.parse_task(names.format_task(key)), key)
+
 
 if __name__ == "__main__":
     unittest.main()
