Refuse records that are nested too deeply, in place of ending their reader

What callers saw: nothing of any job, while one value under the records was nested deeply: the owner's reading of all records ended there, and a process that was asked for the job's state answered with an internal error.

Cause: msgspec raises RecursionError for such values, also in fields that are unknown, and the decoders of records turned msgspec's own errors alone into RecordError.

Evidence: test_deep_nesting_and_odd_texts_are_errors failed with the RecursionError before, and passes. The property tests over both decoders passed before too.

Why it works: all readers of records log and skip what raises RecordError.

--- a/tests/oddvalues.py
+++ b/tests/oddvalues.py
@@ -7,12 +7,14 @@
 import copy
 import json
 
+import msgspec
 from hypothesis import strategies as st
 
 NESTED = "<nested>"  # stands for lists that are nested too deeply for any decoder
 LONG_NUMBER = "<long number>"  # stands for a number that Python doesn't convert
 NESTING = 20_000
 LONG_DIGITS = 5_000  # Python converts texts of up to 4,300 digits
+PACKED_NESTED = b"\x91" * NESTING + b"\xc0"  # as MessagePack
 
 NUMBERS = (
     *(0, -1, 1, 101, 2**31, 2**53, 2**63 - 1, 2**63, 2**64 - 1, 2**64, -(2**63) - 1),
@@ -47,7 +49,7 @@
     """
     if isinstance(value, dict):
         pairs = value.items()
-    elif isinstance(value, (list, tuple)):
+    elif isinstance(value, list):
         pairs = enumerate(value)
     else:
         pairs = ()
@@ -62,7 +64,7 @@
       valid: A value of JSON, of lists and dicts.
       odd: A strategy of the values that replace parts.
     """
-    value = copy.deepcopy(valid)
+    value = json.loads(json.dumps(valid))
     for _ in range(draw(st.integers(1, 3))):
         path = draw(st.sampled_from(list_paths(value)))
         if not path:
@@ -111,3 +113,46 @@
         at = draw(st.integers(0, len(body)))
         return body[:at] + draw(st.binary(min_size=1, max_size=3)) + body[at:]
     return body
+
+
+def pack(value):
+    """Encode a value as MessagePack, whose numbers and texts have to fit.
+
+    Args:
+      value: A value of JSON; a number or text that doesn't fit is packed as a float or
+        as bytes that are no UTF-8.
+    """
+    if isinstance(value, dict):
+        head = b"\xdf" + len(value).to_bytes(4, "big")
+        return head + b"".join(pack(one) for pair in value.items() for one in pair)
+    if isinstance(value, (list, tuple)):
+        return b"\xdd" + len(value).to_bytes(4, "big") + b"".join(map(pack, value))
+    if value == NESTED:
+        return PACKED_NESTED
+    if isinstance(value, str):
+        data = value.encode("utf-8", "surrogatepass")
+        return b"\xdb" + len(data).to_bytes(4, "big") + data
+    if isinstance(value, int) and not -(2**63) <= value < 2**64:
+        return msgspec.msgpack.encode(float("inf"))
+    return msgspec.msgpack.encode(value)
+
+
+@st.composite
+def packed(draw, valid):
+    """Draw the MessagePack of an odd or truncated variant of a value, or other bytes.
+
+    Args:
+      valid: A value of JSON, of lists and dicts.
+    """
+    how = draw(st.integers(0, 9))
+    if how == 0:
+        return draw(st.binary(max_size=60))
+    if how == 1:
+        return pack(draw(ODD))
+    data = pack(draw(mutate(valid)))
+    if how == 2:
+        return data[: draw(st.integers(0, len(data)))]
+    if how == 3:
+        at = draw(st.integers(0, len(data)))
+        return data[:at] + draw(st.binary(min_size=1, max_size=3)) + data[at + 1 :]
+    return data
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -266,5 +266,5 @@
 def _decode(decoder, value):
     try:
         return decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RecordError(str(error)) from error
--- a/thornport/jobs/record_test.py
+++ b/thornport/jobs/record_test.py
@@ -3,8 +3,10 @@
 import unittest
 
 import msgspec
+from hypothesis import given, settings
 
-from thornport.jobs import record
+from tests import oddvalues
+from thornport.jobs import queue, record, spec
 
 
 class EarlierLiveRun(msgspec.Struct, frozen=True, array_like=True):
@@ -33,5 +35,61 @@
         self.assertFalse(read.has_begun or read.has_more_copies or read.is_over)
 
 
+PROGRESS = record.Progress(
+    record.JobState.RUNNING,
+    (
+        record.StepProgress(
+            0,
+            0,
+            2,
+            False,
+            (1,),
+            ((0, 1),),
+            (record.LiveRun(2, 1, "w", "10.0.0.1:80", 5),),
+            ((0, "cp"),),
+            ((0, 2),),
+            ((0, 1),),
+            (record.UnprovenLoss(0, "w", "10.0.0.1:80"),),
+        ),
+    ),
+)
+JOB = record.JobRecord(
+    "a",
+    queue.Queue("urgent", advice=queue.Advice(1.0, 1.0, 5)),
+    spec.Job("text", (spec.Step(3, spec.Demand(1, 1, 1)),), 2, 5, 6),
+    1_700_000_000_000,
+)
+
+
+class OddRecords(unittest.TestCase):
+    """Values that are no records raise RecordError and nothing else."""
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.packed(msgspec.to_builtins(JOB)))
+    def test_any_value_is_a_job_or_an_error(self, value):
+        self.check(record.decode_job, value)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.packed(msgspec.to_builtins(PROGRESS)))
+    def test_any_value_is_the_progress_of_a_job_or_an_error(self, value):
+        self.check(record.decode_progress, value)
+
+    # Guards against one value that ends the reading of all records.
+    def test_deep_nesting_and_odd_texts_are_errors(self):
+        nested = b"\x81\xa1x" + oddvalues.PACKED_NESTED
+        for value in (nested, oddvalues.PACKED_NESTED, b"\x81\xa6job_id\xa1\xff"):
+            for decode in (record.decode_job, record.decode_progress):
+                with self.assertRaises(record.RecordError):
+                    decode(value)
+
+    def check(self, decode, value):
+        """Check that a value is decoded as a record that can be encoded, or refused."""
+        try:
+            decoded = decode(value)
+        except record.RecordError:
+            return
+        self.assertEqual(decode(record.encode_record(decoded)), decoded)
+
+
 if __name__ == "__main__":
     unittest.main()
