Refuse values of the owner key and the heads that nest too deeply or exceed 64 bits

What callers saw: no process follows the owner, or none takes over: a value nested deeply under one of these keys raised an error in the reader of the key.

Cause: msgspec raises RecursionError for them, also in unknown fields, while the decoders expected msgspec's own errors. Numbers were not bounded: a lease or a time of over 64 bits can't be encoded again.

Why it works: a value that can't be decoded is logged and counts as none, as before. The bound is codec.Whole, which the other decoders of stored values can use.

--- a/thornport/cell/owner/lanes.py
+++ b/thornport/cell/owner/lanes.py
@@ -8,7 +8,7 @@
 
 from thornport.cell.owner import ownership
 from thornport.jobs import record
-from thornport.kernel import logs
+from thornport.kernel import codec, logs
 from thornport.store import transactions
 
 HEAD_KEY = "thornport/cell/head"
@@ -27,13 +27,13 @@
       earlier_witnesses: The witnesses of the earlier owners by their addresses.
     """
 
-    token: int
-    sequence: int
+    token: codec.Whole
+    sequence: codec.Whole
     address: str
     earlier: tuple[str, ...] = ()
     witnesses: tuple[str, ...] = ()
-    withdrawn_ms_by_worker: dict[str, int] = {}
-    stated_since_ms: int = 0
+    withdrawn_ms_by_worker: dict[str, codec.Whole] = {}
+    stated_since_ms: codec.Whole = 0
     earlier_witnesses: dict[str, tuple[str, ...]] = {}
 
 
@@ -124,6 +124,6 @@
         return None
     try:
         return msgspec.json.decode(value, type=Head)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         logs.log("head-undecodable", reason=str(error))
         return None
--- a/thornport/cell/owner/lanes_test.py
+++ b/thornport/cell/owner/lanes_test.py
@@ -2,9 +2,11 @@
 
 import unittest
 
-from hypothesis import given
+import msgspec
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests import oddvalues
 from thornport.cell.decisions import batches
 from thornport.cell.owner import lanes
 
@@ -35,5 +37,34 @@
         self.assertIn(lanes.HEAD_KEY, keys)
 
 
+HEAD = lanes.Head(
+    7, 1, "10.0.0.1:80", ("10.0.0.2:80",), (), {"w": 5}, 5, {"10.0.0.2:80": ("a:1",)}
+)
+
+
+class OddHeads(unittest.TestCase):
+    """Values of a head key by other writers."""
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.bodies(msgspec.to_builtins(HEAD)))
+    def test_any_value_is_a_head_or_none(self, value):
+        head = lanes.decode_head(value)
+        if head is not None:
+            msgspec.msgpack.encode(head)
+            self.assertEqual(lanes.decode_head(msgspec.json.encode(head)), head)
+
+    # Guards against a value that ends the takeover of a successor.
+    def test_head_that_cannot_be_used_is_none(self):
+        for odd in (
+            {"more": oddvalues.NESTED},
+            {"token": 10**400},
+            {"sequence": -1},
+            {"stated_since_ms": 2**64},
+            {"withdrawn_ms_by_worker": {"w": 2**64}},
+        ):
+            value = oddvalues.encode(msgspec.to_builtins(HEAD) | odd)
+            self.assertIsNone(lanes.decode_head(value))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/cell/owner/ownership.py
+++ b/thornport/cell/owner/ownership.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns import result
 
-from thornport.kernel import ids, logs, tasks
+from thornport.kernel import codec, ids, logs, tasks
 from thornport.store import port, transactions
 
 OWNER_KEY = "thornport/cell/owner"
@@ -25,7 +25,7 @@
     name: str
     address: str
     incarnation: str
-    lease_id: int
+    lease_id: codec.Whole
 
 
 class OwnershipState:
@@ -361,6 +361,6 @@
         return None
     try:
         return msgspec.json.decode(value, type=Owner)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         logs.log("owner-key-undecodable", reason=str(error))
         return None
--- a/thornport/cell/owner/ownership_test.py
+++ b/thornport/cell/owner/ownership_test.py
@@ -3,9 +3,12 @@
 import unittest
 from unittest import mock
 
+import msgspec
+from hypothesis import given, settings
 from returns import result
 from twisted.internet import defer, task
 
+from tests import oddvalues
 from thornport.cell.owner import ownership
 from thornport.kernel import tasks
 from thornport.store import port, transactions
@@ -34,6 +37,32 @@
 }
 
 
+OWNER = ownership.Owner("n1", "10.0.0.1:80", "1a2b", 5)
+
+
+class OddKeys(unittest.TestCase):
+    """Values of the owner key by other writers."""
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.bodies(msgspec.to_builtins(OWNER)))
+    def test_any_value_is_an_owner_or_none(self, value):
+        owner = ownership.decode_owner(value)
+        if owner is not None:
+            msgspec.msgpack.encode(owner)
+            self.assertEqual(ownership.decode_owner(msgspec.json.encode(owner)), owner)
+
+    # Guards against a value that ends the following of the owner key.
+    def test_value_that_is_nested_too_deeply_is_no_owner(self):
+        value = msgspec.to_builtins(OWNER) | {"more": oddvalues.NESTED}
+        self.assertIsNone(ownership.decode_owner(oddvalues.encode(value)))
+
+    # Guards against a lease that can't be encoded for the store.
+    def test_lease_out_of_range_is_of_no_owner(self):
+        for lease_id in (-1, 2**63, 10**400):
+            value = msgspec.to_builtins(OWNER) | {"lease_id": lease_id}
+            self.assertIsNone(ownership.decode_owner(oddvalues.encode(value)))
+
+
 class OwnershipStateCase(unittest.TestCase):
     """The state machine of a process, with recorded actions."""
 
--- a/thornport/kernel/codec.py
+++ b/thornport/kernel/codec.py
@@ -5,8 +5,15 @@
 side by side during an upgrade.
 """
 
+from typing import Annotated
+
 import msgspec
 
+# The largest int of values in the store and of what is made of them, such as sums of
+# times: MessagePack has 64 bits.
+MAX_WHOLE = 2**63 - 1
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+
 
 class CodecError(Exception):
     """Bytes from a peer that are not a message of the expected type."""
