Read the saved speeds of machines one by one, so that an odd one hides no other

What callers saw: a successor that knows no speeds starts urgent tasks on slow machines for seconds. One odd value among the saved speeds took all of them, and a value nested deeply raised an error in the reader that logged no such value.

Cause: the whole was decoded at once, and RecursionError is no error of msgspec's own. Numbers below zero and of over 63 bits were taken.

Why it works: each speed is decoded alone; one that can't be is logged and omitted.

--- a/thornport/cell/owner/speedkeeping.py
+++ b/thornport/cell/owner/speedkeeping.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from thornport.cell.owner import ownership
-from thornport.kernel import logs, tasks
+from thornport.kernel import codec, logs, tasks
 from thornport.store import transactions
 
 SPEEDS_KEY = "thornport/cell/speeds"
@@ -31,11 +31,12 @@
       runs: An int, the runs that it is learned from.
     """
 
-    percent: int
-    runs: int
+    percent: codec.Whole
+    runs: codec.Whole
 
 
-_DECODER = msgspec.msgpack.Decoder(dict[str, SavedSpeed])
+_DECODER = msgspec.msgpack.Decoder(dict[str, msgspec.Raw])
+_SPEED_DECODER = msgspec.msgpack.Decoder(SavedSpeed)
 
 
 class SpeedKeeper:
@@ -68,7 +69,7 @@
             return
         try:
             saved = decode(item.value)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logs.log("value-undecodable", key=SPEEDS_KEY, reason=str(error))
             return
         taken = restore(self._speeds, saved)
@@ -139,11 +140,18 @@
     Args:
       value: Bytes.
     Returns:
-      A dict of SavedSpeed by the name of a machine.
+      A dict of SavedSpeed by the name of a machine; speeds that can't be decoded are
+      logged and omitted.
     Raises:
-      msgspec.MsgspecError: The value is not such a dict.
+      msgspec.MsgspecError, RecursionError: The value is not such a dict.
     """
-    return _DECODER.decode(value)
+    saved = {}
+    for machine, raw in _DECODER.decode(value).items():
+        try:
+            saved[machine] = _SPEED_DECODER.decode(raw)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            logs.log("speed-undecodable", machine=machine, reason=str(error))
+    return saved
 
 
 def restore(speeds, saved):
--- a/thornport/cell/owner/speedkeeping_test.py
+++ b/thornport/cell/owner/speedkeeping_test.py
@@ -7,11 +7,12 @@
 import unittest
 
 import msgspec
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns import result
 from twisted.internet import defer
 
+from tests import oddvalues
 from thornport.cell.decisions.contention import speeds
 from thornport.cell.owner import ownership, speedkeeping
 from thornport.store import port, transactions
@@ -52,6 +53,39 @@
     return known
 
 
+class OddSpeeds(unittest.TestCase):
+    """Values of the key of speeds by other writers."""
+
+    def restore(self, value):
+        """Restore speeds from a value, and return them."""
+        store = Store()
+        store.value = value
+        known = speeds.Speeds()
+        keeper = speedkeeping.SpeedKeeper(store, lambda: TOKEN, known, 0.0)
+        failures = []
+        reading = defer.ensureDeferred(keeper.read())
+        reading.addErrback(failures.append)
+        self.assertEqual(failures, [])
+        return known
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.packed({"m1": [60, 10], "m2": [120, 5]}))
+    def test_any_value_can_be_read_and_written_again(self, value):
+        speedkeeping.encode(self.restore(value))
+
+    # Guards against a value that ends the start of an owner.
+    def test_value_that_is_nested_too_deeply_is_none(self):
+        value = b"\x81\xa2m1\x93\x3c\x0a" + oddvalues.PACKED_NESTED
+        self.assertEqual(self.restore(value).by_machine, {})
+
+    # Guards against one machine that hides the speeds of the others.
+    def test_odd_speed_of_one_machine_leaves_the_others(self):
+        for odd in (["fast", 1], [60, 2**64 - 1], [60, -1], [60], 7, None):
+            with self.subTest(odd=odd):
+                known = self.restore(oddvalues.pack({"m0": odd, "m1": [60, 10]}))
+                self.assertEqual(list(known.by_machine), ["m1"])
+
+
 class Keeping(unittest.TestCase):
     """An owner writes the speeds, and its successor reads them."""
 
