Take answers of the store that nest too deeply or exceed 63 bits for failed calls

What callers saw: a process that follows nothing any more: an answer nested deeply, also in an unknown field, raised an error where every call returns a result, and ended the loop that follows a prefix.

Cause: msgspec raises RecursionError for them, and the client expected msgspec's own errors. Revisions, leases and times were not bounded.

Why it works: a failed call is repeated by its caller, with a pause.

--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns import result
 
-from thornport.kernel import httpcalls, logs
+from thornport.kernel import codec, httpcalls, logs
 from thornport.store import port, transactions
 
 WATCH_SLACK_S = 0.6  # beyond the wait, for the network round trip
@@ -19,8 +19,8 @@
 
     key: str
     value: str = ""
-    rev: int = 0
-    at: int = 0
+    rev: codec.Whole = 0
+    at: codec.Whole = 0
     gone: bool = False
 
 
@@ -29,20 +29,20 @@
 
     items: list[WireItem] = []
     more: bool = False
-    at: int = 0
+    at: codec.Whole = 0
 
 
 class WireEvents(msgspec.Struct, frozen=True):
     """The answer to a watch."""
 
     events: list[WireItem] = []
-    at: int = 0
+    at: codec.Whole = 0
 
 
 class WireRevision(msgspec.Struct, frozen=True):
     """The answer to a transaction that was applied."""
 
-    rev: int
+    rev: codec.Whole
 
 
 class WireCondition(msgspec.Struct, frozen=True):
@@ -71,8 +71,8 @@
 class WireLease(msgspec.Struct, frozen=True):
     """The answer to granting or renewing a lease."""
 
-    lease: int = 0
-    ttl_ms: int = 0
+    lease: codec.Whole = 0
+    ttl_ms: codec.Whole = 0
 
 
 class StoreClient:
@@ -231,7 +231,7 @@
         return result.Failure(port.Unavailable(f"status {reply.status}"))
     try:
         return result.Success(msgspec.json.decode(reply.body, type=struct_type))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return result.Failure(port.Unavailable(f"bad answer: {error}"))
 
 
