Count a write as ambiguous if its acknowledgement can't be read

What callers saw: nothing yet; a write that was applied and whose answer, of status 200, was odd counted as one that changed nothing. A process that claims the owner key then didn't look whether it has it, and a job that was persisted was given up as refused.

Cause: the client made Unavailable of every answer that it couldn't decode, and Unavailable means that nothing was changed.

Evidence: the test with four odd bodies failed before and passes.

Why it works: Ambiguous means that the write may have been applied; its callers read the key to find out.

The test of answers that nest too deeply expects this kind of failure of a commit now; before, it stated the fault.

--- a/thornport/platform/store.py
+++ b/thornport/platform/store.py
@@ -148,7 +148,11 @@
             return page.bind(decode_refusal)
         if is_status(answer, 404):
             return result.Failure(transactions.LeaseGone("no such lease"))
-        return decode_body(answer, WireRevision).map(lambda wire: wire.rev)
+        applied = decode_body(answer, WireRevision).map(lambda wire: wire.rev)
+        if is_status(answer, 200):
+            # It was applied, whatever the rest of the answer says.
+            return applied.alt(lambda error: port.Ambiguous(error.reason))
+        return applied
 
     async def grant_lease(self, ttl_ms):
         """Grant a lease; a Result of Lease."""
