Follow a prefix on after a value that its receiver can't take

What callers saw: a process that stops following the workers, the records, the owner key or the configuration, for good: one value that raised an error in the receiver ended the loop, and hid what came after it in the same answer.

Cause: the follower called its receiver without a guard, and the loop's only handler was the one that logs how it ended.

--- a/thornport/store/watching.py
+++ b/thornport/store/watching.py
@@ -187,7 +187,8 @@
             return None
         self._note_success(asked_at)
         items, at = read.unwrap()
-        self._on_snapshot(items)
+        # A value that the receiver can't take may not end the following.
+        tasks.attempt(lambda: self._on_snapshot(items), f"take {self._prefix}")
         self.delivered_revision = at
         return at
 
@@ -207,9 +208,13 @@
     def _deliver(self, changes, at):
         for change in changes.changes:
             if not self._is_stopped:
-                self._on_change(change)
+                self._take_change(change)
         return max(at, changes.at)
 
+    def _take_change(self, change):
+        """Deliver a change; an error of the receiver is logged and hides no other."""
+        tasks.attempt(lambda: self._on_change(change), f"take {change.key}")
+
     def _note_loss(self, reason, began_at):
         self._failures += 1
         now = clock.read_monotonic()
--- a/thornport/store/watching_test.py
+++ b/thornport/store/watching_test.py
@@ -56,6 +56,46 @@
         self.waiting.callback(result.Failure(port.Unavailable("lost")))
 
 
+class OddChanges(unittest.TestCase):
+    """A follower of a prefix one of whose values its receiver can't take."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = FakeStore()
+        self.taken = []
+        self.follower = watching.Follower(
+            self.clock, self.store, KEY, self.take_all, self.take
+        )
+        defer.ensureDeferred(self.follower.follow())
+
+    def take_all(self, items):
+        """Take a snapshot, but raise at the value 3."""
+        for item in items:
+            self.take(item)
+
+    def take(self, item):
+        """Take an item or change, but raise at the value 3."""
+        if item.value == b"3":
+            raise OverflowError("value too large")
+        self.taken.append(item.value)
+
+    # Guards against a value that ends the following, and hides the changes beside it.
+    def test_change_that_raises_hides_no_other(self):
+        self.store.answer_page(1)
+        self.store.answer_watch(2, 3, 4)
+        self.assertEqual(self.taken, [b"1", b"2", b"4"])
+        self.assertEqual(self.store.asked[-1], "watch 4")
+        self.store.answer_watch(5)
+        self.assertEqual(self.taken[-1], b"5")
+
+    # Guards against a value that ends the following when all is read.
+    def test_snapshot_that_raises_does_not_end_the_following(self):
+        self.store.answer_page(3)
+        self.assertEqual(self.store.asked[-1], "watch 3")
+        self.store.answer_watch(4)
+        self.assertEqual(self.taken, [b"4"])
+
+
 class KeyFollowing(unittest.TestCase):
     """One followed key, in simulated time."""
 
