Drop messages to an address that is none, in place of raising

What callers saw: with an odd address in the owner key, a head or a peer's message, the heartbeats and greetings of every process that read it raised an error, and the process did not end when asked to: its socket stayed open, and the context waits for it.

Cause: ZeroMQ's connect raises ZMQError for such an address. The bus expected Again alone.

Evidence: test_message_to_an_odd_address_is_dropped ended with errors before, and its module then hung as it closed the bus; it passes in under a second.

Why it works: send is documented to return false where a message can't be sent; callers forget such a peer. The socket is closed, and a line names the address.

--- a/thornport/peers/bus.py
+++ b/thornport/peers/bus.py
@@ -155,6 +155,11 @@
         except zmq.Again:
             self._metrics.count("peers.dropped")
             return False
+        except zmq.ZMQError as error:
+            # Addresses come from the store and from peers.
+            self._metrics.count("peers.dropped")
+            logs.log("peer-address-odd", address=address, reason=str(error))
+            return False
         self._metrics.count("peers.sent")
         self._metrics.count("peers.sent_bytes", len(data))
         return True
@@ -173,7 +178,11 @@
             push.set(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
             push.set(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_MS)
             push.set(zmq.HEARTBEAT_TTL, RECEIVER_TIMEOUT_MS)
-            push.connect(f"tcp://{address}")
+            try:
+                push.connect(f"tcp://{address}")
+            except zmq.ZMQError:
+                push.close()
+                raise
             self._push_by_address[address] = push
         return push
 
--- a/thornport/peers/bus_test.py
+++ b/thornport/peers/bus_test.py
@@ -37,6 +37,47 @@
         """Ignore a scheduled call."""
 
 
+class OddMessages(unittest.TestCase):
+    """Messages and addresses that one process can't use."""
+
+    def setUp(self):
+        self.codec = codec.Codec(Ping)
+        self.taken = []
+        self.failures = 0
+        self.receiver = self.make_bus(self.take)
+        self.sender = self.make_bus(self.take)
+
+    def make_bus(self, deliver):
+        """Make a bus at a free local port."""
+        made = bus.Bus(FakeReactor(), self.codec, metrics.Metrics())
+        self.addCleanup(made.close)
+        made.bind("127.0.0.1", 0)
+        made.start("1a2b", deliver)
+        return made
+
+    def take(self, sender, address, message):
+        """Take a message, but raise at the number 1."""
+        if message.number == 1:
+            self.failures += 1
+            raise OverflowError("number too large")
+        self.taken.append(message.number)
+
+    # Guards against an address by another writer that ends what sends to it.
+    def test_message_to_an_odd_address_is_dropped(self):
+        for address in (
+            "",
+            "a",
+            "10.0.0.1",
+            "10.0.0.1:",
+            "10.0.0.1:99999",
+            "::",
+            "a b:1",
+        ):
+            with self.subTest(address=address):
+                self.assertFalse(self.sender.send(address, "", Ping(1)))
+                self.sender.send_to_all([address], Ping(1))
+
+
 class Forwarder:
     """Forwards connections to an address, until they are silenced.
 
