Receive on after a message whose handling raises

What callers saw: a process that is deaf to its peers for good. One message that raised an error where it is handled ended the reading of all.

Cause: the bus is a reader of the reactor, which drops a reader that raises.

Evidence: test_message_that_raises_ends_no_receiving failed with the error out of doRead before, and passes.

Why it works: tasks.attempt logs the error as task-failed with the type of the message; messages may be lost in any case, and their senders repeat them or read the store.

--- a/thornport/peers/bus.py
+++ b/thornport/peers/bus.py
@@ -11,7 +11,7 @@
 from twisted.internet import interfaces
 from zope.interface import implementer
 
-from thornport.kernel import codec, logs
+from thornport.kernel import codec, logs, tasks
 
 HIGH_WATER_MARK = 2000
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
@@ -238,7 +238,11 @@
             self._metrics.count("peers.undecodable")
             logs.log("peer-message-undecodable", reason=str(error))
             return
-        self._deliver(frame.sender, frame.address, message)
+        # An error would have the reactor read from the socket no more.
+        tasks.attempt(
+            lambda: self._deliver(frame.sender, frame.address, message),
+            f"take {type(message).__name__}",
+        )
 
     def close(self):
         """Close all sockets."""
--- a/thornport/peers/bus_test.py
+++ b/thornport/peers/bus_test.py
@@ -62,6 +62,17 @@
             raise OverflowError("number too large")
         self.taken.append(message.number)
 
+    # Guards against a message that ends the receiving of a process.
+    def test_message_that_raises_ends_no_receiving(self):
+        deadline = time.monotonic() + WAIT_S
+        while not self.taken and time.monotonic() < deadline:
+            self.sender.send(self.receiver.address, "", Ping(1))
+            self.sender.send(self.receiver.address, "", Ping(2))
+            time.sleep(POLL_S)
+            self.receiver.doRead()
+        self.assertGreater(self.failures, 0)
+        self.assertEqual(self.taken[0], 2)
+
     # Guards against an address by another writer that ends what sends to it.
     def test_message_to_an_odd_address_is_dropped(self):
         for address in (
