Refuse jobs with times beyond 2**53 ms, in place of an internal error

What callers saw: an internal error in place of a 400 for a job whose start_at_ms or interval_ms has more than 64 bits.

Cause: these two numbers were not bounded, and a record holds 64 bits: encoding it raised OverflowError.

Evidence: the property test, which persists what is decoded, and the test of times out of range failed before and pass.

Why it works: the types refuse such numbers as they do others, with the field's name.

--- a/thornport/platform/jobs.py
+++ b/thornport/platform/jobs.py
@@ -1,9 +1,14 @@
 """Jobs as the platform's callers encode them, decoded into spec.Job."""
 
+from typing import Annotated
+
 import msgspec
 
 from thornport.jobs import spec
 
+MAX_TIME_MS = 2**53  # beyond any date, and exact as a float; records hold 64 bits
+Time = Annotated[int, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+
 
 class WireStep(msgspec.Struct, frozen=True):
     """A step; fields that are 0, false or empty are omitted on the wire."""
@@ -34,8 +39,8 @@
     spec: str
     steps: list[WireStep]
     repeats: spec.Count = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    start_at_ms: Time = 0
+    interval_ms: Time = 0
 
 
 def decode_job(body):
