Answer callers whose deadline header is odd, in place of an internal error

What callers saw: an internal error for a deadline of hundreds of digits or with digits that are no decimals, such as a superscript two.

Cause: str.isdigit takes more than int does, int refuses over 4,300 digits, and the quotient of a long int doesn't fit into a float.

Evidence: the four odd texts failed before (three raised, the digit of another script was taken) and pass. The usual deadline holds then, and a line is logged.

--- a/thornport/platform/ingress.py
+++ b/thornport/platform/ingress.py
@@ -6,13 +6,14 @@
 
 from thornport.cell import web
 from thornport.jobs import intake, record, spec
-from thornport.kernel import clock, webreply
+from thornport.kernel import clock, logs, webreply
 from thornport.platform import jobs
 
 DEADLINE_HEADER = "Thornport-Deadline-Ms"
 KEY_HEADER = b"Api-Key"
 ID_DIGITS = 16  # hex digits of a job's ID, chosen by the caller
 DEFAULT_DEADLINE_MS = 3000  # the callers' usual deadline
+MAX_DEADLINE_DIGITS = 12  # of milliseconds: 31 years
 
 
 class WireState(msgspec.Struct, frozen=True):
@@ -152,5 +153,8 @@
       A float, monotonic seconds.
     """
     text = request.getHeader(DEADLINE_HEADER) or ""
-    wait_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    is_usable = text.isascii() and text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+    if text and not is_usable:
+        logs.log("deadline-odd", text=text[:MAX_DEADLINE_DIGITS])
+    wait_ms = int(text) if is_usable else DEFAULT_DEADLINE_MS
     return now + wait_ms / 1000
--- a/thornport/platform/ingress_test.py
+++ b/thornport/platform/ingress_test.py
@@ -1,6 +1,7 @@
 """Answers to callers of the platform that are denied access."""
 
 import unittest
+from unittest import mock
 
 from tests import deniedcase
 from thornport.jobs import queue
@@ -27,5 +28,35 @@
         self.check_unknown(None)
 
 
+class Deadlines(unittest.TestCase):
+    """The header with the time that a caller waits."""
+
+    def read(self, text):
+        """Read the deadline of a request that arrives at 5 s."""
+        request = mock.Mock()
+        request.getHeader.return_value = text
+        return ingress.read_deadline(request, 5.0)
+
+    def test_deadline_in_milliseconds(self):
+        self.assertEqual(self.read("2500"), 7.5)
+        self.assertEqual(self.read("0"), 5.0)
+        self.assertEqual(self.read(None), 8.0)
+
+    # Guards against an internal error in place of an answer.
+    def test_odd_deadline_is_the_usual_one(self):
+        for text in (
+            "",
+            "-1",
+            "1.5",
+            "soon",
+            "\u00b2",
+            "\u0663",
+            "9" * 400,
+            "9" * 5000,
+        ):
+            with self.subTest(text=text[:9]):
+                self.assertEqual(self.read(text), 8.0)
+
+
 if __name__ == "__main__":
     unittest.main()
