Omit a record of progress that can't be of its job, in place of ending the takeover

What callers saw: no job of the cell goes on after a change of owner, while one record of progress names a step that its job doesn't have: each new owner ended its takeover there with an IndexError. Negative steps, times or tasks were taken, and a last run of 64 bits, whose successor can't be encoded.

Cause: a record that has the right types was not compared with its job.

Change: progress.find_fault names the first fault; the record is omitted with a line progress-omitted, as one that can't be decoded is, and the job starts anew. Unproven losses of a gang have the index GANG_INDEX, which is no fault.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -10,6 +10,7 @@
     listing,
     messages,
     model,
+    notes,
     progress,
     reserving,
     ticketing,
@@ -316,6 +317,10 @@
         job = self.jobs_by_id.get(job_id)
         if job is None:
             return
+        fault = progress.find_fault(job, saved)
+        if fault:
+            self.notes.append(notes.ProgressOmitted(job_id, fault))
+            return
         job.state = job.persisted_state = saved.state
         job.times_done = saved.times_done
         job.cause = saved.cause
--- a/thornport/cell/decisions/notes.py
+++ b/thornport/cell/decisions/notes.py
@@ -190,6 +190,17 @@
     left_ms: int
 
 
+class ProgressOmitted(msgspec.Struct, frozen=True):
+    """The record of a job's progress can't be of the job, which starts anew.
+
+    Attributes:
+      reason: A str, the first fault.
+    """
+
+    job_id: str
+    reason: str
+
+
 class EndsOmitted(msgspec.Struct, frozen=True):
     """The answers of a worker begin or cease to omit ends.
 
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -2,6 +2,7 @@
 
 from thornport.cell.decisions import messages, model
 from thornport.jobs import record
+from thornport.kernel import codec
 
 
 def make_progress(job):
@@ -125,6 +126,30 @@
     return step
 
 
+def find_fault(job, saved):
+    """Find why a record can't be the progress of a job: another writer made it.
+
+    Args:
+      job: A model.JobEntry.
+      saved: A record.Progress.
+    Returns:
+      A str that names the first fault; empty if there is none.
+    """
+    steps = job.record.job.steps
+    times = max(1, job.record.job.repeats)
+    for place, step in enumerate(saved.steps):
+        if not (0 <= step.step < len(steps) and 0 <= step.time < times):
+            return f"steps[{place}]: no step {step.time}.{step.step}"
+        if not 0 <= step.last_run <= codec.MAX_WHOLE:
+            return f"steps[{place}]: last run {step.last_run}"
+        lost = {one.index for one in step.unproven_losses} - {model.GANG_INDEX}
+        indexes = {run.index for run in step.live}.union(step.done, lost)
+        odd = [n for n in indexes if not 0 <= n < steps[step.step].count]
+        if odd:
+            return f"steps[{place}]: no task {odd[0]}"
+    return ""
+
+
 def restore_step(job, recorded):
     """Make the state of a step from its record.
 
--- a/thornport/cell/owner/noting.py
+++ b/thornport/cell/owner/noting.py
@@ -14,6 +14,7 @@
     notes.IncarnationHeard: "workers.heard",
     notes.IncarnationOver: "workers.over",
     notes.LeaseOver: "workers.leases_over",
+    notes.ProgressOmitted: "jobs.progress_omitted",
     notes.EndsOmitted: "workers.ends_omitted",
     notes.LimitWait: "steps.at_limit",
     notes.StepDone: "steps.done",
@@ -116,6 +117,12 @@
     )
 
 
+@log_note.register
+def log_progress_omitted(note: notes.ProgressOmitted):
+    """Log that the record of a job's progress can't be of the job."""
+    logs.log("progress-omitted", job=note.job_id, reason=note.reason)
+
+
 @log_note.register
 def log_ends_omitted(note: notes.EndsOmitted):
     """Log that the answers of a worker begin or cease to omit ends."""
