Test that any bytes of a peer are a message that can be encoded, or a CodecError

No fault was found in the decoder: 400 odd variants of a greeting, a list of peers and the outcomes of calls, and values that nest too deeply. The handlers are not covered.

--- a/thornport/cell/peers/peering_test.py
+++ b/thornport/cell/peers/peering_test.py
@@ -3,6 +3,12 @@
 import typing
 import unittest
 
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests import oddvalues
+from thornport.cell.decisions import messages
 from thornport.cell.peers import peering, receiving, workercalls
 from thornport.kernel import codec
 
@@ -27,5 +33,35 @@
                 self.assertIsNot(receiving.take.dispatch(kind), unknown)
 
 
+KEY = messages.TaskKey("a", 0, 0, 0)
+ANSWER = messages.HoldAnswer(5, [messages.RunningRow(KEY, 1, "", 41, 7)], [], 6)
+VALID = [
+    msgspec.to_builtins(message)
+    for message in (
+        peering.Hello("n1", attested=peering.Attestation(5, 1, 2, 3, 4, 5, {"w": 6})),
+        peering.Peers(("10.0.0.1:80",), ("10.0.0.2:80",)),
+        workercalls.WorkerOutcomes((workercalls.NumberedOutcome(1, ANSWER),)),
+    )
+]
+
+
+class OddMessages(unittest.TestCase):
+    """Any bytes are a message that can be encoded, or raise CodecError."""
+
+    @settings(max_examples=400, derandomize=True, deadline=None)
+    @given(st.sampled_from(VALID).flatmap(oddvalues.packed))
+    def test_any_bytes_are_a_message_or_an_error(self, data):
+        try:
+            message = peering.CODEC.decode(data)
+        except codec.CodecError:
+            return
+        peering.CODEC.encode(message)
+
+    def test_nested_values_are_errors(self):
+        data = b"\x81\xa1x" + oddvalues.PACKED_NESTED
+        with self.assertRaises(codec.CodecError):
+            peering.CODEC.decode(data)
+
+
 if __name__ == "__main__":
     unittest.main()
