Test which polls carry a deadline

Mutations of the bound, one at a time: of eleven, three passed leases_test, as two defences mask each other: silent polls that repeat a deadline, first polls on a connection that keep theirs, and one of the two extra waits of a successor. The new tests check the first two by themselves.

--- a/thornport/cell/decisions/leases_test.py
+++ b/thornport/cell/decisions/leases_test.py
@@ -9,7 +9,13 @@
 import unittest
 
 from tests import cellworld
-from thornport.cell.decisions import leases, messages, notes, opencalls
+from thornport.cell.decisions import (
+    incarnations,
+    leases,
+    messages,
+    notes,
+    opencalls,
+)
 
 MAX_HOLD_MS = 10_000  # longer than an owner wants any lease to last
 DARK_S = 0.6  # a worker that crashes is back after this, under its id
@@ -78,6 +84,32 @@
         self.cut_off(world)
 
 
+class Deadlines(unittest.TestCase):
+    """Which polls carry a deadline."""
+
+    def make_poll(self, world):
+        """Make the next poll of worker w0."""
+        return world.owner.make_poll("w0", world.now)
+
+    # Guards against a lease that the next incarnation has by a poll to a silent one.
+    def test_poll_to_a_silent_worker_carries_none(self):
+        world = make_world()
+        self.assertGreater(self.make_poll(world).deadline_ms, 0)
+        world.owner.workers_by_id["w0"].note_silence(world.now)
+        self.assertEqual(self.make_poll(world).deadline_ms, 0)
+
+    # Guards against the same where the store lists the next incarnation.
+    def test_poll_to_a_doubted_worker_carries_none(self):
+        world = make_world()
+        world.owner.workers_by_id["w0"].doubted_at = world.now
+        self.assertEqual(self.make_poll(world).deadline_ms, 0)
+
+    # Guards against the same by the first poll on a connection.
+    def test_first_poll_on_a_connection_carries_none(self):
+        poll = self.make_poll(make_world())
+        self.assertEqual(incarnations.trim_first_poll(poll).deadline_ms, 0)
+
+
 class LateCalls(unittest.TestCase):
     """A call for the former incarnation arrives before the next one is polled."""
 
