Keep the end of a lease that the last owner told when its record is settled

Two runs of one task at once, under a successor that was told when the lease of a silent worker is over, 7 to 10 s after the worker's first answer (the new case of leases_test fails without this change).

Cause: once a recorded long lease was over, the extra wait was subtracted from the time until which the worker counts as unheard, also if that time was told by the last owner and had no extra wait in it.

Change: it is bounded by the time at which all usual leases of earlier owners are over, which leaves an earlier one that was told alone. Calls that a dispatcher may still make are noted by worker id, also while the id is unknown.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -72,7 +72,7 @@
                 for run in worker.runs_by_key.values()
             ):
                 worker.has_long_lease = False
-                worker.unheard_until -= self.lease_bounds.extra_s
+                worker.unheard_until = min(worker.unheard_until, self._earlier_over_at)
 
     def list_lapses(self):
         """List when the leases of the silent workers expire, for a successor.
--- a/thornport/cell/decisions/leases.py
+++ b/thornport/cell/decisions/leases.py
@@ -9,7 +9,8 @@
 id takes it for a time on its own clock, and cuts it to the longest lease that workers
 grant, which may be longer than the lease that owners want. So a deadline is sent only
 where it can't be far ahead of the clock of whoever takes it. What remains are calls
-that a worker carries out late: a lease counts as long where one may have arrived.
+that a worker carries out late. Where one may have arrived, the worker may have a long
+lease: one that lasts for more than MAX_LEASE_MS from now.
 """
 
 from thornport.cell.decisions import model, opencalls
@@ -60,7 +61,7 @@
 
     @property
     def extra_s(self):
-        """By how much a long lease outlasts the usual one at most, a float."""
+        """By how much a long lease outlasts MAX_LEASE_MS at most, a float."""
         extra_ms = max(0, self.max_hold_ms - MAX_LEASE_MS)
         return extra_ms / 1000 / model.MIN_CLOCK_RATE
 
--- a/thornport/cell/decisions/leases_test.py
+++ b/thornport/cell/decisions/leases_test.py
@@ -218,6 +218,16 @@
         self.world.run(0.1)
         self.cut_off()
 
+    # Guards against a lease that is told by the last owner and then cut by its record.
+    def test_task_runs_once_under_a_successor_that_is_told_of_the_lease(self):
+        self.delay_poll(2.7)
+        self.restart(DARK_S, 2.2)
+        self.begin_long()
+        self.world.cut.add("w0")
+        self.world.run(6.8)
+        self.world.take_over(tells_lapses=True)
+        self.cut_off()
+
     # Guards against a successor of an owner that never met the incarnation.
     def test_task_runs_once_where_the_owner_was_lost_before_the_first_answer(self):
         self.delay_poll(2.7)
--- a/thornport/cell/decisions/polls.py
+++ b/thornport/cell/decisions/polls.py
@@ -107,9 +107,9 @@
           call: A messages.HoldRequest or StartOrder.
           now: A float.
         """
-        worker = self.workers_by_id.get(call.worker_id)
-        if worker is not None and call.deadline_ms:
-            worker.open_calls.note_given_up(call.deadline_ms, now)
+        calls = self.open_calls_by_id.get(call.worker_id)
+        if calls is not None and call.deadline_ms:
+            calls.note_given_up(call.deadline_ms, now)
 
     def take_poll(self, request, sent_at, answer, now):
         """Process the answer to a poll.
