Read the longest lease from a section with all bounds of the platform

Change: the section platform_bounds has all bounds that the platform states; those that a process does not use are ignored there, as the platform's pages ask for fields that are not known. One that is used is checked as before, and named with its line.

--- a/thornport/cell/daemon.py
+++ b/thornport/cell/daemon.py
@@ -80,7 +80,7 @@
         self.ports = ports
         self.bus = bus
         self.metrics = metrics
-        self.lease_bounds = leases.LeaseBounds(settings.bounds.max_hold_ms)
+        self.lease_bounds = leases.LeaseBounds(settings.platform_bounds.max_hold_ms)
         self.is_stopping = False
         self.handover_deadline = math.inf
         self.relayed = relaying.RelayedStore(reactor, ports.store, bus)
@@ -131,10 +131,10 @@
         logs.log("started", peer=self.bus.address, **describe(self.settings))
 
     def take_bounds(self, bounds):
-        """Apply changed bounds: the longest lease of workers; the rest at a start.
+        """Apply changed bounds of the platform: the longest lease of workers.
 
         Args:
-          bounds: A settings.Bounds.
+          bounds: A settings.PlatformBounds.
         """
         self.lease_bounds.take_setting(bounds.max_hold_ms)
 
--- a/thornport/cell/settings.py
+++ b/thornport/cell/settings.py
@@ -1,6 +1,6 @@
 """Settings of a scheduler process, read from an INI file and validated."""
 
-from typing import Annotated
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -67,15 +67,12 @@
       limit_overshoot: The share of its limit by which a workspace may exceed it.
       stop_ms: How long a worker takes to stop and save a run at most, in milliseconds.
         None if the platform does not say; then no run is stopped for urgent work.
-      max_hold_ms: The longest lease that a worker grants, in milliseconds. The default
-        is the longest of any platform that is known.
     """
 
     status_s: Seconds = 120.0
     grace_s: Seconds = 6.0
     limit_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     stop_ms: Milliseconds | None = None
-    max_hold_ms: LeaseMs = 10_000
 
     @property
     def stop_s(self):
@@ -83,6 +80,19 @@
         return None if self.stop_ms is None else self.stop_ms / clock.MS_PER_S
 
 
+class PlatformBounds(msgspec.Struct, frozen=True):
+    """All bounds as the platform states them; those that are not listed are ignored.
+
+    Attributes:
+      max_hold_ms: The longest lease that a worker grants, in milliseconds. The default
+        is the longest of any platform that is known.
+    """
+
+    IGNORES_UNKNOWN: ClassVar[bool] = True
+
+    max_hold_ms: LeaseMs = 10_000
+
+
 class SchedulerSettings(msgspec.Struct, frozen=True):
     """All sections of the file."""
 
@@ -90,6 +100,7 @@
     listen: Listen
     services: Services
     bounds: Bounds = Bounds()
+    platform_bounds: PlatformBounds = PlatformBounds()
 
 
 def parse_settings(path, text):
--- a/thornport/cell/settings_test.py
+++ b/thornport/cell/settings_test.py
@@ -39,5 +39,29 @@
             str(error)
 
 
+class BoundsOfThePlatform(unittest.TestCase):
+    """The section with all bounds that the platform states."""
+
+    def parse(self, lines):
+        """Parse a valid file with some lines in this section."""
+        head = (
+            "[process]\nname = a\nhall = h\n[listen]\nip = 10.0.0.1\njobs = a:1\n"
+            "ready = a:2\npeer_port = 3\n[services]\nstore = a:4\n"
+        )
+        text = f"{head}[platform_bounds] # \n{lines}\n"
+        return settingsfile.parse_settings("file", text).platform_bounds
+
+    # Guards against a process that does not start for a bound that it does not know.
+    def test_bounds_that_are_not_used_are_ignored(self):
+        bounds = self.parse("seed_lag_s = 3\nmax_hold_ms = 7000\nmore = {}")
+        self.assertEqual(bounds.max_hold_ms, 7000)
+        self.assertEqual(self.parse("more = 1").max_hold_ms, 10_000)
+
+    def test_bound_that_is_not_valid_is_named_with_its_line(self):
+        with self.assertRaises(problem.ProblemsError) as caught:
+            self.parse("max_hold_ms = 70")
+        self.assertIn("file:12: max_hold_ms = 70", str(caught.exception))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/kernel/inifile.py
+++ b/thornport/kernel/inifile.py
@@ -92,7 +92,8 @@
     Args:
       document: The Document the section is from.
       section: A Section.
-      struct_type: A msgspec struct type, a field for each key.
+      struct_type: A msgspec struct type, a field for each key. Unknown keys are faults
+        unless it has an attribute IGNORES_UNKNOWN that is true.
     Returns:
       A pair of the struct, or None if there are faults, and a list of Problems.
     """
@@ -101,6 +102,8 @@
     problems = []
     for entry in section.by_key.values():
         if entry.key not in fields:
+            if getattr(struct_type, "IGNORES_UNKNOWN", False):
+                continue
             text = describe_unknown("key", entry.key, fields)
             problems.append(problem.Problem(document.path, entry.line, text))
             continue
--- a/thornport/platform/__main__.py
+++ b/thornport/platform/__main__.py
@@ -93,8 +93,12 @@
     try:
         changed = daemons.load(path, settings.parse_settings)
         if scheduler is not None:
-            scheduler.take_bounds(changed.bounds)
-        logs.log("settings-reloaded", path=path, max_hold_ms=changed.bounds.max_hold_ms)
+            scheduler.take_bounds(changed.platform_bounds)
+        logs.log(
+            "settings-reloaded",
+            path=path,
+            max_hold_ms=changed.platform_bounds.max_hold_ms,
+        )
     except daemons.SettingsError as error:
         logs.log("settings-not-reloaded", path=path, reason=str(error))
 
