Count a worker as silent that leaves the poll before a start unanswered

The one process of the stand-in was starved; the owners made 52,771 starts, most of them refused by the client as the poll ahead of them had no answer within 0.3 s, each with a new connection.

Cause: a start without an answer had its worker count as silent until it answered a poll; a start that is not sent since its poll had no answer only set the worker aside for half a second.

Change: NotReached says that the worker left a poll unanswered, and the worker counts as silent.

Measured: leases, platform, dispatch and owner, 307 pass, one is listed; the tests of restarted workers and of failing cells with real processes, 12 pass.

--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -158,7 +158,9 @@
             self._calls.identify(command.address)
             return None
         if isinstance(answer, messages.Unanswered):
-            return messages.NotReached(f"no answer to a poll: {answer.reason}")
+            return messages.NotReached(
+                f"no answer to a poll: {answer.reason}", is_silent=True
+            )
         return answer
 
     async def stop(self, command):
