--- a/thornport/cell/decisions/messages.py
+++ b/thornport/cell/decisions/messages.py
@@ -252,12 +252,10 @@
 
     Attributes:
       is_refused: Whether its address refused the connection.
-      is_silent: Whether it left a poll unanswered that was sent ahead.
     """
 
     reason: str
     is_refused: bool = False
-    is_silent: bool = False
 
 
 class Withheld(NotReached, frozen=True, array_like=True, tag=True):
--- a/thornport/cell/decisions/outcomes.py
+++ b/thornport/cell/decisions/outcomes.py
@@ -68,8 +68,6 @@
             else:
                 self._note_start_unanswered(run, now)
         elif isinstance(outcome, messages.NotReached):
-            if outcome.is_silent:
-                worker.note_silence(now)
             if not isinstance(outcome, messages.Withheld):
                 worker.avoid(now + ending.AVOID_S)
             self._take_unsent_start(run, now)
--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -158,9 +158,7 @@
             self._calls.identify(command.address)
             return None
         if isinstance(answer, messages.Unanswered):
-            return messages.NotReached(
-                f"no answer to a poll: {answer.reason}", is_silent=True
-            )
+            return messages.NotReached(f"no answer to a poll: {answer.reason}")
         return answer
 
     async def stop(self, command):
