Treat a start whose poll ahead of it has no answer as unanswered

Cause: a start that is known not to be sent frees its task at once, which goes to the next worker, with a new connection and a poll each time. A start without an answer holds its run until the worker has confirmed the stop, or is sent again there, so a cell that is too busy to answer is asked less.

Change: the start counts as unanswered, as before the poll ahead of it.

--- a/thornport/platform/workers.py
+++ b/thornport/platform/workers.py
@@ -157,8 +157,8 @@
             # It is not trusted: the owner has not heard this answer.
             self._calls.identify(command.address)
             return None
-        if isinstance(answer, messages.Unanswered):
-            return messages.NotReached(f"no answer to a poll: {answer.reason}")
+        # A start to a worker that leaves a poll unanswered waits as one that it leaves
+        # unanswered: tasks would go from one busy worker to the next.
         return answer
 
     async def stop(self, command):
