review: end the processes of a case that is told to end

Cause: a case that got SIGTERM ended without its processes. Evidence: two were left after a run that was cut short.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -757,6 +757,12 @@
         self.record.note("taken note of", *row[1:4], "on", minion.id)
 
 
+def interrupt(*_):
+    """Take an order to end as one interrupt, so that no process is left."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    signal.raise_signal(signal.SIGINT)
+
+
 def run(play, folder, world_type=World, **options):
     """Run a case; its exit code is 1 if `play` finds the rule broken, 0 if not.
 
@@ -776,6 +782,7 @@
         finally:
             await world.close()
 
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         code = asyncio.run(asyncio.wait_for(go(), 115))
     except Exception as error:
