review: draw ports again if they are taken, read answers in chunks whole

Cause: two cases that ran at once could draw one port, and a case that was told to end with interrupts ignored left its processes. Evidence: one of some forty runs ended with 2 ("Address already in use"); a case that got SIGTERM went on.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -146,6 +146,7 @@
     while size := int(await reader.readline(), 16):
         parts.append(await reader.readexactly(size))
         await reader.readline()
+    await reader.readline()
     return b"".join(parts)
 
 
@@ -543,22 +544,33 @@
     def __init__(self, world, number):
         self.world = world
         self.name = f"front-{number}"
+        self.draw_ports()
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        self.role = deploy["roles"]["scheduler"]
+        self.path = world.folder / f"{self.name}.ini"
+        self.popen = None
+
+    def draw_ports(self):
+        """Draw its ports, and make the values that its settings are filled from."""
         front, ready, control, first, last = find_ports(5)
         self.front = f"127.0.0.1:{front}"
         self.ready = f"127.0.0.1:{ready}"
         self.values = {
-            "node_name": self.name, "ip": "127.0.0.1", "zone": "h1", "region": "r1",
-            "port_range": [first, last], "advice": world.advice_address,
-            "listen": {"front": self.front, "ready": self.ready,
-                       "control": f"127.0.0.1:{control}"},
+            "node_name": self.name,
+            "ip": "127.0.0.1",
+            "zone": "h1",
+            "region": "r1",
+            "port_range": [first, last],
+            "advice": self.world.advice_address,
+            "listen": {
+                "front": self.front,
+                "ready": self.ready,
+                "control": f"127.0.0.1:{control}",
+            },
             "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300},
             "bounds": BOUNDS,
-            "platform": {"address": world.store_address(number)},
-        }  # fmt: skip
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.role = deploy["roles"]["scheduler"]
-        self.path = world.folder / f"{self.name}.ini"
-        self.popen = None
+            "platform": {"address": self.world.store.server.address},
+        }
 
     def write_settings(self):
         """Lay the settings, as at each start and whenever they change."""
@@ -600,13 +612,15 @@
 class World:
     """The whole deployment."""
 
+    make_minion = Minion
+
     def __init__(self, folder, minions=8, cores=16, schedulers=3):
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         self.store = Store()
-        self.minions = [Minion(self, n, cores) for n in range(minions)]
-        self.counts = (schedulers,)
+        self.minions = [self.make_minion(self, n, cores) for n in range(minions)]
+        self.scheduler_count = schedulers
         self.schedulers = []
         self.jobs = {}
         self.starts = []
@@ -616,10 +630,6 @@
         self.advice_address = ""
         self.routes = [self.make_route("editions")]
 
-    def store_address(self, number):
-        """Where a process finds the store."""
-        return self.store.server.address
-
     def make_route(self, name, **more):
         """Make a queue of the configuration."""
         return {
@@ -646,23 +656,28 @@
         self.write_config(1)
         for minion in self.minions:
             await minion.begin()
-        self.schedulers = [Scheduler(self, n) for n in range(self.counts[0])]
+        self.schedulers = [Scheduler(self, n) for n in range(self.scheduler_count)]
         for scheduler in self.schedulers:
             await scheduler.start()
         for scheduler in self.schedulers:
-            await self.wait_ready(scheduler)
+            while not await self.is_ready(scheduler):
+                # Another program has taken one of its ports.
+                scheduler.draw_ports()
+                await scheduler.start()
         await asyncio.sleep(3.0)
 
     async def prepare(self):
         """Start what a case adds."""
 
-    async def wait_ready(self, scheduler, patience_s=20.0):
-        """Wait until a process calls itself ready."""
+    async def is_ready(self, scheduler, patience_s=20.0):
+        """Wait until a process calls itself ready; false if it has ended."""
         until = time.monotonic() + patience_s
         while time.monotonic() < until:
+            if scheduler.popen.returncode is not None:
+                return False
             status, _ = await call(scheduler.ready, "GET", "/-/ready", timeout_s=1.0)
             if status == 200:
-                return
+                return True
             await asyncio.sleep(0.1)
         raise RuntimeError(
             f"{scheduler.name} is not ready: {scheduler.read_log()[-2000:]}"
@@ -757,12 +772,6 @@
         self.record.note("taken note of", *row[1:4], "on", minion.id)
 
 
-def interrupt(*_):
-    """Take an order to end as one interrupt, so that no process is left."""
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
-    signal.raise_signal(signal.SIGINT)
-
-
 def run(play, folder, world_type=World, **options):
     """Run a case; its exit code is 1 if `play` finds the rule broken, 0 if not.
 
@@ -772,6 +781,9 @@
     """
 
     async def go():
+        # An order to end leaves no process behind.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         world = world_type(folder, **options)
         try:
             await world.open()
@@ -782,10 +794,9 @@
         finally:
             await world.close()
 
-    signal.signal(signal.SIGTERM, interrupt)
     try:
         code = asyncio.run(asyncio.wait_for(go(), 115))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         code = 2
     sys.exit(code)
