--- a/review/deployment.py
+++ b/review/deployment.py
@@ -25,6 +25,7 @@
 HOST = "press.example"
 BEAT_S = 1.5
 MAX_HOLD_MS = 6000
+DRAWN = set()  # ports, also those of processes that are yet to start
 RUNNING = set()  # tasks; the loop itself keeps no reference
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_timeout_ms": 4000,
@@ -528,12 +529,17 @@
 
 
 def find_ports(count):
-    """Find free ports, outside of those that the kernel gives to connections."""
+    """Find free ports, outside of those that the kernel gives to connections.
+
+    Cases that run side by side draw from blocks of their own.
+    """
+    block = 10_000 + os.getpid() % 100 * 200
     ports = []
     while len(ports) < count:
-        port = random.randrange(10_000, 32_000)
+        port = random.randrange(block, block + 200)
         with socket.socket() as probe:
-            if port not in ports and probe.connect_ex(("127.0.0.1", port)):
+            if port not in DRAWN and probe.connect_ex(("127.0.0.1", port)):
+                DRAWN.add(port)
                 ports.append(port)
     return ports
 
@@ -772,12 +778,14 @@
         self.record.note("taken note of", *row[1:4], "on", minion.id)
 
 
-def run(play, folder, world_type=World, **options):
+def run(play, folder, has_trouble, world_type=World, **options):
     """Run a case; its exit code is 1 if `play` finds the rule broken, 0 if not.
 
     Args:
       play: A coroutine function of a World and of whether there is the disruption; it
         returns a text that says how the rule was broken, empty if it held.
+      folder: A pathlib.Path, where the record is written.
+      has_trouble: Whether there is the disruption.
     """
 
     async def go():
@@ -787,7 +795,7 @@
         world = world_type(folder, **options)
         try:
             await world.open()
-            broken = await play(world, os.environ.get("TROUBLE", "1") != "0")
+            broken = await play(world, has_trouble)
             world.record.note("broken:" if broken else "held", broken)
             print("broken: " + broken if broken else "held")
             return 1 if broken else 0
