--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,11 +1,14 @@
 """A job runs after its DELETE was answered, as a frozen process keeps it later."""
 
 import asyncio
+import os
 import pathlib
 import signal
 
 import deployment
 
+# With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FREEZE_S = 4.0
 DEADLINE_S = 3.0  # of the caller, who hands the job in while the process is frozen
 FIRST_MS = 5000  # the first step still runs when the time to cancel is over
@@ -57,4 +60,4 @@
     )
 
 
-deployment.run(play, pathlib.Path(__file__).parent, minions=8)
+deployment.run(play, pathlib.Path(__file__).parent, HAS_TROUBLE, minions=8)
