--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,11 +1,14 @@
 """Jobs that have not begun are not counted as waiting after a change of owner."""
 
 import asyncio
+import os
 import pathlib
 import signal
 
 import deployment
 
+# With TROUBLE=0 the case does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOBS = 4
 LABEL = "b"  # of the one minion that may run them
 GREY_S = 6.4  # for so long this minion refuses all starts
@@ -98,4 +101,6 @@
     ]
 
 
-deployment.run(play, pathlib.Path(__file__).parent, world_type=World, minions=8)
+deployment.run(
+    play, pathlib.Path(__file__).parent, HAS_TROUBLE, world_type=World, minions=8
+)
