Log what a cancel found in the store and how long a submission took

A DELETE that was answered 410 left no trace of whether the store had no record of the job or one that its caller may not see, and the line of a submission did not show whether the process had held it. job-not-found names the revision that was hidden, job-submitted has took_ms. A process that stood still has the line loop-stalled already, so the three together order a cancel, a pause and a late submission.

No change of behaviour: thornport.jobs.intake_test and report_test pass as before.

--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -74,6 +74,7 @@
     """A submission that waits for its write to the store.
 
     Attributes:
+      began_at: When this process began to serve it.
       refuse_at: When it is refused, unless it may be persisted.
       give_up_at: When its outcome is reported as unknown at the latest.
       may_be_persisted: Whether an earlier try or a write without an answer may have
@@ -82,6 +83,7 @@
     """
 
     job_record: record.JobRecord
+    began_at: float
     refuse_at: float
     give_up_at: float
     outcome: defer.Deferred
@@ -130,9 +132,10 @@
         Returns:
           A Deferred of Accepted, Taken, Refused or Unknown.
         """
-        refuse_at = clock.read_monotonic() + compute_refuse_s(job_record)
+        now = clock.read_monotonic()
+        refuse_at = now + compute_refuse_s(job_record)
         give_up_at = deadline - ANSWER_MARGIN_S
-        pending = Pending(job_record, refuse_at, give_up_at, defer.Deferred())
+        pending = Pending(job_record, now, refuse_at, give_up_at, defer.Deferred())
         pending.may_be_persisted = self._may_be_persisted(job_record.job_id)
         self._open_count_by_id[job_record.job_id] += 1
         if self._store.is_unavailable() and not pending.may_be_persisted:
@@ -238,6 +241,7 @@
             queue=job_record.queue.name,
             workspace=job_record.workspace,
             objective_ms=job_record.compute_objective_ms(),
+            took_ms=int((clock.read_monotonic() - pending.began_at) * clock.MS_PER_S),
             outcome=outcome_name,
             reason=getattr(outcome, "reason", ""),
             retry_s=getattr(outcome, "retry_s", ""),
@@ -283,6 +287,7 @@
         item = read.unwrap()
         is_there = item.revision != transactions.ABSENT_REVISION
         if not is_there or not is_visible(item, caller):
+            logs.log("job-not-found", job=job_id, hidden_revision=item.revision)
             return NoSuchJob()
         key = record.CANCEL_PREFIX + job_id
         written = await self._store.commit(
