Tests of a job whose DELETE is answered before its submission is processed

Callers see a job run after its DELETE was answered 410: the process that read the DELETE finds no record in the store and leaves nothing there, so a submission that is processed later is accepted.

In thornport.jobs.intake_test the submission comes to the same process, to another one, as a lost write that is applied late, and in a batch with other jobs.

--- a/tests/cancel_test.py
+++ b/tests/cancel_test.py
@@ -15,6 +15,7 @@
 # How late a start is carried out: well after the cancel, and before its deadline, which
 # is 4 s away at the least.
 LATE_MS = 3000
+LEAVES_S = 0.4  # a caller waits so long for a paused process
 
 
 class CancelCase(scheduler_test.SchedulerCase):
@@ -104,6 +105,47 @@
         self.check_gone(job_id)
 
 
+class SubmittedToPausedProcess(CancelCase):
+    """A process reads a submission only after its caller has left and cancelled it."""
+
+    def check_never_starts(self, paused, asked):
+        """Submit at a paused process, cancel elsewhere, and let the process go on.
+
+        Args:
+          paused, asked: Strs, the processes that get the POST and the DELETE.
+        """
+        self.cell.by_name[paused].freeze()
+        self.addCleanup(self.cell.by_name[paused].thaw)
+        job_id = next(self.cell.ids)
+        path = f"/editions/{job_id}"
+        answer = self.cell.send("POST", paused, path, schedulers.make_job(), LEAVES_S)
+        self.assertIsNone(answer)
+
+        def cancel():
+            answer = self.cell.send("DELETE", asked, path)
+            return answer is not None and answer.status == 410
+
+        harness.wait_until(cancel, f"the cancel of {job_id}")
+        self.cell.by_name[paused].thaw()
+        self.cell.by_name[paused].wait_for(f"event=job-submitted job={job_id}")
+        # A job that is accepted later has run, so this one would have started too.
+        later_id, status = self.cell.submit(asked)
+        self.assertEqual(status, 200)
+        self.cell.wait_state(asked, later_id, "succeeded")
+        self.assertEqual(self.count_starts(job_id), 0)
+        self.assertEqual(self.cell.read_state(asked, job_id), "")
+
+    # Guards against a job that starts after its DELETE was answered with 410.
+    def test_job_never_starts(self):
+        self.check_never_starts(self.other, self.owner)
+
+    # Guards against the same where the paused process owned the cell until then.
+    def test_job_submitted_to_a_paused_owner_never_starts(self):
+        for name in self.cell.names:
+            self.cell.by_name[name].wait_for(r"event=peers-listed count=2")
+        self.check_never_starts(self.owner, self.other)
+
+
 class GoneOwner(CancelCase):
     """The process that gave the start is killed, and does not come back."""
 
--- a/thornport/jobs/intake_test.py
+++ b/thornport/jobs/intake_test.py
@@ -6,8 +6,9 @@
 from returns import result
 from twisted.internet import task
 
-from thornport.jobs import intake, queue, record, spec
-from thornport.kernel import clock, metrics
+from standins import transaction_store
+from thornport.jobs import intake, queue, record, spec, workspace
+from thornport.kernel import clock, metrics, tasks
 from thornport.store import port, transactions
 
 QUEUE = queue.Queue("press", "h", "/p/", "press-desk", target_ms=1000)
@@ -38,6 +39,12 @@
         return self.outcomes[0] if len(self.outcomes) == 1 else self.outcomes.pop(0)
 
 
+def make_record(job_id, of_queue=QUEUE, workspace_name=""):
+    """Make the record of a small job."""
+    job = spec.Job("text", (spec.Step(1, spec.Demand(1, 1, 0), 200),))
+    return record.JobRecord(job_id, of_queue, job, 0, workspace=workspace_name)
+
+
 class IntakeCase(unittest.TestCase):
     """Base of tests with an intake in simulated time."""
 
@@ -52,18 +59,13 @@
             self.clock, self.store, metrics.Metrics(), self.notifier
         )
 
-    def make_record(self, job_id):
-        """Make the record of a small job."""
-        job = spec.Job("text", (spec.Step(1, spec.Demand(1, 1, 0), 200),))
-        return record.JobRecord(job_id, QUEUE, job, 0)
-
     def submit(self, job_id="a"):
         """Submit a job and advance time until its outcome or its deadline.
 
         Returns:
           A pair of the outcome and the seconds until it.
         """
-        job_record = self.make_record(job_id)
+        job_record = make_record(job_id)
         began_at = self.clock.seconds()
         results = []
         waiting = self.intake.submit(job_record, began_at + DEADLINE_S)
@@ -146,7 +148,7 @@
 
     def test_job_whose_first_try_is_under_way_is_not_refused(self):
         self.store.outcomes = [result.Failure(port.Unavailable("status 503"))]
-        self.intake.submit(self.make_record("a"), self.clock.seconds() + DEADLINE_S)
+        self.intake.submit(make_record("a"), self.clock.seconds() + DEADLINE_S)
         self.store.unavailable = True
         self.assertIsInstance(self.submit("a")[0], intake.Unknown)
         self.assertIsInstance(self.submit("b")[0], intake.Refused)
@@ -159,5 +161,131 @@
         self.assertIsInstance(self.submit()[0], intake.Accepted)
 
 
+class SharedStore:
+    """The platform's store as the processes of a cell share it.
+
+    Attributes:
+      late: Transactions whose answers are lost and that are applied later; None while
+        all transactions are applied at once.
+      calls: The names of the calls made, in order.
+    """
+
+    def __init__(self):
+        self.store = transaction_store.TransactionStore()
+        self.late = None
+        self.calls = []
+
+    def is_unavailable(self):
+        """The store always answers."""
+        return False
+
+    def is_cut_off(self):
+        """The store is always reached."""
+        return False
+
+    async def read_key(self, key):
+        """Read a key."""
+        self.calls.append("read_key")
+        return result.Success(self.read(key))
+
+    async def commit(self, transaction):
+        """Apply a transaction, or hold it and lose its answer."""
+        self.calls.append("commit")
+        if self.late is not None:
+            self.late.append(transaction)
+            return result.Failure(port.Ambiguous("no answer"))
+        return self.apply(transaction)
+
+    def apply(self, transaction):
+        """Apply a transaction; returns a Result of its revision."""
+        revision = self.store.commit(
+            [(c.key, c.revision) for c in transaction.conditions],
+            [(put.key, put.value, put.lease_id) for put in transaction.puts],
+            transaction.removes,
+        )
+        if revision is not None:
+            return result.Success(revision)
+        keys = [c.key for c in transaction.conditions if c.key in self.store.by_key]
+        by_key = {key: self.read(key) for key in keys}
+        return result.Failure(transactions.Refused("a condition failed", by_key))
+
+    def read(self, key):
+        """Read a key as a transactions.Item."""
+        stored = self.store.by_key.get(key)
+        if stored is None:
+            return transactions.Item(key, b"", transactions.ABSENT_REVISION)
+        return transactions.Item(key, stored.value, stored.rev)
+
+    def list_open_jobs(self):
+        """List the IDs of the jobs that an owner would start."""
+        keys = [key for key in self.store.by_key if key.startswith(record.JOB_PREFIX)]
+        records = [record.decode_job(self.read(key).value) for key in keys]
+        return [one.job_id for one in records if one.end_state is None]
+
+
+class CancelBeforeSubmission(unittest.TestCase):
+    """A cancel is answered before the submission of its job is processed."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        patched = mock.patch.object(clock, "read_monotonic", self.clock.seconds)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.store = SharedStore()
+        self.first, self.second = (self.make_intake() for _ in range(2))
+
+    def make_intake(self):
+        """Make the intake of a process."""
+        notifier = mock.Mock(spec=intake.Notifier)
+        return intake.Intake(self.clock, self.store, metrics.Metrics(), notifier)
+
+    def wait(self, coroutine):
+        """Advance time until a call has an outcome, at most to its deadline."""
+        results = []
+        tasks.spawn(coroutine, "call").addCallback(results.append)
+        until = self.clock.seconds() + DEADLINE_S
+        while not results and self.clock.seconds() < until:
+            self.clock.advance(STEP_S)
+        return results[0]
+
+    def cancel(self, at, job_id="a", caller=workspace.OPERATOR):
+        """Cancel a job at a process."""
+        return self.wait(at.cancel(job_id, caller, self.clock.seconds() + DEADLINE_S))
+
+    def submit(self, at, *job_ids, **more):
+        """Submit jobs at once at a process; returns their outcomes."""
+        deadline = self.clock.seconds() + DEADLINE_S
+        waiting = [at.submit(make_record(one, **more), deadline) for one in job_ids]
+        return [self.wait(one) for one in waiting]
+
+    # Guards against a job that runs after its DELETE was answered with 410.
+    def test_submission_processed_after_its_cancel_is_not_accepted(self):
+        for at, job_id in ((self.first, "a"), (self.second, "b")):
+            with self.subTest(is_same_process=at is self.first):
+                self.assertIsInstance(self.cancel(self.first, job_id), intake.NoSuchJob)
+                (outcome,) = self.submit(at, job_id)
+                self.assertNotIsInstance(outcome, intake.Accepted)
+                self.assertEqual(self.store.list_open_jobs(), [])
+
+    # Guards against a lost write of a job that is applied after its DELETE's answer.
+    def test_write_applied_after_the_cancel_persists_no_job(self):
+        self.store.late = []
+        (outcome,) = self.submit(self.first, "a")
+        self.assertIsInstance(outcome, intake.Unknown)
+        late, self.store.late = self.store.late, None
+        self.assertIsInstance(self.cancel(self.second), intake.NoSuchJob)
+        for transaction in late:
+            self.store.apply(transaction)
+        self.assertEqual(self.store.list_open_jobs(), [])
+
+    # Guards against a cancelled job that keeps others of its batch from acceptance.
+    def test_other_jobs_of_the_batch_are_accepted(self):
+        self.cancel(self.first, "b")
+        outcomes = self.submit(self.second, "a", "b", "c")
+        accepted = [isinstance(one, intake.Accepted) for one in outcomes]
+        self.assertEqual(accepted, [True, False, True])
+        self.assertEqual(self.store.list_open_jobs(), ["a", "c"])
+
+
 if __name__ == "__main__":
     unittest.main()
