Persist the cancel of an unknown job where its record would be written

What callers saw: a job ran after its DELETE was answered 410. The DELETE came to one process while the submission was still with another one, which was paused.

Cause: a process that found no record of the job answered and left nothing in the store, so a submission that was processed later was accepted. Evidence: with real processes three tasks started after the answer, whether the paused process was the owner or not, with a caller that left after 0.4 s; in simulated time also at the same process and with a lost write that is applied later.

Change: the cancel is written under the key of the job's record, on condition that it is absent. A submission has the same condition, so the store applies one of the two, whoever writes it and however late. Submissions and cancels of known jobs make the same calls as before; a cancel of an unknown job makes one write more. An early cancel bars only jobs that its callers may see, is limited in number and is removed by the owner after status_s. Earlier versions read it as a cancelled job. The owner accepts an incoming job only for the workspace whose job was persisted.

--- a/tests/workspaces_test.py
+++ b/tests/workspaces_test.py
@@ -76,6 +76,18 @@
             status = self.cell.submit(name, job_id=job_id, key=PHOTO_KEY)[1]
             self.assertEqual(status, 409)
 
+    # Guards against a key whose DELETE of an unknown ID bars another workspace's job.
+    def test_cancel_of_an_unknown_job_bars_the_jobs_of_its_workspace_alone(self):
+        job_id = next(self.cell.ids)
+        self.assertEqual(self.ask("DELETE", self.owner, job_id, PRESS_KEY), 410)
+        own = self.cell.submit(self.other, job_id=job_id, key=PRESS_KEY)[1]
+        self.assertEqual(own, 409)
+        for key in (PRESS_KEY, PHOTO_KEY):
+            self.assertEqual(self.ask("GET", self.other, job_id, key), 410)
+        status = self.cell.submit(self.other, job_id=job_id, key=PHOTO_KEY)[1]
+        self.assertEqual(status, 200)
+        self.cell.wait_state(self.owner, job_id, "succeeded", key=PHOTO_KEY)
+
     def test_public_queue_asks_for_no_key(self):
         config = schedulers.make_config(3, self.press, self.photo)
         config["routes"] = [config["routes"][0] | {"public": True}]
--- a/thornport/cell/decisions/core_test.py
+++ b/thornport/cell/decisions/core_test.py
@@ -312,6 +312,22 @@
         self.assertEqual(owner.read_state("q"), record.JobState.QUEUED)
         self.assertEqual(owner.count_waiting("press"), 1)
 
+    # Guards against a job that runs with what another workspace submitted for its ID.
+    def test_accepted_job_is_that_of_its_workspace(self):
+        owner = core.CellCore(9, self.world.now, self.world.now + 17.0, 120.0)
+        press, photo = (
+            msgspec.structs.replace(
+                cellworld.make_job("p", cellworld.make_step(1, 4, 200)), workspace=name
+            )
+            for name in ("press", "photo")
+        )
+        owner.take_incoming(press, self.world.now)
+        owner.accept_incoming("p", self.world.now, "photo")
+        self.assertEqual(owner.jobs_by_id, {})
+        owner.take_incoming(photo, self.world.now)
+        owner.accept_incoming("p", self.world.now, "photo")
+        self.assertEqual(owner.jobs_by_id["p"].record, photo)
+
     def test_job_is_in_one_batch_at_a_time_and_its_ends_wait_for_the_last(self):
         self.world.run(0.1)
         owner = self.world.owner
--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -1,6 +1,7 @@
 """Applies updates from the store and the peers: configuration, workers, jobs."""
 
 import collections.abc
+import functools
 
 import msgspec
 
@@ -257,13 +258,21 @@
         for update in deferred:
             update.apply(update.subject, now)
 
-    def accept_incoming(self, job_id, now):
-        """Add an incoming job that has been accepted."""
+    def accept_incoming(self, job_id, now, workspace=None):
+        """Add an incoming job that has been accepted.
+
+        Args:
+          job_id: A str.
+          now: A float.
+          workspace: A str, whose the accepted job is; None if it is not known. The
+            incoming job may be of another workspace that used the same ID.
+        """
         if self._deferred_updates is not None:
-            self._deferred_updates.append(DeferredUpdate(self.accept_incoming, job_id))
+            accept = functools.partial(self.accept_incoming, workspace=workspace)
+            self._deferred_updates.append(DeferredUpdate(accept, job_id))
             return
         job = self._incoming_by_id.get(job_id)
-        if job is not None:
+        if job is not None and workspace in (None, job.record.workspace):
             self.take_job(job.record, now)
 
     def take_incoming(self, job_record, now):
@@ -280,10 +289,9 @@
                 DeferredUpdate(self.take_incoming, job_record)
             )
             return
-        if (
-            job_record.job_id in self.jobs_by_id
-            or job_record.job_id in self._incoming_by_id
-        ):
+        known = self._incoming_by_id.get(job_record.job_id)
+        is_known = known is not None and known.record.workspace == job_record.workspace
+        if job_record.job_id in self.jobs_by_id or is_known:
             return
         job = self._incoming_by_id[job_record.job_id] = self._make_job(job_record, now)
         queue = self._queue_of(job)
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -201,7 +201,7 @@
         """Take all jobs in the order of acceptance, and store the cancels for later."""
         found = []
         await tasks.act_in_parts(
-            self._reactor, items, lambda part: found.extend(decode_jobs(part))
+            self._reactor, items, lambda part: found.extend(self._decode_jobs(part))
         )
         found.sort(key=get_accepted_at_ms)
         await tasks.act_in_parts(self._reactor, found, self._take_jobs)
@@ -209,34 +209,67 @@
 
     def _take_inbox(self, items):
         """Take all records, read again after the store dropped its history."""
-        self._take_jobs(sorted(decode_jobs(items), key=get_accepted_at_ms))
+        self._take_jobs(sorted(self._decode_jobs(items), key=get_accepted_at_ms))
         self._persisted_cancels = list_cancels(items)
         self._apply_persisted_cancels()
         self._session.pump()
 
+    def _decode_jobs(self, items):
+        """Decode the jobs among the items of the inbox, and take the early cancels.
+
+        Args:
+          items: A list of transactions.Item.
+        Returns:
+          A list of record.JobRecord; records that can't be decoded are logged and
+          omitted.
+        """
+        jobs = [item for item in items if item.key.startswith(record.JOB_PREFIX)]
+        decoded = (
+            self._decode_job(item.key, item.value, item.revision) for item in jobs
+        )
+        return [job_record for job_record in decoded if job_record is not None]
+
+    def _decode_job(self, key, value, revision):
+        """Decode a job; return None for an early cancel or an undecodable value."""
+        job_record = decode_job(key, value)
+        if job_record is not None and job_record.is_early_cancel():
+            now = clock.read_monotonic()
+            self._session.early_cancels.take(job_record.job_id, revision, now)
+            return None
+        return job_record
+
     def _take_jobs(self, jobs):
         for job_record in jobs:
             self._core.take_job(job_record, clock.read_monotonic())
 
     def _apply_persisted_cancels(self):
-        for job_id in self._persisted_cancels:
+        early = self._session.early_cancels.list_ids()
+        for job_id in (*self._persisted_cancels, *early):
             self._core.take_cancel(job_id, clock.read_monotonic())
 
     def _take_inbox_change(self, change):
-        if change.value is None:
-            return
-        now = clock.read_monotonic()
         if change.key.startswith(record.JOB_PREFIX):
-            job_record = decode_job(change.key, change.value)
-            # The owner's own writes and jobs that peers reported show up here again.
-            if job_record is not None and self._core.take_job(job_record, now):
-                logs.log("job-taken", job=job_record.job_id, revision=change.revision)
-        elif change.key.startswith(record.CANCEL_PREFIX):
+            self._take_job_change(change)
+        elif change.key.startswith(record.CANCEL_PREFIX) and change.value is not None:
             job_id = change.key.removeprefix(record.CANCEL_PREFIX)
-            self._core.take_cancel(job_id, now)
+            self._core.take_cancel(job_id, clock.read_monotonic())
             logs.log("cancel-taken", job=job_id, revision=change.revision)
         self._session.pump()
 
+    def _take_job_change(self, change):
+        now = clock.read_monotonic()
+        job_id = change.key.removeprefix(record.JOB_PREFIX)
+        self._session.early_cancels.drop(job_id)
+        if change.value is None:
+            return
+        job_record = self._decode_job(change.key, change.value, change.revision)
+        # The owner's own writes and jobs that peers reported show up here again.
+        if job_record is not None and self._core.take_job(job_record, now):
+            logs.log("job-taken", job=job_id, revision=change.revision)
+        if self._session.early_cancels.has(job_id):
+            # A process of an earlier version may have reported the job as accepted.
+            self._core.take_cancel(job_id, now)
+
     def _take_progress(self, items):
         now = clock.read_monotonic()
         for item in items:
@@ -278,19 +311,6 @@
     return entry.state, entry.total, entry.address, entry.started_at_ms
 
 
-def decode_jobs(items):
-    """Decode the jobs among the items of the inbox.
-
-    Args:
-      items: A list of transactions.Item.
-    Returns:
-      A list of record.JobRecord; records that can't be decoded are logged and omitted.
-    """
-    jobs = [item for item in items if item.key.startswith(record.JOB_PREFIX)]
-    decoded = (decode_job(item.key, item.value) for item in jobs)
-    return [job_record for job_record in decoded if job_record is not None]
-
-
 def get_accepted_at_ms(job_record):
     """Return when a job was accepted, the sort key of jobs.
 
--- a/thornport/cell/owner/following_test.py
+++ b/thornport/cell/owner/following_test.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer, task
 
 from thornport.cell.decisions import core
-from thornport.cell.owner import following
+from thornport.cell.owner import cancelexpiry, following
 from thornport.jobs import queue, record
 from thornport.kernel import httpcalls, metrics
 from thornport.platform import entries, entries_test, store
@@ -98,6 +98,7 @@
             decode_worker=entries.decode_entry,
             decode_errors=(entries.EntryError,),
         )
+        self.early_cancels = cancelexpiry.CancelExpiry(None, self.ports.store, 120.0)
         self.is_active = True
 
     def pump(self):
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -8,6 +8,7 @@
 from thornport.cell.decisions import core, leases, messages
 from thornport.cell.dispatch import dispatching
 from thornport.cell.owner import (
+    cancelexpiry,
     commands,
     following,
     ledger,
@@ -45,6 +46,7 @@
 
     Attributes:
       core: The core.CellCore.
+      early_cancels: The cancelexpiry.CancelExpiry of the early cancels in the store.
       polling: The polling.Polling of the workers.
       workers: The dispatching.DispatchedWorkers that polls and commands go through.
       began_at: A float, when this process got the key.
@@ -116,6 +118,9 @@
         self._speed_keeper = speedkeeping.SpeedKeeper(
             ports.store, lambda: self.core.token, self.core.speeds, now
         )
+        self.early_cancels = cancelexpiry.CancelExpiry(
+            reactor, ports.store, settings.bounds.status_s
+        )
         self._following = following.Following(reactor, self)
         self.workers = dispatching.DispatchedWorkers(
             reactor, bus, ports.workers, self._note_given_up
@@ -196,21 +201,25 @@
             self.core.take_incoming(job_record, clock.read_monotonic())
             self.pump()
 
-    def take_persisted_by_peer(self, job_id, is_cancel):
+    def take_persisted_by_peer(self, persisted):
         """Note that a peer has persisted a job or its cancel.
 
         The watch of the store reports it too, a little later.
 
         Args:
-          job_id: A str.
-          is_cancel: A bool.
+          persisted: A peering.Kept.
         """
         now = clock.read_monotonic()
-        if is_cancel:
+        job_id = persisted.job_id
+        if persisted.is_cancel:
             self.core.take_cancel(job_id, now)
+            logs.log("cancel-taken", job=job_id, by="peer")
+        elif self.early_cancels.has(job_id):
+            # A process of an earlier version takes an early cancel for the job.
+            logs.log("job-not-taken", job=job_id, reason="cancelled early")
         else:
-            self.core.accept_incoming(job_id, now)
-        logs.log("cancel-taken" if is_cancel else "job-taken", job=job_id, by="peer")
+            self.core.accept_incoming(job_id, now, persisted.workspace)
+            logs.log("job-taken", job=job_id, by="peer")
         self.pump()
 
     # Deciding.
@@ -432,6 +441,7 @@
         entries = [worker.entry for worker in self.core.workers_by_id.values()]
         self.workers.assign(self.core.callers.list_staying(now), entries, now)
         self.polling.poll_new_workers()
+        self.early_cancels.remove_due(now)
         self._speed_keeper.save_due(self.core.workers_by_id.values(), now)
         self.pump()
 
--- a/thornport/cell/peers/notifying.py
+++ b/thornport/cell/peers/notifying.py
@@ -51,22 +51,23 @@
         else:
             self._send_to_owner(peering.Incoming(value))
 
-    def notify_persisted(self, job_id, is_cancel=False):
+    def notify_persisted(self, job_id, is_cancel=False, workspace_name=None):
         """Notify the owner that a job, or its cancellation, is persisted.
 
         Args:
           job_id: A str.
           is_cancel: A bool, whether the cancellation is persisted.
+          workspace_name: A str, whose the job is; None for a cancellation.
         """
         if is_cancel:
             tasks.spawn(self._notify_cancel(job_id), "notify-cancel")
         else:
-            self._notify_once(job_id, is_cancel)
+            self._notify_once(peering.Kept(job_id, workspace=workspace_name))
 
     async def _notify_cancel(self, job_id):
         """Notify the current owner of a cancellation until it reports a final state."""
         for _ in range(MAX_SENDS):
-            self._notify_once(job_id, is_cancel=True)
+            self._notify_once(peering.Kept(job_id, is_cancel=True))
             await tasks.sleep(self._reactor, RESEND_PERIOD_S)
             if await self._read_state(job_id) in FINAL_STATES:
                 return
@@ -80,11 +81,11 @@
         state = core.read_state(job_id)
         return state.value if state is not None else ""
 
-    def _notify_once(self, job_id, is_cancel):
+    def _notify_once(self, message):
         if self._daemon.get_core() is not None:
-            self._daemon.session.take_persisted_by_peer(job_id, is_cancel)
+            self._daemon.session.take_persisted_by_peer(message)
         else:
-            self._send_to_owner(peering.Kept(job_id, is_cancel))
+            self._send_to_owner(message)
 
     def _send_to_owner(self, message):
         address = self._daemon.owner_address
--- a/thornport/cell/peers/peering.py
+++ b/thornport/cell/peers/peering.py
@@ -130,10 +130,16 @@
 
 
 class Kept(codec.Message, frozen=True):
-    """To the owner: a job, or the cancellation of one, is in the store."""
+    """To the owner: a job, or the cancellation of one, is in the store.
+
+    Attributes:
+      workspace: A str, whose the job is; None for a cancellation, and from processes of
+        earlier versions.
+    """
 
     job_id: str
     is_cancel: bool = False
+    workspace: str | None = None
 
 
 class Unresolved(codec.Message, frozen=True):
--- a/thornport/cell/peers/receiving.py
+++ b/thornport/cell/peers/receiving.py
@@ -109,7 +109,7 @@
 def take_kept(message: peering.Kept, daemon, address):
     """Pass the owner a job or a cancellation that a peer has persisted."""
     if daemon.session is not None:
-        daemon.session.take_persisted_by_peer(message.job_id, message.is_cancel)
+        daemon.session.take_persisted_by_peer(message)
 
 
 # Liveness of the owner, handover and takeover.
--- a/thornport/cell/web.py
+++ b/thornport/cell/web.py
@@ -242,13 +242,16 @@
 
     Args:
       request: A twisted request.
-      outcome: An intake.Taken, Refused or Unknown.
+      outcome: An intake.Taken, Cancelled, Refused or Unknown.
     Returns:
       Bytes, the body.
     """
     if isinstance(outcome, intake.Taken):
         problem = webreply.Problem("the ID is another job's")
         return webreply.answer(request, 409, problem)
+    if isinstance(outcome, intake.Cancelled):
+        problem = webreply.Problem("the job was cancelled before it was accepted")
+        return webreply.answer(request, 409, problem)
     if outcome.retry_s == intake.ELSEWHERE_RETRY_S:
         # A retry on this connection would reach the same process, which can't serve it.
         request.setHeader("Connection", "close")
--- a/thornport/jobs/intake.py
+++ b/thornport/jobs/intake.py
@@ -12,7 +12,7 @@
 from returns import result
 from twisted.internet import defer
 
-from thornport.jobs import record, workspace
+from thornport.jobs import earlycancels, record, workspace
 from thornport.kernel import clock, logs, tasks
 from thornport.store import port, transactions
 
@@ -57,14 +57,18 @@
     """Another workspace has a job of this ID; the submitted job never runs."""
 
 
+class Cancelled(msgspec.Struct, frozen=True):
+    """The job was cancelled before it was accepted; it never runs."""
+
+
 class Notifier:
     """Notifies the other processes of jobs and cancels that this one persists."""
 
     def notify_incoming(self, value):
         """Send the owner the encoded record of a job whose write is under way."""
 
-    def notify_persisted(self, job_id, is_cancel=False):
-        """Notify the owner that a job, or its cancel, is persisted."""
+    def notify_persisted(self, job_id, is_cancel=False, workspace_name=None):
+        """Notify the owner that a job of a workspace, or its cancel, is persisted."""
 
     def notify_unresolved(self, job_id):
         """Notify all processes that it is unknown whether a job is persisted."""
@@ -80,6 +84,8 @@
       may_be_persisted: Whether an earlier try or a write without an answer may have
         persisted it.
       value: The encoded record.
+      revision: That of its key on which its write is conditional: absent, or of an
+        early cancel that does not bar it.
     """
 
     job_record: record.JobRecord
@@ -89,6 +95,7 @@
     outcome: defer.Deferred
     may_be_persisted: bool = False
     value: bytes = b""
+    revision: int = transactions.ABSENT_REVISION
 
 
 class Intake:
@@ -110,6 +117,7 @@
         self._unresolved_until_by_id = {}
         self._open_count_by_id = collections.Counter()
         self._gathered = []
+        self._early_cancels = earlycancels.Limit()
 
     def note_unresolved(self, job_id):
         """Note that a job may be persisted, so that it must not be refused.
@@ -130,7 +138,7 @@
           job_record: A record.JobRecord.
           deadline: A float, until when the caller waits.
         Returns:
-          A Deferred of Accepted, Taken, Refused or Unknown.
+          A Deferred of Accepted, Taken, Cancelled, Refused or Unknown.
         """
         now = clock.read_monotonic()
         refuse_at = now + compute_refuse_s(job_record)
@@ -201,13 +209,20 @@
             await tasks.sleep(self._reactor, RETRY_S)
 
     def _settle_known(self, batch, error):
-        """Settle the jobs that the store has already and return the others."""
+        """Settle the jobs whose keys the store has already, and return the others."""
         remaining = []
         for pending in batch:
-            item = error.by_key.get(record.JOB_PREFIX + pending.job_record.job_id)
-            if item is None:
+            job_record = pending.job_record
+            item = error.by_key.get(record.JOB_PREFIX + job_record.job_id)
+            known = decode_known(item) if item is not None else None
+            if item is None or (known is not None and not is_final(known, job_record)):
+                pending.revision = (
+                    item.revision if item is not None else transactions.ABSENT_REVISION
+                )
                 remaining.append(pending)
-            elif is_visible(item, workspace.make_submitter(pending.job_record)):
+            elif known is not None and known.is_early_cancel():
+                self._settle(pending, Cancelled(), "cancelled")
+            elif known is None or workspace.make_submitter(job_record).may_see(known):
                 self._settle(pending, Accepted(), "known")
             else:
                 self._settle(pending, Taken(), "taken")
@@ -247,7 +262,9 @@
             retry_s=getattr(outcome, "retry_s", ""),
         )
         if isinstance(outcome, Accepted):
-            self._notifier.notify_persisted(job_record.job_id)
+            self._notifier.notify_persisted(
+                job_record.job_id, workspace_name=job_record.workspace
+            )
         pending.outcome.callback(outcome)
 
     async def cancel(self, job_id, caller, deadline):
@@ -285,9 +302,13 @@
         if isinstance(read, result.Failure):
             return read.failure()
         item = read.unwrap()
-        is_there = item.revision != transactions.ABSENT_REVISION
-        if not is_there or not is_visible(item, caller):
-            logs.log("job-not-found", job=job_id, hidden_revision=item.revision)
+        if item.revision == transactions.ABSENT_REVISION:
+            return await self._cancel_early(job_id, caller, item, ())
+        known = decode_known(item)
+        if known is not None and known.is_early_cancel():
+            return await self._cancel_early(job_id, caller, item, known.cancelled_by)
+        if known is not None and not caller.may_see(known):
+            logs.log("job-hidden", job=job_id, revision=item.revision)
             return NoSuchJob()
         key = record.CANCEL_PREFIX + job_id
         written = await self._store.commit(
@@ -301,21 +322,59 @@
         error = written.failure()
         return Accepted() if isinstance(error, transactions.Refused) else error
 
+    async def _cancel_early(self, job_id, caller, item, earlier_callers):
+        """Persist the cancel of a job that the store does not have.
+
+        Args:
+          job_id: A str.
+          caller: The workspace.Caller that cancels.
+          item: The transactions.Item of the job's key.
+          earlier_callers: A tuple of the workspace.Callers whose early cancel it is.
+        Returns:
+          NoSuchJob, Refused, or a port.StoreError after which to try again.
+        """
+        if any(known == caller or known.sees_all for known in earlier_callers):
+            return NoSuchJob()
+        if not self._early_cancels.take(clock.read_monotonic()):
+            return Refused("too many cancels of unknown jobs")
+        callers = (*earlier_callers, caller)
+        written = await self._store.commit(
+            earlycancels.make_transaction(job_id, item, callers)
+        )
+        if isinstance(written, result.Success):
+            logs.log("early-cancel", job=job_id, revision=written.unwrap())
+            return NoSuchJob()
+        if not isinstance(written.failure(), port.Ambiguous):
+            self._early_cancels.give_back()
+        return written.failure()
+
 
-def is_visible(item, caller):
-    """Tell whether a caller may see the job of an item.
+def decode_known(item):
+    """Decode what the store has under the key of a job.
 
     Args:
       item: A transactions.Item that exists in the store.
-      caller: A workspace.Caller.
     Returns:
-      A bool; true for an undecodable value, whose workspace is unknown.
+      A record.JobRecord; None for an undecodable value, whose workspace is unknown, so
+      that every caller may see it.
     """
     try:
-        return caller.may_see(record.decode_job(item.value))
+        return record.decode_job(item.value)
     except record.RecordError as error:
         logs.log("job-undecodable", key=item.key, reason=str(error))
-        return True
+        return None
+
+
+def is_final(known, job_record):
+    """Tell whether a record in the store decides what becomes of a submission.
+
+    Args:
+      known: The record.JobRecord in the store.
+      job_record: The record.JobRecord to be persisted under the same ID.
+    Returns:
+      A bool; false for an early cancel that does not bar the job, which replaces it.
+    """
+    return not known.is_early_cancel() or known.bars(job_record)
 
 
 def compute_refuse_s(job_record):
@@ -337,11 +396,8 @@
     Returns:
       A transactions.Transaction.
     """
-    keys = [record.JOB_PREFIX + pending.job_record.job_id for pending in batch]
+    by_key = {record.JOB_PREFIX + one.job_record.job_id: one for one in batch}
     return transactions.Transaction(
-        [transactions.Condition(key, transactions.ABSENT_REVISION) for key in keys],
-        [
-            transactions.Put(key, pending.value)
-            for key, pending in zip(keys, batch, strict=True)
-        ],
+        [transactions.Condition(key, one.revision) for key, one in by_key.items()],
+        [transactions.Put(key, one.value) for key, one in by_key.items()],
     )
--- a/thornport/jobs/intake_test.py
+++ b/thornport/jobs/intake_test.py
@@ -4,10 +4,10 @@
 from unittest import mock
 
 from returns import result
-from twisted.internet import task
+from twisted.internet import defer, task
 
 from standins import transaction_store
-from thornport.jobs import intake, queue, record, spec, workspace
+from thornport.jobs import earlycancels, intake, queue, record, spec, workspace
 from thornport.kernel import clock, metrics, tasks
 from thornport.store import port, transactions
 
@@ -109,7 +109,7 @@
     def test_persisted_job_is_accepted_and_notified(self):
         self.store.outcomes = [result.Success(7)]
         self.assertIsInstance(self.submit()[0], intake.Accepted)
-        self.notifier.notify_persisted.assert_called_once_with("a")
+        self.notifier.notify_persisted.assert_called_once_with("a", workspace_name="")
 
     def test_job_that_the_store_has_already_is_accepted(self):
         item = transactions.Item(record.JOB_PREFIX + "a", b"", 3)
@@ -161,6 +161,13 @@
         self.assertIsInstance(self.submit()[0], intake.Accepted)
 
 
+def make_write(job_id):
+    """Make the transaction that writes a small job."""
+    pending = intake.Pending(make_record(job_id), 0.0, 0.0, 0.0, defer.Deferred())
+    pending.value = record.encode_record(pending.job_record)
+    return intake.make_transaction([pending])
+
+
 class SharedStore:
     """The platform's store as the processes of a cell share it.
 
@@ -286,6 +293,101 @@
         self.assertEqual(accepted, [True, False, True])
         self.assertEqual(self.store.list_open_jobs(), ["a", "c"])
 
+    # Guards against a workspace whose key bars the job of another one.
+    def test_cancel_bars_only_jobs_that_its_caller_may_see(self):
+        press = workspace.Caller("press")
+        self.cancel(self.first, caller=press)
+        (outcome,) = self.submit(self.second, "a", workspace_name="photo")
+        self.assertIsInstance(outcome, intake.Accepted)
+        self.assertEqual(self.store.list_open_jobs(), ["a"])
+        # The job is the other workspace's now, as one that was there before.
+        self.assertIsInstance(self.cancel(self.first, caller=press), intake.NoSuchJob)
+        (outcome,) = self.submit(self.second, "a", workspace_name="press")
+        self.assertIsInstance(outcome, intake.Taken)
+
+    # Guards against a caller whose cancel is lost as another one has cancelled the ID.
+    def test_cancels_of_two_workspaces_bar_the_jobs_of_both(self):
+        for name in ("press", "photo"):
+            self.cancel(self.first, caller=workspace.Caller(name))
+        for name in ("press", "photo"):
+            (outcome,) = self.submit(self.second, "a", workspace_name=name)
+            self.assertIsInstance(outcome, intake.Cancelled)
+        (outcome,) = self.submit(self.second, "a", workspace_name="archive")
+        self.assertIsInstance(outcome, intake.Accepted)
+
+    # Guards against a removed early cancel that a submission still expects.
+    def test_submission_is_accepted_if_the_cancel_goes_while_it_is_written(self):
+        self.cancel(self.first, caller=workspace.Caller("press"))
+        key = record.JOB_PREFIX + "a"
+        commit = self.store.commit
+
+        async def commit_and_remove(transaction):
+            written = await commit(transaction)
+            self.store.store.commit([], [], [key])
+            self.store.commit = commit
+            return written
+
+        self.store.commit = commit_and_remove
+        (outcome,) = self.submit(self.second, "a", workspace_name="photo")
+        self.assertIsInstance(outcome, intake.Accepted)
+        self.assertEqual(self.store.list_open_jobs(), ["a"])
+
+    # Guards against a job whose submission overtakes the cancel and that runs on.
+    def test_job_accepted_while_the_cancel_is_written_is_cancelled(self):
+        read_key = self.store.read_key
+
+        async def read_and_submit(key):
+            read = await read_key(key)
+            self.store.read_key = read_key
+            await self.store.commit(make_write("a"))
+            return read
+
+        self.store.read_key = read_and_submit
+        self.assertIsInstance(self.cancel(self.first), intake.Accepted)
+        self.assertIn(record.CANCEL_PREFIX + "a", self.store.store.by_key)
+
+    # Guards against cancels that cost the store more than they must.
+    def test_calls_of_a_cancel(self):
+        self.submit(self.first, "a")
+        for job_id, calls in (
+            ("a", ["read_key", "commit"]),
+            ("b", ["read_key", "commit"]),
+            ("b", ["read_key"]),
+        ):
+            self.store.calls.clear()
+            self.cancel(self.first, job_id)
+            self.assertEqual(self.store.calls, calls)
+
+    # Guards against a store that cancels of unknown jobs fill.
+    def test_cancels_of_unknown_jobs_are_limited(self):
+        count = earlycancels.MAX_EARLY_CANCELS
+        outcomes = [self.cancel(self.first, str(number)) for number in range(count + 2)]
+        self.assertEqual({type(one) for one in outcomes[:count]}, {intake.NoSuchJob})
+        self.assertEqual({type(one) for one in outcomes[count:]}, {intake.Refused})
+        self.assertEqual(len(self.store.store.by_key), count)
+        self.submit(self.first, "job")
+        self.assertIsInstance(self.cancel(self.first, "job"), intake.Accepted)
+        self.clock.advance(earlycancels.WINDOW_S)
+        self.assertIsInstance(self.cancel(self.first, "x"), intake.NoSuchJob)
+
+    # Guards against retries of one cancel that use up the limit.
+    def test_writes_that_were_not_applied_do_not_count(self):
+        commit = self.store.commit
+
+        async def refuse(transaction):
+            return result.Failure(port.Unavailable("status 503"))
+
+        self.store.commit = refuse
+        for number in range(earlycancels.MAX_EARLY_CANCELS // 40):
+            self.assertIsInstance(self.cancel(self.first, str(number)), intake.Refused)
+        self.store.commit = commit
+        self.assertIsInstance(self.cancel(self.first, "a"), intake.NoSuchJob)
+
+    # Guards against a cancel reported as without effect that may be persisted.
+    def test_cancel_without_an_answer_of_the_store_is_unknown(self):
+        self.store.late = []
+        self.assertIsInstance(self.cancel(self.first), intake.Unknown)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/jobs/reading.py
+++ b/thornport/jobs/reading.py
@@ -36,7 +36,7 @@
     if isinstance(decoded, result.Failure):
         return decoded
     job_record = decoded.unwrap()
-    if not caller.may_see(job_record):
+    if job_record.is_early_cancel() or not caller.may_see(job_record):
         return result.Success(None)
     if progress is not None and job_record.end_state is None:
         return decode_item(progress, read_progress)
--- a/thornport/jobs/reading_test.py
+++ b/thornport/jobs/reading_test.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from thornport.jobs import queue, reading, record, spec
+from thornport.jobs import queue, reading, record, spec, workspace
 from thornport.kernel import tasks
 from thornport.store import transactions
 
@@ -65,6 +65,15 @@
         }
         self.assertEqual(states, expected)
 
+    # Guards against a job that nobody submitted and that is shown as cancelled.
+    def test_early_cancel_is_no_job(self):
+        for caller in (workspace.OPERATOR, workspace.Caller("press")):
+            early = record.make_early_cancel("early", (caller,))
+            self.store.put(record.JOB_PREFIX + "early", early)
+            read = reading.read_state(self.store, "early", caller)
+            self.assertIsNone(self.read(read))
+        self.assertEqual(self.read(reading.count_waiting(self.store, "press")), 1)
+
     def test_undecodable_value_is_a_failure(self):
         for prefix in (record.JOB_PREFIX, record.PROGRESS_PREFIX):
             self.store.by_key = {
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from thornport.jobs import queue, spec
+from thornport.jobs import queue, spec, workspace
 
 INBOX_PREFIX = "thornport/inbox/"
 JOB_PREFIX = INBOX_PREFIX + "job/"
@@ -44,8 +44,15 @@
     CRASHES = "crashes"
 
 
+# JobRecord has a field `workspace`, which hides the module there.
+Callers = tuple[workspace.Caller, ...]
+
+
 class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A job and its queue as they were when the job was accepted.
+    """A job and its queue as they were when the job was accepted, or an early cancel.
+
+    An early cancel stands where the record of a job would, and keeps that from being
+    written; see `earlycancels`.
 
     Attributes:
       accepted_at_ms: An int, milliseconds since 1970.
@@ -54,6 +61,8 @@
       workspace: The name of the workspace that the job belongs to; empty in
         deployments without workspaces, in public queues, and in records of versions
         before workspaces.
+      cancelled_by: Of an early cancel, a tuple of the workspace.Callers that cancelled
+        the job; empty in the record of a job.
     """
 
     job_id: str
@@ -63,6 +72,21 @@
     end_state: JobState | None = None
     cause: FailureCause | None = None
     workspace: str = ""
+    cancelled_by: Callers = ()
+
+    def is_early_cancel(self):
+        """Tell whether this is an early cancel and not the record of a job."""
+        return bool(self.cancelled_by)
+
+    def bars(self, job_record):
+        """Tell whether a caller that may see a job has cancelled it here.
+
+        Args:
+          job_record: A JobRecord to be persisted under the same ID.
+        Returns:
+          A bool.
+        """
+        return any(caller.may_see(job_record) for caller in self.cancelled_by)
 
     def compute_objective_ms(self):
         """Compute the job's time objective from its own estimates; an int."""
@@ -114,6 +138,29 @@
     )
 
 
+def make_early_cancel(job_id, callers):
+    """Make the record of an early cancel.
+
+    Versions before early cancels read it as a job of the first caller's workspace that
+    was cancelled, so their owners don't start it and remove it in time.
+
+    Args:
+      job_id: A str.
+      callers: A tuple of workspace.Caller, at least one.
+    Returns:
+      A JobRecord.
+    """
+    return JobRecord(
+        job_id,
+        queue.Queue(callers[0].queue),
+        spec.Job(),
+        int(time.time() * 1000),
+        JobState.CANCELLED,
+        workspace=callers[0].workspace,
+        cancelled_by=callers,
+    )
+
+
 class LiveRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that may be live; persisted before its start command is sent.
 
--- a/thornport/jobs/record_test.py
+++ b/thornport/jobs/record_test.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 
 from tests import oddvalues
-from thornport.jobs import queue, record, spec
+from thornport.jobs import queue, record, spec, workspace
 
 
 class EarlierLiveRun(msgspec.Struct, frozen=True, array_like=True):
@@ -19,6 +19,18 @@
     worker_started_at_ms: int | None = None
 
 
+class EarlierJobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A record.JobRecord as versions before early cancels read it."""
+
+    job_id: str
+    queue: queue.Queue
+    job: spec.Job
+    accepted_at_ms: int
+    end_state: record.JobState | None = None
+    cause: record.FailureCause | None = None
+    workspace: str = ""
+
+
 class OtherVersions(unittest.TestCase):
     """Records that a process of another version reads."""
 
@@ -34,6 +46,21 @@
         self.assertEqual(read, record.LiveRun(1, 2, "w", "h:1", 5))
         self.assertFalse(read.has_begun or read.has_more_copies or read.is_over)
 
+    # Guards against an owner of an earlier version that starts a job cancelled early.
+    def test_earlier_version_reads_an_early_cancel_as_a_cancelled_job(self):
+        callers = (workspace.Caller("press"), workspace.Caller("photo"))
+        value = record.encode_record(record.make_early_cancel("a", callers))
+        read = msgspec.msgpack.decode(value, type=EarlierJobRecord)
+        self.assertIs(read.end_state, record.JobState.CANCELLED)
+        self.assertEqual((read.job_id, read.workspace), ("a", "press"))
+
+    def test_record_of_an_earlier_version_is_no_early_cancel(self):
+        earlier = EarlierJobRecord(
+            "a", queue.Queue("press"), spec.Job(), 0, record.JobState.CANCELLED
+        )
+        read = record.decode_job(msgspec.msgpack.encode(earlier))
+        self.assertFalse(read.is_early_cancel())
+
 
 PROGRESS = record.Progress(
     record.JobState.RUNNING,
@@ -60,10 +87,17 @@
     1_700_000_000_000,
 )
 
+EARLY_CANCEL = record.make_early_cancel("a", (workspace.Caller("press"),))
+
 
 class OddRecords(unittest.TestCase):
     """Values that are no records raise RecordError and nothing else."""
 
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(oddvalues.packed(msgspec.to_builtins(EARLY_CANCEL)))
+    def test_any_value_is_an_early_cancel_or_an_error(self, value):
+        self.check(record.decode_job, value)
+
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(oddvalues.packed(msgspec.to_builtins(JOB)))
     def test_any_value_is_a_job_or_an_error(self, value):
