Log how many jobs a new owner takes for waiting

records-read named the jobs that an owner has read and not how many of them it takes for jobs that have not begun, so the log could not show whether a wrong count comes from the records or from what the owner learned since. No change of behaviour.

--- a/thornport/cell/decisions/core.py
+++ b/thornport/cell/decisions/core.py
@@ -197,6 +197,10 @@
             return None
         return job.persisted_state
 
+    def count_all_waiting(self):
+        """Count the jobs of all queues of which no task is known to have begun."""
+        return sum(not job.has_run for job in self._unended_by_id.values())
+
     def count_waiting(self, queue_name):
         """Count the jobs of a queue of which no task has begun."""
         return sum(
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -179,6 +179,7 @@
             "records-read",
             token=self.core.token,
             jobs=len(self.core.jobs_by_id),
+            waiting=self.core.count_all_waiting(),
             workers=len(self.core.workers_by_id),
             took_ms=int((clock.read_monotonic() - began) * 1000),
         )
