Tests of jobs whose starts were refused before a change of owner

Callers see waiting as 0 while four jobs wait of which nothing has begun. In the core's world a worker refuses for its health, for room, or by its port; the job waits under its owner and has begun for each successor that reads a record without live runs, also in the count of its workspace.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,6 +24,7 @@
     late_starts_ms: int = 0
     unlisted: bool = False
     failing: int = 0
+    refuses_starts: bool = False
 
 
 class StoreApp:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -84,6 +84,8 @@
         if step is None:
             self._platform.unknown.append(wire.task)
             return serve.reply(request, 400, {})
+        if self._platform.faults.refuses_starts:
+            return serve.reply(request, 503, {})
         late_ms = self._platform.faults.late_starts_ms
         if late_ms:
             self._platform.late_starts += 1
