Record whether a run of a job has begun, for successors

What callers saw: waiting was 0 at every process, though four jobs waited of which nothing had begun. One worker refused their starts, and the owner had been killed.

Cause: whether a run has begun was known to the owner's memory alone. A successor took a record without live runs for that of a job that has begun, which is also what a refused start leaves.

Change: the record of progress has has_begun, written with records that are written anyway, so the store gets no further call. Records of earlier versions are read as before, and earlier versions ignore the field. A process that can't ask the owner counts by it too: there each job with a record had begun.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,9 +7,10 @@
 out), `slow_ms` (each call waits that long), `late_starts_ms` (workers leave starts
 unanswered and carry them out that much later), `unlisted` (workers live, but their
 entries are gone while this is set), `failing` (so many workers fail all that they
-start), `refuses_starts` (workers answer starts with 503). `POST /crash` replaces a worker by another life,
-`POST /room?cores=N` changes what each worker has while it runs. A task of a job whose
-text is `crash` crashes the worker that starts it; another life takes its address.
+start), `refuses_starts` (workers answer starts with 503). `POST /crash` replaces a
+worker by another life, `POST /room?cores=N` changes what each worker has while it runs.
+A task of a job whose text is `crash` crashes the worker that starts it; another life
+takes its address.
 `GET /seen` tells what the workers saw; its `late_starts` counts the starts that are yet
 to be carried out, its `most_by_text` the most millicores that the jobs of one text had
 running at once, its `percent_by_task` the progress of what runs.
--- a/thornport/cell/decisions/progress.py
+++ b/thornport/cell/decisions/progress.py
@@ -19,10 +19,13 @@
             for step in job.steps_by_key.values()
             if step.live_by_index or step.late_by_index
         )
-        return record.Progress(job.state, live, job.times_done, job.cause)
+        return record.Progress(job.state, live, job.times_done, job.cause, job.has_run)
     steps = (step for step in job.steps_by_key.values() if has_begun(step))
     return record.Progress(
-        job.state, tuple(make_step(step) for step in steps), job.times_done
+        job.state,
+        tuple(make_step(step) for step in steps),
+        job.times_done,
+        has_begun=job.has_run,
     )
 
 
@@ -51,19 +54,6 @@
     return bool(step.is_done or step.last_run)
 
 
-def has_run(saved):
-    """Whether a run of a job that has been started may have begun, by its record.
-
-    Args:
-      saved: A record.Progress.
-    Returns:
-      A bool; false if the record names only runs that are not known to have begun.
-    """
-    live = [run for step in saved.steps for run in step.live]
-    is_done = any(step.all_done or step.done for step in saved.steps)
-    return not live or is_done or any(run.has_begun for run in live)
-
-
 def make_step(step):
     """Make the record of a step.
 
--- a/thornport/cell/decisions/waiting_test.py
+++ b/thornport/cell/decisions/waiting_test.py
@@ -124,6 +124,13 @@
 class Begun(WaitingCase):
     """A task of the job has begun, and no run of it is live any more."""
 
+    def find_run(self):
+        """Find the only live run of the job."""
+        job = self.world.owner.jobs_by_id["a"]
+        (step,) = job.steps_by_key.values()
+        (run,) = step.live_by_index.values()
+        return run
+
     def check_begun(self):
         """Check that the job counts as begun under two successors."""
         for _ in range(2):
@@ -144,15 +151,17 @@
         self.submit()
         self.world.run(1.0)
         self.refusal = REFUSALS[0]
-        (worker_id,) = {
-            run.worker_id
-            for step in self.world.owner.jobs_by_id["a"].steps_by_key.values()
-            for run in step.live_by_index.values()
-        }
-        self.world.restart(worker_id)
+        self.world.restart(self.find_run().worker_id)
         self.world.run(20.0)
         self.check_begun()
 
+    def test_after_a_stop_with_a_checkpoint(self):
+        self.submit(checkpoints=True)
+        self.world.run(3.0)
+        self.refusal = REFUSALS[0]
+        self.world.owner._stop_run(self.find_run(), self.world.now)
+        self.check_begun()
+
     def test_after_a_step(self):
         first = cellworld.make_step(1, 4, 200)
         second = cellworld.make_step(1, 4, LONG_MS, after=(0,))
--- a/thornport/jobs/reading.py
+++ b/thornport/jobs/reading.py
@@ -64,6 +64,23 @@
         return result.Failure(port.Unavailable(f"bad record: {error}"))
 
 
+def may_have_begun(item):
+    """Tell whether a run of a job may have begun, by the record of its progress.
+
+    Args:
+      item: A transactions.Item.
+    Returns:
+      A bool; true for a record that can't be decoded, and for one with live runs, since
+      it is mostly written before the answers to their starts.
+    """
+    try:
+        saved = record.decode_progress(item.value)
+    except record.RecordError as error:
+        logs.log("progress-undecodable", key=item.key, reason=str(error))
+        return True
+    return saved.has_live_runs() or saved.has_run()
+
+
 async def count_waiting(store, queue_name):
     """Count the jobs of a queue that have not begun, without repeating jobs.
 
@@ -76,7 +93,11 @@
     begun = await watching.read_prefix(store, record.PROGRESS_PREFIX)
     if isinstance(begun, result.Failure):
         return begun
-    begun_ids = {item.key.rsplit("/", 1)[1] for item in begun.unwrap()[0]}
+    begun_ids = {
+        item.key.removeprefix(record.PROGRESS_PREFIX)
+        for item in begun.unwrap()[0]
+        if may_have_begun(item)
+    }
     read = await watching.read_prefix(store, record.JOB_PREFIX)
     if isinstance(read, result.Failure):
         return read
--- a/thornport/jobs/reading_test.py
+++ b/thornport/jobs/reading_test.py
@@ -87,6 +87,35 @@
     def test_only_waiting_jobs_are_counted(self):
         self.assertEqual(self.read(reading.count_waiting(self.store, "press")), 1)
 
+    # Guards against a job that counts as begun while the owner can't be asked, though
+    # its starts were refused.
+    def test_job_of_which_no_run_has_begun_is_counted(self):
+        refused = record.Progress(
+            record.JobState.RUNNING, (record.StepProgress(0, 0, 3),), has_begun=False
+        )
+        self.store.put(record.PROGRESS_PREFIX + "waits", refused)
+        self.assertEqual(self.read(reading.count_waiting(self.store, "press")), 1)
+
+    def test_job_that_may_have_begun_is_not_counted(self):
+        live = record.StepProgress(0, 0, 1, live=(record.LiveRun(0, 1, "w"),))
+        step = record.StepProgress(0, 0, 3)
+        for saved in (
+            record.Progress(record.JobState.RUNNING, (step,), has_begun=True),
+            record.Progress(record.JobState.RUNNING, (live,), has_begun=False),
+            # Records of earlier versions.
+            record.Progress(record.JobState.RUNNING, (step,)),
+            record.Progress(record.JobState.RUNNING),
+        ):
+            with self.subTest(saved=saved):
+                self.store.put(record.PROGRESS_PREFIX + "waits", saved)
+                counted = self.read(reading.count_waiting(self.store, "press"))
+                self.assertEqual(counted, 0)
+
+    def test_undecodable_progress_counts_as_begun(self):
+        key = record.PROGRESS_PREFIX + "waits"
+        self.store.by_key[key] = transactions.Item(key, b"x", 1)
+        self.assertEqual(self.read(reading.count_waiting(self.store, "press")), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thornport/jobs/record.py
+++ b/thornport/jobs/record.py
@@ -257,12 +257,34 @@
       steps: The StepProgress of each step that has begun.
       times_done: An int, how many repetitions of the job are over.
       cause: The FailureCause of a job that has failed.
+      has_begun: Whether a run of the job is known to have begun. None in records of
+        earlier versions.
     """
 
     state: JobState
     steps: tuple[StepProgress, ...] = ()
     times_done: int = 0
     cause: FailureCause | None = None
+    has_begun: bool | None = None
+
+    def has_live_runs(self):
+        """Tell whether a run of the job may be live."""
+        return any(step.live for step in self.steps)
+
+    def has_run(self):
+        """Tell whether a run of the job is known to have begun.
+
+        The record may be older than the answer to the start of a live run.
+        """
+        if self.state is JobState.QUEUED:
+            return False
+        if any(step.all_done or step.done for step in self.steps):
+            return True
+        if any(run.has_begun for step in self.steps for run in step.live):
+            return True
+        if self.has_begun is None:
+            return not self.has_live_runs()
+        return self.has_begun
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/thornport/jobs/record_test.py
+++ b/thornport/jobs/record_test.py
@@ -31,6 +31,15 @@
     workspace: str = ""
 
 
+class EarlierProgress(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A record.Progress as versions before `has_begun` write and read it."""
+
+    state: record.JobState
+    steps: tuple[record.StepProgress, ...] = ()
+    times_done: int = 0
+    cause: record.FailureCause | None = None
+
+
 class OtherVersions(unittest.TestCase):
     """Records that a process of another version reads."""
 
@@ -54,6 +63,16 @@
         self.assertIs(read.end_state, record.JobState.CANCELLED)
         self.assertEqual((read.job_id, read.workspace), ("a", "press"))
 
+    # Guards against an earlier owner that can't read records, and one whose records are
+    # read as those of jobs that have not begun.
+    def test_progress_beside_an_earlier_version(self):
+        step = record.StepProgress(0, 0, 1)
+        saved = record.Progress(record.JobState.RUNNING, (step,), has_begun=False)
+        read = msgspec.msgpack.decode(record.encode_record(saved), type=EarlierProgress)
+        self.assertEqual(read, EarlierProgress(record.JobState.RUNNING, (step,)))
+        written_again = record.decode_progress(msgspec.msgpack.encode(read))
+        self.assertTrue(written_again.has_run())
+
     def test_record_of_an_earlier_version_is_no_early_cancel(self):
         earlier = EarlierJobRecord(
             "a", queue.Queue("press"), spec.Job(), 0, record.JobState.CANCELLED
@@ -79,6 +98,7 @@
             (record.UnprovenLoss(0, "w", "10.0.0.1:80"),),
         ),
     ),
+    has_begun=True,
 )
 JOB = record.JobRecord(
     "a",
