Soak: callers that leave at once and cancel elsewhere; two more forms in tests

A tenth as many further jobs have a caller that waits 0.02 s for its answer and cancels at another process; a job whose DELETE was answered 410 must not start. They are drawn by themselves, so the other draws of a seed stay.

tests.cancel_test: the owner is replaced between the cancel and the submission, and the store does not answer the paused process, so a peer makes its write.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -97,8 +97,8 @@
         f"schedulers={size.schedulers} proxied={size.proxied} workers={size.workers} "
         f"faults={len(drawn.faults)} accepted={len(book.accepted)} "
         f"refused={len(book.refused)} unknown={len(book.unknown)} "
-        f"cancelled={len(book.cancelled)} lasting={len(book.lasting)} "
-        f"versions={striker.watcher.counted}"
+        f"cancelled={len(book.cancelled)} never={len(book.never)} "
+        f"lasting={len(book.lasting)} versions={striker.watcher.counted}"
     )
     return broken, told
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,8 +12,12 @@
 TRIES = 5  # the users' callers try again four times
 # Statuses of calls that may have been done: no answer, and an outcome not known.
 UNKNOWN_STATUSES = frozenset({0, 504})
+TIMEOUT_S = 3.0  # of a call
 PAUSE_S = 0.1  # between the jobs of a caller
 CANCEL_SHARE = 0.15  # of accepted jobs
+LEAVE_SHARE = 0.1  # chance of a further job whose caller leaves at once and cancels it
+LEAVE_S = 0.02  # how long such a caller waits for the answer to its submission
+LEAVING_IDS = 0x80000000  # added to the numbers of such jobs
 URGENT_SHARE = 0.2  # of jobs
 SAVING_SHARE = 0.5  # of the steps that are not the last one of a job
 PATH = "/editions/"
@@ -36,6 +40,7 @@
         when each try was, and cancelled when its cancel was accepted.
       maybe_cancelled: A set of IDs of jobs whose cancel was not accepted, but may have
         been done.
+      never: A set of IDs of jobs that must not start, as their DELETE was answered 410.
       gangs: A set of IDs of jobs whose first step is a gang.
       lasting: A set of IDs of jobs that run until they are cancelled, whatever came
         of them.
@@ -47,6 +52,7 @@
         self.unknown = set()
         self.cancelled = set()
         self.maybe_cancelled = set()
+        self.never = set()
         self.lasting = set()
         self.gangs = set()
 
@@ -69,6 +75,8 @@
         self._book = book
         self._seed = seed
         self._rng = random.Random(seed)
+        # Of its own, so that a seed's other jobs are as without it.
+        self._leaving_rng = random.Random(f"{seed} leaves")
         self._pool = urllib3.PoolManager(maxsize=8, retries=False)
         self._lasting_left = lasting
         self._pause_s = pause_s
@@ -84,6 +92,25 @@
             is_accepted = job_id in self._book.accepted
             if is_accepted and self._rng.random() < CANCEL_SHARE:
                 self._cancel(job_id)
+            if self._leaving_rng.random() < LEAVE_SHARE:
+                self._submit_and_leave(
+                    f"{self._seed & 0xFFFFFFFF:08x}{LEAVING_IDS + number:08x}"
+                )
+
+    def _submit_and_leave(self, job_id):
+        """Submit a job without waiting for the answer, and cancel it elsewhere."""
+        rng = self._leaving_rng
+        body = schedulers.make_job(rng.randint(1, 3), rng.randint(50, 500))
+        first, second = (rng.choice(self._cell.names) for _ in range(2))
+        if self._call_at(first, "POST", PATH + job_id, body, LEAVE_S) == 200:
+            self._book.accepted.add(job_id)
+        status = self._call_at(second, "DELETE", PATH + job_id)
+        if status == 200:
+            self._book.cancelled.add(job_id)
+        elif status == 410:
+            self._book.never.add(job_id)
+        else:
+            self._book.maybe_cancelled.add(job_id)
 
     def _submit(self, job_id):
         body = self._make_job(job_id)
@@ -130,12 +157,17 @@
 
     def _call(self, method, job_id, body, prefix=PATH):
         """Call any scheduler; returns the status, 0 for no answer."""
-        url = self._cell.url(self._rng.choice(self._cell.names), prefix + job_id)
+        name = self._rng.choice(self._cell.names)
+        return self._call_at(name, method, prefix + job_id, body)
+
+    def _call_at(self, name, method, path, body=None, timeout_s=TIMEOUT_S):
+        """Call a scheduler; returns the status, 0 for no answer."""
+        url = self._cell.url(name, path)
         data = msgspec.json.encode(body) if body is not None else None
         headers = schedulers.make_headers(self._cell.key)
         try:
             return self._pool.request(
-                method, url, body=data, headers=headers, timeout=3.0
+                method, url, body=data, headers=headers, timeout=timeout_s
             ).status
         except urllib3.exceptions.HTTPError:
             return 0
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,7 @@
         broken.append(f"over room: {seen['over_room']} starts")
     started = {task.split(".")[0] for task, _, _ in seen["starts"]}
     broken += [f"refused, and started: {job}" for job in book.refused & started]
+    broken += [f"cancelled, and started: {job}" for job in book.never & started]
     return broken
 
 
--- a/tests/cancel_test.py
+++ b/tests/cancel_test.py
@@ -105,14 +105,15 @@
         self.check_gone(job_id)
 
 
-class SubmittedToPausedProcess(CancelCase):
+class PausedCase(CancelCase):
     """A process reads a submission only after its caller has left and cancelled it."""
 
-    def check_never_starts(self, paused, asked):
+    def check_never_starts(self, paused, asked, change=lambda: None):
         """Submit at a paused process, cancel elsewhere, and let the process go on.
 
         Args:
           paused, asked: Strs, the processes that get the POST and the DELETE.
+          change: A callable, called before the paused process goes on.
         """
         self.cell.by_name[paused].freeze()
         self.addCleanup(self.cell.by_name[paused].thaw)
@@ -126,6 +127,7 @@
             return answer is not None and answer.status == 410
 
         harness.wait_until(cancel, f"the cancel of {job_id}")
+        change()
         self.cell.by_name[paused].thaw()
         self.cell.by_name[paused].wait_for(f"event=job-submitted job={job_id}")
         # A job that is accepted later has run, so this one would have started too.
@@ -135,6 +137,10 @@
         self.assertEqual(self.count_starts(job_id), 0)
         self.assertEqual(self.cell.read_state(asked, job_id), "")
 
+
+class SubmittedToPausedProcess(PausedCase):
+    """The paused process reaches the store when it goes on."""
+
     # Guards against a job that starts after its DELETE was answered with 410.
     def test_job_never_starts(self):
         self.check_never_starts(self.other, self.owner)
@@ -145,6 +151,32 @@
             self.cell.by_name[name].wait_for(r"event=peers-listed count=2")
         self.check_never_starts(self.owner, self.other)
 
+    # Guards against a successor that does not know of the cancel.
+    def test_job_never_starts_under_a_successor(self):
+        asked = next(n for n in self.cell.names if n not in (self.owner, self.other))
+
+        def replace_owner():
+            self.kill_owner()
+            self.cell.find_owner()
+
+        self.check_never_starts(self.other, asked, replace_owner)
+
+
+class SubmittedByWayOfPeer(PausedCase):
+    """The store does not answer the paused process when it goes on, but its peers."""
+
+    has_proxies = True
+
+    # Guards against a relayed write of a job that was cancelled.
+    def test_relayed_job_never_starts(self):
+        for name in self.cell.names:
+            self.cell.by_name[name].wait_for(r"event=peers-listed count=2")
+        cut = f"store-of-{self.other}"
+        self.check_never_starts(
+            self.other, self.owner, lambda: self.cell.set_proxy(cut, cut=True)
+        )
+        self.cell.by_name[self.other].wait_for("event=job-submitted .*outcome=cancel")
+
 
 class GoneOwner(CancelCase):
     """The process that gave the start is killed, and does not come back."""
