--- a/thornport/cell/decisions/waiting_test.py
+++ b/thornport/cell/decisions/waiting_test.py
@@ -41,7 +41,6 @@
         self.world.has_tickets = False
         self.world.run(0.2)
         self.refusal = None
-        self.take_commands = None
         self.watch_owner()
 
     def watch_owner(self):
