End only jobs that an early cancel bars

What callers would see: a job of one workspace, answered 200, is cancelled by the DELETE of another workspace for the same ID. Cause: an owner may hear of the accepted job before its watch brings the early cancel that the job has replaced; it then cancelled whatever job it knew under the ID, also when it read the inbox again. The new test of cancelexpiry_test failed before (the job was cancelled) and passes now.

An early cancel is applied only to a job that it bars. A notice of a process of this version is trusted, as it names the workspace, so such a job no longer waits for the watch.

--- a/thornport/cell/decisions/learning.py
+++ b/thornport/cell/decisions/learning.py
@@ -374,6 +374,22 @@
             worker.unheard_until += self.lease_bounds.extra_s
         self._charge_run(worker, run)
 
+    def take_early_cancel(self, early_cancel, now):
+        """Cancel a job that its early cancel bars but was reported as accepted.
+
+        Args:
+          early_cancel: A record.JobRecord, the early cancel.
+          now: A float.
+        """
+        if self._deferred_updates is not None:
+            update = DeferredUpdate(self.take_early_cancel, early_cancel)
+            self._deferred_updates.append(update)
+            return
+        job = self.jobs_by_id.get(early_cancel.job_id)
+        # A job of another workspace may have replaced the early cancel since.
+        if job is not None and early_cancel.bars(job.record):
+            self.take_cancel(early_cancel.job_id, now)
+
     def take_cancel(self, job_id, now):
         """Cancel a job whose cancel request was accepted."""
         if self._deferred_updates is not None:
--- a/thornport/cell/owner/cancelexpiry.py
+++ b/thornport/cell/owner/cancelexpiry.py
@@ -21,10 +21,12 @@
     """An early cancel in the store.
 
     Attributes:
+      record: Its record.JobRecord.
       revision: An int, of its key.
       remove_at: A float, when it is to be removed.
     """
 
+    record: record.JobRecord
     revision: int
     remove_at: float
 
@@ -47,32 +49,34 @@
         self._early_cancels_by_id = {}
         self._is_removing = False
 
-    def take(self, job_id, revision, now):
+    def take(self, early_cancel, revision, now):
         """Take an early cancel that was read from the store.
 
         Args:
-          job_id: A str.
+          early_cancel: A record.JobRecord.
           revision: An int, of its key.
           now: A float.
         """
+        job_id = early_cancel.job_id
         known = self._early_cancels_by_id.get(job_id)
         if known is not None and known.revision == revision:
             return
         self.drop(job_id)
-        found = EarlyCancel(revision, now + self._keep_s)
+        found = EarlyCancel(early_cancel, revision, now + self._keep_s)
         self._early_cancels_by_id[job_id] = found
 
     def drop(self, job_id):
         """Forget an early cancel whose key was removed or is a job's now."""
         self._early_cancels_by_id.pop(job_id, None)
 
-    def has(self, job_id):
-        """Whether the store has an early cancel of a job, as far as is known."""
-        return job_id in self._early_cancels_by_id
+    def find(self, job_id):
+        """Find the record.JobRecord of the early cancel of a job; None if unknown."""
+        found = self._early_cancels_by_id.get(job_id)
+        return found.record if found is not None else None
 
-    def list_ids(self):
-        """List the IDs of the jobs that were cancelled early, a list of str."""
-        return list(self._early_cancels_by_id)
+    def list_records(self):
+        """List the record.JobRecords of the early cancels."""
+        return [found.record for found in self._early_cancels_by_id.values()]
 
     def remove_due(self, now):
         """Start removing some of the early cancels that are due, unless some are being.
--- a/thornport/cell/owner/cancelexpiry_test.py
+++ b/thornport/cell/owner/cancelexpiry_test.py
@@ -108,6 +108,24 @@
         states = {job.state for job in self.session.core.jobs_by_id.values()}
         self.assertEqual(states, {record.JobState.CANCELLED})
 
+    # Guards against a cancel of one workspace that ends the job of another one, which
+    # is reported as accepted before the owner has read the early cancel it replaced.
+    def test_job_of_another_workspace_is_not_cancelled(self):
+        callers = (workspace.Caller("press"),)
+        key = record.JOB_PREFIX + "a"
+        early = record.encode_record(record.make_early_cancel("a", callers))
+        photo = intake_test.make_record("a", workspace_name="photo")
+        now = self.reactor.seconds()
+        self.session.core.take_incoming(photo, now)
+        kept = peering.Kept("a", workspace="photo")
+        owner.OwnerSession.take_persisted_by_peer(self.session, kept)
+        self.followed._take_inbox_change(transactions.Change(key, early, 5))
+        self.followed._take_inbox([transactions.Item(key, early, 5)])
+        job = transactions.Change(key, record.encode_record(photo), 6)
+        self.followed._take_inbox_change(job)
+        states = {job.state for job in self.session.core.jobs_by_id.values()}
+        self.assertEqual(states, {record.JobState.QUEUED})
+
     # Guards against an undecodable value that cancels a job.
     def test_undecodable_value_cancels_no_job(self):
         self.submit("a")
--- a/thornport/cell/owner/following.py
+++ b/thornport/cell/owner/following.py
@@ -234,7 +234,7 @@
         job_record = decode_job(key, value)
         if job_record is not None and job_record.is_early_cancel():
             now = clock.read_monotonic()
-            self._session.early_cancels.take(job_record.job_id, revision, now)
+            self._session.early_cancels.take(job_record, revision, now)
             return None
         return job_record
 
@@ -243,9 +243,10 @@
             self._core.take_job(job_record, clock.read_monotonic())
 
     def _apply_persisted_cancels(self):
-        early = self._session.early_cancels.list_ids()
-        for job_id in (*self._persisted_cancels, *early):
+        for job_id in self._persisted_cancels:
             self._core.take_cancel(job_id, clock.read_monotonic())
+        for early_cancel in self._session.early_cancels.list_records():
+            self._core.take_early_cancel(early_cancel, clock.read_monotonic())
 
     def _take_inbox_change(self, change):
         if change.key.startswith(record.JOB_PREFIX):
@@ -266,9 +267,10 @@
         # The owner's own writes and jobs that peers reported show up here again.
         if job_record is not None and self._core.take_job(job_record, now):
             logs.log("job-taken", job=job_id, revision=change.revision)
-        if self._session.early_cancels.has(job_id):
+        early_cancel = self._session.early_cancels.find(job_id)
+        if early_cancel is not None:
             # A process of an earlier version may have reported the job as accepted.
-            self._core.take_cancel(job_id, now)
+            self._core.take_early_cancel(early_cancel, now)
 
     def _take_progress(self, items):
         now = clock.read_monotonic()
--- a/thornport/cell/owner/owner.py
+++ b/thornport/cell/owner/owner.py
@@ -215,7 +215,7 @@
         if persisted.is_cancel:
             self.core.take_cancel(job_id, now)
             logs.log("cancel-taken", job=job_id, by="peer")
-        elif self.early_cancels.has(job_id):
+        elif persisted.workspace is None and self.early_cancels.find(job_id):
             # A process of an earlier version takes an early cancel for the job.
             logs.log("job-not-taken", job=job_id, reason="cancelled early")
         else:
