--- a/review/rig3/__init__.py
+++ b/review/rig3/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins and a driver for the cases 9 to 12; only the standard library is used."""
+"""Stand-ins and a driver for the cases 9 to 13; only the standard library is used."""
--- a/review/rig3/http11.py
+++ b/review/rig3/http11.py
@@ -48,9 +48,9 @@
         self.address = ""
         self._writers = set()
 
-    async def start(self):
-        """Listen on a free port; return the address."""
-        self.server = await asyncio.start_server(self._serve, HOST, 0, backlog=2048)
+    async def start(self, port=0):
+        """Listen on a port, a free one if none is given; return the address."""
+        self.server = await asyncio.start_server(self._serve, HOST, port, backlog=2048)
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{port}"
         return self.address
